--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,904 @@
+//! Every decision of the balancer. Its settings, events and actions are in `api.rs`.
+//!
+//! One mechanism decides the ordinary path: an attempt is bounded by learned percentiles and the time left,
+//! what cannot finish is not sent, own time-outs trip a breaker, the ready server with fewest own calls wins.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::api::*;
+
+// Named constants: ratios of learned values or of settings.
+/// Histogram buckets to a doubling: a percentile is then right to within a tenth.
+const PER_OCTAVE: f64 = 8.0;
+/// Buckets in all: 22 doublings above `FLOOR`, more than any deadline.
+const BUCKETS: usize = 176;
+/// Lower edge of the first bucket, far below any call that crosses a network.
+const FLOOR: f64 = 64.0;
+/// Requests that the mean of their hinted work is taken over.
+const MEAN_OVER: f64 = 32.0;
+/// Part of a latency that goes with the hinted work; the rest is waiting, which small requests do as well.
+const HINT_TRUST: f64 = 0.6;
+/// With fewer (faded) samples not even P50 is known.
+const MIN_SAMPLES: f64 = 6.0;
+/// Samples that do not fade: with a request a second there would be none.
+const KEPT_SAMPLES: f64 = 20.0;
+/// With fewer, P99 is not: one in a hundred cannot be told from less than a hundred; time left alone bounds.
+const TAIL_SAMPLES: f64 = 100.0;
+/// Factor by which P99 is widened for each time-out above the 1% that a P99 allows.
+const WIDEN: f64 = 1.15;
+/// Widest that P99 becomes.
+const WIDEST: f64 = 8.0;
+/// An attempt is sent while this share of its class's aim is left, whatever the learned P50.
+const ALWAYS_SENT: f64 = 0.5;
+/// Places of attempts given up fade by half in this many P50: a slow spell's P99 would fill the window.
+const LINGER: f64 = 2.0;
+/// Wait before a retry, in P50: short beside the call, long enough to spread.
+const BACKOFF: f64 = 0.1;
+/// Room for a retry is kept only where the first attempt still gets this many P50: a heavy one needs them.
+const RETRY_ROOM: f64 = 5.0;
+/// Attempts that no retry may follow get this many P99: a time-out gains a place and loses the request.
+const UNREPEATED: f64 = 3.0;
+/// An attempt that ran out after this many P50 counts against its server, whatever bound it.
+const PATIENCE: f64 = 12.0;
+/// Retries that one first attempt pays for.
+const RETRY_SHARE: f64 = 0.1;
+/// Retries that may be saved up.
+const RETRY_SAVINGS: f64 = 5.0;
+/// An answer that took more than this share of the time in which it is useful waited too long in queues.
+const QUEUE_TARGET: f64 = 0.7;
+/// Share of answers that may come later than the queueing target before the window shrinks.
+const LATE_SHARE: f64 = 0.25;
+/// The window shrinks too when half of the answers took more than this many of the lowest P50 seen lately.
+const CROWDED: f64 = 1.5;
+/// Growth of that lowest P50 within a half-life, so that it follows a fleet that has changed.
+const BASE_RISE: f64 = 1.05;
+/// Change of the window for one answer.
+const WINDOW_GAIN: f64 = 0.5;
+/// First window, in attempts to a server of the balancer's share of the fleet.
+const FIRST_WINDOW: f64 = 4.0;
+/// Most by which a window's growth is raised or lowered, as it lies under or over that first window.
+const MOST_PULL: f64 = 3.0;
+/// The window's floor, in attempts in all: a part of one is one with pauses.
+const LEAST_WINDOW: f64 = 0.05;
+/// Balancers that prefer the same server: each meets its few often enough, and all are covered evenly.
+const SHARED_BY: f64 = 4.0;
+/// Calls in flight that a server outside the preferred ones seems to have more.
+const OUTSIDE: f64 = 1.0;
+/// A server is ejected when so many failures in a row would come by chance less often than this.
+const CHANCE: f64 = 0.01;
+/// Open time of a breaker, in longest deadlines.
+const OPEN_FOR: f64 = 1.0;
+/// Idle connections are closed before a call when this share of calls on such ones failed.
+const MOST_STALE: f64 = 0.5;
+/// Weight of one more call in that share.
+const STALE_GAIN: f64 = 0.25;
+/// A server that turned a call away rests this many P50.
+const REST: f64 = 2.0;
+/// Share of the servers that may be ejected.
+const MOST_EJECTED: f64 = 0.34;
+/// The same where they cannot be reached.
+const MOST_UNREACHED: f64 = 0.67;
+/// Places of an express class, in windows: long calls of little worth would hold all of a balancer's few.
+const EXPRESS: f64 = 2.0;
+/// A class is express when it is worth this many times as much for its work as the next one.
+const FAR_AHEAD: f64 = 2.0;
+/// Requests held for each attempt that the window allows.
+const HELD_FOR_WINDOW: f64 = 4.0;
+/// Requests that may always be held.
+const HELD_ALWAYS: usize = 16;
+/// Looks at the held requests in the shortest aim.
+const SWEEPS: u64 = 64;
+/// Rounds of housekeeping in the longest deadline.
+const HOUSEKEEPING: u64 = 16;
+/// Discovery is first asked within this share of the span allowed for asking.
+const ASK_SPREAD: f64 = 0.9;
+/// Discovery is asked again within this share of that span after a failed call.
+const ASK_AGAIN: f64 = 0.4;
+
+const SWEEP: u64 = 1;
+const HOUSEKEEP: u64 = 2;
+const ASK: u64 = 3;
+
+/// Percentiles of recent latencies: a histogram with buckets of equal ratio, whose samples fade with time.
+struct Percentiles {
+    counts: Vec<f64>,
+    total: f64,
+    widen: f64,
+    p50: f64,
+    p99: f64,
+    faded: Micros,
+}
+
+impl Default for Percentiles {
+    fn default() -> Self {
+        Percentiles { counts: vec![0.0; BUCKETS], total: 0.0, widen: 1.0, p50: 0.0, p99: 0.0, faded: 0 }
+    }
+}
+
+impl Percentiles {
+    fn fade(&mut self, now: Micros, half_life: f64) {
+        let keep = 0.5_f64.powf((now - self.faded.min(now)) as f64 / half_life);
+        // Prevents a balancer with little traffic from forgetting each answer before the next: the last few
+        // stay whatever their age.
+        let keep = keep.max(KEPT_SAMPLES / self.total.max(KEPT_SAMPLES));
+        if keep < 0.95 {
+            self.counts.iter_mut().for_each(|c| *c *= keep);
+            self.total *= keep;
+            self.faded = now;
+        }
+    }
+
+    /// A time-out counts at its value; while they are over 1%, P99 is widened. Prevents the cut-offs from
+    /// dragging down the percentile that sets them.
+    fn record(&mut self, latency: f64, timed_out: bool) {
+        let at = (PER_OCTAVE * (latency.max(FLOOR) / FLOOR).log2()) as usize;
+        self.counts[at.min(BUCKETS - 1)] += 1.0;
+        self.total += 1.0;
+        let step = if timed_out { 1.0 } else { -0.01 };
+        self.widen = (self.widen * WIDEN.powf(step)).clamp(1.0, WIDEST);
+        self.p50 = self.quantile(0.5);
+        let tail = self.total >= TAIL_SAMPLES;
+        self.p99 = if tail { self.quantile(0.99) * self.widen } else { f64::INFINITY };
+    }
+
+    fn quantile(&self, q: f64) -> f64 {
+        let mut left = q * self.total;
+        let at = self.counts.iter().position(|c| {
+            left -= c;
+            left <= 0.0
+        });
+        FLOOR * ((at.unwrap_or(BUCKETS - 1) as f64 + 0.5) / PER_OCTAVE).exp2()
+    }
+}
+
+#[derive(Clone, Copy, Default, PartialEq)]
+enum State {
+    #[default]
+    Closed,
+    Open {
+        until: Micros,
+    },
+    HalfOpen,
+}
+
+/// Opens after failures in a row; open, it passes a trial at a time.
+#[derive(Clone, Default)]
+struct Breaker {
+    state: State,
+    failures: u32,
+}
+
+#[derive(Default)]
+struct Server {
+    entry: ServerEntry,
+    in_flight: u32,
+    /// That of all classes together, then one for each class: a server may fail one and serve the rest.
+    breakers: Vec<Breaker>,
+    /// The next attempt goes no earlier: it is cold or turned the last one away.
+    not_before: Micros,
+    /// Since when its idle connections have been so.
+    idle: Vec<Micros>,
+    /// One of the few servers that this balancer prefers.
+    preferred: bool,
+}
+
+impl Server {
+    fn share(&self, now: Micros, rules: &Rules) -> f64 {
+        let Some(started) = self.entry.started else { return 1.0 };
+        let age = now.saturating_sub(started) as f64 / rules.warm_after.max(1) as f64;
+        (rules.cold_from + (1.0 - rules.cold_from) * age).min(1.0)
+    }
+
+    /// Whether the breakers let a call of the class through, and if it is a trial.
+    fn passes(&self, class: ClassId, now: Micros) -> Option<bool> {
+        let pass = |b: &Breaker| match b.state {
+            State::Closed => Some(false),
+            State::Open { until } if now >= until => Some(true),
+            _ => None,
+        };
+        Some(pass(&self.breakers[0])? | pass(&self.breakers[class + 1])?)
+    }
+
+    fn ejected(&self) -> bool {
+        self.breakers.iter().any(|b| b.state != State::Closed)
+    }
+}
+
+/// The servers of one zone, as far as this balancer's own attempts tell of them.
+#[derive(Default)]
+struct Pool {
+    servers: u32,
+    /// Attempts that may be out at once.
+    window: f64,
+    in_flight: u32,
+    /// Attempts given up that servers may still work on; they fade.
+    lingering: f64,
+    /// With a window under one attempt: nothing goes out earlier.
+    resume: Micros,
+    /// Attempts sent, faded: a measure of the rate.
+    sent: f64,
+}
+
+#[derive(Default)]
+struct Request {
+    class: ClassId,
+    arrived: Micros,
+    /// An answer after this earns nothing.
+    useful: Micros,
+    deadline: Micros,
+    sent: u32,
+    retried: bool,
+    /// Its hinted work beside its class's mean; 1 where there is no hint.
+    scale: f64,
+    /// The earliest attempt that may have run: when it was sent and where.
+    ran: Option<(Micros, ZoneId, u32)>,
+    out: Option<Attempt>,
+    last: Option<ServerId>,
+    not_before: Micros,
+}
+
+struct Attempt {
+    at: Micros,
+    zone: ZoneId,
+    cell: u32,
+    own_limit: bool,
+    /// How long its connection had been idle, in doublings of `FLOOR`.
+    idle: usize,
+}
+
+/// How an attempt ended.
+struct Ended {
+    server: ServerId,
+    outcome: Outcome,
+    latency: Micros,
+    closed: bool,
+}
+
+#[derive(Default)]
+struct ClassState {
+    latency: Percentiles,
+    /// The lowest P50 seen lately.
+    base: f64,
+    /// Mean of the hinted work.
+    work: f64,
+    offered: f64,
+    served: f64,
+    held: VecDeque<RequestId>,
+}
+
+/// The decisions of one balancer.
+pub struct Balancer {
+    settings: Settings,
+    rng: fastrand::Rng,
+    servers: Vec<Server>,
+    /// Where the preferred servers stand among them.
+    preferred: Vec<usize>,
+    pools: BTreeMap<ZoneId, Pool>,
+    requests: BTreeMap<RequestId, Request>,
+    classes: Vec<ClassState>,
+    all: Percentiles,
+    /// Retries that wait for their backoff or are bound to a group.
+    retries: Vec<RequestId>,
+    retry_budget: f64,
+    failing: f64,
+    /// The longest deadline: samples fade by half over it, so a shift shows within seconds.
+    half_life: f64,
+    /// Share of calls that failed on connections idle for so many doublings of `FLOOR`.
+    stale: [f64; 64],
+    /// The class that may pass a full window.
+    express: Option<ClassId>,
+    /// Span between two looks at the held requests.
+    look: Micros,
+    sweeping: bool,
+    started: bool,
+    housekept: Micros,
+}
+
+impl Balancer {
+    /// A balancer with nothing known; fails if the settings make no sense.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(1);
+        Ok(Balancer {
+            classes: settings.classes.iter().map(|_| ClassState::default()).collect(),
+            rng: fastrand::Rng::with_seed(seed),
+            servers: Vec::new(),
+            preferred: Vec::new(),
+            pools: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            all: Percentiles::default(),
+            retries: Vec::new(),
+            retry_budget: RETRY_SAVINGS,
+            failing: 0.01,
+            half_life: longest as f64,
+            stale: [0.0; 64],
+            express: None,
+            look: (settings.classes.iter().map(|c| c.aim).min().unwrap_or(1) / SWEEPS).max(settings.tick),
+            sweeping: false,
+            started: false,
+            housekept: 0,
+            settings,
+        })
+    }
+
+    /// Takes one event and appends what is to be done. `now` never goes back.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        if !self.started {
+            self.started = true;
+            self.housekept = now;
+            self.housekeep(now, actions);
+            if self.settings.discovery == Discovery::Ask {
+                self.ask_within(self.settings.rules.ask_within as f64 * ASK_SPREAD, actions);
+            }
+        }
+        match event {
+            Event::Servers { kind, entries } => self.list(now, kind, entries, actions),
+            Event::Request { id, class, time_left, work, .. } => {
+                self.take(now, id, class, time_left, work, actions);
+            }
+            Event::Outcome { request, server, outcome, latency, closed, .. } => {
+                self.outcome(now, request, &Ended { server, outcome, latency, closed }, actions);
+            }
+            // A stream that has begun is the client's: no limit, no retry; its outcome still frees the place.
+            Event::Gone { request } | Event::FirstByte { request, .. } => {
+                self.requests.remove(&request);
+            }
+            Event::Timer { token: SWEEP } => self.sweep(now, actions),
+            Event::Timer { token: HOUSEKEEP } => self.housekeep(now, actions),
+            Event::Timer { token: ASK } => actions.push(Action::Watch),
+            Event::Timer { .. } | Event::Probed { .. } => {}
+        }
+        self.dispatch(now, actions);
+        if !self.sweeping && (!self.retries.is_empty() || self.classes.iter().any(|c| !c.held.is_empty())) {
+            self.sweeping = true;
+            actions.push(Action::Timer { delay: self.look, token: SWEEP });
+        }
+    }
+
+    // Intake.
+
+    fn take(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        class: ClassId,
+        left: Micros,
+        work: Option<Micros>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(c) = self.settings.classes.get(class) else {
+            actions.push(Action::Fail { request: id });
+            return;
+        };
+        let stretch = (c.aim_stretch * work.unwrap_or(0) as f64) as Micros;
+        let mut aim = (c.aim + stretch).min(c.deadline);
+        if !self.settings.passes_deadline {
+            aim = aim.min(self.split(c.deadline));
+        }
+        let useful = if c.late_worth > 0.0 { left } else { left.min(aim.saturating_sub(self.settings.tick)) };
+        let state = &mut self.classes[class];
+        state.offered += 1.0;
+        state.held.push_back(id);
+        let work = work.map_or(0.0, |w| w as f64);
+        state.work += (work - state.work) / state.offered.clamp(1.0, MEAN_OVER);
+        let scale = if work > 0.0 { 1.0 + HINT_TRUST * (work / state.work - 1.0) } else { 1.0 };
+        let (useful, deadline) = (now + useful, now + left);
+        let request =
+            Request { class, arrived: now, not_before: now, useful, deadline, scale, ..Request::default() };
+        self.requests.insert(id, request);
+        self.bound_held(now, actions);
+    }
+
+    /// The part of a class's span that is for this tier and those below it.
+    fn split(&self, span: Micros) -> Micros {
+        let (tier, tiers) = (self.settings.tier as u64, self.settings.tiers as u64);
+        span * (tiers - tier) / tiers
+    }
+
+    /// Prevents a backlog of requests that have no hope from filling the memory: the least worth go first.
+    fn bound_held(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let window: f64 = self.pools.values().map(|p| p.window).sum();
+        let most = ((window * HELD_FOR_WINDOW) as usize).max(HELD_ALWAYS);
+        if self.classes.iter().map(|c| c.held.len()).sum::<usize>() > most {
+            let order = self.class_order();
+            let id = order.iter().rev().find_map(|&c| self.classes[c].held.pop_front());
+            if let Some(id) = id {
+                self.give_up(now, id, actions);
+            }
+        }
+    }
+
+    /// Final answer without service: refused where the rules let it be and its client may still gain.
+    fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        let class = &self.settings.classes[request.class];
+        let repeatable = matches!(class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        let may_refuse = request.ran.is_none() || repeatable;
+        let gains = now as f64 + self.classes[request.class].latency.p50 < request.useful as f64;
+        actions.push(if may_refuse && gains {
+            Action::Refuse { request: id, retry_after: 0 }
+        } else {
+            Action::Fail { request: id }
+        });
+    }
+
+    /// What the class's learned percentiles are, or the pooled ones, or nothing.
+    fn percentiles(&self, class: ClassId) -> Option<&Percentiles> {
+        [&self.classes[class].latency, &self.all].into_iter().find(|p| p.total >= MIN_SAMPLES)
+    }
+
+    /// Too little time is left for an attempt to finish.
+    fn hopeless(&self, now: Micros, request: &Request) -> bool {
+        let left = request.useful.saturating_sub(now) as f64;
+        let aim = self.split(self.settings.classes[request.class].aim) as f64;
+        let p50 = self.percentiles(request.class).map_or(0.0, |p| p.p50);
+        // Prevents a final answer that comes too late, where looks are further apart than the grace for it.
+        let last_look = now + self.look >= request.deadline;
+        last_look || left <= 0.0 || left < p50.min(aim * ALWAYS_SENT) * request.scale
+    }
+
+    /// Classes by what their requests are worth for their work, most first; the worst-served class counts for
+    /// its part in the goal.
+    fn class_order(&mut self) -> Vec<ClassId> {
+        let ratio = |c: &ClassState| if c.offered > 0.0 { c.served / c.offered } else { 1.0 };
+        let worth = |i: usize| self.settings.classes[i].worth;
+        let total: f64 = self.classes.iter().enumerate().map(|(i, c)| worth(i) * c.offered).sum();
+        let worst = self.classes.iter().map(ratio).fold(1.0, f64::min);
+        let goal = &self.settings.goal;
+        let value = |i: usize| {
+            let c = &self.classes[i];
+            let own = worth(i) * c.offered;
+            let bonus = if ratio(c) <= worst && own > 0.0 { goal.worst_class * total / own } else { 0.0 };
+            let work = if self.settings.worth_by_work || c.latency.total < MIN_SAMPLES {
+                1.0
+            } else {
+                c.latency.p50
+            };
+            worth(i) * (goal.whole + goal.worst_window + bonus) / work
+        };
+        let mut order: Vec<ClassId> = (0..self.classes.len()).collect();
+        order.sort_by(|&a, &b| value(b).total_cmp(&value(a)));
+        self.express = match order[..] {
+            [first, second, ..] if value(first) > FAR_AHEAD * value(second) => Some(first),
+            _ => None,
+        };
+        order
+    }
+
+    // Pick.
+
+    /// Sends what is held as far as servers are ready.
+    fn dispatch(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let retries = std::mem::take(&mut self.retries);
+        for id in retries {
+            let Some(request) = self.requests.get(&id) else { continue };
+            if self.hopeless(now, request) || self.out_of_window(now, request) {
+                self.give_up(now, id, actions);
+            } else if request.not_before > now {
+                self.retries.push(id);
+            } else if let Some(at) = self.pick(now, id) {
+                self.send(now, id, at, actions);
+            } else {
+                self.retries.push(id);
+            }
+        }
+        if self.classes.iter().all(|c| c.held.is_empty()) {
+            return;
+        }
+        let order = self.class_order();
+        while order.iter().any(|&class| self.dispatch_one(now, class, actions)) {}
+    }
+
+    /// Sends or drops one held request of the class; the newest first, since it has the most time left.
+    fn dispatch_one(&mut self, now: Micros, class: ClassId, actions: &mut Vec<Action>) -> bool {
+        for newest in [true, false] {
+            let held = &self.classes[class].held;
+            let Some(&id) = (if newest { held.back() } else { held.front() }) else { return false };
+            let hopeless = self.requests.get(&id).is_none_or(|r| self.hopeless(now, r));
+            let picked = if hopeless { None } else { self.pick(now, id) };
+            if !hopeless && picked.is_none() {
+                continue;
+            }
+            let held = &mut self.classes[class].held;
+            let _ = if newest { held.pop_back() } else { held.pop_front() };
+            match picked {
+                Some(at) => self.send(now, id, at, actions),
+                None => self.give_up(now, id, actions),
+            }
+            return true;
+        }
+        false
+    }
+
+    /// Prevents a repeat after the group has forgotten the request.
+    fn out_of_window(&self, now: Micros, request: &Request) -> bool {
+        match (self.settings.classes[request.class].effect, request.ran) {
+            (_, None) | (Effect::Safe, _) => false,
+            (Effect::Unsafe, Some(_)) => true,
+            (Effect::Keyed { window, .. }, Some((at, ..))) => now + self.settings.tick >= at + window,
+        }
+    }
+
+    fn in_group(&self, request: &Request, entry: &ServerEntry) -> bool {
+        match (self.settings.classes[request.class].effect, request.ran) {
+            (Effect::Keyed { group: Group::Zone, .. }, Some((_, zone, _))) => entry.zone == zone,
+            (Effect::Keyed { group: Group::Cell, .. }, Some((_, _, cell))) => entry.cell == cell,
+            _ => true,
+        }
+    }
+
+    /// The ready server with fewest own calls in flight for its size; own zone first.
+    fn pick(&mut self, now: Micros, id: RequestId) -> Option<usize> {
+        let request = &self.requests[&id];
+        let waited = (now - request.arrived) as f64;
+        // A crossing is worth the wait for a place at home in the proportion of its price.
+        let p50 = self.percentiles(request.class).map_or(1.0, |p| p.p50);
+        let may_cross = waited >= self.settings.prices.cross_zone * p50;
+        let room = if self.express == Some(request.class) { EXPRESS } else { 1.0 };
+        let home = self.settings.zone;
+        let mut best: Option<(bool, f64, usize)> = None;
+        let others = (0..self.servers.len()).filter(|&at| !self.servers[at].preferred);
+        for (turn, at) in self.preferred.iter().copied().chain(others).enumerate() {
+            // Prevents a ranking of the whole fleet for each call: the others seem to have one more.
+            if turn >= self.preferred.len() && best.is_some_and(|(away, score, _)| !away && score < OUTSIDE) {
+                break;
+            }
+            let server = &self.servers[at];
+            let entry = &server.entry;
+            let away = entry.zone != home;
+            if entry.state != ServerState::Ready || (away && !may_cross) || !self.in_group(request, entry) {
+                continue;
+            }
+            let pool = &self.pools[&entry.zone];
+            let Some(trial) = server.passes(request.class, now) else { continue };
+            let given_up = if self.settings.tier == 0 { pool.lingering } else { 0.0 };
+            let full = pool.in_flight as f64 + given_up >= pool.window.max(1.0) * room;
+            if full || (now < pool.resume && room == 1.0) {
+                continue;
+            }
+            let share = server.share(now, &self.settings.rules);
+            if now < server.not_before {
+                continue;
+            }
+            let size = entry.weight * share;
+            let again = if request.last == Some(entry.id) { 2.0 } else { 1.0 };
+            let spread = self.rng.f64() + if server.preferred { 0.0 } else { OUTSIDE };
+            let score = (server.in_flight as f64 + spread) * again / size;
+            let score = if trial { -1.0 } else { score };
+            if best.is_none_or(|(a, s, _)| (away, score) < (a, s)) {
+                best = Some((away, score, at));
+            }
+        }
+        best.map(|(_, _, at)| at)
+    }
+
+    // Send.
+
+    fn send(&mut self, now: Micros, id: RequestId, at: usize, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (limit, class) = (self.limit(now, request), request.class);
+        // Prevents silent servers from hiding behind attempts bound by time left alone.
+        let patience =
+            self.percentiles(class).map_or(limit, |p| (p.p50 * request.scale * PATIENCE) as Micros);
+        let server = &mut self.servers[at];
+        let share = server.share(now, &self.settings.rules);
+        let pool = self.pools.entry(server.entry.zone).or_default();
+        pool.in_flight += 1;
+        pool.sent += 1.0;
+        server.in_flight += 1;
+        for breaker in [0, class + 1] {
+            let state = &mut server.breakers[breaker].state;
+            *state = if *state == State::Closed { State::Closed } else { State::HalfOpen };
+        }
+        if share < 1.0 {
+            let interval = self.half_life * std::f64::consts::LOG2_E * pool.servers as f64 / pool.sent;
+            server.not_before = now + (interval / share * (0.5 + self.rng.f64())) as Micros;
+        }
+        let gap = server.idle.pop().map_or(0, |since| now - since) / FLOOR as Micros;
+        let mut idle = gap.checked_ilog2().unwrap_or(0) as usize;
+        // Prevents calls on connections that something between dropped unseen.
+        if self.stale[idle] > MOST_STALE {
+            actions.push(Action::CloseIdle { server: server.entry.id });
+            server.idle.clear();
+            idle = 0;
+        }
+        let ServerEntry { id: server, zone, cell, .. } = server.entry;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.sent == 0 {
+            self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_SAVINGS);
+        }
+        request.sent += 1;
+        request.last = Some(server);
+        let own_limit = now + limit.min(patience) < request.deadline;
+        request.out = Some(Attempt { at: now, zone, cell, own_limit, idle });
+        actions.push(Action::Send { request: id, server, limit });
+    }
+
+    /// P99 for a first attempt, with room for a retry where one may follow; P50 for the retry.
+    fn limit(&self, now: Micros, request: &Request) -> Micros {
+        let left = (request.useful - now) as f64;
+        let Some(p) = self.percentiles(request.class) else { return left as Micros };
+        let limit = if request.retried {
+            p.p50 * request.scale
+        } else if self.settings.classes[request.class].effect == Effect::Unsafe {
+            p.p99 * request.scale * UNREPEATED
+        } else {
+            let reserve = p.p50 * request.scale * (1.0 + BACKOFF);
+            let room =
+                if left - reserve > p.p50 * request.scale * RETRY_ROOM { left - reserve } else { left };
+            (p.p99 * request.scale).min(room)
+        };
+        limit.min(left).max(1.0) as Micros
+    }
+
+    // Outcome.
+
+    fn outcome(&mut self, now: Micros, id: RequestId, ended: &Ended, actions: &mut Vec<Action>) {
+        let request = self.requests.get_mut(&id);
+        let (class, attempt) = request.map_or((None, None), |r| (Some((r.class, r.scale)), r.out.take()));
+        let own = attempt.as_ref().is_some_and(|a| a.own_limit);
+        let late = class.and_then(|(c, scale)| self.learn(c, scale, ended));
+        if let Some(idle) = attempt.as_ref().map(|a| a.idle).filter(|idle| *idle > 0) {
+            let failed = matches!(ended.outcome, Outcome::TimedOut | Outcome::Reset);
+            // What fails after a gap fails after longer ones, what works works after shorter ones.
+            let alike = if failed { idle..64 } else { 0..idle + 1 };
+            let share = f64::from(u8::from(failed));
+            self.stale[alike].iter_mut().for_each(|s| *s += STALE_GAIN * (share - *s));
+        }
+        self.judge(now, class.map(|(c, _)| c), ended, own, late);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if ended.closed {
+            self.classes[request.class].served += f64::from(u8::from(ended.outcome == Outcome::Ok));
+            self.requests.remove(&id);
+            return;
+        }
+        if let Some(a) = attempt.filter(|_| !ended.outcome.never_ran()) {
+            request.ran = request.ran.or(Some((a.at, a.zone, a.cell)));
+        }
+        self.again(now, id, ended.outcome, actions);
+    }
+
+    /// One retry after a time-out, error or broken connection, within the retry budget; what never ran goes
+    /// out again as long as attempts are left.
+    fn again(&mut self, now: Micros, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let p50 = self.percentiles(self.requests[&id].class).map_or(0.0, |p| p.p50);
+        let wait = (p50 * BACKOFF * (0.5 + self.rng.f64())) as Micros;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let unused = request.sent < self.settings.limits.max_attempts;
+        let may = if outcome.never_ran() {
+            unused
+        } else {
+            let effect = self.settings.classes[request.class].effect;
+            let may = unused && !request.retried && effect != Effect::Unsafe && self.retry_budget >= 1.0;
+            if may {
+                self.retry_budget -= 1.0;
+                request.retried = true;
+            }
+            may
+        };
+        if may {
+            request.not_before = now + wait.max(self.settings.tick);
+            self.retries.push(id);
+        } else {
+            self.give_up(now, id, actions);
+        }
+    }
+
+    /// Records what an attempt tells of latencies; tells how far it was later than the queueing target.
+    fn learn(&mut self, class: ClassId, scale: f64, ended: &Ended) -> Option<f64> {
+        let outcome = ended.outcome;
+        let base = self.classes[class].base;
+        let crowded = if base > 0.0 { CROWDED * base * scale } else { f64::INFINITY };
+        let target = QUEUE_TARGET * self.split(self.settings.classes[class].aim) as f64;
+        let latency = ended.latency as f64;
+        if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
+            let timed_out = outcome == Outcome::TimedOut;
+            self.classes[class].latency.record(latency / scale, timed_out);
+            self.all.record(latency / scale, timed_out);
+        }
+        match outcome {
+            // Prevents a spiral: an attempt cut short because it was held long says nothing of the queues.
+            Outcome::TimedOut | Outcome::Error if latency <= target.min(crowded) => None,
+            Outcome::Full => Some(1.0),
+            Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > target => Some(1.0),
+            Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > crowded => Some(2.0 * LATE_SHARE),
+            Outcome::Ok => Some(0.0),
+            _ => None,
+        }
+    }
+
+    /// Keeps the server's counts, breakers and memory, and its pool's window.
+    fn judge(&mut self, now: Micros, class: Option<ClassId>, ended: &Ended, own: bool, late: Option<f64>) {
+        let outcome = ended.outcome;
+        let some_failed = if outcome == Outcome::Ok { &[] } else { self.servers.as_slice() };
+        let ejected = some_failed.iter().filter(|s| s.ejected()).count() as f64;
+        let (known, p50) = (self.servers.len() as f64, self.all.p50);
+        let Some(server) = self.servers.iter_mut().find(|s| s.entry.id == ended.server) else { return };
+        let pool = self.pools.entry(server.entry.zone).or_default();
+        let used = pool.in_flight as f64 >= 0.7 * pool.window;
+        if server.in_flight > 0 {
+            server.in_flight -= 1;
+            pool.in_flight = pool.in_flight.saturating_sub(1);
+        }
+        if let Some(late) = late {
+            let near = if server.entry.zone == self.settings.zone { self.settings.zones as f64 } else { 1.0 };
+            let share = pool.servers as f64 * near / self.settings.balancers as f64;
+            // Prevents some balancers from keeping all places of servers that all share: the further a window
+            // is under its balancer's part, the more it grows, and the less above.
+            let pull = (FIRST_WINDOW * share / pool.window).clamp(1.0 / MOST_PULL, MOST_PULL);
+            let step = if late > 0.0 || used { LATE_SHARE * pull } else { 0.0 } - late;
+            // Prevents balancers that outnumber their servers from swamping them with one call each: a part
+            // of a place is a place with pauses, and grows in proportion.
+            let part = pool.window.min(1.0);
+            pool.window = (pool.window + WINDOW_GAIN * step * part).max(LEAST_WINDOW);
+            if pool.window < 1.0 {
+                let pause = ended.latency as f64 * (1.0 / pool.window - 1.0);
+                pool.resume = now + (pause * (0.5 + self.rng.f64())) as Micros;
+            }
+        }
+        if outcome == Outcome::Full {
+            // Prevents one that turns all away at once (full; draining before the news) from looking free.
+            server.not_before = now + (p50 * REST * (0.5 + self.rng.f64())) as Micros;
+        }
+        if matches!(outcome, Outcome::Ok | Outcome::Error) {
+            server.idle.push(now);
+        } else if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
+            pool.lingering += 1.0;
+        }
+        let failed = match outcome {
+            Outcome::Ok => false,
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => true,
+            Outcome::TimedOut if own => true,
+            _ => {
+                for breaker in server.breakers.iter_mut().filter(|b| b.state == State::HalfOpen) {
+                    breaker.state = State::Open { until: now };
+                }
+                return;
+            }
+        };
+        self.failing += 0.02 * (f64::from(u8::from(failed)) - self.failing);
+        let needed = (CHANCE.ln() / self.failing.clamp(0.01, 0.5).ln()).max(2.0);
+        // Prevents a lost zone from taking every call in turn: what cannot be reached may be most of it.
+        let most = if outcome == Outcome::ConnectFailed { MOST_UNREACHED } else { MOST_EJECTED };
+        let may_eject = server.ejected() || ejected < most * known;
+        for at in [Some(0), class.map(|c| c + 1)].into_iter().flatten() {
+            let breaker = &mut server.breakers[at];
+            if !failed {
+                *breaker = Breaker::default();
+                continue;
+            }
+            breaker.failures += 1;
+            if breaker.state == State::HalfOpen || (breaker.failures as f64 >= needed && may_eject) {
+                let until = now + (self.half_life * OPEN_FOR * (0.75 + 0.5 * self.rng.f64())) as Micros;
+                breaker.state = State::Open { until };
+                // The server fails all it gets: a class's own breaker opens only where others are served.
+                break;
+            }
+        }
+    }
+
+    // Discovery.
+
+    fn ask_within(&mut self, span: f64, actions: &mut Vec<Action>) {
+        actions.push(Action::Timer { delay: (span * self.rng.f64()) as Micros, token: ASK });
+    }
+
+    fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            self.ask_within(self.settings.rules.ask_within as f64 * ASK_AGAIN, actions);
+            return;
+        }
+        if kind != ListKind::Changes {
+            let listed: std::collections::BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
+            self.servers.retain(|s| listed.contains(&s.entry.id));
+        }
+        for entry in entries {
+            self.place(now, entry);
+        }
+        self.count_pools();
+    }
+
+    fn place(&mut self, now: Micros, mut entry: ServerEntry) {
+        entry.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+        let known = self.servers.iter().position(|s| s.entry.id == entry.id);
+        if entry.state == ServerState::Gone {
+            return self.servers.retain(|s| s.entry.id != entry.id);
+        }
+        match known {
+            Some(at) if self.servers[at].entry.started == entry.started => self.servers[at].entry = entry,
+            _ => {
+                let in_flight = known.map_or(0, |at| self.servers.remove(at).in_flight);
+                let pool = self.pools.entry(entry.zone).or_default();
+                let interval = self.half_life * std::f64::consts::LOG2_E * pool.servers.max(1) as f64
+                    / pool.sent.max(0.1);
+                let breakers = vec![Breaker::default(); self.classes.len() + 1];
+                let mut server = Server { entry, in_flight, breakers, ..Server::default() };
+                if server.share(now, &self.settings.rules) < 1.0 {
+                    let wait = interval / self.settings.rules.cold_from * self.rng.f64();
+                    server.not_before = now + wait as Micros;
+                }
+                self.servers.push(server);
+            }
+        }
+    }
+
+    fn count_pools(&mut self) {
+        for pool in self.pools.values_mut() {
+            (pool.servers, pool.in_flight) = (0, 0);
+        }
+        for s in &self.servers {
+            let pool = self.pools.entry(s.entry.zone).or_default();
+            pool.servers += 1;
+            pool.in_flight += s.in_flight;
+        }
+        self.pools.retain(|_, p| p.servers > 0);
+        self.prefer();
+        for (&zone, pool) in &mut self.pools {
+            if pool.window == 0.0 {
+                let near = if zone == self.settings.zone { self.settings.zones as f64 } else { 1.0 };
+                let share = pool.servers as f64 * near / self.settings.balancers as f64;
+                pool.window = (FIRST_WINDOW * share).max(2.0);
+            }
+        }
+    }
+
+    /// Chooses the preferred servers of each zone: a stretch of the ring of servers, where neighbours among
+    /// the balancers take neighbouring stretches.
+    fn prefer(&mut self) {
+        self.servers.sort_by_key(|s| (s.entry.zone, s.entry.ring, s.entry.id));
+        let (me, balancers) = (self.settings.me as usize, self.settings.balancers as usize);
+        let mut from = 0;
+        while from < self.servers.len() {
+            let zone = self.servers[from].entry.zone;
+            let n = self.servers[from..].iter().take_while(|s| s.entry.zone == zone).count();
+            let near = if zone == self.settings.zone { self.settings.zones as f64 } else { 1.0 };
+            let few = (SHARED_BY * n as f64 * near / balancers as f64).ceil() as usize;
+            let first = me * n / balancers;
+            for (i, server) in self.servers[from..from + n].iter_mut().enumerate() {
+                server.preferred = (i + n - first % n) % n < few;
+            }
+            from += n;
+        }
+        self.preferred = (0..self.servers.len()).filter(|&at| self.servers[at].preferred).collect();
+    }
+
+    // Timers.
+
+    /// Drops what cannot finish any more; `dispatch` follows.
+    fn sweep(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        self.sweeping = false;
+        for class in 0..self.classes.len() {
+            let held = std::mem::take(&mut self.classes[class].held);
+            let (drop, keep): (VecDeque<_>, VecDeque<_>) =
+                held.into_iter().partition(|id| self.requests.get(id).is_none_or(|r| self.hopeless(now, r)));
+            self.classes[class].held = keep;
+            for id in drop {
+                self.give_up(now, id, actions);
+            }
+        }
+    }
+
+    fn housekeep(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let span = (now - self.housekept) as f64;
+        self.housekept = now;
+        let keep = 0.5_f64.powf(span / self.half_life);
+        for c in &mut self.classes {
+            c.latency.fade(now, self.half_life);
+            c.base *= BASE_RISE.powf(span / self.half_life);
+            if c.latency.total >= KEPT_SAMPLES && (c.base == 0.0 || c.latency.p50 < c.base) {
+                c.base = c.latency.p50;
+            }
+            c.offered *= keep;
+            c.served *= keep;
+        }
+        self.all.fade(now, self.half_life);
+        self.stale.iter_mut().for_each(|s| *s *= keep);
+        let gone = if self.all.p50 > 0.0 { 0.5_f64.powf(span / (LINGER * self.all.p50)) } else { keep };
+        for pool in self.pools.values_mut() {
+            pool.lingering *= gone;
+            pool.sent *= keep;
+        }
+        let delay = (self.half_life as Micros / HOUSEKEEPING).max(1);
+        actions.push(Action::Timer { delay, token: HOUSEKEEP });
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! Load-balancer decisions for services that call services.
+#![doc = include_str!("../README.md")]
+
+pub mod api;
+mod brain;
+
+pub use api::*;
+pub use brain::Balancer;
--- /dev/null
+++ b/wirehost/src/wire.rs
@@ -0,0 +1,419 @@
+//! The messages of the bench's wire, as they are named there.
+
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+
+/// A message from the bench.
+#[derive(Deserialize)]
+#[allow(missing_docs)]
+pub enum Message<'a> {
+    BeginBatch {
+        #[serde(rename = "NowMs")]
+        now: f64,
+    },
+    Commit {},
+    Table {
+        #[serde(rename = "SetId")]
+        set: u64,
+        #[serde(rename = "Items")]
+        items: Vec<Entry>,
+    },
+    PowerOn {
+        #[serde(rename = "BalancerId")]
+        balancer: u64,
+        #[serde(rename = "RngSeed")]
+        seed: u64,
+        #[serde(rename = "Setup")]
+        setup: Box<Setup>,
+    },
+    Fleet {
+        #[serde(rename = "BalancerId")]
+        balancer: u64,
+        #[serde(rename = "Form")]
+        form: Form,
+        #[serde(rename = "SetId", default)]
+        set: u64,
+    },
+    #[serde(rename_all = "PascalCase")]
+    JobIn {
+        balancer_id: u64,
+        #[serde(borrow)]
+        rid: Cow<'a, str>,
+        #[serde(default, borrow)]
+        owner: Option<Owner<'a>>,
+        #[serde(default)]
+        expected_ms: Option<f64>,
+        #[serde(borrow)]
+        lane: Cow<'a, str>,
+        time_left_ms: f64,
+        #[serde(default)]
+        retry: bool,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Echo {
+        balancer_id: u64,
+        #[serde(borrow)]
+        upstream: Cow<'a, str>,
+        disposition: Disposition,
+        time_taken_ms: f64,
+        #[serde(default)]
+        load: Option<Load>,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Teardown {
+        balancer_id: u64,
+    },
+    #[serde(rename_all = "PascalCase")]
+    AckFirst {
+        balancer_id: u64,
+        #[serde(borrow)]
+        rid: Cow<'a, str>,
+        trial: u32,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Resolved {
+        balancer_id: u64,
+        #[serde(borrow)]
+        rid: Cow<'a, str>,
+        trial: u32,
+        #[serde(borrow)]
+        upstream: Cow<'a, str>,
+        disposition: Disposition,
+        time_taken_ms: f64,
+        #[serde(rename = "Final", default)]
+        closed: bool,
+        #[serde(default)]
+        load: Option<Load>,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Aborted {
+        balancer_id: u64,
+        #[serde(borrow)]
+        rid: Cow<'a, str>,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Bell {
+        balancer_id: u64,
+        ctx: u64,
+    },
+    /// Peers share nothing here; read and passed over.
+    #[serde(rename_all = "PascalCase")]
+    Peer {
+        #[allow(dead_code)]
+        balancer_id: u64,
+    },
+}
+
+/// Whose a request is: a tenant's name, or 0 where there are no tenants.
+#[derive(Deserialize)]
+#[serde(untagged)]
+#[allow(missing_docs)]
+pub enum Owner<'a> {
+    #[serde(borrow)]
+    Name(Cow<'a, str>),
+    Nobody(#[allow(dead_code)] u64),
+}
+
+/// What a list is.
+#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Form {
+    Patch,
+    Whole,
+    StaleCopy,
+    Broken,
+}
+
+/// How an attempt or probe ended.
+#[derive(Clone, Copy, Deserialize)]
+#[allow(missing_docs)]
+pub enum Disposition {
+    S,
+    E,
+    F,
+    T,
+    C,
+    R,
+    X,
+    N,
+}
+
+/// A load report; unknown keys are passed over.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub struct Load {
+    pub outstanding: Option<f64>,
+    pub backlog: Option<f64>,
+    pub utilization: Option<f64>,
+    pub throughput: Option<f64>,
+    pub recent_ms: Option<f64>,
+    pub errors_per_s: Option<f64>,
+}
+
+/// An entry of a list of servers.
+#[derive(Clone, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+#[allow(missing_docs)]
+pub struct Entry {
+    pub upstream: String,
+    pub locality: String,
+    pub machine: String,
+    #[serde(default)]
+    pub group: u32,
+    pub condition: Condition,
+    #[serde(default = "one")]
+    pub weight: f64,
+    #[serde(default)]
+    pub last_start_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// What discovery says of a server.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Condition {
+    On,
+    Fading,
+    Off,
+}
+
+/// The settings of an instance; unknown keys are passed over.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+#[allow(missing_docs)]
+pub struct Setup {
+    pub areas: Vec<String>,
+    #[serde(default)]
+    pub me: u32,
+    pub balancers: u32,
+    pub categories: Vec<Category>,
+    #[serde(default)]
+    pub client_habits: ClientHabits,
+    pub discovery: Discovery,
+    #[serde(default)]
+    pub extra: Extra,
+    #[serde(default)]
+    pub goal: Goal,
+    pub granularity_ms: f64,
+    pub limits: Limits,
+    #[serde(default = "one")]
+    pub over_share_worth: f64,
+    #[serde(default)]
+    pub realms: Vec<Realm>,
+    pub rules: Rules,
+    #[serde(default)]
+    pub stage: u32,
+    #[serde(default)]
+    pub stats: Stats,
+    #[serde(default)]
+    pub tariffs: BTreeMap<String, f64>,
+    #[serde(default)]
+    pub tiers: Vec<String>,
+    #[serde(default)]
+    pub weights: String,
+    #[serde(default)]
+    pub worth_by: String,
+    pub zone: String,
+}
+
+/// A class of requests.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+#[allow(missing_docs)]
+pub struct Category {
+    pub name: String,
+    pub target_ms: f64,
+    pub deadline_ms: f64,
+    pub effect: Effect,
+    #[serde(default)]
+    pub group: Option<String>,
+    #[serde(default)]
+    pub dedup_window_ms: f64,
+    #[serde(default)]
+    pub late_worth: f64,
+    #[serde(default)]
+    pub aim_stretch: f64,
+    #[serde(default)]
+    pub streaming: bool,
+    #[serde(default = "one")]
+    pub value: f64,
+}
+
+/// What may be repeated.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Effect {
+    Retryable,
+    Dedup,
+    Fragile,
+}
+
+/// How the list of servers arrives.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Discovery {
+    Automatic,
+    Subscribe,
+}
+
+/// Facts about the kind of service.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+#[allow(missing_docs)]
+pub struct Extra {
+    #[serde(default)]
+    pub passes_deadline: bool,
+}
+
+/// How the clients behave.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+#[allow(missing_docs)]
+pub struct ClientHabits {
+    pub marks_retry: bool,
+}
+
+/// A tenant.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+#[allow(missing_docs)]
+pub struct Realm {
+    pub name: String,
+    #[serde(default)]
+    pub quota_rps: f64,
+    #[serde(default)]
+    pub share: f64,
+}
+
+/// Weights of the result.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+#[allow(missing_docs)]
+pub struct Goal {
+    pub tail_miss: f64,
+    pub tail_part: f64,
+    pub whole: f64,
+    pub worst_class: f64,
+    pub worst_tenant: f64,
+    pub worst_window: f64,
+}
+
+/// What the site permits.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+#[allow(missing_docs)]
+pub struct Limits {
+    #[serde(default)]
+    pub cancel: bool,
+    #[serde(default)]
+    pub probing: bool,
+    #[serde(default)]
+    pub second_copies: bool,
+    #[serde(default)]
+    pub retry_after: bool,
+    #[serde(default)]
+    pub max_retry_after_ms: f64,
+    pub most_tries: u32,
+    #[serde(default)]
+    pub connect_timeout_ms: f64,
+    #[serde(default)]
+    pub cpu_us_per_request: f64,
+    #[serde(default)]
+    pub cpu_us_per_s: f64,
+    #[serde(default)]
+    pub idle_close_ms: f64,
+    #[serde(default)]
+    pub max_open: u32,
+    #[serde(default)]
+    pub max_streams: u32,
+}
+
+/// Figures of the rules.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+#[allow(missing_docs)]
+pub struct Rules {
+    pub cold_from: f64,
+    pub warm_after_ms: f64,
+    pub overload_factor: f64,
+    pub tip_after_ms: f64,
+    #[serde(default)]
+    pub ask_within_ms: f64,
+    #[serde(default)]
+    pub drain_grace_ms: f64,
+    #[serde(default)]
+    pub grace_to_answer_ms: f64,
+}
+
+/// How load is reported.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+#[allow(missing_docs)]
+pub struct Stats {
+    pub how: String,
+}
+
+/// A line of a reply.
+#[derive(Serialize)]
+#[allow(missing_docs)]
+pub enum Reply<'a> {
+    #[serde(rename_all = "PascalCase")]
+    CallOut {
+        balancer_id: u64,
+        rid: &'a str,
+        limit_ms: f64,
+        upstream: &'a str,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Refuse {
+        balancer_id: u64,
+        rid: &'a str,
+        wait_ms: f64,
+    },
+    #[serde(rename_all = "PascalCase")]
+    FinishError {
+        balancer_id: u64,
+        rid: &'a str,
+    },
+    #[serde(rename_all = "PascalCase")]
+    AbortAttempt {
+        balancer_id: u64,
+        rid: &'a str,
+        trial: u32,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Touch {
+        balancer_id: u64,
+        upstream: &'a str,
+    },
+    #[serde(rename_all = "PascalCase")]
+    ShutIdle {
+        balancer_id: u64,
+        upstream: &'a str,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Schedule {
+        balancer_id: u64,
+        offset_ms: f64,
+        ctx: u64,
+    },
+    #[serde(rename_all = "PascalCase")]
+    Subscribe {
+        balancer_id: u64,
+        enable: bool,
+    },
+    #[serde(rename_all = "PascalCase")]
+    QueryAll {
+        balancer_id: u64,
+    },
+    Yield {},
+}
