--- /dev/null
+++ b/sloeline/src/config.rs
@@ -0,0 +1,76 @@
+//! What the platform tells a balancer: `EDGE_CONFIG` and the variables beside it.
+
+use std::net::SocketAddr;
+
+use finchshift_wirehost::setup::Setup;
+use serde::Deserialize;
+
+use crate::discovery::List;
+
+/// Descriptors where the configuration names no limit.
+const SOCKETS: usize = 1024;
+
+/// The configuration file; unknown keys are passed over.
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<List>,
+    settings: Setup,
+}
+
+#[derive(Default, Deserialize)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+/// All that a balancer is told at its start.
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of upstreams as last held.
+    pub known: Option<List>,
+    /// The simulator's start message.
+    pub setup: Setup,
+}
+
+impl Config {
+    /// Reads the file that `EDGE_CONFIG` names; a variable wins over the file. The error is one plain line.
+    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let path = variable("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG {path}: {e}"))?;
+        let file: File = serde_json::from_str(&text).map_err(|e| format!("EDGE_CONFIG {path}: {e}"))?;
+        let address = |name: &str, from_file: Option<String>| {
+            let text = variable(name).or(from_file).ok_or_else(|| format!("{name} is not set"))?;
+            text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
+        };
+        Ok(Config {
+            name: variable("EDGE_NAME").or(file.name).unwrap_or_default(),
+            listen: address("EDGE_LISTEN", file.listen)?,
+            discovery: address("EDGE_DISCOVERY", file.discovery)?,
+            seed: seed(&file.seed)?,
+            sockets: file.limits.sockets.unwrap_or(SOCKETS),
+            known: file.known,
+            setup: file.settings,
+        })
+    }
+}
+
+/// Hexadecimal; none is 0.
+fn seed(text: &str) -> Result<u64, String> {
+    let digits = if text.is_empty() { "0" } else { text };
+    u64::from_str_radix(digits, 16).map_err(|_| format!("seed: {text:?} is no hexadecimal number"))
+}
--- /dev/null
+++ b/sloeline/src/engine.rs
@@ -0,0 +1,546 @@
+//! Owns the decision module, the open requests and the timers; the only caller of `Balancer::handle`. What
+//! calls and replies are made of is the business of a [`Wire`].
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use finchshift as fs;
+use finchshift::{Action, Event, ListKind, Micros, Outcome, RequestId, ServerId};
+use finchshift_wirehost::setup::{Names, ring};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+/// The module is told this much less than the client's time: the answer's way back and the timers' grain.
+const MARGIN: Micros = 10_000;
+/// A request that the module has left unanswered fails this long before the client's time.
+const LAST_RESORT: Micros = 5_000;
+
+/// The sockets, as the engine sees them. No method calls the engine back before it returns.
+pub trait Wire: Sized + 'static {
+    /// What a caller asks.
+    type Call;
+    /// What an upstream answers.
+    type Reply;
+    /// An attempt under way.
+    type Out;
+    /// Starts an attempt; its end is told to the report.
+    fn send(&self, to: Target, call: Rc<Self::Call>, limit: Micros, report: Report<Self>) -> Self::Out;
+    /// Ends an attempt by closing its connection; tells whether it may have run.
+    fn abort(&self, out: Self::Out) -> bool;
+    /// Asks an upstream how it is.
+    fn probe(&self, engine: &Rc<Engine<Self>>, to: Target);
+    /// Closes the idle connections to an upstream.
+    fn close_idle(&self, server: ServerId);
+    /// Watches discovery from now on.
+    fn watch(&self, engine: &Rc<Engine<Self>>);
+    /// Asks discovery once for the whole list.
+    fn fetch(&self, engine: &Rc<Engine<Self>>);
+}
+
+/// An upstream and where it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Target {
+    /// Its number.
+    pub server: ServerId,
+    /// Its address, from the newest list.
+    pub address: SocketAddr,
+}
+
+/// An entry of a list, as discovery words it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// The same at every balancer.
+    pub instance: String,
+    /// Its address at this balancer.
+    pub address: SocketAddr,
+    /// Its zone's name.
+    pub zone: String,
+    /// Its machine kind's name.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u32,
+    /// What discovery says of it.
+    pub state: fs::ServerState,
+    /// Its size.
+    pub weight: f64,
+    /// When it last started, in Unix time.
+    pub started: Option<Micros>,
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Failure {
+    /// The time ran out.
+    Time,
+    /// An upstream failed.
+    Upstream,
+}
+
+/// The one final answer to a request.
+#[derive(Debug, PartialEq)]
+pub enum Answer<R> {
+    /// An upstream's answer.
+    Served(R),
+    /// Trying again is harmless.
+    Refused {
+        /// How long the client should stay away; 0 for no wish.
+        retry_after: Micros,
+    },
+    /// No promise.
+    Failed(Failure),
+}
+
+/// A request as the engine takes it.
+pub struct Asked<C> {
+    /// Its class.
+    pub class: fs::ClassId,
+    /// How long its client waits, from now.
+    pub time_left: Micros,
+    /// Whose it is.
+    pub tenant: Option<fs::TenantId>,
+    /// A guess at its work.
+    pub work: Option<Micros>,
+    /// Its client marks it as a repeat.
+    pub retry: bool,
+    /// What goes on to upstreams.
+    pub call: C,
+}
+
+/// The module's clock: Unix time at the start and monotonic from there, since lists tell Unix times.
+struct Clock {
+    unix: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_micros() as Micros, start: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(at.saturating_sub(self.unix))
+    }
+}
+
+/// What a timer is for.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Token(u64),
+    Limit(RequestId, u32),
+    LastResort(RequestId),
+}
+
+struct Out<O> {
+    attempt: u32,
+    server: ServerId,
+    at: Micros,
+    handle: Option<O>,
+}
+
+/// A request that is not answered or has attempts out.
+struct Open<W: Wire> {
+    call: Rc<W::Call>,
+    /// Where the final answer goes; nothing once it went or the client left.
+    answer: Option<oneshot::Sender<Answer<W::Reply>>>,
+    deadline: Micros,
+    sent: u32,
+    out: Vec<Out<W::Out>>,
+    failure: Failure,
+}
+
+struct Tables<W: Wire> {
+    open: HashMap<RequestId, Open<W>>,
+    next: RequestId,
+    timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    timer_number: u64,
+    servers: Names,
+    zones: Names,
+    kinds: Names,
+    addresses: HashMap<ServerId, SocketAddr>,
+}
+
+/// The balancer between its sockets.
+pub struct Engine<W: Wire> {
+    wire: W,
+    clock: Clock,
+    limits: fs::Limits,
+    balancer: RefCell<fs::Balancer>,
+    tables: RefCell<Tables<W>>,
+    events: RefCell<VecDeque<Event>>,
+    handling: Cell<bool>,
+    listed: Cell<bool>,
+    earlier: Notify,
+}
+
+/// Where an attempt's end is told, once. Dropped untold, as when its task died, it counts as a reset.
+pub struct Report<W: Wire> {
+    engine: Rc<Engine<W>>,
+    request: RequestId,
+    attempt: u32,
+    told: bool,
+}
+
+impl<W: Wire> Report<W> {
+    /// The attempt ended.
+    pub fn end(mut self, outcome: Outcome, load: Option<fs::Load>, reply: Option<W::Reply>) {
+        self.told = true;
+        self.engine.ended(self.request, self.attempt, outcome, load, reply);
+    }
+}
+
+impl<W: Wire> Drop for Report<W> {
+    fn drop(&mut self) {
+        if !self.told {
+            self.engine.ended(self.request, self.attempt, Outcome::Reset, None, None);
+        }
+    }
+}
+
+/// A caller's hold on its request: dropped before the answer, the client is gone.
+pub struct Asking<W: Wire> {
+    engine: Rc<Engine<W>>,
+    request: RequestId,
+    answer: oneshot::Receiver<Answer<W::Reply>>,
+}
+
+impl<W: Wire> Asking<W> {
+    /// The final answer.
+    pub async fn answer(mut self) -> Answer<W::Reply> {
+        (&mut self.answer).await.unwrap_or_else(|_| {
+            eprintln!("defect: request {} was dropped without an answer", self.request);
+            Answer::Failed(Failure::Upstream)
+        })
+    }
+}
+
+impl<W: Wire> Drop for Asking<W> {
+    fn drop(&mut self) {
+        self.engine.gone(self.request);
+    }
+}
+
+impl<W: Wire> Engine<W> {
+    /// A balancer with the given settings; `zones` holds the numbers that the settings use.
+    pub fn new(settings: fs::Settings, zones: Names, seed: u64, wire: W) -> Result<Rc<Self>, String> {
+        let limits = settings.limits.clone();
+        let balancer = fs::Balancer::new(settings, seed).map_err(|e| e.to_string())?;
+        Ok(Rc::new(Engine {
+            wire,
+            clock: Clock::new(),
+            limits,
+            balancer: RefCell::new(balancer),
+            tables: RefCell::new(Tables {
+                open: HashMap::new(),
+                next: 0,
+                timers: BinaryHeap::new(),
+                timer_number: 0,
+                servers: Names::default(),
+                zones,
+                kinds: Names::default(),
+                addresses: HashMap::new(),
+            }),
+            events: RefCell::new(VecDeque::new()),
+            handling: Cell::new(false),
+            listed: Cell::new(false),
+            earlier: Notify::new(),
+        }))
+    }
+
+    /// A list of upstreams has come, be it the known one.
+    pub fn listed(&self) -> bool {
+        self.listed.get()
+    }
+
+    /// Takes a request; the answer comes through what is returned.
+    pub fn ask(self: &Rc<Self>, asked: Asked<W::Call>) -> Asking<W> {
+        let (sender, answer) = oneshot::channel();
+        let now = self.clock.now();
+        let deadline = now + asked.time_left;
+        let id = {
+            let mut tables = self.tables.borrow_mut();
+            let id = tables.next;
+            tables.next += 1;
+            let call = Rc::new(asked.call);
+            let failure = Failure::Time;
+            let open = Open { call, answer: Some(sender), deadline, sent: 0, out: Vec::new(), failure };
+            tables.open.insert(id, open);
+            id
+        };
+        self.set_timer(deadline.saturating_sub(LAST_RESORT), Due::LastResort(id));
+        let time_left = asked.time_left.saturating_sub(MARGIN);
+        let Asked { class, tenant, work, retry, .. } = asked;
+        self.feed(Event::Request { id, class, time_left, tenant, work, retry });
+        Asking { engine: self.clone(), request: id, answer }
+    }
+
+    /// News of the list of upstreams; those that moved or are gone lose their idle connections.
+    pub fn list(self: &Rc<Self>, kind: ListKind, listed: Vec<Listed>) {
+        let mut stale = Vec::new();
+        let mut entries = Vec::with_capacity(listed.len());
+        {
+            let mut tables = self.tables.borrow_mut();
+            let tables = &mut *tables;
+            let mut named = HashSet::new();
+            for l in &listed {
+                let id = tables.servers.number(&l.instance);
+                named.insert(id);
+                let before = tables.addresses.insert(id, l.address);
+                if before.is_some_and(|b| b != l.address) || l.state == fs::ServerState::Gone {
+                    stale.push(id);
+                }
+                entries.push(fs::ServerEntry {
+                    id,
+                    zone: tables.zones.number(&l.zone),
+                    kind: tables.kinds.number(&l.kind),
+                    cell: l.cell,
+                    // Of the instance: its address differs between balancers, the ring must not.
+                    ring: ring(&l.instance),
+                    state: l.state,
+                    weight: l.weight,
+                    started: l.started,
+                });
+            }
+            if kind == ListKind::Complete {
+                stale.extend(tables.addresses.keys().filter(|id| !named.contains(id)));
+            }
+        }
+        for server in stale {
+            self.wire.close_idle(server);
+        }
+        if kind != ListKind::Failed {
+            self.listed.set(true);
+        }
+        self.feed(Event::Servers { kind, entries });
+    }
+
+    /// A probe was answered or not.
+    pub fn probed(
+        self: &Rc<Self>,
+        server: ServerId,
+        took: Duration,
+        outcome: Outcome,
+        load: Option<fs::Load>,
+    ) {
+        self.feed(Event::Probed { server, outcome, latency: took.as_micros() as Micros, load });
+    }
+
+    /// Rings the timers; never returns.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let next = self.tables.borrow().timers.peek().map(|Reverse((at, ..))| *at);
+            let earlier = self.earlier.notified();
+            match next {
+                Some(at) if at > self.clock.now() => tokio::select! {
+                    () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                    () = earlier => {}
+                },
+                Some(_) => {
+                    let due = self.tables.borrow_mut().timers.pop();
+                    if let Some(Reverse((.., due))) = due {
+                        self.ring(due);
+                    }
+                }
+                None => earlier.await,
+            }
+        }
+    }
+
+    fn ring(self: &Rc<Self>, due: Due) {
+        match due {
+            Due::Token(token) => self.feed(Event::Timer { token }),
+            Due::Limit(id, attempt) => self.call_off(id, attempt, Outcome::TimedOut),
+            Due::LastResort(id) => {
+                let mut tables = self.tables.borrow_mut();
+                let Some(answer) = tables.open.get_mut(&id).and_then(|o| o.answer.take()) else { return };
+                eprintln!("defect: the module left request {id} unanswered; failed just before its time");
+                let _ = answer.send(Answer::Failed(Failure::Time));
+                drop(tables);
+                self.feed(Event::Gone { request: id });
+                self.settle(id);
+            }
+        }
+    }
+
+    fn set_timer(&self, at: Micros, due: Due) {
+        let mut tables = self.tables.borrow_mut();
+        let first = tables.timers.peek().is_none_or(|Reverse((next, ..))| at < *next);
+        let number = tables.timer_number;
+        tables.timer_number += 1;
+        tables.timers.push(Reverse((at, number, due)));
+        if first {
+            self.earlier.notify_one();
+        }
+    }
+
+    /// The client left, or has its answer.
+    fn gone(self: &Rc<Self>, id: RequestId) {
+        let left = {
+            let mut tables = self.tables.borrow_mut();
+            tables.open.get_mut(&id).and_then(|o| o.answer.take()).is_some()
+        };
+        if left {
+            self.feed(Event::Gone { request: id });
+            self.settle(id);
+        }
+    }
+
+    /// Forgets a request that is answered and has nothing out.
+    fn settle(&self, id: RequestId) {
+        let mut tables = self.tables.borrow_mut();
+        if tables.open.get(&id).is_some_and(|o| o.answer.is_none() && o.out.is_empty()) {
+            tables.open.remove(&id);
+        }
+    }
+
+    /// Ends an attempt from this side. One whose request was not written never ran.
+    fn call_off(self: &Rc<Self>, id: RequestId, attempt: u32, outcome: Outcome) {
+        let handle = {
+            let mut tables = self.tables.borrow_mut();
+            let out = tables.open.get_mut(&id).and_then(|o| o.out.iter_mut().find(|o| o.attempt == attempt));
+            out.and_then(|o| o.handle.take())
+        };
+        let Some(handle) = handle else { return };
+        let may_have_run = self.wire.abort(handle);
+        let outcome = match outcome {
+            Outcome::TimedOut if !may_have_run => Outcome::ConnectFailed,
+            Outcome::Cancelled if !may_have_run => Outcome::NotSent,
+            other => other,
+        };
+        self.ended(id, attempt, outcome, None, None);
+    }
+
+    /// The one outcome of an attempt; later ones find it no longer out.
+    fn ended(
+        self: &Rc<Self>,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        load: Option<fs::Load>,
+        reply: Option<W::Reply>,
+    ) {
+        let now = self.clock.now();
+        let event = {
+            let mut tables = self.tables.borrow_mut();
+            let Some(open) = tables.open.get_mut(&id) else { return };
+            let Some(at) = open.out.iter().position(|o| o.attempt == attempt) else { return };
+            let out = open.out.swap_remove(at);
+            let timed_out = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
+            open.failure = if timed_out { Failure::Time } else { Failure::Upstream };
+            if let (Outcome::Ok, Some(reply)) = (outcome, reply)
+                && let Some(answer) = open.answer.take()
+            {
+                let _ = answer.send(Answer::Served(reply));
+            }
+            let closed = open.answer.is_none();
+            let latency = now.saturating_sub(out.at);
+            Event::Outcome { request: id, attempt, server: out.server, outcome, latency, closed, load }
+        };
+        self.feed(event);
+        self.settle(id);
+    }
+
+    /// Hands events to the module in their order and does what it wants done.
+    fn feed(self: &Rc<Self>, event: Event) {
+        self.events.borrow_mut().push_back(event);
+        // Guards against an event that comes of an action while the others of its list are still to be done.
+        if self.handling.replace(true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            let Some(event) = self.events.borrow_mut().pop_front() else { break };
+            let now = self.clock.now();
+            let handled = catch_unwind(AssertUnwindSafe(|| {
+                self.balancer.borrow_mut().handle(now, event, &mut actions)
+            }));
+            // Guards the other requests: the last resort answers those that a broken module leaves.
+            if handled.is_err() {
+                eprintln!("defect: the module panicked");
+            }
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+        self.handling.set(false);
+    }
+
+    fn act(self: &Rc<Self>, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, server, limit } => self.send(now, request, server, limit),
+            Action::Refuse { request, retry_after } => {
+                let retry_after = if self.limits.retry_after { retry_after } else { 0 };
+                self.answer(request, |_| Answer::Refused { retry_after });
+            }
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => self.call_off(request, attempt, Outcome::Cancelled),
+            Action::Probe { server } => {
+                if let Some(to) = self.target(server) {
+                    self.wire.probe(self, to);
+                }
+            }
+            Action::CloseIdle { server } => self.wire.close_idle(server),
+            Action::Timer { delay, token } => self.set_timer(now + delay, Due::Token(token)),
+            Action::Watch => self.wire.watch(self),
+            Action::Fetch => self.wire.fetch(self),
+        }
+    }
+
+    fn answer(&self, id: RequestId, answer: impl FnOnce(Failure) -> Answer<W::Reply>) {
+        {
+            let mut tables = self.tables.borrow_mut();
+            let Some(open) = tables.open.get_mut(&id) else { return };
+            if let Some(sender) = open.answer.take() {
+                let _ = sender.send(answer(open.failure));
+            }
+        }
+        self.settle(id);
+    }
+
+    fn target(&self, server: ServerId) -> Option<Target> {
+        self.tables.borrow().addresses.get(&server).map(|&address| Target { server, address })
+    }
+
+    /// Starts an attempt. What the rules forbid whatever the module says is not sent, and told so.
+    fn send(self: &Rc<Self>, now: Micros, id: RequestId, server: ServerId, limit: Micros) {
+        let target = self.target(server);
+        let (call, attempt, limit) = {
+            let mut tables = self.tables.borrow_mut();
+            let Some(open) = tables.open.get_mut(&id) else {
+                drop(tables);
+                let (outcome, latency) = (Outcome::NotSent, 0);
+                let (attempt, closed, load) = (0, true, None);
+                let event = Event::Outcome { request: id, attempt, server, outcome, latency, closed, load };
+                return self.events.borrow_mut().push_back(event);
+            };
+            let attempt = open.sent;
+            open.sent += 1;
+            let left = open.deadline.saturating_sub(now + LAST_RESORT);
+            let limit = if limit == 0 { left } else { limit.min(left) };
+            let copies = open.out.is_empty() || self.limits.second_copies;
+            let may = open.answer.is_some() && copies && attempt < self.limits.max_attempts && limit > 0;
+            open.out.push(Out { attempt, server, at: now, handle: None });
+            (may.then(|| open.call.clone()), attempt, limit)
+        };
+        let (Some(call), Some(target)) = (call, target) else {
+            return self.ended(id, attempt, Outcome::NotSent, None, None);
+        };
+        let report = Report { engine: self.clone(), request: id, attempt, told: false };
+        let handle = self.wire.send(target, call, limit, report);
+        if let Some(open) = self.tables.borrow_mut().open.get_mut(&id)
+            && let Some(out) = open.out.iter_mut().find(|o| o.attempt == attempt)
+        {
+            out.handle = Some(handle);
+        }
+        self.set_timer(now + limit, Due::Limit(id, attempt));
+    }
+}
--- /dev/null
+++ b/sloeline/src/main.rs
@@ -0,0 +1,135 @@
+//! The real balancer: the decisions of `finchshift` between callers, upstreams and discovery.
+
+mod config;
+mod discovery;
+mod engine;
+mod server;
+mod upstream;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use finchshift::{ListKind, Micros, ServerId};
+use finchshift_wirehost::setup::{Names, settings};
+use tokio::net::TcpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+
+use config::Config;
+use discovery::Discovery;
+use engine::{Engine, Report, Target, Wire};
+use server::{Phase, Server};
+use upstream::{Attempt, Call, Reply, Upstreams};
+
+/// Descriptors for the runtime, the signals, the listener, discovery and standard streams.
+const RESERVED: usize = 40;
+/// Part of the other descriptors that callers may hold; upstreams have the rest.
+const CALLERS: f64 = 0.55;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("sloeline: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let config = Config::read(|name| std::env::var(name).ok())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+/// The sockets that the engine's actions act on.
+struct Net {
+    upstreams: Upstreams,
+    discovery: Rc<Discovery>,
+}
+
+impl Wire for Net {
+    type Call = Call;
+    type Reply = Reply;
+    type Out = Attempt;
+
+    fn send(&self, to: Target, call: Rc<Call>, limit: Micros, report: Report<Self>) -> Attempt {
+        self.upstreams.send(to, call, limit, report)
+    }
+
+    fn abort(&self, out: Attempt) -> bool {
+        out.abort()
+    }
+
+    fn probe(&self, engine: &Rc<Engine<Self>>, to: Target) {
+        let engine = engine.clone();
+        self.upstreams.probe(to, move |took, outcome, load| engine.probed(to.server, took, outcome, load));
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.upstreams.close_idle(server);
+    }
+
+    fn watch(&self, engine: &Rc<Engine<Self>>) {
+        let engine = engine.clone();
+        self.discovery.watch(move |kind, entries| engine.list(kind, entries));
+    }
+
+    fn fetch(&self, engine: &Rc<Engine<Self>>) {
+        let engine = engine.clone();
+        self.discovery.fetch(move |kind, entries| engine.list(kind, entries));
+    }
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let mut zones = Names::default();
+    let settings = settings(&config.setup, &mut zones)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+
+    let free = config.sockets.saturating_sub(RESERVED).max(2);
+    let callers = ((free as f64 * CALLERS) as usize).max(1);
+    let upstreams = Upstreams::new(&settings.limits, free - callers);
+    spawn_local(upstreams.tend());
+    let generation = config.known.as_ref().map_or(0, |known| known.generation);
+    let discovery = Discovery::new(config.discovery, generation);
+    let classes: Vec<_> = config
+        .setup
+        .categories
+        .iter()
+        .map(|c| c.name.clone())
+        .zip(settings.classes.iter().cloned())
+        .collect();
+    let tenants = config.setup.realms.iter().map(|r| r.name.clone()).collect();
+    let engine = Engine::new(settings, zones, config.seed, Net { upstreams, discovery })?;
+    if let Some(known) = config.known {
+        engine.list(ListKind::Stale, known.entries());
+    }
+    spawn_local(engine.clone().run());
+
+    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let listener = socket.and_then(|s| {
+        s.set_reuseaddr(true)?;
+        s.bind(config.listen)?;
+        s.listen(BACKLOG)
+    });
+    let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    eprintln!("sloeline {} listens on {address}", config.name);
+
+    let (phases, phase) = watch::channel(Phase::Running);
+    let stop = phases.clone();
+    spawn_local(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        let _ = stop.send(Phase::Stopping);
+    });
+    Server::new(engine, classes, tenants, callers, phase).serve(listener, phases).await;
+    Ok(())
+}
--- /dev/null
+++ b/sloeline/src/upstream.rs
@@ -0,0 +1,482 @@
+//! Attempts and probes on upstreams, and the pool of connections that they use.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use finchshift as fs;
+use finchshift::{Load, Micros, Outcome, ServerId};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::engine::{Report, Target, Wire};
+
+/// Most of a body, either way.
+pub const MOST_BODY: usize = 64 * 1024;
+/// Part of the upstreams' idle time after which a connection is closed here: far from crossing theirs.
+const KEEP: f64 = 0.7;
+/// How long an idle connection is kept where the settings name no time.
+const KEEP_UNTOLD: Duration = Duration::from_secs(3);
+/// A connection attempt's limit where the settings name none, and a probe's in all.
+const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
+/// How long a connection may take to be ready for the next request after its answer.
+const TURN_ROUND: Duration = Duration::from_millis(500);
+
+const DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
+
+/// A request as it goes to an upstream, the same in each attempt.
+pub struct Call {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Call {
+    fn request(&self, address: SocketAddr, limit: Option<Micros>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        if !headers.contains_key(HOST)
+            && let Ok(host) = HeaderValue::from_str(&address.to_string())
+        {
+            headers.insert(HOST, host);
+        }
+        if let Some(limit) = limit {
+            headers.insert(DEADLINE, HeaderValue::from(limit.div_ceil(1000)));
+        }
+        if self.method == Method::POST {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        }
+        request
+    }
+}
+
+/// An upstream's answer, read to its end.
+#[derive(Debug)]
+pub struct Reply {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A place among the connections; given back when the connection is closed.
+struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(open: &Rc<Cell<usize>>) -> Place {
+        open.set(open.get() + 1);
+        Place(open.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// The socket as hyper's connection holds it: it can be looked at from outside and counts what is written.
+struct Socket {
+    stream: Rc<RefCell<TokioIo<TcpStream>>>,
+    written: Rc<Cell<u64>>,
+    _place: Place,
+}
+
+impl Socket {
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = written {
+            self.written.set(self.written.get() + n as u64);
+        }
+        written
+    }
+}
+
+impl Read for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
+
+/// A connection; dropped, it is closed.
+struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    stream: Weak<RefCell<TokioIo<TcpStream>>>,
+    written: Rc<Cell<u64>>,
+    address: SocketAddr,
+}
+
+impl Conn {
+    /// Nothing has come and the peer has not closed. Asks the kernel: the runtime may not have looked since,
+    /// and a request on a closed connection would end as a reset.
+    fn fresh(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        let mut byte = [MaybeUninit::uninit()];
+        let stream = stream.borrow();
+        let peeked = SockRef::from(stream.inner()).peek(&mut byte);
+        !self.sender.is_closed() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+}
+
+struct Pool {
+    idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+    keep: Duration,
+    connect_timeout: Duration,
+    filled: Notify,
+}
+
+impl Pool {
+    /// The idle connection used last that is still good.
+    fn take(&self, to: Target) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&to.server)?;
+        while let Some(Idle { conn, since }) = list.pop() {
+            if conn.address == to.address && since.elapsed() < self.keep && conn.fresh() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn put(&self, server: ServerId, conn: Conn) {
+        self.idle.borrow_mut().entry(server).or_default().push(Idle { conn, since: Instant::now() });
+        self.filled.notify_one();
+    }
+
+    /// Closes the connection that has been idle longest; tells whether there was one.
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
+        oldest.map(|list| list.remove(0)).is_some()
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Conn, Outcome> {
+        // Guards the limit on descriptors: a connection is turned into another, or the attempt is not sent.
+        while self.open.get() >= self.most {
+            if !self.close_oldest() {
+                return Err(Outcome::NotSent);
+            }
+            // The socket is closed once its task has been dropped.
+            tokio::task::yield_now().await;
+        }
+        let place = Place::take(&self.open);
+        let stream = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if out_of_sockets(&e) => {
+                self.close_oldest();
+                return Err(Outcome::NotSent);
+            }
+            _ => return Err(Outcome::ConnectFailed),
+        };
+        let _ = stream.set_nodelay(true);
+        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
+        let written = Rc::new(Cell::new(0));
+        let socket = Socket { stream: stream.clone(), written: written.clone(), _place: place };
+        let stream = Rc::downgrade(&stream);
+        let (sender, connection) = http1::handshake(socket).await.map_err(|_| Outcome::ConnectFailed)?;
+        let driver = spawn_local(async move {
+            let _ = connection.await;
+        });
+        Ok(Conn { sender, driver: driver.abort_handle(), stream, written, address })
+    }
+
+    /// Closes connections that have been idle too long; one sleep for all of them.
+    async fn tend(self: Rc<Self>) {
+        loop {
+            let oldest = {
+                let mut idle = self.idle.borrow_mut();
+                idle.retain(|_, list| {
+                    list.retain(|i| i.since.elapsed() < self.keep && !i.conn.sender.is_closed());
+                    !list.is_empty()
+                });
+                idle.values().filter_map(|l| l.first()).map(|i| i.since).min()
+            };
+            match oldest {
+                Some(since) => sleep_until(since + self.keep).await,
+                None => self.filled.notified().await,
+            }
+        }
+    }
+}
+
+/// The process or the machine has no descriptor, port or buffer left: nothing of the upstream's.
+pub fn out_of_sockets(e: &io::Error) -> bool {
+    // EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL.
+    matches!(e.raw_os_error(), Some(24 | 23 | 105 | 99))
+}
+
+/// How far an attempt's request is written; the engine's end of an attempt looks at it.
+#[derive(Default)]
+struct Flight {
+    begun: RefCell<Option<Begun>>,
+    /// Bytes of the request at the least.
+    least: u64,
+}
+
+struct Begun {
+    driver: AbortHandle,
+    written: Rc<Cell<u64>>,
+    before: u64,
+}
+
+impl Flight {
+    fn new(call: &Call) -> Rc<Flight> {
+        Rc::new(Flight { begun: RefCell::new(None), least: call.body.len() as u64 + 1 })
+    }
+
+    fn begin(&self, conn: &Conn) {
+        let (driver, written) = (conn.driver.clone(), conn.written.clone());
+        let before = written.get();
+        *self.begun.borrow_mut() = Some(Begun { driver, written, before });
+    }
+
+    /// False only if the request's last byte is surely not written.
+    fn may_have_run(&self) -> bool {
+        self.begun.borrow().as_ref().is_some_and(|b| b.written.get() - b.before >= self.least)
+    }
+}
+
+/// An attempt under way.
+pub struct Attempt {
+    task: AbortHandle,
+    flight: Rc<Flight>,
+}
+
+impl Attempt {
+    /// Closes its connection at once; tells whether it may have run.
+    pub fn abort(self) -> bool {
+        // The connection first: nothing may be written any more after the look at what is.
+        if let Some(begun) = &*self.flight.begun.borrow() {
+            begun.driver.abort();
+        }
+        self.task.abort();
+        self.flight.may_have_run()
+    }
+}
+
+/// How an exchange ended.
+struct Exchanged {
+    outcome: Outcome,
+    load: Option<Load>,
+    reply: Option<Reply>,
+    conn: Option<Conn>,
+}
+
+impl From<Outcome> for Exchanged {
+    fn from(outcome: Outcome) -> Exchanged {
+        Exchanged { outcome, load: None, reply: None, conn: None }
+    }
+}
+
+/// All connections to upstreams.
+pub struct Upstreams {
+    pool: Rc<Pool>,
+}
+
+impl Upstreams {
+    /// No connections yet, and never more than `most`.
+    pub fn new(limits: &fs::Limits, most: usize) -> Upstreams {
+        let span = |micros, untold| if micros == 0 { untold } else { Duration::from_micros(micros) };
+        let keep = (limits.idle_close as f64 * KEEP) as Micros;
+        Upstreams {
+            pool: Rc::new(Pool {
+                idle: RefCell::default(),
+                open: Rc::default(),
+                most,
+                keep: span(keep, KEEP_UNTOLD),
+                connect_timeout: span(limits.connect_timeout, CONNECT_UNTOLD),
+                filled: Notify::new(),
+            }),
+        }
+    }
+
+    /// Closes idle connections in time; never returns.
+    pub fn tend(&self) -> impl Future<Output = ()> + use<> {
+        self.pool.clone().tend()
+    }
+
+    /// Starts an attempt.
+    pub fn send<W: Wire<Reply = Reply>>(
+        &self,
+        to: Target,
+        call: Rc<Call>,
+        limit: Micros,
+        report: Report<W>,
+    ) -> Attempt {
+        let (pool, flight) = (self.pool.clone(), Flight::new(&call));
+        let shared = flight.clone();
+        let task = spawn_local(async move {
+            let ended = exchange(&pool, to, &call, Some(limit), &shared).await;
+            let mut conn = ended.conn;
+            // Put back before the outcome is told: what the module sends on it finds the connection.
+            let waiting = match conn.as_mut().map(|c| c.sender.is_ready()) {
+                Some(true) => conn.take().and_then(|c| {
+                    pool.put(to.server, c);
+                    None
+                }),
+                _ => conn,
+            };
+            report.end(ended.outcome, ended.load, ended.reply);
+            if let Some(conn) = waiting {
+                put_when_ready(&pool, to.server, conn).await;
+            }
+        });
+        Attempt { task: task.abort_handle(), flight }
+    }
+
+    /// Asks an upstream how it is.
+    pub fn probe(&self, to: Target, told: impl FnOnce(Duration, Outcome, Option<Load>) + 'static) {
+        let pool = self.pool.clone();
+        let uri = Uri::from_static("/health/live");
+        let call = Call { method: Method::GET, uri, headers: HeaderMap::new(), body: Bytes::new() };
+        spawn_local(async move {
+            let (flight, start) = (Flight::new(&call), Instant::now());
+            let ended = timeout(CONNECT_UNTOLD, exchange(&pool, to, &call, None, &flight)).await;
+            let ended = ended.unwrap_or_else(|_| Outcome::TimedOut.into());
+            told(start.elapsed(), ended.outcome, ended.load);
+            if let Some(conn) = ended.conn {
+                put_when_ready(&pool, to.server, conn).await;
+            }
+        });
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn close_idle(&self, server: ServerId) {
+        self.pool.idle.borrow_mut().remove(&server);
+    }
+}
+
+async fn put_when_ready(pool: &Pool, server: ServerId, mut conn: Conn) {
+    if let Ok(Ok(())) = timeout(TURN_ROUND, conn.sender.ready()).await {
+        pool.put(server, conn);
+    }
+}
+
+/// One request on one connection. A pooled connection that turns out dead before anything was written to it
+/// is passed over for the next; nothing is ever written twice.
+async fn exchange(pool: &Pool, to: Target, call: &Call, limit: Option<Micros>, flight: &Flight) -> Exchanged {
+    let start = Instant::now();
+    loop {
+        let (mut conn, reused) = match pool.take(to) {
+            Some(conn) => (conn, true),
+            None => match pool.connect(to.address).await {
+                Ok(conn) => (conn, false),
+                Err(outcome) => return outcome.into(),
+            },
+        };
+        flight.begin(&conn);
+        let left = limit.map(|l| l.saturating_sub(start.elapsed().as_micros() as Micros));
+        match conn.sender.try_send_request(call.request(to.address, left)).await {
+            Ok(response) => return read(response, conn).await,
+            Err(mut e) => {
+                let untouched = e.take_message().is_some();
+                if untouched && reused {
+                    continue;
+                }
+                let ran = !untouched && flight.may_have_run();
+                return if ran { Outcome::Reset } else { Outcome::ConnectFailed }.into();
+            }
+        }
+    }
+}
+
+/// Reads an answer to its end and tells what it means; the connection is kept only if it was read whole.
+async fn read(response: Response<Incoming>, conn: Conn) -> Exchanged {
+    let (head, body) = response.into_parts();
+    let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
+    let load = head.headers.get("srv-load").and_then(|v| v.to_str().ok()).map(load);
+    let body = Limited::new(body, MOST_BODY).collect().await.ok().map(|b| b.to_bytes());
+    let whole = body.is_some();
+    let (outcome, reply) = match (head.status, body) {
+        (StatusCode::OK, Some(body)) => (Outcome::Ok, Some(Reply { headers: head.headers, body })),
+        (StatusCode::OK, None) => (Outcome::Reset, None),
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if declined => {
+            (Outcome::Full, None)
+        }
+        _ => (Outcome::Error, None),
+    };
+    Exchanged { outcome, load, reply, conn: whole.then_some(conn) }
+}
+
+/// A load report, `name=value,name=value`; what is unknown or unreadable is passed over.
+fn load(text: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let Ok(value) = value.trim().parse::<f64>() else { continue };
+        match name.trim() {
+            "inflight" => load.in_flight = Some(value),
+            "queue" => load.queue = Some(value),
+            "util" => load.utilization = Some(value),
+            "qps" => load.throughput = Some(value),
+            "latency_ms" => load.latency = Some((value * 1000.0) as Micros),
+            "eps" => load.errors = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
--- /dev/null
+++ b/wirehost/src/lib.rs
@@ -0,0 +1,3 @@
+//! What the adapter shares with the real balancer.
+
+pub mod setup;
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
-use std::collections::BTreeMap;
+
+use finchshift_wirehost::setup::{Setup, one};
 
 /// A message from the bench.
 #[derive(Deserialize)]
@@ -170,10 +171,6 @@
     pub last_start_ms: f64,
 }
 
-fn one() -> f64 {
-    1.0
-}
-
 /// What discovery says of a server.
 #[derive(Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -184,184 +181,6 @@
     Off,
 }
 
-/// The settings of an instance; unknown keys are passed over.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-#[allow(missing_docs)]
-pub struct Setup {
-    pub areas: Vec<String>,
-    #[serde(default)]
-    pub me: u32,
-    pub balancers: u32,
-    pub categories: Vec<Category>,
-    #[serde(default)]
-    pub client_habits: ClientHabits,
-    pub discovery: Discovery,
-    #[serde(default)]
-    pub extra: Extra,
-    #[serde(default)]
-    pub goal: Goal,
-    pub granularity_ms: f64,
-    pub limits: Limits,
-    #[serde(default = "one")]
-    pub over_share_worth: f64,
-    #[serde(default)]
-    pub realms: Vec<Realm>,
-    pub rules: Rules,
-    #[serde(default)]
-    pub stage: u32,
-    #[serde(default)]
-    pub stats: Stats,
-    #[serde(default)]
-    pub tariffs: BTreeMap<String, f64>,
-    #[serde(default)]
-    pub tiers: Vec<String>,
-    #[serde(default)]
-    pub weights: String,
-    #[serde(default)]
-    pub worth_by: String,
-    pub zone: String,
-}
-
-/// A class of requests.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-#[allow(missing_docs)]
-pub struct Category {
-    pub name: String,
-    pub target_ms: f64,
-    pub deadline_ms: f64,
-    pub effect: Effect,
-    #[serde(default)]
-    pub group: Option<String>,
-    #[serde(default)]
-    pub dedup_window_ms: f64,
-    #[serde(default)]
-    pub late_worth: f64,
-    #[serde(default)]
-    pub aim_stretch: f64,
-    #[serde(default)]
-    pub streaming: bool,
-    #[serde(default = "one")]
-    pub value: f64,
-}
-
-/// What may be repeated.
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-#[allow(missing_docs)]
-pub enum Effect {
-    Retryable,
-    Dedup,
-    Fragile,
-}
-
-/// How the list of servers arrives.
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-#[allow(missing_docs)]
-pub enum Discovery {
-    Automatic,
-    Subscribe,
-}
-
-/// Facts about the kind of service.
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-#[allow(missing_docs)]
-pub struct Extra {
-    #[serde(default)]
-    pub passes_deadline: bool,
-}
-
-/// How the clients behave.
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-#[allow(missing_docs)]
-pub struct ClientHabits {
-    pub marks_retry: bool,
-}
-
-/// A tenant.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-#[allow(missing_docs)]
-pub struct Realm {
-    pub name: String,
-    #[serde(default)]
-    pub quota_rps: f64,
-    #[serde(default)]
-    pub share: f64,
-}
-
-/// Weights of the result.
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-#[allow(missing_docs)]
-pub struct Goal {
-    pub tail_miss: f64,
-    pub tail_part: f64,
-    pub whole: f64,
-    pub worst_class: f64,
-    pub worst_tenant: f64,
-    pub worst_window: f64,
-}
-
-/// What the site permits.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-#[allow(missing_docs)]
-pub struct Limits {
-    #[serde(default)]
-    pub cancel: bool,
-    #[serde(default)]
-    pub probing: bool,
-    #[serde(default)]
-    pub second_copies: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub max_retry_after_ms: f64,
-    pub most_tries: u32,
-    #[serde(default)]
-    pub connect_timeout_ms: f64,
-    #[serde(default)]
-    pub cpu_us_per_request: f64,
-    #[serde(default)]
-    pub cpu_us_per_s: f64,
-    #[serde(default)]
-    pub idle_close_ms: f64,
-    #[serde(default)]
-    pub max_open: u32,
-    #[serde(default)]
-    pub max_streams: u32,
-}
-
-/// Figures of the rules.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-#[allow(missing_docs)]
-pub struct Rules {
-    pub cold_from: f64,
-    pub warm_after_ms: f64,
-    pub overload_factor: f64,
-    pub tip_after_ms: f64,
-    #[serde(default)]
-    pub ask_within_ms: f64,
-    #[serde(default)]
-    pub drain_grace_ms: f64,
-    #[serde(default)]
-    pub grace_to_answer_ms: f64,
-}
-
-/// How load is reported.
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-#[allow(missing_docs)]
-pub struct Stats {
-    pub how: String,
-}
-
 /// A line of a reply.
 #[derive(Serialize)]
 #[allow(missing_docs)]
