Test the program over loopback; start the module where no list is known

Seen: with no known list the balancer never asked discovery and stayed unready. Checked: the module sets its first timers with its first event, and no event comes before a list or a request does (main.rs fed the known list only). Mend: Engine::begin. Test: it_is_ready_once_it_holds_a_list fails without it.

--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -323,6 +323,12 @@
         self.feed(Event::Servers { kind, entries });
     }
 
+    /// Starts the module with no list known. Guards against a module that waits for its first event while
+    /// nothing but that event would make it ask discovery.
+    pub fn begin(self: &Rc<Self>) {
+        self.feed(Event::Servers { kind: ListKind::Stale, entries: Vec::new() });
+    }
+
     /// A probe was answered or not.
     pub fn probed(
         self: &Rc<Self>,
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -106,8 +106,9 @@
         .collect();
     let tenants = config.setup.realms.iter().map(|r| r.name.clone()).collect();
     let engine = Engine::new(settings, zones, config.seed, Net { upstreams, discovery })?;
-    if let Some(known) = config.known {
-        engine.list(ListKind::Stale, known.entries());
+    match config.known {
+        Some(known) => engine.list(ListKind::Stale, known.entries()),
+        None => engine.begin(),
     }
     spawn_local(engine.clone().run());
 
--- /dev/null
+++ b/sloeline/tests/attempts.rs
@@ -0,0 +1,197 @@
+//! Attempts on upstreams: what goes out, what the ends mean, which connections carry it.
+
+mod common;
+
+use std::io::Write;
+
+use common::*;
+
+#[test]
+fn a_request_and_its_answer_go_on_unchanged() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let body: Vec<u8> = (0..65_536_u32).map(|i| (i % 251) as u8).collect();
+    let mut client = balancer.connect();
+    let head = format!(
+        "POST /api?key=a%20b&x=1 HTTP/1.1\r\nHost: backend.local\r\nReq-Id: r-1\r\nReq-Kind: pull\r\n\
+         Req-Deadline-Ms: 9000\r\nIdempotency-Key: k-1\r\nConnection: x-hop\r\nX-Hop: 1\r\nX-Other: 2\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    client.write_all(&[head.as_bytes(), &body].concat()).expect("it reads");
+    let mut stream = upstream.accept();
+    let got = read(&mut stream).expect("a request");
+    assert_eq!(got.first_line(), "POST /api?key=a%20b&x=1 HTTP/1.1");
+    assert!(got.body == body, "the body differs");
+    for (name, value) in [("req-id", "r-1"), ("idempotency-key", "k-1"), ("x-other", "2"), ("x-hop", "")] {
+        assert_eq!(got.header(name).unwrap_or_default(), value, "{name}");
+    }
+    let left: u64 = got.header("req-deadline-ms").and_then(|v| v.parse().ok()).expect("a deadline");
+    assert!(left <= 9_000, "more than the client waits");
+    answer(&mut stream, "200 OK", "Content-Type: x/y\r\n", &body);
+    let served = read(&mut client).expect("an answer");
+    assert_eq!((served.status(), served.header("content-type")), (200, Some("x/y")));
+    assert!(served.body == body, "the answer differs");
+}
+
+#[test]
+fn an_unsafe_request_that_no_upstream_got_may_be_refused() {
+    let balancer = Setup::knowing(&[nowhere()]).start();
+    assert_eq!(balancer.ask(&request("pay", "r-1", "Req-Deadline-Ms: 900\r\n")).status(), 503);
+}
+
+#[test]
+fn an_unsafe_request_that_was_turned_away_goes_out_again() {
+    for status in ["503 Busy", "504 Over"] {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let mut client = balancer.connect();
+        client.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        answer(&mut stream, status, "Srv-Declined: 1\r\n", b"");
+        // The connection was read to its end and is used again.
+        read(&mut stream).expect("a second attempt");
+        ok(&mut stream);
+        assert_eq!(read(&mut client).expect("an answer").status(), 200);
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_after_one_attempt() {
+    let cases: [(&str, Option<&str>); 5] = [
+        ("reset", None),
+        ("error", Some("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")),
+        ("503 without the mark", Some("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")),
+        ("broken answer", Some("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")),
+        ("no HTTP", Some("what?\r\n\r\n")),
+    ];
+    for (case, text) in cases {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let requests = upstream.serve(move |_, stream| {
+            let _ = stream.write_all(text.unwrap_or_default().as_bytes());
+            if text.is_none_or(|t| !t.contains("Length: 0")) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+        });
+        let failed = balancer.ask(&request("pay", "r-1", ""));
+        assert!(matches!(failed.status(), 502 | 504), "{case}: {}", failed.status());
+        assert_eq!(balancer.ask(&request("pay", "r-2", "")).status(), failed.status());
+        let ids: Vec<_> = requests.try_iter().map(|r| r.header("req-id").map(str::to_owned)).collect();
+        assert_eq!(ids, [Some("r-1".to_owned()), Some("r-2".to_owned())], "{case}");
+    }
+}
+
+#[test]
+fn a_safe_request_that_failed_goes_out_once_more() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    client.write_all(request("look", "r-1", "").as_bytes()).expect("it reads");
+    drop(read(&mut upstream.accept()));
+    let mut stream = upstream.accept();
+    assert_eq!(read(&mut stream).expect("a retry").header("req-id"), Some("r-1"));
+    ok(&mut stream);
+    assert_eq!(read(&mut client).expect("an answer").body, b"done");
+}
+
+#[test]
+fn an_attempt_out_of_time_is_a_failure_and_closes_its_connection() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    client.write_all(request("pay", "r-1", "Req-Deadline-Ms: 400\r\n").as_bytes()).expect("it reads");
+    let mut stream = upstream.accept();
+    read(&mut stream).expect("an attempt");
+    assert_eq!(read(&mut client).expect("an answer").status(), 504);
+    assert!(closed(&mut stream), "the connection stays open");
+    // The client's connection goes on.
+    client.write_all(request("pay", "r-2", "").as_bytes()).expect("it reads");
+    let mut stream = upstream.accept();
+    assert_eq!(read(&mut stream).expect("an attempt").header("req-id"), Some("r-2"));
+    ok(&mut stream);
+    assert_eq!(read(&mut client).expect("an answer").status(), 200);
+    assert!(upstream.quiet());
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_left() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    client.write_all(request("look", "r-1", "").as_bytes()).expect("it reads");
+    let mut stream = upstream.accept();
+    read(&mut stream).expect("an attempt");
+    drop(client);
+    // Served after the client's end was seen, so that the error below finds it gone.
+    assert_eq!(balancer.ask(READY).status(), 200);
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    answer(&mut stream, "500 Error", "", b"");
+    let mut other = balancer.connect();
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    other.write_all(request("look", "r-2", "").as_bytes()).expect("it reads");
+    assert_eq!(read(&mut stream).expect("the next").header("req-id"), Some("r-2"));
+    ok(&mut stream);
+    assert_eq!(read(&mut other).expect("an answer").status(), 200);
+    assert!(upstream.quiet());
+}
+
+#[test]
+fn a_connection_is_used_again_and_closed_when_idle() {
+    let upstream = Peer::new();
+    let setup = Setup { limits: r#","IdleCloseMs":1500.0"#, ..Setup::knowing(&[upstream.address]) };
+    let balancer = setup.start();
+    let mut client = balancer.connect();
+    client.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
+    let mut stream = upstream.accept();
+    for id in ["r-2", "r-3", ""] {
+        read(&mut stream).expect("an attempt");
+        ok(&mut stream);
+        assert_eq!(read(&mut client).expect("an answer").status(), 200);
+        if !id.is_empty() {
+            client.write_all(request("pay", id, "").as_bytes()).expect("it reads");
+        }
+    }
+    assert!(upstream.quiet(), "a second connection");
+    assert!(closed(&mut stream), "an idle connection is left to the upstream");
+}
+
+#[test]
+fn a_connection_that_the_upstream_closed_is_not_used() {
+    for close in ["", "Connection: close\r\n"] {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let mut client = balancer.connect();
+        for id in ["r-1", "r-2", "r-3"] {
+            client.write_all(request("pay", id, "").as_bytes()).expect("it reads");
+            let mut stream = upstream.accept();
+            assert_eq!(read(&mut stream).expect("an attempt").header("req-id"), Some(id));
+            answer(&mut stream, "200 OK", close, b"done");
+            // Closed before the client has its answer or just after: the next must not be lost on it.
+            drop(stream);
+            assert_eq!(read(&mut client).expect("an answer").status(), 200);
+            std::thread::sleep(std::time::Duration::from_millis(50));
+        }
+    }
+}
+
+#[test]
+fn the_connection_used_last_is_preferred() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut clients = [balancer.connect(), balancer.connect()];
+    let mut streams = Vec::new();
+    for (client, id) in clients.iter_mut().zip(["r-1", "r-2"]) {
+        client.write_all(request("pay", id, "").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        streams.push(stream);
+    }
+    for at in [1, 0] {
+        ok(&mut streams[at]);
+        assert_eq!(read(&mut clients[at]).expect("an answer").status(), 200);
+    }
+    clients[1].write_all(request("pay", "r-3", "").as_bytes()).expect("it reads");
+    assert_eq!(read(&mut streams[0]).expect("an attempt").header("req-id"), Some("r-3"));
+}
--- /dev/null
+++ b/sloeline/tests/common/mod.rs
@@ -0,0 +1,301 @@
+//! The program between small fake peers on loopback. Every wait is for an event, within wide bounds.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+/// Nothing takes this long.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// A message as it stood on the socket.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn first_line(&self) -> &str {
+        self.head.lines().next().unwrap_or_default()
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first_line().split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let line = self
+            .head
+            .lines()
+            .skip(1)
+            .find(|l| l.split_once(':').is_some_and(|(n, _)| n.eq_ignore_ascii_case(name)));
+        line.and_then(|l| l.split_once(':')).map(|(_, v)| v.trim())
+    }
+}
+
+/// A message with its body by `Content-Length`; nothing if the peer closed first.
+pub fn read(stream: &mut TcpStream) -> Option<Message> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let mut message = Message { head: String::from_utf8(head).ok()?, body: Vec::new() };
+    let length = message.header("content-length").map_or(0, |l| l.parse().unwrap_or(0));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) {
+    let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n", body.len());
+    let _ = stream.write_all(&[head.as_bytes(), body].concat());
+}
+
+pub fn ok(stream: &mut TcpStream) {
+    answer(stream, "200 OK", "", b"done");
+}
+
+/// A listening peer that hands over each connection.
+pub struct Peer {
+    pub address: SocketAddr,
+    connections: Receiver<TcpStream>,
+}
+
+impl Peer {
+    pub fn new() -> Peer {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, connections) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let _ = stream.set_read_timeout(Some(LONG));
+                let _ = stream.set_nodelay(true);
+                if sender.send(stream).is_err() {
+                    return;
+                }
+            }
+        });
+        Peer { address, connections }
+    }
+
+    /// The next connection.
+    pub fn accept(&self) -> TcpStream {
+        self.connections.recv_timeout(LONG).expect("a connection")
+    }
+
+    /// Whether no connection has come that was not accepted.
+    pub fn quiet(&self) -> bool {
+        self.connections.try_recv().is_err()
+    }
+
+    /// Handles each request of each connection in threads; tells every request.
+    pub fn serve(
+        self,
+        handle: impl Fn(&Message, &mut TcpStream) + Clone + Send + 'static,
+    ) -> Receiver<Message> {
+        let (sender, requests): (Sender<Message>, _) = channel();
+        std::thread::spawn(move || {
+            for mut stream in self.connections {
+                let (handle, sender) = (handle.clone(), sender.clone());
+                std::thread::spawn(move || {
+                    while let Some(message) = read(&mut stream) {
+                        let _ = sender.send(message.clone());
+                        handle(&message, &mut stream);
+                    }
+                });
+            }
+        });
+        requests
+    }
+}
+
+/// An address on which nothing listens.
+pub fn nowhere() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+/// Whether the peer closed the connection with nothing more on it.
+pub fn closed(stream: &mut TcpStream) -> bool {
+    let mut byte = [0];
+    match stream.read(&mut byte) {
+        Ok(n) => n == 0,
+        Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+    }
+}
+
+pub fn entry(id: &str, address: SocketAddr, lifecycle: &str) -> String {
+    format!(
+        r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"a","machineType":"k","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
+    )
+}
+
+pub fn list(generation: u64, reset: bool, entries: &[String]) -> String {
+    format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, entries.join(","))
+}
+
+/// A class of each effect; `extra` goes into the settings' limits, `ask` is how discovery works.
+fn settings(discovery: &str, limits: &str) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"Name":"{name}","Effect":"{effect}","Group":"all","DedupWindowMs":60000.0,"TargetMs":20000.0,"DeadlineMs":20000.0,"LateWorth":0.0,"Streaming":false,"Value":1.0}}"#
+        )
+    };
+    let classes = [class("look", "retryable"), class("pull", "dedup"), class("pay", "fragile")].join(",");
+    format!(
+        r#"{{"Areas":["a"],"Balancers":1,"Categories":[{classes}],"Discovery":"{discovery}","GranularityMs":1.0,"Limits":{{"Cancel":true,"MostTries":4,"RetryAfter":true,"ConnectTimeoutMs":1000.0{limits}}},"Me":0,"Rules":{{"AskWithinMs":40.0,"ColdFrom":0.5,"DrainGraceMs":500.0,"OverloadFactor":3.0,"TipAfterMs":1000.0,"WarmAfterMs":5000.0}},"Stage":0,"Tiers":["t"],"Zone":"a"}}"#
+    )
+}
+
+/// How a balancer is started.
+pub struct Setup {
+    pub known: Vec<String>,
+    pub discovery: Option<SocketAddr>,
+    pub limits: &'static str,
+    pub sockets: usize,
+    pub listen: String,
+    pub descriptors: Option<u32>,
+}
+
+impl Setup {
+    /// A balancer that knows upstreams at these addresses and asks nobody.
+    pub fn knowing(upstreams: &[SocketAddr]) -> Setup {
+        let entries = upstreams.iter().enumerate().map(|(i, a)| entry(&format!("s-{i}"), *a, "SERVING"));
+        Setup {
+            known: entries.collect(),
+            discovery: None,
+            limits: "",
+            sockets: 1024,
+            listen: "127.0.0.1:0".to_owned(),
+            descriptors: None,
+        }
+    }
+
+    fn config(&self) -> String {
+        let known = match &self.known[..] {
+            [] => String::new(),
+            entries => format!(r#""known":{},"#, list(41, true, entries)),
+        };
+        let (mode, discovery) = match self.discovery {
+            Some(address) => ("subscribe", address),
+            None => ("automatic", nowhere()),
+        };
+        format!(
+            r#"{{"name":"n3","listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{known}"settings":{}}}"#,
+            self.listen,
+            self.sockets,
+            settings(mode, self.limits)
+        )
+    }
+
+    pub fn start(self) -> Balancer {
+        let file = file(&self.config());
+        let program = env!("CARGO_BIN_EXE_sloeline");
+        let mut command = match self.descriptors {
+            Some(most) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.arg("-c").arg(format!("ulimit -n {most}; exec {program}"));
+                shell
+            }
+            None => Command::new(program),
+        };
+        command.env("EDGE_CONFIG", &file).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("it starts");
+        let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("no address in {line:?}"));
+        let (sender, lines) = channel();
+        std::thread::spawn(move || {
+            log.lines().map_while(Result::ok).for_each(|l| {
+                let _ = sender.send(l);
+            });
+        });
+        let _ = std::fs::remove_file(file);
+        Balancer { child, address, log: lines }
+    }
+}
+
+fn file(text: &str) -> PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("sloeline-test-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+/// Runs the program on a configuration that it should not take.
+pub fn start_on(config: Option<&str>, variables: &[(&str, &str)]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sloeline"));
+    command.env_remove("EDGE_CONFIG").envs(variables.iter().copied());
+    if let Some(text) = config {
+        command.env("EDGE_CONFIG", file(text));
+    }
+    command.output().expect("it runs")
+}
+
+pub fn good_config() -> String {
+    Setup::knowing(&[nowhere()]).config()
+}
+
+/// A running program; ended when dropped.
+pub struct Balancer {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: Receiver<String>,
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Balancer {
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).expect("it listens");
+        let _ = stream.set_read_timeout(Some(LONG));
+        let _ = stream.set_nodelay(true);
+        stream
+    }
+
+    /// One request on a connection of its own.
+    pub fn ask(&self, request: &str) -> Message {
+        exchange(&mut self.connect(), request)
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").arg(&id).status().expect("kill runs");
+        assert!(sent.success());
+    }
+}
+
+pub fn exchange(stream: &mut TcpStream, request: &str) -> Message {
+    stream.write_all(request.as_bytes()).expect("it reads");
+    read(stream).expect("an answer")
+}
+
+/// A request of a class, whose id is `id`.
+pub fn request(class: &str, id: &str, headers: &str) -> String {
+    let common = format!("Host: backend.local\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\n{headers}");
+    match class {
+        "look" => format!("GET /api?key=7f3a HTTP/1.1\r\n{common}\r\n"),
+        "pull" => format!(
+            "POST /api?key=7f3a HTTP/1.1\r\n{common}Idempotency-Key: k-{id}\r\nContent-Length: 4\r\n\r\nbody"
+        ),
+        _ => format!("POST /api?key=7f3a HTTP/1.1\r\n{common}Content-Length: 4\r\n\r\nbody"),
+    }
+}
+
+pub const READY: &str = "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n";
--- /dev/null
+++ b/sloeline/tests/life.rs
@@ -0,0 +1,99 @@
+//! Start, planned stop and restart.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+
+use common::*;
+
+#[test]
+fn a_bad_configuration_is_one_plain_line() {
+    let good = good_config();
+    for (config, variables, why) in [
+        (None, &[][..], "EDGE_CONFIG is not set"),
+        (None, &[("EDGE_CONFIG", "/nowhere/at/all")][..], "/nowhere/at/all"),
+        (Some("{".to_owned()), &[][..], "EDGE_CONFIG"),
+        (Some("{}".to_owned()), &[][..], "settings"),
+        (Some(good.clone()), &[("EDGE_LISTEN", "here")][..], "EDGE_LISTEN"),
+        (Some(good.clone()), &[("EDGE_DISCOVERY", "localhost:80")][..], "EDGE_DISCOVERY"),
+        (Some(good.replace("8c1f30d27a5be964", "dice")), &[][..], "seed"),
+        (Some(good.replace("\"MostTries\":4", "\"MostTries\":0")), &[][..], "no attempts allowed"),
+    ] {
+        let ended = start_on(config.as_deref(), variables);
+        let text = String::from_utf8_lossy(&ended.stderr);
+        assert!(!ended.status.success() && ended.status.code().is_some(), "{why}: {:?}", ended.status);
+        assert!(text.contains(why) && text.lines().count() == 1, "{why}: {text}");
+    }
+}
+
+#[test]
+fn it_is_ready_once_it_holds_a_list() {
+    let discovery = Peer::new();
+    let setup = Setup::knowing(&[]);
+    let balancer = Setup { discovery: Some(discovery.address), ..setup }.start();
+    let mut watch = discovery.accept();
+    read(&mut watch).expect("a call");
+    assert_eq!(balancer.ask(READY).status(), 503);
+    let upstream = Peer::new();
+    answer(&mut watch, "200 OK", "", list(1, true, &[entry("s-1", upstream.address, "SERVING")]).as_bytes());
+    read(&mut watch).expect("the next call");
+    assert_eq!(balancer.ask(READY).status(), 200);
+    // The known list counts as well.
+    assert_eq!(Setup::knowing(&[upstream.address]).start().ask(READY).status(), 200);
+}
+
+#[test]
+fn a_planned_stop_answers_what_is_held_and_what_still_comes() {
+    let upstream = Peer::new();
+    let mut balancer = Setup::knowing(&[upstream.address]).start();
+    let mut used = balancer.connect();
+    assert_eq!(exchange(&mut used, READY).status(), 200);
+    let mut unused = balancer.connect();
+    let mut held = balancer.connect();
+    held.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
+    let mut stream = upstream.accept();
+    read(&mut stream).expect("an attempt");
+
+    balancer.terminate();
+    assert!(closed(&mut used), "an idle connection stays");
+    // The end of that connection shows that the order has come; new connections still do.
+    let unready = balancer.ask(READY);
+    assert_eq!((unready.status(), unready.header("connection")), (503, Some("close")));
+    let mut late = balancer.connect();
+    for (client, id) in [(&mut unused, "r-2"), (&mut late, "r-3")] {
+        client.write_all(request("pay", id, "").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        assert_eq!(read(&mut stream).expect("an attempt").header("req-id"), Some(id));
+        ok(&mut stream);
+        let served = read(client).expect("an answer");
+        assert_eq!((served.status(), served.header("connection")), (200, Some("close")), "{id}");
+        assert!(closed(client));
+    }
+    // It holds one more request and waits for it, with its listener closed.
+    while TcpStream::connect(balancer.address).is_ok() {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert!(balancer.child.try_wait().expect("a state").is_none(), "it ended with a request held");
+    ok(&mut stream);
+    let served = read(&mut held).expect("an answer");
+    assert_eq!((served.status(), served.header("connection")), (200, Some("close")));
+    assert!(balancer.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn one_that_was_killed_starts_again_at_the_same_address() {
+    let upstream = Peer::new();
+    let mut balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    client.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
+    let mut stream = upstream.accept();
+    read(&mut stream).expect("an attempt");
+    balancer.child.kill().expect("it is killed");
+    balancer.child.wait().expect("it ends");
+    assert!(closed(&mut client) && closed(&mut stream));
+    let setup = Setup::knowing(&[upstream.address]);
+    let again = Setup { listen: balancer.address.to_string(), ..setup }.start();
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    assert_eq!(again.ask(&request("pay", "r-2", "")).status(), 200);
+}
