Test engine and pool; a silent watch counts as failed 2 s after its wait

Cause of the change: PROTOCOL counts news as told 2 s after a watch's wait, and a silent watch was given 6 s (discovery.rs): with the module's own pause a drain could have been overrun.

--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -21,8 +21,10 @@
 
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(20);
-/// How much longer than it may wait a call may take before it counts as failed: discovery answers late.
+/// A call without a wait that takes longer counts as failed.
 const PATIENCE: Duration = Duration::from_secs(6);
+/// The same for a watch, after its wait: what discovery had to tell counts as told from then on.
+const WATCH_PATIENCE: Duration = Duration::from_secs(2);
 /// Most of a list's text.
 const MOST_LIST: usize = 8 << 20;
 
@@ -124,7 +126,7 @@
             loop {
                 let path =
                     format!("/registry/instances?index={}&wait={}", this.generation.get(), WAIT.as_millis());
-                match this.call(&mut line, &path, WAIT + PATIENCE).await {
+                match this.call(&mut line, &path, WAIT + WATCH_PATIENCE).await {
                     Ok(list) => {
                         this.generation.set(list.generation);
                         let kind = if list.reset { ListKind::Complete } else { ListKind::Changes };
--- a/sloeline/src/upstream.rs
+++ b/sloeline/src/upstream.rs
@@ -480,3 +480,126 @@
     }
     load
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    /// Reads a request's head and answers it.
+    async fn serve(stream: &mut TcpStream) {
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"\r\n\r\n") {
+            seen.push(stream.read_u8().await.expect("a request"));
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await.expect("it reads");
+    }
+
+    fn with(most: usize, test: impl AsyncFnOnce(Upstreams, TcpListener, Target)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let settings = fs::Settings::new(Vec::new());
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let to = Target { server: 0, address: listener.local_addr().expect("an address") };
+            test(Upstreams::new(&settings.limits, most), listener, to).await;
+        });
+    }
+
+    fn call() -> Call {
+        let (uri, body) = (Uri::from_static("/api"), Bytes::new());
+        Call { method: Method::GET, uri, headers: HeaderMap::new(), body }
+    }
+
+    /// One exchange, on a new connection if `accept`; the peer's end of it and how it ended.
+    async fn once(upstreams: &Upstreams, listener: &TcpListener, to: Target) -> (TcpStream, Outcome) {
+        let (call, pool) = (call(), &upstreams.pool);
+        let flight = Flight::new(&call);
+        let peer = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            serve(&mut stream).await;
+            stream
+        };
+        let (stream, ended) = tokio::join!(peer, exchange(pool, to, &call, None, &flight));
+        if let Some(conn) = ended.conn {
+            put_when_ready(pool, to.server, conn).await;
+        }
+        (stream, ended.outcome)
+    }
+
+    #[test]
+    fn idle_connections_are_closed_on_request() {
+        with(9, async |upstreams, listener, to| {
+            let (mut stream, outcome) = once(&upstreams, &listener, to).await;
+            assert_eq!((outcome, upstreams.pool.open.get()), (Outcome::Ok, 1));
+            upstreams.close_idle(to.server);
+            assert_eq!(stream.read(&mut [0]).await.expect("an end"), 0);
+            assert_eq!(upstreams.pool.open.get(), 0);
+        });
+    }
+
+    #[test]
+    fn a_full_pool_turns_idle_connections_into_new_ones_and_else_sends_nothing() {
+        with(1, async |upstreams, listener, to| {
+            let (mut first, _) = once(&upstreams, &listener, to).await;
+            // Another upstream, as far as the pool can tell.
+            let (_second, outcome) = once(&upstreams, &listener, Target { server: 1, ..to }).await;
+            assert_eq!((outcome, upstreams.pool.open.get()), (Outcome::Ok, 1));
+            assert_eq!(first.read(&mut [0]).await.expect("an end"), 0);
+            let held = upstreams.pool.take(Target { server: 1, ..to }).expect("the idle one");
+            assert_eq!(upstreams.pool.connect(to.address).await.err(), Some(Outcome::NotSent));
+            drop(held);
+        });
+    }
+
+    #[test]
+    fn a_connection_closed_a_moment_ago_is_seen_before_the_runtime_sees_it() {
+        with(9, async |upstreams, listener, to| {
+            let (stream, _) = once(&upstreams, &listener, to).await;
+            drop(stream);
+            // Nothing was polled since: only a look at the socket itself tells.
+            assert!(upstreams.pool.take(to).is_none());
+        });
+    }
+
+    #[test]
+    fn a_connection_that_never_comes_up_has_not_run() {
+        with(9, async |upstreams, listener, to| {
+            drop(listener);
+            let call = call();
+            let flight = Flight::new(&call);
+            let ended = exchange(&upstreams.pool, to, &call, None, &flight).await;
+            assert_eq!(ended.outcome, Outcome::ConnectFailed);
+            assert!(!flight.may_have_run());
+        });
+    }
+
+    #[test]
+    fn a_request_that_is_not_written_to_its_end_has_not_run() {
+        with(9, async |upstreams, listener, to| {
+            // More than the sockets' buffers take of a peer that does not read.
+            let call = Call { method: Method::POST, body: vec![0; 32 << 20].into(), ..call() };
+            let flight = Flight::new(&call);
+            let peer = async {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                stream.read_u8().await.expect("a beginning");
+            };
+            let ((), ended) = tokio::join!(peer, exchange(&upstreams.pool, to, &call, None, &flight));
+            assert_eq!(ended.outcome, Outcome::ConnectFailed);
+        });
+    }
+
+    #[test]
+    fn a_load_report_is_read_as_far_as_it_is_known() {
+        let read = load("inflight=7,queue=2,util=0.61,latency_ms=1.5,x9=1,eps=?");
+        let expected = Load {
+            in_flight: Some(7.0),
+            queue: Some(2.0),
+            utilization: Some(0.61),
+            latency: Some(1500),
+            ..Load::default()
+        };
+        assert_eq!(read, expected);
+    }
+}
