--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -626,7 +626,8 @@
             let fake = Fake::default();
             let engine = engine(&fake);
             spawn_local(engine.clone().run());
-            test(fake, engine).await;
+            let ended = tokio::time::timeout(Duration::from_secs(60), test(fake, engine)).await;
+            assert!(ended.is_ok(), "it waits for what never comes");
         });
     }
 
--- a/sloeline/tests/discovery.rs
+++ b/sloeline/tests/discovery.rs
@@ -8,7 +8,9 @@
 
 fn asking(discovery: &Peer, upstream: &Peer) -> Balancer {
     let setup = Setup::knowing(&[upstream.address]);
-    Setup { discovery: Some(discovery.address), ..setup }.start()
+    // Idle connections are kept longer than any test waits: what closes them is the news.
+    let limits = r#","IdleCloseMs":90000.0"#;
+    Setup { discovery: Some(discovery.address), limits, ..setup }.start()
 }
 
 #[test]
