--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -118,9 +118,9 @@
     }
 }
 
-/// An address on which nothing listens.
+/// An address on which nothing listens; a port just given back could become another test's.
 pub fn nowhere() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    SocketAddr::from(([127, 0, 0, 1], 1))
 }
 
 /// Whether the peer closed the connection with nothing more on it.
--- a/sloeline/tests/life.rs
+++ b/sloeline/tests/life.rs
@@ -105,7 +105,9 @@
 #[test]
 fn one_that_was_killed_starts_again_at_the_same_address() {
     let upstream = Peer::new();
-    let mut balancer = Setup::knowing(&[upstream.address]).start();
+    // An address of its own, so that no other test gets the port in between.
+    let setup = Setup::knowing(&[upstream.address]);
+    let mut balancer = Setup { listen: "127.0.0.9:0".to_owned(), ..setup }.start();
     let mut client = balancer.connect();
     client.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
     let mut stream = upstream.accept();
