--- a/sloeline/src/config.rs
+++ b/sloeline/src/config.rs
@@ -50,17 +50,26 @@
 impl Config {
     /// Reads the file that `EDGE_CONFIG` names; a variable wins over the file. The error is one plain line.
     pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        Config::load(&variable, variable("EDGE_DISCOVERY"))
+    }
+
+    /// Reads the file again. Discovery's address is the file's now: the variable is as old as the process.
+    pub fn read_again(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        Config::load(&variable, None)
+    }
+
+    fn load(variable: &impl Fn(&str) -> Option<String>, discovery: Option<String>) -> Result<Config, String> {
         let path = variable("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG {path}: {e}"))?;
         let file: File = serde_json::from_str(&text).map_err(|e| format!("EDGE_CONFIG {path}: {e}"))?;
-        let address = |name: &str, from_file: Option<String>| {
-            let text = variable(name).or(from_file).ok_or_else(|| format!("{name} is not set"))?;
+        let address = |name: &str, text: Option<String>| {
+            let text = text.ok_or_else(|| format!("{name} is not set"))?;
             text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
         };
         Ok(Config {
             name: variable("EDGE_NAME").or(file.name).unwrap_or_default(),
-            listen: address("EDGE_LISTEN", file.listen)?,
-            discovery: address("EDGE_DISCOVERY", file.discovery)?,
+            listen: address("EDGE_LISTEN", variable("EDGE_LISTEN").or(file.listen))?,
+            discovery: address("EDGE_DISCOVERY", discovery.or(file.discovery))?,
             seed: seed(&file.seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
             known: file.known,
--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::engine::Listed;
 
@@ -25,6 +25,10 @@
 const PATIENCE: Duration = Duration::from_secs(6);
 /// The same for a watch, after its wait: what discovery had to tell counts as told from then on.
 const WATCH_PATIENCE: Duration = Duration::from_secs(2);
+/// Pause before the first call at a new address is made again; it doubles each time.
+const AGAIN: Duration = Duration::from_millis(100);
+/// How often the first call at a new address is made again before the module is told.
+const TIMES_AGAIN: u32 = 4;
 /// Most of a list's text.
 const MOST_LIST: usize = 8 << 20;
 
@@ -107,30 +111,62 @@
 
 /// Discovery, as far as this balancer has asked it.
 pub struct Discovery {
-    address: SocketAddr,
-    generation: Cell<u64>,
+    address: Cell<SocketAddr>,
+    /// How often it has moved: what an earlier address still answers is no news.
+    moves: Cell<u64>,
+    /// The version of the list held; none where the whole list is to be asked for first.
+    generation: Cell<Option<u64>>,
     watch: RefCell<Option<AbortHandle>>,
 }
 
 impl Discovery {
     /// Nothing asked yet; `generation` is that of the known list.
     pub fn new(address: SocketAddr, generation: u64) -> Rc<Discovery> {
-        Rc::new(Discovery { address, generation: Cell::new(generation), watch: RefCell::default() })
+        let (address, generation) = (Cell::new(address), Cell::new(Some(generation)));
+        Rc::new(Discovery { address, moves: Cell::new(0), generation, watch: RefCell::default() })
+    }
+
+    /// Leaves the present address, its watch and its line: the new one is asked for the whole list at once and
+    /// then watched. Guards against versions of another discovery, which say nothing there.
+    pub fn move_to(self: &Rc<Self>, address: SocketAddr, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
+        if self.address.replace(address) == address {
+            return;
+        }
+        self.moves.set(self.moves.get() + 1);
+        self.generation.set(None);
+        self.start(TIMES_AGAIN, tell);
     }
 
     /// Watches from now on and tells each list; a failure is told and ends the watch. A watch under way ends.
     pub fn watch(self: &Rc<Self>, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
+        self.start(0, tell);
+    }
+
+    /// A watch whose first call is made again up to `again` times.
+    fn start(self: &Rc<Self>, mut again: u32, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
         let this = self.clone();
         let task = spawn_local(async move {
-            let mut line = None;
+            let (mut line, mut pause) = (None, AGAIN);
             loop {
-                let path =
-                    format!("/registry/instances?index={}&wait={}", this.generation.get(), WAIT.as_millis());
-                match this.call(&mut line, &path, WAIT + WATCH_PATIENCE).await {
+                let (path, patience) = match this.generation.get() {
+                    None => ("/registry/instances".to_owned(), PATIENCE),
+                    Some(g) => (
+                        format!("/registry/instances?index={g}&wait={}", WAIT.as_millis()),
+                        WAIT + WATCH_PATIENCE,
+                    ),
+                };
+                match this.call(&mut line, &path, patience).await {
                     Ok(list) => {
-                        this.generation.set(list.generation);
-                        let kind = if list.reset { ListKind::Complete } else { ListKind::Changes };
-                        tell(kind, list.entries());
+                        let whole = list.reset || this.generation.get().is_none();
+                        this.generation.set(Some(list.generation));
+                        again = 0;
+                        tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
+                    }
+                    Err(why) if again > 0 => {
+                        eprintln!("discovery: {} does not answer yet: {why}", this.address.get());
+                        again -= 1;
+                        sleep(pause).await;
+                        pause *= 2;
                     }
                     Err(why) => {
                         eprintln!("discovery: the watch ended: {why}");
@@ -148,12 +184,19 @@
     pub fn fetch(self: &Rc<Self>, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
         let this = self.clone();
         spawn_local(async move {
-            let before = this.generation.get();
-            match this.call(&mut None, "/registry/instances", PATIENCE).await {
+            let (before, moves) = (this.generation.get(), this.moves.get());
+            let called = this.call(&mut None, "/registry/instances", PATIENCE).await;
+            // Guards against the list of an address that was left in the meantime.
+            if this.moves.get() != moves {
+                return;
+            }
+            match called {
                 // A watch told something newer in the meantime.
-                Ok(list) if before != this.generation.get() && list.generation < this.generation.get() => {}
+                Ok(list)
+                    if before != this.generation.get()
+                        && this.generation.get().is_some_and(|g| list.generation < g) => {}
                 Ok(list) => {
-                    this.generation.set(list.generation);
+                    this.generation.set(Some(list.generation));
                     tell(ListKind::Complete, list.entries());
                 }
                 Err(why) => {
@@ -179,7 +222,7 @@
         };
         if !ready {
             *line = None;
-            let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
+            let stream = TcpStream::connect(self.address.get()).await.map_err(|e| e.to_string())?;
             let _ = stream.set_nodelay(true);
             let shaken = http1::handshake(TokioIo::new(stream)).await;
             let (sender, connection) = shaken.map_err(|e| e.to_string())?;
@@ -189,7 +232,7 @@
             *line = Some(Line { sender, driver: driver.abort_handle() });
         }
         let Some(line) = line else { return Err("no connection".into()) };
-        let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::new());
+        let request = Request::get(path).header(HOST, self.address.get().to_string()).body(Empty::new());
         let request = request.map_err(|e| e.to_string())?;
         let response = line.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if response.status() != StatusCode::OK {
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -40,10 +40,9 @@
 }
 
 fn start() -> Result<(), String> {
-    let config = Config::read(|name| std::env::var(name).ok())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run())
 }
 
 /// The sockets that the engine's actions act on.
@@ -85,11 +84,32 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// Takes over what may change while it runs, which is where discovery is. Guards against a file that is half
+/// written or wrong: the running configuration is kept then.
+fn reload(engine: &Rc<Engine<Net>>, discovery: &Rc<Discovery>) {
+    match Config::read_again(variable) {
+        Ok(config) => {
+            eprintln!("sloeline: configuration read again; discovery is {}", config.discovery);
+            let engine = engine.clone();
+            discovery.move_to(config.discovery, move |kind, entries| engine.list(kind, entries));
+        }
+        Err(why) => eprintln!("sloeline: the running configuration is kept: {why}"),
+    }
+}
+
+async fn run() -> Result<(), String> {
+    // The signals before all else: until it is handled, SIGHUP ends the process.
+    let order = |kind| signal(kind).map_err(|e| e.to_string());
+    let mut hangup = order(SignalKind::hangup())?;
+    let mut terminate = order(SignalKind::terminate())?;
+    let mut interrupt = order(SignalKind::interrupt())?;
+    let config = Config::read(variable)?;
     let mut zones = Names::default();
     let settings = settings(&config.setup, &mut zones)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
 
     let free = config.sockets.saturating_sub(RESERVED).max(2);
     let callers = ((free as f64 * CALLERS) as usize).max(1);
@@ -105,12 +125,20 @@
         .zip(settings.classes.iter().cloned())
         .collect();
     let tenants = config.setup.realms.iter().map(|r| r.name.clone()).collect();
-    let engine = Engine::new(settings, zones, config.seed, Net { upstreams, discovery })?;
+    let engine = Engine::new(settings, zones, config.seed, Net { upstreams, discovery: discovery.clone() })?;
     match config.known {
         Some(known) => engine.list(ListKind::Stale, known.entries()),
         None => engine.begin(),
     }
     spawn_local(engine.clone().run());
+    spawn_local({
+        let engine = engine.clone();
+        async move {
+            while hangup.recv().await.is_some() {
+                reload(&engine, &discovery);
+            }
+        }
+    });
 
     let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
     let listener = socket.and_then(|s| {
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -179,7 +179,7 @@
         }
     }
 
-    fn config(&self) -> String {
+    pub fn config(&self) -> String {
         let known = match &self.known[..] {
             [] => String::new(),
             entries => format!(r#""known":{},"#, list(41, true, entries)),
@@ -207,7 +207,9 @@
             }
             None => Command::new(program),
         };
-        command.env("EDGE_CONFIG", &file).stderr(Stdio::piped());
+        // As the platform does: the variable stays what it was when the process started.
+        let discovery = self.discovery.unwrap_or_else(nowhere).to_string();
+        command.env("EDGE_DISCOVERY", discovery).env("EDGE_CONFIG", &file).stderr(Stdio::piped());
         let mut child = command.spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
         let mut line = String::new();
@@ -220,8 +222,7 @@
                 let _ = sender.send(l);
             });
         });
-        let _ = std::fs::remove_file(file);
-        Balancer { child, address, log: lines }
+        Balancer { child, address, log: lines, file }
     }
 }
 
@@ -252,12 +253,14 @@
     pub child: Child,
     pub address: SocketAddr,
     pub log: Receiver<String>,
+    pub file: PathBuf,
 }
 
 impl Drop for Balancer {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
@@ -275,10 +278,25 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and tells the program.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("a file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").arg(&id).status().expect("kill runs");
+        let sent = Command::new("kill").args([name, &id]).status().expect("kill runs");
         assert!(sent.success());
     }
+
+    /// Waits for a line of the log that holds a text.
+    pub fn logged(&self, text: &str) {
+        while !self.log.recv_timeout(LONG).expect("a line").contains(text) {}
+    }
 }
 
 pub fn exchange(stream: &mut TcpStream, request: &str) -> Message {
