--- /dev/null
+++ b/sloeline/src/framing.rs
@@ -0,0 +1,93 @@
+//! Where a message ends, by its head. Stricter than a server needs to be: what another could read otherwise is
+//! no message.
+
+use httparse::{EMPTY_HEADER, Header, Request, Status};
+
+/// Most header lines of a head.
+const MOST_LINES: usize = 100;
+
+/// How long a body is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Framing {
+    /// So many bytes.
+    Length(u64),
+    /// As its chunks say.
+    Chunked,
+}
+
+/// The length of a request's head and how its body is framed; nothing while the head is not whole.
+pub fn request(bytes: &[u8]) -> Result<Option<(usize, Framing)>, ()> {
+    let mut lines = [EMPTY_HEADER; MOST_LINES];
+    let mut head = Request::new(&mut lines);
+    match head.parse(bytes).map_err(|_| ())? {
+        Status::Partial => Ok(None),
+        Status::Complete(end) => {
+            let framing = framing(head.headers)?;
+            // Chunks came with HTTP/1.1: an older peer reads them as the body itself.
+            let known = head.version == Some(1) || framing != Some(Framing::Chunked);
+            if known { Ok(Some((end, framing.unwrap_or(Framing::Length(0))))) } else { Err(()) }
+        }
+    }
+}
+
+/// What the lines say of the body; nothing if they are silent. Guards against a message in the body of another:
+/// both ways of framing at once, several lengths, and what is no number are not guessed at.
+pub fn framing(lines: &[Header<'_>]) -> Result<Option<Framing>, ()> {
+    let named = |name: &'static str| lines.iter().filter(move |l| l.name.eq_ignore_ascii_case(name));
+    let mut lengths = named("content-length");
+    let mut codings = named("transfer-encoding");
+    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
+        (None, None, None, None) => Ok(None),
+        (Some(length), None, None, None) => {
+            let digits = !length.value.is_empty() && length.value.iter().all(u8::is_ascii_digit);
+            let text = std::str::from_utf8(length.value).map_err(|_| ())?;
+            if digits { text.parse().map(|n| Some(Framing::Length(n))).map_err(|_| ()) } else { Err(()) }
+        }
+        (None, None, Some(coding), None) if coding.value.eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Framing::Chunked))
+        }
+        _ => Err(()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_one_reading_of_a_head_is_taken() {
+        let read = |lines: &str| {
+            let text = format!("POST /api HTTP/1.1\r\nHost: b\r\n{lines}\r\n");
+            request(text.as_bytes()).map(|r| r.map(|(end, framing)| (end == text.len(), framing)))
+        };
+        for (lines, framing) in [
+            ("", Framing::Length(0)),
+            ("Content-Length: 65536\r\n", Framing::Length(65_536)),
+            ("content-length:0\r\n", Framing::Length(0)),
+            ("TRANSFER-ENCODING: Chunked\r\n", Framing::Chunked),
+        ] {
+            assert_eq!(read(lines), Ok(Some((true, framing))), "{lines:?}");
+        }
+        for lines in [
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            "transfer-encoding: chunked\r\ncontent-length: 4\r\n",
+            "Content-Length: 4\r\nContent-Length: 4\r\n",
+            "Content-Length: 4, 4\r\n",
+            "Content-Length: -4\r\n",
+            "Content-Length: +4\r\n",
+            "Content-Length: ten\r\n",
+            "Content-Length:\r\n",
+            "Content-Length: 99999999999999999999\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: identity\r\n",
+            "Transfer-Encoding : chunked\r\n",
+            "no colon\r\n",
+        ] {
+            assert_eq!(read(lines), Err(()), "{lines:?}");
+        }
+        assert_eq!(request(b"POST /api HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"), Err(()));
+        assert_eq!(request(b"POST /api HTTP/1.1\r\nContent-Le"), Ok(None));
+        assert_eq!(request(b"\0\0\0\0"), Err(()));
+    }
+}
--- /dev/null
+++ b/sloeline/src/gate.rs
@@ -0,0 +1,349 @@
+//! A caller's connection as hyper sees it: only heads that are good pass, and never more than one request. Also
+//! how long such a connection has been at what, and which of them are idle.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::framing::{Framing, request};
+
+/// A connection on which no request is open is kept this long.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+/// One that has not been idle for so long is not closed for others.
+const SPARED: Duration = Duration::from_millis(100);
+/// A head may take this long from its first byte.
+const HEAD_TIME: Duration = Duration::from_millis(1500);
+/// A request may take this long from its first byte to its last.
+const BODY_TIME: Duration = Duration::from_millis(2500);
+/// Most of a head.
+const MOST_HEAD: usize = 16 * 1024;
+/// Read at once.
+const CHUNK: usize = 4096;
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    /// No byte of a request has come.
+    Idle,
+    /// A part of a head has come.
+    Head,
+    /// The head has come.
+    Body,
+    /// The request has come whole and is not answered.
+    Open,
+}
+
+/// What cannot be let through; the connection is of no further use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// It cannot be read, or where it ends cannot be told.
+    Bad,
+    /// The head does not end.
+    TooLarge,
+}
+
+/// The connections that are idle, longest first.
+#[derive(Default)]
+pub struct Crowd {
+    idle: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
+    next: Cell<u64>,
+}
+
+impl Crowd {
+    /// Closes the connection that has been idle longest; else, when it may be. Guards those that have just come,
+    /// whose request is on its way.
+    pub fn close_oldest(&self) -> Result<(), Option<Instant>> {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.first_entry().ok_or(None)?;
+        let ripe = oldest.get().0 + SPARED;
+        if ripe > Instant::now() {
+            return Err(Some(ripe));
+        }
+        oldest.remove().1.abort();
+        Ok(())
+    }
+}
+
+/// How far a connection is, seen from both sides of hyper.
+pub struct Progress {
+    crowd: Rc<Crowd>,
+    task: RefCell<Option<AbortHandle>>,
+    stage: Cell<Stage>,
+    since: Cell<Instant>,
+    first_byte: Cell<Instant>,
+    place: Cell<Option<u64>>,
+    fault: Cell<Option<Fault>>,
+    chunked: Cell<bool>,
+    unread: Cell<bool>,
+    stuck: Cell<bool>,
+}
+
+impl Progress {
+    /// A connection that has just come.
+    pub fn new(crowd: Rc<Crowd>) -> Rc<Progress> {
+        let now = Instant::now();
+        Rc::new(Progress {
+            crowd,
+            task: RefCell::default(),
+            stage: Cell::new(Stage::Open),
+            since: Cell::new(now),
+            first_byte: Cell::new(now),
+            place: Cell::default(),
+            fault: Cell::default(),
+            chunked: Cell::default(),
+            unread: Cell::default(),
+            stuck: Cell::default(),
+        })
+    }
+
+    /// Its task, to be ended when room is needed while it is idle.
+    pub fn of(&self, task: AbortHandle) {
+        *self.task.borrow_mut() = Some(task);
+        self.enter(Stage::Idle);
+    }
+
+    /// What it is at.
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    fn enter(&self, stage: Stage) {
+        let now = Instant::now();
+        if stage == Stage::Head {
+            self.first_byte.set(now);
+        }
+        self.stage.set(stage);
+        self.since.set(now);
+        self.leave_crowd();
+        if let (Stage::Idle, Some(task)) = (stage, &*self.task.borrow()) {
+            let place = self.crowd.next.get();
+            self.crowd.next.set(place + 1);
+            self.crowd.idle.borrow_mut().insert(place, (now, task.clone()));
+            self.place.set(Some(place));
+        }
+    }
+
+    fn leave_crowd(&self) {
+        if let Some(place) = self.place.take() {
+            self.crowd.idle.borrow_mut().remove(&place);
+        }
+    }
+
+    /// The request has come whole.
+    pub fn taken(&self) {
+        self.unread.set(false);
+        self.enter(Stage::Open);
+    }
+
+    /// It has its answer: the next one may pass.
+    pub fn answered(&self) {
+        self.enter(Stage::Idle);
+    }
+
+    /// Where the request ends is known to hyper alone: nothing may follow it.
+    pub fn chunked(&self) -> bool {
+        self.chunked.get()
+    }
+
+    /// When it has been at this for too long; a request that is open has a clock of its own.
+    pub fn due(&self) -> Option<Instant> {
+        match self.stage.get() {
+            Stage::Idle => Some(self.since.get() + IDLE_TIME),
+            Stage::Head => Some(self.first_byte.get() + HEAD_TIME),
+            Stage::Body => Some(self.first_byte.get() + BODY_TIME),
+            Stage::Open => None,
+        }
+    }
+
+    /// What was not let through.
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault.get()
+    }
+
+    /// The caller may still be sending.
+    pub fn unread(&self) -> bool {
+        self.unread.get()
+    }
+
+    /// An earlier answer is not written to its end: nothing can be said after it.
+    pub fn stuck(&self) -> bool {
+        self.stuck.get()
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.leave_crowd();
+    }
+}
+
+/// What the next bytes are.
+enum Next {
+    /// A head, to be looked at first.
+    Head,
+    /// So many bytes that pass.
+    Pass(u64),
+    /// All pass.
+    All,
+}
+
+/// The connection between the socket and hyper.
+pub struct Gate {
+    stream: TcpStream,
+    progress: Rc<Progress>,
+    /// What has been read and not passed on.
+    held: Vec<u8>,
+    next: Next,
+}
+
+impl Gate {
+    /// Nothing read yet.
+    pub fn new(stream: TcpStream, progress: Rc<Progress>) -> Gate {
+        Gate { stream, progress, held: Vec::new(), next: Next::Head }
+    }
+
+    /// The socket, when hyper is done with it.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Reads more into what is held; tells how much it was.
+    fn fill(&mut self, cx: &mut Context<'_>, most: usize) -> Poll<io::Result<usize>> {
+        let mut chunk = [0; CHUNK];
+        let mut read = ReadBuf::new(&mut chunk[..most.min(CHUNK)]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        self.held.extend_from_slice(read.filled());
+        Poll::Ready(Ok(read.filled().len()))
+    }
+
+    /// Passes on what is held, up to `most`.
+    fn pass(&mut self, buf: &mut ReadBufCursor<'_>, most: u64) -> u64 {
+        let n = self.held.len().min(buf.remaining()).min(usize::try_from(most).unwrap_or(usize::MAX));
+        buf.put_slice(&self.held[..n]);
+        self.held.drain(..n);
+        if self.held.is_empty() {
+            self.held = Vec::new();
+        }
+        n as u64
+    }
+
+    fn refuse(&mut self, fault: Fault) -> Poll<io::Result<()>> {
+        self.progress.fault.set(Some(fault));
+        self.progress.unread.set(true);
+        self.held = Vec::new();
+        // An end, as hyper sees it; the answer is given when hyper has left.
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Read for Gate {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if this.progress.fault().is_some() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            match this.next {
+                Next::Head if matches!(this.progress.stage(), Stage::Body | Stage::Open) => {
+                    // Whether the caller has left, and what it sends too early: held until the answer went.
+                    let room = MOST_HEAD - this.held.len().min(MOST_HEAD);
+                    if room == 0 {
+                        return Poll::Pending;
+                    }
+                    if ready!(this.fill(cx, room))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                }
+                Next::Head => {
+                    if !this.held.is_empty() && this.progress.stage() == Stage::Idle {
+                        this.progress.enter(Stage::Head);
+                    }
+                    match request(&this.held) {
+                        Err(()) => return this.refuse(Fault::Bad),
+                        Ok(Some((head, framing))) => {
+                            let head = head as u64;
+                            this.progress.chunked.set(framing == Framing::Chunked);
+                            this.progress.unread.set(framing != Framing::Length(0));
+                            this.progress.enter(Stage::Body);
+                            this.next = match framing {
+                                Framing::Length(n) => Next::Pass(head.saturating_add(n)),
+                                Framing::Chunked => Next::All,
+                            };
+                        }
+                        Ok(None) if this.held.len() >= MOST_HEAD => return this.refuse(Fault::TooLarge),
+                        Ok(None) => {
+                            if ready!(this.fill(cx, MOST_HEAD - this.held.len()))? == 0 {
+                                return Poll::Ready(Ok(()));
+                            }
+                        }
+                    }
+                }
+                Next::Pass(0) => this.next = Next::Head,
+                Next::Pass(n) => {
+                    if this.held.is_empty() && ready!(this.fill(cx, CHUNK))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    let passed = this.pass(&mut buf, n);
+                    this.next = Next::Pass(n - passed);
+                    return Poll::Ready(Ok(()));
+                }
+                Next::All => {
+                    if this.held.is_empty() && ready!(this.fill(cx, CHUNK))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                    this.pass(&mut buf, u64::MAX);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+    }
+}
+
+impl Gate {
+    fn note<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.progress.stuck.set(written.is_pending());
+        written
+    }
+}
+
+impl Write for Gate {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -3,6 +3,8 @@
 mod config;
 mod discovery;
 mod engine;
+mod framing;
+mod gate;
 mod server;
 mod upstream;
 
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -1,11 +1,14 @@
 //! Callers: their connections, their requests and the final answers.
 
-use std::cell::Cell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
-use std::pin::pin;
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,27 +20,31 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::engine::{Answer, Asked, Engine, Failure, Wire};
+use crate::gate::{Crowd, Fault, Gate, Progress, Stage};
 use crate::upstream::{Call, MOST_BODY, Reply};
 
 /// How long new connections are still taken after the order to stop.
 const STILL_COMING: Duration = Duration::from_millis(500);
-/// A connection without a request, or with a part of one, is kept this long.
-const HEAD_TIME: Duration = Duration::from_secs(60);
-/// The rest of a request may take this long.
-const BODY_TIME: Duration = Duration::from_secs(10);
 /// How long a connection that has carried nothing is still kept when no more come.
 const NOTHING_YET: Duration = Duration::from_secs(1);
 /// Pause after a connection could not be taken for want of descriptors.
 const NO_SOCKET_PAUSE: Duration = Duration::from_millis(20);
 /// Part of the connections from which on answers close theirs: room for callers that have none.
 const CROWDED: f64 = 0.75;
+/// How long what a caller still sends after its error is read and dropped.
+const LINGER: Duration = Duration::from_millis(500);
+/// How much of it at the most.
+const MOST_LINGER: usize = 1 << 20;
+
+const REQ_ID: HeaderName = HeaderName::from_static("req-id");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// How far the balancer is with its life.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -57,6 +64,9 @@
     tenants: HashMap<String, fs::TenantId>,
     places: Arc<Semaphore>,
     most: usize,
+    crowd: Rc<Crowd>,
+    /// The ids of the requests that are open.
+    ids: RefCell<HashSet<HeaderValue>>,
     phase: watch::Receiver<Phase>,
 }
 
@@ -71,7 +81,8 @@
     ) -> Rc<Self> {
         let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
-        Rc::new(Server { engine, classes, tenants, places: Arc::new(Semaphore::new(most)), most, phase })
+        let (places, crowd, ids) = (Arc::new(Semaphore::new(most)), Rc::default(), RefCell::default());
+        Rc::new(Server { engine, classes, tenants, places, most, crowd, ids, phase })
     }
 
     /// Takes connections until the order to stop and a little longer; returns when all are closed.
@@ -87,16 +98,17 @@
                     }
                 }
             };
-            // The place first: what is accepted is served, the others wait in the kernel's queue.
             let accept = async {
-                let place = self.places.clone().acquire_owned().await;
-                (place, listener.accept().await)
+                let accepted = listener.accept().await;
+                (self.place().await, accepted)
             };
             tokio::select! {
                 biased;
                 (place, accepted) = accept => match (place, accepted) {
                     (Ok(place), Ok((stream, _))) => {
-                        spawn_local(self.clone().connection(stream, place));
+                        let progress = Progress::new(self.crowd.clone());
+                        let task = spawn_local(self.clone().connection(stream, place, progress.clone()));
+                        progress.of(task.abort_handle());
                     }
                     // Guards against a spin while no descriptor is free: the connection stays in the queue.
                     _ => sleep(NO_SOCKET_PAUSE).await,
@@ -112,52 +124,97 @@
         let _ = self.places.acquire_many(self.most as u32).await;
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, place: OwnedSemaphorePermit) {
+    /// A place for a new connection. Guards against those that say nothing and leave none: the one that has
+    /// been idle longest makes room.
+    async fn place(&self) -> Result<OwnedSemaphorePermit, AcquireError> {
+        while self.places.available_permits() == 0 {
+            match self.crowd.close_oldest() {
+                Ok(()) | Err(None) => break,
+                Err(Some(ripe)) => tokio::select! {
+                    place = self.places.clone().acquire_owned() => return place,
+                    () = sleep_until(ripe) => {}
+                },
+            }
+        }
+        self.places.clone().acquire_owned().await
+    }
+
+    async fn connection(
+        self: Rc<Self>,
+        stream: TcpStream,
+        place: OwnedSemaphorePermit,
+        progress: Rc<Progress>,
+    ) {
         let _place = place;
         let _ = stream.set_nodelay(true);
         let used = Rc::new(Cell::new(false));
         let service = hyper::service::service_fn({
-            let (server, used) = (self.clone(), used.clone());
+            let (server, used, progress) = (self.clone(), used.clone(), progress.clone());
             move |request| {
                 used.set(true);
-                let server = server.clone();
-                async move { Ok::<_, Infallible>(server.respond(request).await) }
+                let (server, progress) = (server.clone(), progress.clone());
+                Box::pin(async move { Ok::<_, Infallible>(server.respond(request, &progress).await) })
             }
         });
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(MOST_BODY);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        builder.max_buf_size(MOST_BODY);
+        let mut connection = builder.serve_connection(Gate::new(stream, progress.clone()), service);
         let mut phase = self.phase.clone();
+        let mut late = Box::pin(sleep(Duration::ZERO));
         loop {
             let now = *phase.borrow_and_update();
             // One that has carried nothing yet may be about to: it is left until no more come.
             if now == Phase::Closing || (now == Phase::Stopping && used.get()) {
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
-            tokio::select! {
-                _ = connection.as_mut() => return,
+            // The connection until it ends, or until it has been at one thing for too long.
+            let served = poll_fn(|cx| {
+                if connection.poll_without_shutdown(cx).is_ready() {
+                    return Poll::Ready(false);
+                }
+                let Some(due) = progress.due() else { return Poll::Pending };
+                if late.deadline() != due {
+                    late.as_mut().reset(due);
+                }
+                late.as_mut().poll(cx).map(|()| true)
+            });
+            let too_late = tokio::select! {
+                too_late = served => too_late,
                 // Guards the stop against a caller that never ends its first request.
                 () = sleep(NOTHING_YET), if now == Phase::Closing && !used.get() => {
-                    if !used.get() {
-                        return;
-                    }
+                    if used.get() { continue } else { return }
                 }
-                changed = phase.changed() => if changed.is_err() {
-                    let _ = connection.as_mut().await;
-                    return;
-                },
+                changed = phase.changed() => if changed.is_err() { return } else { continue },
+            };
+            let error = match (progress.fault(), too_late, progress.stage()) {
+                (Some(Fault::Bad), ..) => Some("400 Bad Request"),
+                (Some(Fault::TooLarge), ..) => Some("431 Request Header Fields Too Large"),
+                (None, true, Stage::Head | Stage::Body) => Some("408 Request Timeout"),
+                _ => None,
+            };
+            // What hyper held goes first, the open request with it.
+            let stream = connection.into_parts().io.into_stream();
+            let error = error.filter(|_| !progress.stuck());
+            if error.is_some() || progress.unread() {
+                let _ = timeout(LINGER, leave(stream, error)).await;
             }
+            return;
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
         let mut response = match request.uri().path() {
             "/health/ready" => self.ready(),
-            "/api" => self.api(request).await,
+            "/api" => self.api(request, progress).await,
             _ => plain(StatusCode::NOT_FOUND, "no such path"),
         };
+        // What comes after a request that was not read, or whose end only hyper knows, is no request.
+        let last = progress.unread() || progress.chunked();
+        if !last {
+            progress.answered();
+        }
         let crowded = (self.places.available_permits() as f64) < (1.0 - CROWDED) * self.most as f64;
-        if crowded || *self.phase.borrow() != Phase::Running {
+        if last || crowded || *self.phase.borrow() != Phase::Running {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -171,11 +228,16 @@
         }
     }
 
-    async fn api(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn api(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
         let asked = match self.read(request).await {
             Ok(asked) => asked,
             Err((status, why)) => return plain(status, why),
         };
+        progress.taken();
+        // Guards against a second request under an id that is open: upstreams could not tell them apart.
+        let Some(_id) = asked.call.headers.get(REQ_ID).and_then(|id| Id::take(&self.ids, id)) else {
+            return plain(StatusCode::BAD_REQUEST, "this Req-Id is open");
+        };
         match self.engine.ask(asked).answer().await {
             Answer::Served(reply) => {
                 let mut response = Response::new(Full::new(reply.body));
@@ -199,36 +261,58 @@
     async fn read(&self, request: Request<Incoming>) -> Result<Asked<Call>, (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
+        // Guards against peers that read the first of two and others that read the last.
+        let doubled = |name: &HeaderName| head.headers.get_all(name).iter().nth(1).is_some();
+        let counted = |name: &&HeaderName| name.as_str().starts_with("req-") || **name == KEY;
+        if head.headers.keys().filter(counted).any(doubled) {
+            return Err(bad("a header that may stand once stands twice"));
+        }
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         let kind = text("req-kind").ok_or(bad("no Req-Kind"))?;
         let (id, class) = self.classes.get(kind).ok_or(bad("unknown Req-Kind"))?;
-        if text("req-id").is_none_or(str::is_empty) {
+        if head.headers.get(REQ_ID).is_none_or(HeaderValue::is_empty) {
             return Err(bad("no Req-Id"));
         }
         if head.method != Method::GET && head.method != Method::POST {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "GET or POST"));
         }
-        // Without its key a repeat could not be told from a new request.
-        if matches!(class.effect, Effect::Keyed { .. }) && text("idempotency-key").is_none() {
-            return Err(bad("no Idempotency-Key"));
+        // Method and key say what may be repeated; the class says the same, or one of the two is wrong.
+        let key = head.headers.get(KEY).map(|key| !key.is_empty());
+        let fits = match class.effect {
+            Effect::Safe => head.method == Method::GET && key.is_none(),
+            Effect::Keyed { .. } => head.method == Method::POST && key == Some(true),
+            Effect::Unsafe => head.method == Method::POST && key.is_none(),
+        };
+        if !fits {
+            return Err(bad("method or Idempotency-Key do not fit the class"));
         }
-        let number = |name: &str| text(name).and_then(|v| v.trim().parse::<u64>().ok());
-        let time_left = number("req-deadline-ms").map_or(class.deadline, |ms| ms.saturating_mul(1000));
+        let number =
+            |text: &str| text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse::<u64>().ok())?;
+        let time_left = match head.headers.get("req-deadline-ms") {
+            None => class.deadline,
+            Some(_) => {
+                let deadline = text("req-deadline-ms").and_then(number);
+                deadline.ok_or(bad("Req-Deadline-Ms is no number"))?.saturating_mul(1000)
+            }
+        };
+        let safe = class.effect == Effect::Safe;
         let (class, time_left) = (*id, time_left.min(class.deadline));
         let tenant = text("req-owner").and_then(|t| self.tenants.get(t).copied());
-        let (work, retry): (Option<Micros>, _) = (number("req-cost"), text("req-retry") == Some("1"));
+        let (work, retry): (Option<Micros>, _) =
+            (text("req-cost").and_then(number), text("req-retry") == Some("1"));
         let headers = end_to_end(&head.headers);
         let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB");
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err(too_large);
         }
-        let body = timeout(BODY_TIME, Limited::new(body, MOST_BODY).collect()).await;
-        let body = match body {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large),
-            Ok(Err(_)) => return Err(bad("broken body")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come")),
+        let body = match Limited::new(body, MOST_BODY).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) if e.is::<LengthLimitError>() => return Err(too_large),
+            Err(_) => return Err(bad("broken body")),
         };
+        if safe && !body.is_empty() {
+            return Err(bad("a body that does not fit the class"));
+        }
         // A request that names the whole address is for this path all the same.
         let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
         let call = Call { method: head.method, uri: path.into(), headers, body };
@@ -236,6 +320,42 @@
     }
 }
 
+/// Says why, if there is a word left to say, and reads on for a while. Guards the answer: a socket that is closed
+/// with something unread in it is reset, and the caller may lose what it was told.
+async fn leave(mut stream: TcpStream, error: Option<&str>) -> io::Result<()> {
+    if let Some(error) = error {
+        let text = format!("HTTP/1.1 {error}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(text.as_bytes()).await?;
+    }
+    stream.shutdown().await?;
+    let (mut read, mut chunk) = (0, [0; 4096]);
+    while read < MOST_LINGER {
+        match stream.read(&mut chunk).await? {
+            0 => break,
+            n => read += n,
+        }
+    }
+    Ok(())
+}
+
+/// The id of a request that is open.
+struct Id<'a> {
+    ids: &'a RefCell<HashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl Id<'_> {
+    fn take<'a>(ids: &'a RefCell<HashSet<HeaderValue>>, id: &HeaderValue) -> Option<Id<'a>> {
+        ids.borrow_mut().insert(id.clone()).then(|| Id { ids, id: id.clone() })
+    }
+}
+
+impl Drop for Id<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
 /// The headers that are not about the connection or the framing.
 fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<&str> = headers
