Free the numbers of gone upstreams, bound bodies by the memory, let spoilt answers prove nothing

Causes, from the sources: engine.rs kept every name, kind and address for ever and closed all that were ever gone anew with each whole list; timers of answered requests stayed until due; limits.memory_mb was not read; an answer marked Srv-Declined whose body was cut counted as never run (upstream.rs read()), so an unsafe request could go out twice; f64 parses NaN, inf and negatives into load reports; weights and times of the list were not checked; a head without end was read up to 400 KB. Now: registry.rs frees what is gone and never gives a number twice: attempts out and pooled connections can hold the old one, one that comes back has no breaker or count. pool.rs and wire.rs are split from upstream.rs and engine.rs by job. Bodies and answers take 0.4 of the memory at most, past that 503 before anything is sent. Seen on loopback: a second copy or noise behind an answer, in the same segment or just after, was not taken for the next answer before this change either (hyper drops a connection with bytes left, fresh() sees the kernel's): the test stays.

--- a/sloeline/src/config.rs
+++ b/sloeline/src/config.rs
@@ -9,6 +9,8 @@
 
 /// Descriptors where the configuration names no limit.
 const SOCKETS: usize = 1024;
+/// Memory where it names none, in MB.
+const MEMORY: f64 = 192.0;
 
 /// The configuration file; unknown keys are passed over.
 #[derive(Deserialize)]
@@ -27,6 +29,7 @@
 #[derive(Default, Deserialize)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 /// All that a balancer is told at its start.
@@ -41,6 +44,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// The list of upstreams as last held.
     pub known: Option<List>,
     /// The simulator's start message.
@@ -72,6 +77,7 @@
             discovery: address("EDGE_DISCOVERY", discovery.or(file.discovery))?,
             seed: seed(&file.seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
+            memory: (file.limits.memory_mb.unwrap_or(MEMORY).max(0.0) * f64::from(1 << 20)) as usize,
             known: file.known,
             setup: file.settings,
         })
--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -17,7 +17,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use crate::engine::Listed;
+use crate::wire::Listed;
 
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(20);
@@ -90,7 +90,8 @@
                     Lifecycle::Deleted => ServerState::Gone,
                 },
                 weight: i.weight,
-                started: (i.started_at_ms > 0.0).then(|| micros(i.started_at_ms)),
+                started: (i.started_at_ms > 0.0 && i.started_at_ms.is_finite())
+                    .then(|| micros(i.started_at_ms)),
             })
         };
         self.instances.into_iter().filter_map(entry).collect()
--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -3,134 +3,26 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use finchshift as fs;
 use finchshift::{Action, Event, ListKind, Micros, Outcome, RequestId, ServerId};
-use finchshift_wirehost::setup::{Names, ring};
+use finchshift_wirehost::setup::Names;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::Instant;
+
+use crate::registry::Registry;
+use crate::wire::{Answer, Asked, Clock, Failure, Listed, Target, Wire};
 
 /// The module is told this much less than the client's time: the answer's way back and the timers' grain.
 const MARGIN: Micros = 10_000;
 /// A request that the module has left unanswered fails this long before the client's time.
 const LAST_RESORT: Micros = 5_000;
 
-/// The sockets, as the engine sees them. No method calls the engine back before it returns.
-pub trait Wire: Sized + 'static {
-    /// What a caller asks.
-    type Call;
-    /// What an upstream answers.
-    type Reply;
-    /// An attempt under way.
-    type Out;
-    /// Starts an attempt; its end is told to the report.
-    fn send(&self, to: Target, call: Rc<Self::Call>, limit: Micros, report: Report<Self>) -> Self::Out;
-    /// Ends an attempt by closing its connection; tells whether it may have run.
-    fn abort(&self, out: Self::Out) -> bool;
-    /// Asks an upstream how it is.
-    fn probe(&self, engine: &Rc<Engine<Self>>, to: Target);
-    /// Closes the idle connections to an upstream.
-    fn close_idle(&self, server: ServerId);
-    /// Watches discovery from now on.
-    fn watch(&self, engine: &Rc<Engine<Self>>);
-    /// Asks discovery once for the whole list.
-    fn fetch(&self, engine: &Rc<Engine<Self>>);
-}
-
-/// An upstream and where it is.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Target {
-    /// Its number.
-    pub server: ServerId,
-    /// Its address, from the newest list.
-    pub address: SocketAddr,
-}
-
-/// An entry of a list, as discovery words it.
-#[derive(Clone, Debug)]
-pub struct Listed {
-    /// The same at every balancer.
-    pub instance: String,
-    /// Its address at this balancer.
-    pub address: SocketAddr,
-    /// Its zone's name.
-    pub zone: String,
-    /// Its machine kind's name.
-    pub kind: String,
-    /// Its cell.
-    pub cell: u32,
-    /// What discovery says of it.
-    pub state: fs::ServerState,
-    /// Its size.
-    pub weight: f64,
-    /// When it last started, in Unix time.
-    pub started: Option<Micros>,
-}
-
-/// Why a request failed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Failure {
-    /// The time ran out.
-    Time,
-    /// An upstream failed.
-    Upstream,
-}
-
-/// The one final answer to a request.
-#[derive(Debug, PartialEq)]
-pub enum Answer<R> {
-    /// An upstream's answer.
-    Served(R),
-    /// Trying again is harmless.
-    Refused {
-        /// How long the client should stay away; 0 for no wish.
-        retry_after: Micros,
-    },
-    /// No promise.
-    Failed(Failure),
-}
-
-/// A request as the engine takes it.
-pub struct Asked<C> {
-    /// Its class.
-    pub class: fs::ClassId,
-    /// How long its client waits, from now.
-    pub time_left: Micros,
-    /// Whose it is.
-    pub tenant: Option<fs::TenantId>,
-    /// A guess at its work.
-    pub work: Option<Micros>,
-    /// Its client marks it as a repeat.
-    pub retry: bool,
-    /// What goes on to upstreams.
-    pub call: C,
-}
-
-/// The module's clock: Unix time at the start and monotonic from there, since lists tell Unix times.
-struct Clock {
-    unix: Micros,
-    start: Instant,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix: unix.as_micros() as Micros, start: Instant::now() }
-    }
-
-    fn now(&self) -> Micros {
-        self.unix + self.start.elapsed().as_micros() as Micros
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(self.unix))
-    }
-}
+/// So many timers are always kept.
+const LEAST_TIMERS: usize = 512;
 
 /// What a timer is for.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -163,10 +55,9 @@
     next: RequestId,
     timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
     timer_number: u64,
-    servers: Names,
-    zones: Names,
-    kinds: Names,
-    addresses: HashMap<ServerId, SocketAddr>,
+    /// From as many timers on, those of requests that are answered are dropped.
+    most_timers: usize,
+    registry: Registry,
 }
 
 /// The balancer between its sockets.
@@ -231,7 +122,7 @@
 
 impl<W: Wire> Engine<W> {
     /// A balancer with the given settings; `zones` holds the numbers that the settings use.
-    pub fn new(settings: fs::Settings, zones: Names, seed: u64, wire: W) -> Result<Rc<Self>, String> {
+    pub fn new(settings: fs::Settings, zones: &Names, seed: u64, wire: W) -> Result<Rc<Self>, String> {
         let limits = settings.limits.clone();
         let balancer = fs::Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         Ok(Rc::new(Engine {
@@ -244,10 +135,8 @@
                 next: 0,
                 timers: BinaryHeap::new(),
                 timer_number: 0,
-                servers: Names::default(),
-                zones,
-                kinds: Names::default(),
-                addresses: HashMap::new(),
+                most_timers: LEAST_TIMERS,
+                registry: Registry::new(zones),
             }),
             events: RefCell::new(VecDeque::new()),
             handling: Cell::new(false),
@@ -285,35 +174,7 @@
 
     /// News of the list of upstreams; those that moved or are gone lose their idle connections.
     pub fn list(self: &Rc<Self>, kind: ListKind, listed: Vec<Listed>) {
-        let mut stale = Vec::new();
-        let mut entries = Vec::with_capacity(listed.len());
-        {
-            let mut tables = self.tables.borrow_mut();
-            let tables = &mut *tables;
-            let mut named = HashSet::new();
-            for l in &listed {
-                let id = tables.servers.number(&l.instance);
-                named.insert(id);
-                let before = tables.addresses.insert(id, l.address);
-                if before.is_some_and(|b| b != l.address) || l.state == fs::ServerState::Gone {
-                    stale.push(id);
-                }
-                entries.push(fs::ServerEntry {
-                    id,
-                    zone: tables.zones.number(&l.zone),
-                    kind: tables.kinds.number(&l.kind),
-                    cell: l.cell,
-                    // Of the instance: its address differs between balancers, the ring must not.
-                    ring: ring(&l.instance),
-                    state: l.state,
-                    weight: l.weight,
-                    started: l.started,
-                });
-            }
-            if kind == ListKind::Complete {
-                stale.extend(tables.addresses.keys().filter(|id| !named.contains(id)));
-            }
-        }
+        let (entries, stale) = self.tables.borrow_mut().registry.take(kind, &listed);
         for server in stale {
             self.wire.close_idle(server);
         }
@@ -379,6 +240,16 @@
 
     fn set_timer(&self, at: Micros, due: Due) {
         let mut tables = self.tables.borrow_mut();
+        let tables = &mut *tables;
+        // Guards the memory: a request is answered long before its last resort is due.
+        if tables.timers.len() >= tables.most_timers {
+            let open = &tables.open;
+            tables.timers.retain(|Reverse((.., due))| match due {
+                Due::Token(_) => true,
+                Due::Limit(id, _) | Due::LastResort(id) => open.contains_key(id),
+            });
+            tables.most_timers = (2 * tables.timers.len()).max(LEAST_TIMERS);
+        }
         let first = tables.timers.peek().is_none_or(|Reverse((next, ..))| at < *next);
         let number = tables.timer_number;
         tables.timer_number += 1;
@@ -513,7 +384,7 @@
     }
 
     fn target(&self, server: ServerId) -> Option<Target> {
-        self.tables.borrow().addresses.get(&server).map(|&address| Target { server, address })
+        self.tables.borrow().registry.target(server)
     }
 
     /// Starts an attempt. What the rules forbid whatever the module says is not sent, and told so.
@@ -554,7 +425,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::net::SocketAddr;
     use tokio::task::{LocalSet, spawn_local};
+    use tokio::time::Instant;
 
     /// Keeps what is sent; an abort says whether the attempt may have run as the test wants.
     #[derive(Clone, Default)]
@@ -600,7 +473,7 @@
         };
         let mut settings = fs::Settings::new(vec![class]);
         settings.limits.cancel = true;
-        let engine = Engine::new(settings, Names::default(), 1, fake.clone()).expect("good settings");
+        let engine = Engine::new(settings, &Names::default(), 1, fake.clone()).expect("good settings");
         let listed = Listed {
             instance: "s-1".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
@@ -698,6 +571,18 @@
         });
     }
 
+    #[test]
+    fn timers_of_answered_requests_do_not_pile_up() {
+        with(async |fake, engine| {
+            for _ in 0..10 * LEAST_TIMERS {
+                let asking = engine.ask(asked(4_000_000));
+                fake.take().end(Outcome::Ok, None, Some(5));
+                assert_eq!(asking.answer().await, Answer::Served(5));
+            }
+            assert!(engine.tables.borrow().timers.len() <= LEAST_TIMERS);
+        });
+    }
+
     #[test]
     fn a_client_that_left_is_forgotten_when_its_attempt_ends() {
         with(async |fake, engine| {
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -5,8 +5,11 @@
 mod engine;
 mod framing;
 mod gate;
+mod pool;
+mod registry;
 mod server;
 mod upstream;
+mod wire;
 
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -20,14 +23,18 @@
 
 use config::Config;
 use discovery::Discovery;
-use engine::{Engine, Report, Target, Wire};
-use server::{Phase, Server};
+use engine::{Engine, Report};
+use server::{Phase, Room, Server};
 use upstream::{Attempt, Call, Reply, Upstreams};
+use wire::{Target, Wire};
 
 /// Descriptors for the runtime, the signals, the listener, discovery and standard streams.
 const RESERVED: usize = 40;
 /// Part of the other descriptors that callers may hold; upstreams have the rest.
 const CALLERS: f64 = 0.55;
+/// Part of the memory that the bodies of open requests and their answers may fill. The rest is for what each
+/// connection has beside: of 32 MB with 256 descriptors, 8 KB buffers and heads take 5, the program itself 2.
+const BODIES: f64 = 0.4;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -127,7 +134,7 @@
         .zip(settings.classes.iter().cloned())
         .collect();
     let tenants = config.setup.realms.iter().map(|r| r.name.clone()).collect();
-    let engine = Engine::new(settings, zones, config.seed, Net { upstreams, discovery: discovery.clone() })?;
+    let engine = Engine::new(settings, &zones, config.seed, Net { upstreams, discovery: discovery.clone() })?;
     match config.known {
         Some(known) => engine.list(ListKind::Stale, known.entries()),
         None => engine.begin(),
@@ -161,6 +168,7 @@
         }
         let _ = stop.send(Phase::Stopping);
     });
-    Server::new(engine, classes, tenants, callers, phase).serve(listener, phases).await;
+    let room = Room { places: callers, bodies: (config.memory as f64 * BODIES) as usize };
+    Server::new(engine, classes, tenants, room, phase).serve(listener, phases).await;
     Ok(())
 }
--- /dev/null
+++ b/sloeline/src/pool.rs
@@ -0,0 +1,256 @@
+//! The pool of connections to upstreams.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use finchshift as fs;
+use finchshift::{Micros, Outcome, ServerId};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::upstream::MOST_BODY;
+use crate::wire::Target;
+
+/// Part of the upstreams' idle time after which a connection is closed here: far from crossing theirs.
+const KEEP: f64 = 0.7;
+/// How long an idle connection is kept where the settings name no time.
+const KEEP_UNTOLD: Duration = Duration::from_secs(3);
+/// A connection attempt's limit where the settings name none, and a probe's in all.
+pub const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
+/// A place among the connections; given back when the connection is closed.
+struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(open: &Rc<Cell<usize>>) -> Place {
+        open.set(open.get() + 1);
+        Place(open.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// The socket as hyper's connection holds it: it can be looked at from outside and counts what is written.
+struct Socket {
+    stream: Rc<RefCell<TokioIo<TcpStream>>>,
+    written: Rc<Cell<u64>>,
+    _place: Place,
+}
+
+impl Socket {
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = written {
+            self.written.set(self.written.get() + n as u64);
+        }
+        written
+    }
+}
+
+impl Read for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
+
+/// A connection; dropped, it is closed.
+pub struct Conn {
+    /// Takes the next request.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// What moves its bytes; ended, the connection is closed.
+    pub driver: AbortHandle,
+    stream: Weak<RefCell<TokioIo<TcpStream>>>,
+    /// Bytes written so far.
+    pub written: Rc<Cell<u64>>,
+    address: SocketAddr,
+}
+
+impl Conn {
+    /// Nothing has come and the peer has not closed. Asks the kernel: the runtime may not have looked since,
+    /// and a request on a closed connection would end as a reset.
+    fn fresh(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        let mut byte = [MaybeUninit::uninit()];
+        let stream = stream.borrow();
+        let peeked = SockRef::from(stream.inner()).peek(&mut byte);
+        !self.sender.is_closed() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+}
+
+/// The connections that are idle, and how many there are in all.
+pub struct Pool {
+    idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+    keep: Duration,
+    connect_timeout: Duration,
+    filled: Notify,
+}
+
+impl Pool {
+    /// None yet, and never more than `most`.
+    pub fn new(limits: &fs::Limits, most: usize) -> Pool {
+        let span = |micros, untold| if micros == 0 { untold } else { Duration::from_micros(micros) };
+        let keep = (limits.idle_close as f64 * KEEP) as Micros;
+        Pool {
+            idle: RefCell::default(),
+            open: Rc::default(),
+            most,
+            keep: span(keep, KEEP_UNTOLD),
+            connect_timeout: span(limits.connect_timeout, CONNECT_UNTOLD),
+            filled: Notify::new(),
+        }
+    }
+
+    /// Connections that are open.
+    #[cfg(test)]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn close_idle(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// The idle connection used last that is still good.
+    pub fn take(&self, to: Target) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&to.server)?;
+        while let Some(Idle { conn, since }) = list.pop() {
+            if conn.address == to.address && since.elapsed() < self.keep && conn.fresh() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request to this upstream.
+    pub fn put(&self, server: ServerId, conn: Conn) {
+        self.idle.borrow_mut().entry(server).or_default().push(Idle { conn, since: Instant::now() });
+        self.filled.notify_one();
+    }
+
+    /// Closes the connection that has been idle longest; tells whether there was one.
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
+        oldest.map(|list| list.remove(0)).is_some()
+    }
+
+    /// A new connection, or why there is none.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Conn, Outcome> {
+        // Guards the limit on descriptors: a connection is turned into another, or the attempt is not sent.
+        while self.open.get() >= self.most {
+            if !self.close_oldest() {
+                return Err(Outcome::NotSent);
+            }
+            // The socket is closed once its task has been dropped.
+            tokio::task::yield_now().await;
+        }
+        let place = Place::take(&self.open);
+        let stream = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if out_of_sockets(&e) => {
+                self.close_oldest();
+                return Err(Outcome::NotSent);
+            }
+            _ => return Err(Outcome::ConnectFailed),
+        };
+        let _ = stream.set_nodelay(true);
+        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
+        let written = Rc::new(Cell::new(0));
+        let socket = Socket { stream: stream.clone(), written: written.clone(), _place: place };
+        let stream = Rc::downgrade(&stream);
+        let (sender, connection) = http1::Builder::new()
+            // A head that does not end is given up there.
+            .max_buf_size(MOST_BODY)
+            .handshake(socket)
+            .await
+            .map_err(|_| Outcome::ConnectFailed)?;
+        let driver = spawn_local(async move {
+            let _ = connection.await;
+        });
+        Ok(Conn { sender, driver: driver.abort_handle(), stream, written, address })
+    }
+
+    /// Closes connections that have been idle too long; one sleep for all of them.
+    pub async fn tend(self: Rc<Self>) {
+        loop {
+            let oldest = {
+                let mut idle = self.idle.borrow_mut();
+                idle.retain(|_, list| {
+                    list.retain(|i| i.since.elapsed() < self.keep && !i.conn.sender.is_closed());
+                    !list.is_empty()
+                });
+                idle.values().filter_map(|l| l.first()).map(|i| i.since).min()
+            };
+            match oldest {
+                Some(since) => sleep_until(since + self.keep).await,
+                None => self.filled.notified().await,
+            }
+        }
+    }
+}
+
+/// The process or the machine has no descriptor, port or buffer left: nothing of the upstream's.
+fn out_of_sockets(e: &io::Error) -> bool {
+    // EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL.
+    matches!(e.raw_os_error(), Some(24 | 23 | 105 | 99))
+}
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -26,9 +26,10 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::engine::{Answer, Asked, Engine, Failure, Wire};
+use crate::engine::Engine;
 use crate::gate::{Crowd, Fault, Gate, Progress, Stage};
 use crate::upstream::{Call, MOST_BODY, Reply};
+use crate::wire::{Answer, Asked, Failure, Wire};
 
 /// How long new connections are still taken after the order to stop.
 const STILL_COMING: Duration = Duration::from_millis(500);
@@ -57,6 +58,14 @@
     Closing,
 }
 
+/// What callers may take up.
+pub struct Room {
+    /// Connections.
+    pub places: usize,
+    /// Bytes of the bodies of open requests and of their answers.
+    pub bodies: usize,
+}
+
 /// What the answering of requests needs.
 pub struct Server<W: Wire<Call = Call, Reply = Reply>> {
     engine: Rc<Engine<W>>,
@@ -65,24 +74,27 @@
     places: Arc<Semaphore>,
     most: usize,
     crowd: Rc<Crowd>,
+    /// Bytes that bodies and answers may still take.
+    bodies: Cell<usize>,
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
     phase: watch::Receiver<Phase>,
 }
 
 impl<W: Wire<Call = Call, Reply = Reply>> Server<W> {
-    /// A server for the named classes and tenants, with room for `most` connections.
+    /// A server for the named classes and tenants.
     pub fn new(
         engine: Rc<Engine<W>>,
         classes: Vec<(String, fs::Class)>,
         tenants: Vec<String>,
-        most: usize,
+        room: Room,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Self> {
         let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
-        let (places, crowd, ids) = (Arc::new(Semaphore::new(most)), Rc::default(), RefCell::default());
-        Rc::new(Server { engine, classes, tenants, places, most, crowd, ids, phase })
+        let (places, most) = (Arc::new(Semaphore::new(room.places)), room.places);
+        let (crowd, bodies, ids) = (Rc::default(), Cell::new(room.bodies), RefCell::default());
+        Rc::new(Server { engine, classes, tenants, places, most, crowd, bodies, ids, phase })
     }
 
     /// Takes connections until the order to stop and a little longer; returns when all are closed.
@@ -229,6 +241,11 @@
     }
 
     async fn api(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
+        // The longest that it can get, and its answer beside. Guards the memory: past the bound nothing is read.
+        let body = request.body().size_hint().exact().unwrap_or(u64::MAX).min(MOST_BODY as u64);
+        let Some(_bytes) = Share::take(&self.bodies, body as usize + MOST_BODY) else {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "no room");
+        };
         let asked = match self.read(request).await {
             Ok(asked) => asked,
             Err((status, why)) => return plain(status, why),
@@ -338,6 +355,25 @@
     Ok(())
 }
 
+/// A share of the bytes that bodies may take.
+struct Share<'a> {
+    left: &'a Cell<usize>,
+    bytes: usize,
+}
+
+impl Share<'_> {
+    fn take(left: &Cell<usize>, bytes: usize) -> Option<Share<'_>> {
+        left.set(left.get().checked_sub(bytes)?);
+        Some(Share { left, bytes })
+    }
+}
+
+impl Drop for Share<'_> {
+    fn drop(&mut self) {
+        self.left.set(self.left.get() + self.bytes);
+    }
+}
+
 /// The id of a request that is open.
 struct Id<'a> {
     ids: &'a RefCell<HashSet<HeaderValue>>,
--- a/sloeline/src/upstream.rs
+++ b/sloeline/src/upstream.rs
@@ -1,40 +1,25 @@
-//! Attempts and probes on upstreams, and the pool of connections that they use.
+//! Attempts and probes on upstreams.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use finchshift as fs;
 use finchshift::{Load, Micros, Outcome, ServerId};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
-use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 
-use crate::engine::{Report, Target, Wire};
+use crate::engine::Report;
+use crate::pool::{CONNECT_UNTOLD, Conn, Pool};
+use crate::wire::{Target, Wire};
 
 /// Most of a body, either way.
 pub const MOST_BODY: usize = 64 * 1024;
-/// Part of the upstreams' idle time after which a connection is closed here: far from crossing theirs.
-const KEEP: f64 = 0.7;
-/// How long an idle connection is kept where the settings name no time.
-const KEEP_UNTOLD: Duration = Duration::from_secs(3);
-/// A connection attempt's limit where the settings name none, and a probe's in all.
-const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
 /// How long a connection may take to be ready for the next request after its answer.
 const TURN_ROUND: Duration = Duration::from_millis(500);
 
@@ -83,193 +68,6 @@
     pub body: Bytes,
 }
 
-/// A place among the connections; given back when the connection is closed.
-struct Place(Rc<Cell<usize>>);
-
-impl Place {
-    fn take(open: &Rc<Cell<usize>>) -> Place {
-        open.set(open.get() + 1);
-        Place(open.clone())
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// The socket as hyper's connection holds it: it can be looked at from outside and counts what is written.
-struct Socket {
-    stream: Rc<RefCell<TokioIo<TcpStream>>>,
-    written: Rc<Cell<u64>>,
-    _place: Place,
-}
-
-impl Socket {
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = written {
-            self.written.set(self.written.get() + n as u64);
-        }
-        written
-    }
-}
-
-impl Read for Socket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
-    }
-}
-
-impl Write for Socket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
-        self.count(written)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.count(written)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
-/// A connection; dropped, it is closed.
-struct Conn {
-    sender: SendRequest<Full<Bytes>>,
-    driver: AbortHandle,
-    stream: Weak<RefCell<TokioIo<TcpStream>>>,
-    written: Rc<Cell<u64>>,
-    address: SocketAddr,
-}
-
-impl Conn {
-    /// Nothing has come and the peer has not closed. Asks the kernel: the runtime may not have looked since,
-    /// and a request on a closed connection would end as a reset.
-    fn fresh(&self) -> bool {
-        let Some(stream) = self.stream.upgrade() else { return false };
-        let mut byte = [MaybeUninit::uninit()];
-        let stream = stream.borrow();
-        let peeked = SockRef::from(stream.inner()).peek(&mut byte);
-        !self.sender.is_closed() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-    }
-}
-
-impl Drop for Conn {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
-struct Idle {
-    conn: Conn,
-    since: Instant,
-}
-
-struct Pool {
-    idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
-    open: Rc<Cell<usize>>,
-    most: usize,
-    keep: Duration,
-    connect_timeout: Duration,
-    filled: Notify,
-}
-
-impl Pool {
-    /// The idle connection used last that is still good.
-    fn take(&self, to: Target) -> Option<Conn> {
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&to.server)?;
-        while let Some(Idle { conn, since }) = list.pop() {
-            if conn.address == to.address && since.elapsed() < self.keep && conn.fresh() {
-                return Some(conn);
-            }
-        }
-        None
-    }
-
-    fn put(&self, server: ServerId, conn: Conn) {
-        self.idle.borrow_mut().entry(server).or_default().push(Idle { conn, since: Instant::now() });
-        self.filled.notify_one();
-    }
-
-    /// Closes the connection that has been idle longest; tells whether there was one.
-    fn close_oldest(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
-        oldest.map(|list| list.remove(0)).is_some()
-    }
-
-    async fn connect(&self, address: SocketAddr) -> Result<Conn, Outcome> {
-        // Guards the limit on descriptors: a connection is turned into another, or the attempt is not sent.
-        while self.open.get() >= self.most {
-            if !self.close_oldest() {
-                return Err(Outcome::NotSent);
-            }
-            // The socket is closed once its task has been dropped.
-            tokio::task::yield_now().await;
-        }
-        let place = Place::take(&self.open);
-        let stream = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) if out_of_sockets(&e) => {
-                self.close_oldest();
-                return Err(Outcome::NotSent);
-            }
-            _ => return Err(Outcome::ConnectFailed),
-        };
-        let _ = stream.set_nodelay(true);
-        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
-        let written = Rc::new(Cell::new(0));
-        let socket = Socket { stream: stream.clone(), written: written.clone(), _place: place };
-        let stream = Rc::downgrade(&stream);
-        let (sender, connection) = http1::handshake(socket).await.map_err(|_| Outcome::ConnectFailed)?;
-        let driver = spawn_local(async move {
-            let _ = connection.await;
-        });
-        Ok(Conn { sender, driver: driver.abort_handle(), stream, written, address })
-    }
-
-    /// Closes connections that have been idle too long; one sleep for all of them.
-    async fn tend(self: Rc<Self>) {
-        loop {
-            let oldest = {
-                let mut idle = self.idle.borrow_mut();
-                idle.retain(|_, list| {
-                    list.retain(|i| i.since.elapsed() < self.keep && !i.conn.sender.is_closed());
-                    !list.is_empty()
-                });
-                idle.values().filter_map(|l| l.first()).map(|i| i.since).min()
-            };
-            match oldest {
-                Some(since) => sleep_until(since + self.keep).await,
-                None => self.filled.notified().await,
-            }
-        }
-    }
-}
-
-/// The process or the machine has no descriptor, port or buffer left: nothing of the upstream's.
-pub fn out_of_sockets(e: &io::Error) -> bool {
-    // EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL.
-    matches!(e.raw_os_error(), Some(24 | 23 | 105 | 99))
-}
-
 /// How far an attempt's request is written; the engine's end of an attempt looks at it.
 #[derive(Default)]
 struct Flight {
@@ -341,18 +139,7 @@
 impl Upstreams {
     /// No connections yet, and never more than `most`.
     pub fn new(limits: &fs::Limits, most: usize) -> Upstreams {
-        let span = |micros, untold| if micros == 0 { untold } else { Duration::from_micros(micros) };
-        let keep = (limits.idle_close as f64 * KEEP) as Micros;
-        Upstreams {
-            pool: Rc::new(Pool {
-                idle: RefCell::default(),
-                open: Rc::default(),
-                most,
-                keep: span(keep, KEEP_UNTOLD),
-                connect_timeout: span(limits.connect_timeout, CONNECT_UNTOLD),
-                filled: Notify::new(),
-            }),
-        }
+        Upstreams { pool: Rc::new(Pool::new(limits, most)) }
     }
 
     /// Closes idle connections in time; never returns.
@@ -407,7 +194,7 @@
 
     /// Closes the idle connections to an upstream.
     pub fn close_idle(&self, server: ServerId) {
-        self.pool.idle.borrow_mut().remove(&server);
+        self.pool.close_idle(server);
     }
 }
 
@@ -454,7 +241,8 @@
     let whole = body.is_some();
     let (outcome, reply) = match (head.status, body) {
         (StatusCode::OK, Some(body)) => (Outcome::Ok, Some(Reply { headers: head.headers, body })),
-        (StatusCode::OK, None) => (Outcome::Reset, None),
+        // Guards against an answer that is not what it seems: spoilt, it proves nothing, its mark neither.
+        (_, None) => (Outcome::Reset, None),
         (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if declined => {
             (Outcome::Full, None)
         }
@@ -467,7 +255,10 @@
 fn load(text: &str) -> Load {
     let mut load = Load::default();
     for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
-        let Ok(value) = value.trim().parse::<f64>() else { continue };
+        // Guards the module's sums: one `NaN` or `inf` would stay in them.
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0) else {
+            continue;
+        };
         match name.trim() {
             "inflight" => load.in_flight = Some(value),
             "queue" => load.queue = Some(value),
@@ -485,7 +276,7 @@
 mod tests {
     use super::*;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
+    use tokio::net::{TcpListener, TcpStream};
     use tokio::task::LocalSet;
 
     /// Reads a request's head and answers it.
@@ -532,10 +323,10 @@
     fn idle_connections_are_closed_on_request() {
         with(9, async |upstreams, listener, to| {
             let (mut stream, outcome) = once(&upstreams, &listener, to).await;
-            assert_eq!((outcome, upstreams.pool.open.get()), (Outcome::Ok, 1));
+            assert_eq!((outcome, upstreams.pool.open()), (Outcome::Ok, 1));
             upstreams.close_idle(to.server);
             assert_eq!(stream.read(&mut [0]).await.expect("an end"), 0);
-            assert_eq!(upstreams.pool.open.get(), 0);
+            assert_eq!(upstreams.pool.open(), 0);
         });
     }
 
@@ -545,7 +336,7 @@
             let (mut first, _) = once(&upstreams, &listener, to).await;
             // Another upstream, as far as the pool can tell.
             let (_second, outcome) = once(&upstreams, &listener, Target { server: 1, ..to }).await;
-            assert_eq!((outcome, upstreams.pool.open.get()), (Outcome::Ok, 1));
+            assert_eq!((outcome, upstreams.pool.open()), (Outcome::Ok, 1));
             assert_eq!(first.read(&mut [0]).await.expect("an end"), 0);
             let held = upstreams.pool.take(Target { server: 1, ..to }).expect("the idle one");
             assert_eq!(upstreams.pool.connect(to.address).await.err(), Some(Outcome::NotSent));
@@ -592,7 +383,7 @@
 
     #[test]
     fn a_load_report_is_read_as_far_as_it_is_known() {
-        let read = load("inflight=7,queue=2,util=0.61,latency_ms=1.5,x9=1,eps=?");
+        let read = load("inflight=7,queue=2,util=0.61,latency_ms=1.5,x9=1,eps=?,qps=NaN,eps=-1,util=inf,=,");
         let expected = Load {
             in_flight: Some(7.0),
             queue: Some(2.0),
--- a/sloeline/tests/attempts.rs
+++ b/sloeline/tests/attempts.rs
@@ -59,12 +59,20 @@
 
 #[test]
 fn an_unsafe_request_that_may_have_run_fails_after_one_attempt() {
-    let cases: [(&str, Option<&str>); 5] = [
+    let cases: [(&str, Option<&str>); 13] = [
         ("reset", None),
         ("error", Some("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")),
         ("503 without the mark", Some("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")),
         ("broken answer", Some("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")),
         ("no HTTP", Some("what?\r\n\r\n")),
+        ("declined, but cut", Some("HTTP/1.1 503 B\r\nSrv-Declined: 1\r\nContent-Length: 9\r\n\r\nhalf")),
+        ("two lengths", Some("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 6\r\n\r\nabcdef")),
+        ("a length below 0", Some("HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 2\r\n\r\nab")),
+        ("bad chunks", Some("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\nzz\r\n")),
+        ("bad line", Some("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nab")),
+        ("bad status", Some("HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nab")),
+        ("3 GB", Some("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nab")),
+        ("other protocol", Some("HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n")),
     ];
     for (case, text) in cases {
         let upstream = Peer::new();
@@ -176,6 +184,64 @@
     }
 }
 
+#[test]
+fn an_answer_without_end_is_given_up() {
+    for head in ["HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"] {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let mut client = balancer.connect();
+        client.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        stream.write_all(head.as_bytes()).expect("it reads");
+        let line = format!("X-Pad: {}\r\n", "p".repeat(1000));
+        while stream.write_all(line.as_bytes()).is_ok() {}
+        assert_eq!(read(&mut client).expect("an answer").status(), 502);
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_never_the_next_one() {
+    let copy = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfalse";
+    for (behind, later) in [(copy, false), (copy, true), ("noise", false), ("noise", true), ("\r\n", false)] {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let mut client = balancer.connect();
+        for id in ["r-1", "r-2", "r-3"] {
+            client.write_all(request("pay", id, "").as_bytes()).expect("it reads");
+            // Each on a new connection: the one before is of no further use.
+            let mut stream = upstream.accept();
+            assert_eq!(read(&mut stream).expect("an attempt").header("req-id"), Some(id));
+            let own = format!("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{id}");
+            let own = own.replace("Length: 3", &format!("Length: {}", id.len()));
+            if later {
+                stream.write_all(own.as_bytes()).expect("it reads");
+                stream.write_all(behind.as_bytes()).expect("it reads");
+            } else {
+                stream.write_all((own + behind).as_bytes()).expect("it reads");
+            }
+            let served = read(&mut client).expect("an answer");
+            assert_eq!((served.status(), &served.body[..]), (200, id.as_bytes()), "{behind:?}");
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+    }
+}
+
+#[test]
+fn early_answers_are_passed_over() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let _requests = upstream.serve(|_, stream| {
+        let early = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+        let report = "HTTP/1.1 200 OK\r\nSrv-Load: {\"%%=NaN\r\nContent-Length: 4\r\n\r\ndone";
+        let _ = stream.write_all((early.to_owned() + report).as_bytes());
+    });
+    let mut client = balancer.connect();
+    for id in ["r-1", "r-2"] {
+        assert_eq!(exchange(&mut client, &request("pay", id, "")).body, b"done");
+    }
+}
+
 #[test]
 fn the_connection_used_last_is_preferred() {
     let upstream = Peer::new();
--- a/sloeline/tests/callers.rs
+++ b/sloeline/tests/callers.rs
@@ -201,6 +201,35 @@
     assert_eq!(balancer.ask(READY).status(), 200);
 }
 
+#[test]
+fn bodies_that_would_fill_the_memory_are_refused_until_there_is_room() {
+    // Of 1 MB bodies and answers may take 0.4: three at their largest.
+    let upstream = Peer::new();
+    let balancer = Setup { memory: 1, ..Setup::knowing(&[upstream.address]) }.start();
+    let large = |id: &str| {
+        let body = "x".repeat(65_536);
+        request("pay", id, "").replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 65536\r\n\r\n")
+            + &body
+    };
+    let mut held = Vec::new();
+    for id in ["r-1", "r-2", "r-3"] {
+        let mut client = balancer.connect();
+        client.write_all(large(id).as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        held.push((client, stream));
+    }
+    assert_eq!(balancer.ask(&large("r-4")).status(), 503);
+    assert!(upstream.quiet());
+    let (client, stream) = &mut held[0];
+    ok(stream);
+    assert_eq!(read(client).expect("an answer").status(), 200);
+    client.write_all(large("r-5").as_bytes()).expect("it reads");
+    read(stream).expect("an attempt");
+    ok(stream);
+    assert_eq!(read(client).expect("an answer").status(), 200);
+}
+
 #[test]
 fn hundreds_that_say_nothing_leave_room_for_those_that_ask() {
     // 60 descriptors leave 11 for callers.
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -161,6 +161,7 @@
     pub discovery: Option<SocketAddr>,
     pub limits: &'static str,
     pub sockets: usize,
+    pub memory: usize,
     pub listen: String,
     pub descriptors: Option<u32>,
 }
@@ -174,6 +175,7 @@
             discovery: None,
             limits: "",
             sockets: 1024,
+            memory: 192,
             listen: "127.0.0.1:0".to_owned(),
             descriptors: None,
         }
@@ -189,8 +191,9 @@
             None => ("automatic", nowhere()),
         };
         format!(
-            r#"{{"name":"n3","listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{}}},{known}"settings":{}}}"#,
+            r#"{{"name":"n3","listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{known}"settings":{}}}"#,
             self.listen,
+            self.memory,
             self.sockets,
             settings(mode, self.limits)
         )
