--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -31,10 +31,16 @@
 use crate::upstream::{Call, MOST_BODY, Reply};
 use crate::wire::{Answer, Asked, Failure, Wire};
 
-/// How long new connections are still taken after the order to stop.
-const STILL_COMING: Duration = Duration::from_millis(500);
+/// From the order to stop to the kill there is the longest deadline, or this where that is longer ...
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+/// ... and so much more, less a margin.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// Part of that time in which connections and requests are still taken: the front needs it to find others.
+const STILL_TAKEN: f64 = 0.37;
+/// What comes so soon after the order may take its own time.
+const UNHURRIED: Duration = Duration::from_millis(600);
 /// How long a connection that has carried nothing is still kept when no more come.
-const NOTHING_YET: Duration = Duration::from_secs(1);
+const NOTHING_YET: Duration = Duration::from_millis(200);
 /// Pause after a connection could not be taken for want of descriptors.
 const NO_SOCKET_PAUSE: Duration = Duration::from_millis(20);
 /// Part of the connections from which on answers close theirs: room for callers that have none.
@@ -78,6 +84,10 @@
     bodies: Cell<usize>,
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
+    /// When the order to stop came.
+    ordered: Cell<Option<Instant>>,
+    /// How long after it the last answer is given.
+    leave_within: Duration,
     phase: watch::Receiver<Phase>,
 }
 
@@ -90,11 +100,26 @@
         room: Room,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Self> {
+        let longest = classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0);
+        let leave_within = Duration::from_micros(longest).min(LONGEST_WAIT) + KILL_MARGIN;
         let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
         let (places, most) = (Arc::new(Semaphore::new(room.places)), room.places);
         let (crowd, bodies, ids) = (Rc::default(), Cell::new(room.bodies), RefCell::default());
-        Rc::new(Server { engine, classes, tenants, places, most, crowd, bodies, ids, phase })
+        let ordered = Cell::default();
+        Rc::new(Server {
+            engine,
+            classes,
+            tenants,
+            places,
+            most,
+            crowd,
+            bodies,
+            ids,
+            ordered,
+            leave_within,
+            phase,
+        })
     }
 
     /// Takes connections until the order to stop and a little longer; returns when all are closed.
@@ -127,7 +152,12 @@
                 },
                 () = end => match stop_at {
                     Some(_) => break,
-                    None => stop_at = Some(Instant::now() + STILL_COMING),
+                    None => {
+                        eprintln!("sloeline: told to stop");
+                        let now = Instant::now();
+                        self.ordered.set(Some(now));
+                        stop_at = Some(now + self.leave_within.mul_f64(STILL_TAKEN));
+                    }
                 },
             }
         }
@@ -175,8 +205,8 @@
         let mut late = Box::pin(sleep(Duration::ZERO));
         loop {
             let now = *phase.borrow_and_update();
-            // One that has carried nothing yet may be about to: it is left until no more come.
-            if now == Phase::Closing || (now == Phase::Stopping && used.get()) {
+            // Not before: callers that find their connections closed may have no other balancer yet.
+            if now == Phase::Closing {
                 Pin::new(&mut connection).graceful_shutdown();
             }
             // The connection until it ends, or until it has been at one thing for too long.
@@ -226,7 +256,7 @@
             progress.answered();
         }
         let crowded = (self.places.available_permits() as f64) < (1.0 - CROWDED) * self.most as f64;
-        if last || crowded || *self.phase.borrow() != Phase::Running {
+        if last || crowded || *self.phase.borrow() == Phase::Closing {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -313,7 +343,12 @@
             }
         };
         let safe = class.effect == Effect::Safe;
-        let (class, time_left) = (*id, time_left.min(class.deadline));
+        // Guards against the kill: what is taken late is answered before it can come.
+        let until_kill =
+            self.ordered.get().filter(|at| at.elapsed() > UNHURRIED).map_or(Micros::MAX, |at| {
+                self.leave_within.saturating_sub(at.elapsed()).as_micros() as Micros
+            });
+        let (class, time_left) = (*id, time_left.min(class.deadline).min(until_kill));
         let tenant = text("req-owner").and_then(|t| self.tenants.get(t).copied());
         let (work, retry): (Option<Micros>, _) =
             (text("req-cost").and_then(number), text("req-retry") == Some("1"));
