--- a/src/brain.rs
+++ b/src/brain.rs
@@ -738,7 +738,7 @@
             // Prevents some balancers from keeping all places of servers that all share: the further a window
             // is under its balancer's part, the more it grows, and the less above.
             // A place is held for as long as the tiers behind need too. Covers whatever makes answers late
-            // that is no queue: long tails, retries behind. Hurts where the own tier alone is the one that is slow.
+            // that is no queue: long tails, retries behind. Hurts where its own tier alone is slow.
             let first = FIRST_WINDOW * part * (self.settings.tiers - self.settings.tier) as f64;
             let pull = (first / pool.window).clamp(1.0 / MOST_PULL, MOST_PULL);
             let step = if late > 0.0 || used { LATE_SHARE * pull } else { 0.0 } - late;
