--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -143,7 +143,7 @@
 }
 
 /// A class of each effect; `limits` goes into the settings' limits.
-fn settings(discovery: &str, limits: &str, tiers: &str) -> String {
+fn settings(discovery: &str, limits: &str, tiers: &str, (balancers, areas): (u32, &str)) -> String {
     let class = |name: &str, effect: &str| {
         format!(
             r#"{{"Name":"{name}","Effect":"{effect}","Group":"all","DedupWindowMs":60000.0,"TargetMs":20000.0,"DeadlineMs":20000.0,"LateWorth":0.0,"Streaming":false,"Value":1.0}}"#
@@ -151,7 +151,7 @@
     };
     let classes = [class("look", "retryable"), class("pull", "dedup"), class("pay", "fragile")].join(",");
     format!(
-        r#"{{"Areas":["a"],"Balancers":1,"Categories":[{classes}],"Discovery":"{discovery}","GranularityMs":1.0,"Limits":{{"Cancel":true,"MostTries":4,"RetryAfter":true,"ConnectTimeoutMs":1000.0{limits}}},"Me":0,"Rules":{{"AskWithinMs":40.0,"ColdFrom":0.5,"DrainGraceMs":500.0,"OverloadFactor":3.0,"TipAfterMs":1000.0,"WarmAfterMs":5000.0}},"Stage":0,"Tiers":[{tiers}],"Zone":"a"}}"#
+        r#"{{"Areas":[{areas}],"Balancers":{balancers},"Categories":[{classes}],"Discovery":"{discovery}","GranularityMs":1.0,"Limits":{{"Cancel":true,"MostTries":4,"RetryAfter":true,"ConnectTimeoutMs":1000.0{limits}}},"Me":0,"Rules":{{"AskWithinMs":40.0,"ColdFrom":0.5,"DrainGraceMs":500.0,"OverloadFactor":3.0,"TipAfterMs":1000.0,"WarmAfterMs":5000.0}},"Stage":0,"Tiers":[{tiers}],"Zone":"a"}}"#
     )
 }
 
@@ -162,6 +162,8 @@
     pub limits: &'static str,
     /// The names of the tiers; the balancer sends to the first.
     pub tiers: &'static str,
+    /// How many balancers there are in all, and in which zones; this one is in `a`.
+    pub balancers: (u32, &'static str),
     pub sockets: usize,
     pub memory: usize,
     pub listen: String,
@@ -177,6 +179,7 @@
             discovery: None,
             limits: "",
             tiers: r#""t""#,
+            balancers: (1, r#""a""#),
             sockets: 1024,
             memory: 192,
             listen: "127.0.0.1:0".to_owned(),
@@ -198,7 +201,7 @@
             self.listen,
             self.memory,
             self.sockets,
-            settings(mode, self.limits, self.tiers)
+            settings(mode, self.limits, self.tiers, self.balancers)
         )
     }
 
--- a/sloeline/tests/windows.rs
+++ b/sloeline/tests/windows.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -48,3 +49,27 @@
     let peak = at_once(r#""first","second","third""#, 14, 400);
     assert!(peak >= 14, "{peak} at once; an upstream that is no slower for it had room for more");
 }
+
+#[test]
+fn a_zone_without_a_balancer_gets_as_much_as_the_own_one() {
+    let upstreams = [Peer::new(), Peer::new()];
+    let mut setup = Setup::knowing(&[upstreams[0].address, upstreams[1].address]);
+    setup.known[1] = setup.known[1].replace(r#""zone":"a""#, r#""zone":"b""#);
+    (setup.tiers, setup.balancers) = (r#""first","second","third""#, (2, r#""a","b","c""#));
+    let balancer = setup.start();
+    let mut clients = Vec::new();
+    for id in 0..12 {
+        let mut client = balancer.connect();
+        client.write_all(request("look", &format!("r-{id}"), "").as_bytes()).expect("it reads");
+        clients.push(client);
+    }
+    // None is answered: six with each, and nothing is left to be held.
+    for upstream in &upstreams {
+        let mut streams: Vec<_> = (0..6).map(|_| upstream.accept()).collect();
+        streams.iter_mut().for_each(|s| assert!(read(s).is_some(), "no request"));
+        streams.iter_mut().for_each(ok);
+    }
+    for client in &mut clients {
+        assert_eq!(read(client).expect("an answer").status(), 200);
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -266,11 +266,23 @@
     held: VecDeque<RequestId>,
 }
 
-/// A balancer's part of a zone's servers: its own zone's it shares with that zone's balancers only.
+/// A balancer's part of a zone's servers; all parts of a server add up to one. Those of its own zone weigh as
+/// many times as there are zones. Prevents an own zone filled to the brim where there are fewer balancers
+/// than zones: one has none then, and all share all alike. Hurts where most balancers are in one zone.
 fn part(settings: &Settings, zone: ZoneId, servers: u32) -> f64 {
-    let near = if zone == settings.zone { settings.zones as f64 } else { 1.0 };
-    // Fewer balancers than zones: none is due more than the whole of a server, and some zones have none.
-    servers as f64 * (near / settings.balancers as f64).min(1.0)
+    let (zones, balancers) = (settings.zones as f64, settings.balancers as f64);
+    let weight = match (balancers < zones, zone == settings.zone) {
+        (true, _) => 1.0,
+        (_, true) => zones / (2.0 - 1.0 / zones),
+        _ => 1.0 / (2.0 - 1.0 / zones),
+    };
+    servers as f64 * weight / balancers
+}
+
+/// The window that a balancer is due. A place is held for as long as the tiers behind need too. Covers what
+/// makes answers late and is no queue: long tails, retries behind. Hurts where its own tier alone is slow.
+fn due(settings: &Settings, zone: ZoneId, servers: u32) -> f64 {
+    FIRST_WINDOW * part(settings, zone, servers) * (settings.tiers - settings.tier) as f64
 }
 
 /// The decisions of one balancer.
@@ -702,7 +714,10 @@
         let outcome = ended.outcome;
         let base = self.classes[class].base;
         let crowded = if base > 0.0 { CROWDED * base * scale } else { f64::INFINITY };
-        let target = QUEUE_TARGET * self.split(self.settings.classes[class].aim) as f64;
+        // Only what comes on top of the lowest P50 is waiting: a call with tiers behind is long without any.
+        let aim = self.split(self.settings.classes[class].aim) as f64;
+        let unqueued = (base * scale).min(aim);
+        let target = unqueued + QUEUE_TARGET * (aim - unqueued);
         let latency = ended.latency as f64;
         if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             let timed_out = outcome == Outcome::TimedOut;
@@ -734,13 +749,10 @@
             pool.in_flight = pool.in_flight.saturating_sub(1);
         }
         if let Some(late) = late {
-            let part = part(&self.settings, server.entry.zone, pool.servers);
             // Prevents some balancers from keeping all places of servers that all share: the further a window
             // is under its balancer's part, the more it grows, and the less above.
-            // A place is held for as long as the tiers behind need too. Covers whatever makes answers late
-            // that is no queue: long tails, retries behind. Hurts where its own tier alone is slow.
-            let first = FIRST_WINDOW * part * (self.settings.tiers - self.settings.tier) as f64;
-            let pull = (first / pool.window).clamp(1.0 / MOST_PULL, MOST_PULL);
+            let due = due(&self.settings, server.entry.zone, pool.servers);
+            let pull = (due / pool.window).clamp(1.0 / MOST_PULL, MOST_PULL);
             let step = if late > 0.0 || used { LATE_SHARE * pull } else { 0.0 } - late;
             // Prevents balancers that outnumber their servers from swamping them with one call each: a part
             // of a place is a place with pauses, and grows in proportion.
@@ -851,7 +863,7 @@
         self.prefer();
         for (&zone, pool) in &mut self.pools {
             if pool.window == 0.0 {
-                pool.window = (FIRST_WINDOW * part(&self.settings, zone, pool.servers)).max(2.0);
+                pool.window = due(&self.settings, zone, pool.servers).max(2.0);
             }
         }
     }
@@ -865,7 +877,8 @@
         while from < self.servers.len() {
             let zone = self.servers[from].entry.zone;
             let n = self.servers[from..].iter().take_while(|s| s.entry.zone == zone).count();
-            let few = (SHARED_BY * part(&self.settings, zone, n as u32)).ceil() as usize;
+            let near = if zone == self.settings.zone { self.settings.zones as f64 } else { 1.0 };
+            let few = (SHARED_BY * n as f64 * near / balancers as f64).ceil() as usize;
             let first = me * n / balancers;
             for (i, server) in self.servers[from..from + n].iter_mut().enumerate() {
                 server.preferred = (i + n - first % n) % n < few;
