--- a/sloeline/tests/attempts.rs
+++ b/sloeline/tests/attempts.rs
@@ -261,3 +261,34 @@
     clients[1].write_all(request("pay", "r-3", "").as_bytes()).expect("it reads");
     assert_eq!(read(&mut streams[0]).expect("an attempt").header("req-id"), Some("r-3"));
 }
+
+#[test]
+fn an_unsafe_request_stays_off_connections_of_an_age_that_broke() {
+    use std::time::Duration;
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    // Breaks a kept connection as soon as a second request is on it; the first few say that they close.
+    let number = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    std::thread::spawn(move || {
+        loop {
+            let (mut stream, number) = (upstream.accept(), number.clone());
+            std::thread::spawn(move || {
+                read(&mut stream).expect("a request");
+                let number = number.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                // Long beside what breaks at once; the repeat is answered well within P50.
+                std::thread::sleep(Duration::from_millis(if number < 8 { 300 } else { 0 }));
+                answer(&mut stream, "200 OK", if number < 7 { "Connection: close\r\n" } else { "" }, b"done");
+                let _ = read(&mut stream);
+            });
+        }
+    });
+    let mut client = balancer.connect();
+    for id in 0..8 {
+        assert_eq!(exchange(&mut client, &request("look", &format!("r-{id}"), "")).status(), 200);
+    }
+    std::thread::sleep(Duration::from_millis(20));
+    // Meets the kept connection, breaks and goes out once more.
+    assert_eq!(exchange(&mut client, &request("look", "r-8", "")).status(), 200);
+    std::thread::sleep(Duration::from_millis(600));
+    assert_eq!(exchange(&mut client, &request("pay", "r-9", "")).status(), 200);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -70,6 +70,10 @@
 const OPEN_FOR: f64 = 1.0;
 /// Idle connections are closed before a call when this share of calls on such ones failed.
 const MOST_STALE: f64 = 0.5;
+/// The same for calls that may not be repeated and what broke at once: a new connection costs less than they.
+const MOST_BROKEN: f64 = 0.1;
+/// A connection that was dead breaks within this part of P50; what breaks later had reached the server.
+const AT_ONCE: f64 = 0.1;
 /// Weight of one more call in that share.
 const STALE_GAIN: f64 = 0.25;
 /// A server that turned a call away rests this many P50.
@@ -302,8 +306,8 @@
     failing: f64,
     /// The longest deadline: samples fade by half over it, so a shift shows within seconds.
     half_life: f64,
-    /// Share of calls that failed on connections idle for so many doublings of `FLOOR`.
-    stale: [f64; 64],
+    /// Share of calls that failed on connections idle for so many doublings of `FLOOR`; that broke at once.
+    stale: [[f64; 64]; 2],
     /// The class that may pass a full window.
     express: Option<ClassId>,
     /// Span between two looks at the held requests.
@@ -330,7 +334,7 @@
             retry_budget: RETRY_SAVINGS,
             failing: 0.01,
             half_life: longest as f64,
-            stale: [0.0; 64],
+            stale: [[0.0; 64]; 2],
             express: None,
             look: (settings.classes.iter().map(|c| c.aim).min().unwrap_or(1) / SWEEPS).max(settings.tick),
             sweeping: false,
@@ -622,7 +626,9 @@
         let gap = server.idle.pop().map_or(0, |since| now - since) / FLOOR as Micros;
         let mut idle = gap.checked_ilog2().unwrap_or(0) as usize;
         // Prevents calls on connections that something between dropped unseen.
-        if self.stale[idle] > MOST_STALE {
+        let risky =
+            self.settings.classes[class].effect == Effect::Unsafe && self.stale[1][idle] > MOST_BROKEN;
+        if self.stale[0][idle] > MOST_STALE || risky {
             actions.push(Action::CloseIdle { server: server.entry.id });
             server.idle.clear();
             idle = 0;
@@ -664,11 +670,18 @@
         let own = attempt.as_ref().is_some_and(|a| a.own_limit);
         let late = class.and_then(|(c, scale)| self.learn(c, scale, ended));
         if let Some(idle) = attempt.as_ref().map(|a| a.idle).filter(|idle| *idle > 0) {
-            let failed = matches!(ended.outcome, Outcome::TimedOut | Outcome::Reset);
-            // What fails after a gap fails after longer ones, what works works after shorter ones.
-            let alike = if failed { idle..64 } else { 0..idle + 1 };
-            let share = f64::from(u8::from(failed));
-            self.stale[alike].iter_mut().for_each(|s| *s += STALE_GAIN * (share - *s));
+            // Prevents spoilt answers from passing for dead connections. Covers resets by servers and by what
+            // lies between; costs connections where a server breaks off at once for reasons of its own.
+            let at_once = ended.latency as f64 <= AT_ONCE * self.all.p50;
+            let broken = ended.outcome == Outcome::Reset && at_once;
+            for (stale, failed) in
+                self.stale.iter_mut().zip([broken || ended.outcome == Outcome::TimedOut, broken])
+            {
+                // What fails after a gap fails after longer ones, what works works after shorter ones.
+                let alike = if failed { idle..64 } else { 0..idle + 1 };
+                let share = f64::from(u8::from(failed));
+                stale[alike].iter_mut().for_each(|s| *s += STALE_GAIN * (share - *s));
+            }
         }
         self.judge(now, class.map(|(c, _)| c), ended, own, late);
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -918,7 +931,7 @@
             c.served *= keep;
         }
         self.all.fade(now, self.half_life);
-        self.stale.iter_mut().for_each(|s| *s *= keep);
+        self.stale.iter_mut().flatten().for_each(|s| *s *= keep);
         let gone = if self.all.p50 > 0.0 { 0.5_f64.powf(span / (LINGER * self.all.p50)) } else { keep };
         for pool in self.pools.values_mut() {
             pool.lingering *= gone;
