--- a/sloeline/tests/windows.rs
+++ b/sloeline/tests/windows.rs
@@ -73,3 +73,35 @@
         assert_eq!(read(client).expect("an answer").status(), 200);
     }
 }
+
+#[test]
+fn clients_that_leave_their_calls_close_the_window() {
+    let upstream = Peer::new();
+    let setup = Setup { tiers: r#""first","second","third""#, ..Setup::knowing(&[upstream.address]) };
+    let balancer = setup.start();
+    // The first are answered long after their clients left, the others never.
+    let requests = upstream.serve(|request, stream| {
+        let first = request.header("req-id").is_some_and(|id| id.starts_with("a-"));
+        std::thread::sleep(Duration::from_millis(if first { 1500 } else { 10_000 }));
+        ok(stream);
+    });
+    let ask = |name: &str| {
+        let send = |id| {
+            let mut client = balancer.connect();
+            let text = request("look", &format!("{name}-{id}"), "Req-Deadline-Ms: 3000\r\n");
+            client.write_all(text.as_bytes()).expect("it reads");
+            client
+        };
+        (0..12).map(send).collect::<Vec<_>>()
+    };
+    let clients = ask("a");
+    (0..12).for_each(|_| drop(requests.recv_timeout(LONG).expect("a request")));
+    drop(clients);
+    std::thread::sleep(Duration::from_millis(2500));
+    for client in &mut ask("b") {
+        assert_ne!(read(client).expect("an answer").status(), 200);
+    }
+    let second =
+        requests.try_iter().filter(|r| r.header("req-id").is_some_and(|id| id.starts_with("b-"))).count();
+    assert!((1..12).contains(&second), "{second} of 12 went out at once");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -362,10 +362,11 @@
             Event::Outcome { request, server, outcome, latency, closed, .. } => {
                 self.outcome(now, request, &Ended { server, outcome, latency, closed }, actions);
             }
-            // A stream that has begun is the client's: no limit, no retry; its outcome still frees the place.
-            Event::Gone { request } | Event::FirstByte { request, .. } => {
+            // A stream that has begun is the client's: no limit, no retry; its outcome frees the place.
+            Event::FirstByte { request, .. } => {
                 self.requests.remove(&request);
             }
+            Event::Gone { request } => self.gone(request),
             Event::Timer { token: SWEEP } => self.sweep(now, actions),
             Event::Timer { token: HOUSEKEEP } => self.housekeep(now, actions),
             Event::Timer { token: ASK } => actions.push(Action::Watch),
@@ -378,6 +379,14 @@
         }
     }
 
+    /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave: a call
+    /// that was out then counts as late. Hurts where clients leave for reasons of their own.
+    fn gone(&mut self, id: RequestId) {
+        let Some(attempt) = self.requests.remove(&id).and_then(|r| r.out) else { return };
+        let Some(pool) = self.pools.get_mut(&attempt.zone) else { return };
+        pool.window = (pool.window - WINDOW_GAIN * pool.window.min(1.0)).max(LEAST_WINDOW);
+    }
+
     // Intake.
 
     fn take(
