Move engine, HTTP, membership and settings into packages of their own

Need: the engine was bound to a binary, engine/registry/wire and pool/upstream imported each other in a circle, and the daemon took its settings from the simulator's adapter; no other front could use any of it. Change: pure moves. sloeline-settings (the platform's settings), sloeline-engine (engine with the Wire trait, registry, types, clock), sloeline-http (callers, gate, framing, upstreams, connections), sloeline-membership (the platform's list), sloeline (configuration, wiring, signals). No line of behaviour changed.

--- /dev/null
+++ b/engine/src/engine/tests.rs
@@ -0,0 +1,170 @@
+//! The engine over a wire that does nothing by itself, on a paused clock.
+
+use super::*;
+use std::net::SocketAddr;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
+
+/// Keeps what is sent; an abort says whether the attempt may have run as the test wants.
+#[derive(Clone, Default)]
+struct Fake {
+    sent: Rc<RefCell<Vec<Report<Fake>>>>,
+    aborted: Rc<Cell<u32>>,
+    ran: Rc<Cell<bool>>,
+}
+
+impl Wire for Fake {
+    type Call = ();
+    type Reply = u32;
+    type Out = ();
+    fn send(&self, _: Target, _: Rc<()>, _: Micros, report: Report<Self>) {
+        self.sent.borrow_mut().push(report);
+    }
+    fn abort(&self, _: ()) -> bool {
+        self.aborted.set(self.aborted.get() + 1);
+        self.ran.get()
+    }
+    fn probe(&self, _: &Rc<Engine<Self>>, _: Target) {}
+    fn close_idle(&self, _: ServerId) {}
+    fn watch(&self, _: &Rc<Engine<Self>>) {}
+    fn fetch(&self, _: &Rc<Engine<Self>>) {}
+}
+
+impl Fake {
+    fn take(&self) -> Report<Fake> {
+        self.sent.borrow_mut().pop().expect("an attempt")
+    }
+}
+
+fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
+    let second = 1_000_000;
+    let class = fs::Class {
+        effect: fs::Effect::Unsafe,
+        aim: 4 * second,
+        aim_stretch: 0.0,
+        deadline: 4 * second,
+        worth: 1.0,
+        late_worth: 0.0,
+        stream: false,
+    };
+    let mut settings = fs::Settings::new(vec![class]);
+    settings.limits.cancel = true;
+    let engine = Engine::new(settings, &Names::default(), 1, fake.clone()).expect("good settings");
+    let listed = Listed {
+        instance: "s-1".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "a".to_owned(),
+        kind: "k".to_owned(),
+        cell: 0,
+        state: fs::ServerState::Ready,
+        weight: 1.0,
+        started: None,
+    };
+    engine.list(ListKind::Complete, vec![listed]);
+    engine
+}
+
+fn asked(time_left: Micros) -> Asked<()> {
+    Asked { class: 0, time_left, tenant: None, work: None, retry: false, call: () }
+}
+
+/// On a paused clock, with the timers running.
+fn with(test: impl AsyncFnOnce(Fake, Rc<Engine<Fake>>)) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let fake = Fake::default();
+        let engine = engine(&fake);
+        spawn_local(engine.clone().run());
+        let ended = tokio::time::timeout(Duration::from_secs(60), test(fake, engine)).await;
+        assert!(ended.is_ok(), "it waits for what never comes");
+    });
+}
+
+#[test]
+fn an_attempt_out_of_time_is_ended_once_and_its_late_end_is_no_news() {
+    with(async |fake, engine| {
+        fake.ran.set(true);
+        let asking = engine.ask(asked(1_000_000));
+        let late = fake.take();
+        let start = Instant::now();
+        assert_eq!(asking.answer().await, Answer::Failed(Failure::Time));
+        assert!(start.elapsed() < Duration::from_secs(1), "after the client's time");
+        assert_eq!(fake.aborted.get(), 1);
+        late.end(Outcome::Ok, None, Some(7));
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
+
+#[test]
+fn an_attempt_that_was_never_written_lets_an_unsafe_request_go_out_again() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        let id = asking.request;
+        let _first = fake.take();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        engine.call_off(id, 0, Outcome::Cancelled);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fake.take().end(Outcome::Ok, None, Some(5));
+        assert_eq!(asking.answer().await, Answer::Served(5));
+    });
+}
+
+#[test]
+fn an_attempt_whose_task_died_is_a_reset() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        drop(fake.take());
+        assert_eq!(asking.answer().await, Answer::Failed(Failure::Upstream));
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
+
+#[test]
+fn a_silent_module_does_not_keep_a_client_waiting() {
+    with(async |fake, engine| {
+        engine.list(ListKind::Complete, Vec::new());
+        let asking = engine.ask(asked(1_000_000));
+        // Without its timers the module never looks at what it holds.
+        engine.tables.borrow_mut().timers.retain(|Reverse((.., due))| !matches!(due, Due::Token(_)));
+        let start = Instant::now();
+        assert_eq!(asking.answer().await, Answer::Failed(Failure::Time));
+        assert!(start.elapsed() < Duration::from_secs(1), "after the client's time");
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
+
+#[test]
+fn no_second_attempt_beside_one_that_is_out_and_none_after_the_answer() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        let id = asking.request;
+        engine.send(engine.clock.now(), id, 0, 0);
+        assert_eq!(fake.sent.borrow().len(), 1);
+        fake.take().end(Outcome::Ok, None, Some(5));
+        engine.send(engine.clock.now(), id, 0, 0);
+        assert_eq!(asking.answer().await, Answer::Served(5));
+        assert!(fake.sent.borrow().is_empty() && engine.tables.borrow().open.is_empty());
+    });
+}
+
+#[test]
+fn timers_of_answered_requests_do_not_pile_up() {
+    with(async |fake, engine| {
+        for _ in 0..10 * LEAST_TIMERS {
+            let asking = engine.ask(asked(4_000_000));
+            fake.take().end(Outcome::Ok, None, Some(5));
+            assert_eq!(asking.answer().await, Answer::Served(5));
+        }
+        assert!(engine.tables.borrow().timers.len() <= LEAST_TIMERS);
+    });
+}
+
+#[test]
+fn a_client_that_left_is_forgotten_when_its_attempt_ends() {
+    with(async |fake, engine| {
+        drop(engine.ask(asked(1_000_000)));
+        assert_eq!(engine.tables.borrow().open.len(), 1);
+        fake.take().end(Outcome::Reset, None, None);
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
--- a/sloeline/src/registry.rs
+++ b/engine/src/registry.rs
@@ -5,9 +5,9 @@
 
 use finchshift as fs;
 use finchshift::{ListKind, ServerId, ServerState};
-use finchshift_wirehost::setup::{Names, ring};
+use sloeline_settings::setup::{Names, ring};
 
-use crate::wire::{Listed, Target};
+use crate::types::{Listed, Target};
 
 /// Numbers for names, never given twice: what still holds the number of one that is gone can't mistake another
 /// for it, and one that comes back begins anew, with no breaker and no count.
--- a/sloeline/src/pool.rs
+++ b/http/src/pool.rs
@@ -17,14 +17,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use sloeline_engine::types::Target;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::upstream::MOST_BODY;
-use crate::wire::Target;
+use crate::MOST_BODY;
 
 /// Part of the upstreams' idle time after which a connection is closed here: far from crossing theirs.
 const KEEP: f64 = 0.7;
--- a/sloeline/src/server.rs
+++ b/http/src/server.rs
@@ -20,16 +20,17 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
+use sloeline_engine::engine::{Engine, Wire};
+use sloeline_engine::types::{Answer, Asked, Failure};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::engine::Engine;
+use crate::MOST_BODY;
 use crate::gate::{Crowd, Fault, Gate, Progress, Stage};
-use crate::upstream::{Call, MOST_BODY, Reply};
-use crate::wire::{Answer, Asked, Failure, Wire};
+use crate::upstream::{Call, Reply};
 
 /// From the order to stop to the kill there is the longest deadline, or this where that is longer ...
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
--- a/sloeline/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -11,15 +11,14 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use sloeline_engine::engine::{Report, Wire};
+use sloeline_engine::types::Target;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout};
 
-use crate::engine::Report;
+use crate::MOST_BODY;
 use crate::pool::{CONNECT_UNTOLD, Conn, Pool};
-use crate::wire::{Target, Wire};
 
-/// Most of a body, either way.
-pub const MOST_BODY: usize = 64 * 1024;
 /// How long a connection may take to be ready for the next request after its answer.
 const TURN_ROUND: Duration = Duration::from_millis(500);
 
--- /dev/null
+++ b/membership/src/lib.rs
@@ -0,0 +1,3 @@
+//! Where lists of upstreams come from.
+
+pub mod platform;
--- a/sloeline/src/discovery.rs
+++ b/membership/src/platform.rs
@@ -7,18 +7,17 @@
 
 use bytes::Bytes;
 use finchshift::{ListKind, ServerState};
-use finchshift_wirehost::setup::{micros, one};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode, header::HOST};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use sloeline_engine::types::Listed;
+use sloeline_settings::setup::{micros, one};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use crate::wire::Listed;
-
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(20);
 /// A call without a wait that takes longer counts as failed.
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,3 @@
+//! The platform's settings, which the adapter and the balancer both read, and names with numbers.
+
+pub mod setup;
--- a/sloeline/src/config.rs
+++ b/sloeline/src/config.rs
@@ -2,10 +2,9 @@
 
 use std::net::SocketAddr;
 
-use finchshift_wirehost::setup::Setup;
 use serde::Deserialize;
-
-use crate::discovery::List;
+use sloeline_membership::platform::List;
+use sloeline_settings::setup::Setup;
 
 /// Descriptors where the configuration names no limit.
 const SOCKETS: usize = 1024;
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -1,32 +1,23 @@
 //! The real balancer: the decisions of `finchshift` between callers, upstreams and discovery.
 
 mod config;
-mod discovery;
-mod engine;
-mod framing;
-mod gate;
-mod pool;
-mod registry;
-mod server;
-mod upstream;
-mod wire;
 
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use finchshift::{ListKind, Micros, ServerId};
-use finchshift_wirehost::setup::{Names, settings};
+use sloeline_settings::setup::{Names, settings};
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
 use config::Config;
-use discovery::Discovery;
-use engine::{Engine, Report};
-use server::{Phase, Room, Server};
-use upstream::{Attempt, Call, Reply, Upstreams};
-use wire::{Target, Wire};
+use sloeline_engine::engine::{Engine, Report, Wire};
+use sloeline_engine::types::Target;
+use sloeline_http::server::{Phase, Room, Server};
+use sloeline_http::upstream::{Attempt, Call, Reply, Upstreams};
+use sloeline_membership::platform::Discovery;
 
 /// Descriptors for the runtime, the signals, the listener, discovery and standard streams.
 const RESERVED: usize = 40;
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use finchshift as fs;
-use finchshift_wirehost::setup::{Names, Setup, micros, millis, ring, settings};
+use sloeline_settings::setup::{Names, Setup, micros, millis, ring, settings};
 
 use crate::wire::{self, Message, Reply};
 
--- a/wirehost/src/lib.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! What the adapter shares with the real balancer.
-
-pub mod setup;
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
-use finchshift_wirehost::setup::{Setup, one};
+use sloeline_settings::setup::{Setup, one};
 
 /// A message from the bench.
 #[derive(Deserialize)]
