--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -65,6 +65,7 @@
 /// A request that is not answered or has attempts out.
 struct Open<W: Wire> {
     call: Rc<W::Call>,
+    class: fs::ClassId,
     /// Where the final answer goes; nothing once it went or the client left.
     answer: Option<oneshot::Sender<Answer<W::Reply>>>,
     deadline: Micros,
@@ -87,13 +88,14 @@
 pub struct Engine<W: Wire> {
     wire: W,
     clock: Clock,
-    limits: fs::Limits,
+    limits: RefCell<fs::Limits>,
     balancer: RefCell<fs::Balancer>,
     tables: RefCell<Tables<W>>,
     events: RefCell<VecDeque<Event>>,
     handling: Cell<bool>,
     listed: Cell<bool>,
     earlier: Notify,
+    settled: Notify,
 }
 
 /// Where an attempt's end is told, once. Dropped untold, as when its task died, it counts as a reset.
@@ -146,7 +148,7 @@
 impl<W: Wire> Engine<W> {
     /// A balancer with the given settings; `zones` holds the numbers that the settings use.
     pub fn new(settings: fs::Settings, zones: &Names, seed: u64, wire: W) -> Result<Rc<Self>, String> {
-        let limits = settings.limits.clone();
+        let limits = RefCell::new(settings.limits.clone());
         let balancer = fs::Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         Ok(Rc::new(Engine {
             wire,
@@ -165,6 +167,7 @@
             handling: Cell::new(false),
             listed: Cell::new(false),
             earlier: Notify::new(),
+            settled: Notify::new(),
         }))
     }
 
@@ -173,6 +176,46 @@
         self.listed.get()
     }
 
+    /// How many upstreams are listed that take requests.
+    pub fn upstreams(&self) -> usize {
+        self.tables.borrow().registry.ready()
+    }
+
+    /// How many requests are open: not answered, or with an attempt out.
+    pub fn open(&self) -> usize {
+        self.tables.borrow().open.len()
+    }
+
+    /// Whether a request of the class is open.
+    pub fn uses(&self, class: fs::ClassId) -> bool {
+        self.tables.borrow().open.values().any(|o| o.class == class)
+    }
+
+    /// Waits until no request is open.
+    pub async fn drained(&self) {
+        loop {
+            let settled = self.settled.notified();
+            if self.open() == 0 {
+                return;
+            }
+            settled.await;
+        }
+    }
+
+    /// Goes on under other settings, with what was learned: see [`fs::Balancer::reconfigure`]. The zone keeps its
+    /// number, and a class that [`uses`](Engine::uses) must keep number and effect.
+    pub fn reconfigure(&self, settings: fs::Settings, learned: &[Option<fs::ClassId>]) -> Result<(), String> {
+        let limits = settings.limits.clone();
+        self.balancer.borrow_mut().reconfigure(settings, learned).map_err(|e| e.to_string())?;
+        *self.limits.borrow_mut() = limits;
+        Ok(())
+    }
+
+    /// The sockets.
+    pub fn wire(&self) -> &W {
+        &self.wire
+    }
+
     /// Takes a request; the answer comes through what is returned.
     pub fn ask(self: &Rc<Self>, asked: Asked<W::Call>) -> Asking<W> {
         let (sender, answer) = oneshot::channel();
@@ -184,7 +227,8 @@
             tables.next += 1;
             let call = Rc::new(asked.call);
             let failure = Failure::Time;
-            let open = Open { call, answer: Some(sender), deadline, sent: 0, out: Vec::new(), failure };
+            let (answer, class, out) = (Some(sender), asked.class, Vec::new());
+            let open = Open { call, class, answer, deadline, sent: 0, out, failure };
             tables.open.insert(id, open);
             id
         };
@@ -299,6 +343,9 @@
         let mut tables = self.tables.borrow_mut();
         if tables.open.get(&id).is_some_and(|o| o.answer.is_none() && o.out.is_empty()) {
             tables.open.remove(&id);
+            if tables.open.is_empty() {
+                self.settled.notify_waiters();
+            }
         }
     }
 
@@ -378,7 +425,7 @@
         match action {
             Action::Send { request, server, limit } => self.send(now, request, server, limit),
             Action::Refuse { request, retry_after } => {
-                let retry_after = if self.limits.retry_after { retry_after } else { 0 };
+                let retry_after = if self.limits.borrow().retry_after { retry_after } else { 0 };
                 self.answer(request, |_| Answer::Refused { retry_after });
             }
             Action::Fail { request } => self.answer(request, Answer::Failed),
@@ -426,8 +473,9 @@
             open.sent += 1;
             let left = open.deadline.saturating_sub(now + LAST_RESORT);
             let limit = if limit == 0 { left } else { limit.min(left) };
-            let copies = open.out.is_empty() || self.limits.second_copies;
-            let may = open.answer.is_some() && copies && attempt < self.limits.max_attempts && limit > 0;
+            let limits = self.limits.borrow();
+            let copies = open.out.is_empty() || limits.second_copies;
+            let may = open.answer.is_some() && copies && attempt < limits.max_attempts && limit > 0;
             open.out.push(Out { attempt, server, at: now, handle: None });
             (may.then(|| open.call.clone()), attempt, limit)
         };
--- a/engine/src/registry.rs
+++ b/engine/src/registry.rs
@@ -35,6 +35,7 @@
 /// Where an upstream is, and which zone and kind it was given.
 struct Place {
     address: SocketAddr,
+    state: ServerState,
     zone: u32,
     kind: u32,
 }
@@ -47,6 +48,7 @@
     /// Zones that the settings number.
     settled: u32,
     kinds: Numbers,
+    ready: usize,
 }
 
 impl Registry {
@@ -56,7 +58,7 @@
         let named = zones.names.iter().cloned().zip(0..).collect();
         let none = || Numbers { by_name: HashMap::new(), next: 0 };
         let zones = Numbers { by_name: named, next: settled };
-        Registry { servers: none(), places: HashMap::new(), zones, settled, kinds: none() }
+        Registry { servers: none(), places: HashMap::new(), zones, settled, kinds: none(), ready: 0 }
     }
 
     /// Where an upstream is, if it is listed.
@@ -64,6 +66,11 @@
         self.places.get(&server).map(|p| Target { server, address: p.address })
     }
 
+    /// How many are listed that take requests.
+    pub fn ready(&self) -> usize {
+        self.ready
+    }
+
     /// Takes a list over: its entries for the module, and those that moved or are gone.
     pub fn take(&mut self, kind: ListKind, listed: &[Listed]) -> (Vec<fs::ServerEntry>, Vec<ServerId>) {
         let (mut entries, mut left) = (Vec::with_capacity(listed.len()), Vec::new());
@@ -81,7 +88,7 @@
                 self.places.remove(&id)
             } else {
                 named.insert(id);
-                self.places.insert(id, Place { address: l.address, zone, kind })
+                self.places.insert(id, Place { address: l.address, state: l.state, zone, kind })
             };
             if gone || before.is_some_and(|b| b.address != l.address) {
                 left.push(id);
@@ -103,6 +110,7 @@
             self.places.retain(|id, _| named.contains(id));
             self.servers.keep(&named);
         }
+        self.ready = self.places.values().filter(|p| p.state == ServerState::Ready).count();
         let zones = self.places.values().map(|p| p.zone).chain(0..self.settled).collect();
         self.zones.keep(&zones);
         let kinds = self.places.values().map(|p| p.kind).collect();
--- a/http/src/server.rs
+++ b/http/src/callers.rs
@@ -1,10 +1,11 @@
-//! Callers: their connections, their requests and the final answers.
+//! Callers: their connections, their requests and the final answers. What a request is, a [`Front`] says.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,15 +13,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use finchshift as fs;
-use finchshift::{Effect, Micros};
+use finchshift::Micros;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
-use sloeline_engine::engine::{Engine, Wire};
+use sloeline_engine::engine::Wire;
 use sloeline_engine::types::{Answer, Asked, Failure};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -28,9 +25,10 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::MOST_BODY;
-use crate::gate::{Crowd, Fault, Gate, Progress, Stage};
-use crate::upstream::{Call, Reply};
+use crate::MOST_HEAD;
+use crate::front::{Admission, Answered, Front, end_to_end, plain};
+use crate::gate::{Crowd, Fault, Gate, Pace, Progress, Stage};
+use crate::upstream::Call;
 
 /// From the order to stop to the kill there is the longest deadline, or this where that is longer ...
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
@@ -51,9 +49,6 @@
 /// How much of it at the most.
 const MOST_LINGER: usize = 1 << 20;
 
-const REQ_ID: HeaderName = HeaderName::from_static("req-id");
-const KEY: HeaderName = HeaderName::from_static("idempotency-key");
-
 /// How far the balancer is with its life.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub enum Phase {
@@ -65,62 +60,79 @@
     Closing,
 }
 
-/// What callers may take up.
+/// What the callers of a listener may take up.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Room {
     /// Connections.
     pub places: usize,
-    /// Bytes of the bodies of open requests and of their answers.
-    pub bodies: usize,
+    /// How long each stage of a connection may take.
+    pub pace: Pace,
+    /// The path that tells whether requests can be served.
+    pub ready_path: String,
+    /// How long after the order to stop the last answer is given.
+    pub leave_within: Duration,
+}
+
+impl Room {
+    /// So many places, and all else as the platform has it; `longest` is the longest deadline.
+    pub fn platform(places: usize, longest: Micros) -> Room {
+        let leave_within = Duration::from_micros(longest).min(LONGEST_WAIT) + KILL_MARGIN;
+        Room { places, pace: Pace::default(), ready_path: "/health/ready".to_owned(), leave_within }
+    }
 }
 
-/// What the answering of requests needs.
-pub struct Server<W: Wire<Call = Call, Reply = Reply>> {
-    engine: Rc<Engine<W>>,
-    classes: HashMap<String, (fs::ClassId, fs::Class)>,
-    tenants: HashMap<String, fs::TenantId>,
+/// The callers of one listener.
+pub struct Callers<F: Front> {
+    front: F,
     places: Arc<Semaphore>,
-    most: usize,
+    room: RefCell<Room>,
     crowd: Rc<Crowd>,
-    /// Bytes that bodies and answers may still take.
-    bodies: Cell<usize>,
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
     /// When the order to stop came.
     ordered: Cell<Option<Instant>>,
-    /// How long after it the last answer is given.
-    leave_within: Duration,
     phase: watch::Receiver<Phase>,
 }
 
-impl<W: Wire<Call = Call, Reply = Reply>> Server<W> {
-    /// A server for the named classes and tenants.
-    pub fn new(
-        engine: Rc<Engine<W>>,
-        classes: Vec<(String, fs::Class)>,
-        tenants: Vec<String>,
-        room: Room,
-        phase: watch::Receiver<Phase>,
-    ) -> Rc<Self> {
-        let longest = classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0);
-        let leave_within = Duration::from_micros(longest).min(LONGEST_WAIT) + KILL_MARGIN;
-        let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
-        let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
-        let (places, most) = (Arc::new(Semaphore::new(room.places)), room.places);
-        let (crowd, bodies, ids) = (Rc::default(), Cell::new(room.bodies), RefCell::default());
-        let ordered = Cell::default();
-        Rc::new(Server {
-            engine,
-            classes,
-            tenants,
-            places,
-            most,
-            crowd,
-            bodies,
-            ids,
-            ordered,
-            leave_within,
-            phase,
-        })
+impl<F: Front> Callers<F> {
+    /// The callers that a front serves.
+    pub fn new(front: F, room: Room, phase: watch::Receiver<Phase>) -> Rc<Self> {
+        let (places, crowd) = (Arc::new(Semaphore::new(room.places)), Crowd::new(room.pace));
+        let (room, ids, ordered) = (RefCell::new(room), RefCell::default(), Cell::default());
+        Rc::new(Callers { front, places, room, crowd, ids, ordered, phase })
+    }
+
+    /// The front.
+    pub fn front(&self) -> &F {
+        &self.front
+    }
+
+    /// Changes what may be taken up; connections that are there stay.
+    pub fn resize(&self, room: Room) {
+        let before = std::mem::replace(&mut *self.room.borrow_mut(), room.clone());
+        self.crowd.set_pace(room.pace);
+        match room.places.checked_sub(before.places) {
+            Some(more) => self.places.add_permits(more),
+            None => {
+                let (places, fewer) = (self.places.clone(), before.places - room.places);
+                spawn_local(async move {
+                    // One by one: all at once would keep every place that frees from those who wait.
+                    for _ in 0..fewer {
+                        if let Ok(place) = places.acquire().await {
+                            place.forget();
+                        }
+                    }
+                });
+            }
+        }
+    }
+
+    fn leave_within(&self) -> Duration {
+        self.room.borrow().leave_within
+    }
+
+    fn most(&self) -> usize {
+        self.room.borrow().places
     }
 
     /// Takes connections until the order to stop and a little longer; returns when all are closed.
@@ -143,9 +155,9 @@
             tokio::select! {
                 biased;
                 (place, accepted) = accept => match (place, accepted) {
-                    (Ok(place), Ok((stream, _))) => {
+                    (Ok(place), Ok((stream, peer))) => {
                         let progress = Progress::new(self.crowd.clone());
-                        let task = spawn_local(self.clone().connection(stream, place, progress.clone()));
+                        let task = spawn_local(self.clone().connection(stream, peer, place, progress.clone()));
                         progress.of(task.abort_handle());
                     }
                     // Guards against a spin while no descriptor is free: the connection stays in the queue.
@@ -157,14 +169,14 @@
                         eprintln!("sloeline: told to stop");
                         let now = Instant::now();
                         self.ordered.set(Some(now));
-                        stop_at = Some(now + self.leave_within.mul_f64(STILL_TAKEN));
+                        stop_at = Some(now + self.leave_within().mul_f64(STILL_TAKEN));
                     }
                 },
             }
         }
         drop(listener);
         let _ = phases.send(Phase::Closing);
-        let _ = self.places.acquire_many(self.most as u32).await;
+        let _ = self.places.acquire_many(self.most() as u32).await;
     }
 
     /// A place for a new connection. Guards against those that say nothing and leave none: the one that has
@@ -185,6 +197,7 @@
     async fn connection(
         self: Rc<Self>,
         stream: TcpStream,
+        peer: SocketAddr,
         place: OwnedSemaphorePermit,
         progress: Rc<Progress>,
     ) {
@@ -196,11 +209,11 @@
             move |request| {
                 used.set(true);
                 let (server, progress) = (server.clone(), progress.clone());
-                Box::pin(async move { Ok::<_, Infallible>(server.respond(request, &progress).await) })
+                Box::pin(async move { Ok::<_, Infallible>(server.respond(request, peer, &progress).await) })
             }
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MOST_BODY);
+        builder.max_buf_size(MOST_HEAD);
         let mut connection = builder.serve_connection(Gate::new(stream, progress.clone()), service);
         let mut phase = self.phase.clone();
         let mut late = Box::pin(sleep(Duration::ZERO));
@@ -245,132 +258,110 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
-        let mut response = match request.uri().path() {
-            "/health/ready" => self.ready(),
-            "/api" => self.api(request, progress).await,
-            _ => plain(StatusCode::NOT_FOUND, "no such path"),
+    async fn respond(&self, request: Request<Incoming>, peer: SocketAddr, progress: &Progress) -> Answered {
+        let mut response = if request.uri().path() == self.room.borrow().ready_path {
+            self.ready()
+        } else {
+            self.serve_one(request, peer, progress).await
         };
         // What comes after a request that was not read, or whose end only hyper knows, is no request.
         let last = progress.unread() || progress.chunked();
         if !last {
             progress.answered();
         }
-        let crowded = (self.places.available_permits() as f64) < (1.0 - CROWDED) * self.most as f64;
+        let most = self.most();
+        let crowded = (self.places.available_permits() as f64) < (1.0 - CROWDED) * most as f64;
         if last || crowded || *self.phase.borrow() == Phase::Closing {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
-    fn ready(&self) -> Response<Full<Bytes>> {
-        if *self.phase.borrow() == Phase::Running && self.engine.listed() {
+    fn ready(&self) -> Answered {
+        if *self.phase.borrow() == Phase::Running && self.front.ready() {
             plain(StatusCode::OK, "ready")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
         }
     }
 
-    async fn api(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
+    async fn serve_one(&self, request: Request<Incoming>, peer: SocketAddr, progress: &Progress) -> Answered {
+        let (head, body) = request.into_parts();
+        let admission = match self.front.admit(&head, peer) {
+            Ok(admission) => admission,
+            Err(answer) => return answer,
+        };
         // The longest that it can get, and its answer beside. Guards the memory: past the bound nothing is read.
-        let body = request.body().size_hint().exact().unwrap_or(u64::MAX).min(MOST_BODY as u64);
-        let Some(_bytes) = Share::take(&self.bodies, body as usize + MOST_BODY) else {
-            return plain(StatusCode::SERVICE_UNAVAILABLE, "no room");
+        let longest = body.size_hint().exact().unwrap_or(u64::MAX).min(admission.most_body as u64);
+        let Some(_bytes) = admission.bodies.take(longest as usize + admission.most_answer) else {
+            return self.refused(0, "no room");
         };
-        let asked = match self.read(request).await {
-            Ok(asked) => asked,
+        let body = match read(body, &admission).await {
+            Ok(body) => body,
             Err((status, why)) => return plain(status, why),
         };
         progress.taken();
+        let Admission { engine, class, tenant, work, retry, method, uri, headers, id, held, .. } = admission;
         // Guards against a second request under an id that is open: upstreams could not tell them apart.
-        let Some(_id) = asked.call.headers.get(REQ_ID).and_then(|id| Id::take(&self.ids, id)) else {
-            return plain(StatusCode::BAD_REQUEST, "this Req-Id is open");
+        let _id = match id.map(|id| Id::take(&self.ids, &id)) {
+            Some(None) => return plain(StatusCode::BAD_REQUEST, "this Req-Id is open"),
+            taken => taken,
         };
-        match self.engine.ask(asked).answer().await {
+        let _held = held;
+        // Guards against the kill: what is taken late is answered before it can come.
+        let until_kill =
+            self.ordered.get().filter(|at| at.elapsed() > UNHURRIED).map_or(Micros::MAX, |at| {
+                self.leave_within().saturating_sub(at.elapsed()).as_micros() as Micros
+            });
+        let time_left = admission.time_left.min(until_kill);
+        let head_only = method == Method::HEAD;
+        let call = Call { method, uri, headers, body };
+        match engine.ask(Asked { class, time_left, tenant, work, retry, call }).answer().await {
             Answer::Served(reply) => {
+                let length = reply.headers.get(CONTENT_LENGTH).filter(|_| head_only).cloned();
                 let mut response = Response::new(Full::new(reply.body));
+                *response.status_mut() = reply.status;
                 *response.headers_mut() = end_to_end(&reply.headers);
-                response
-            }
-            Answer::Refused { retry_after } => {
-                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-                let seconds = format!("{:.3}", retry_after as f64 / 1e6);
-                if let (true, Ok(seconds)) = (retry_after > 0, HeaderValue::from_str(&seconds)) {
-                    response.headers_mut().insert(RETRY_AFTER, seconds);
+                // Of the body that is not there (RFC 9110 section 9.3.2).
+                if let Some(length) = length {
+                    response.headers_mut().insert(CONTENT_LENGTH, length);
                 }
                 response
             }
+            Answer::Refused { retry_after } => self.refused(retry_after, "refused"),
             Answer::Failed(Failure::Time) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
             Answer::Failed(Failure::Upstream) => plain(StatusCode::BAD_GATEWAY, "upstream failed"),
         }
     }
 
-    /// Reads a request whole; its clock starts when this is done.
-    async fn read(&self, request: Request<Incoming>) -> Result<Asked<Call>, (StatusCode, &'static str)> {
-        let bad = |why| (StatusCode::BAD_REQUEST, why);
-        let (head, body) = request.into_parts();
-        // Guards against peers that read the first of two and others that read the last.
-        let doubled = |name: &HeaderName| head.headers.get_all(name).iter().nth(1).is_some();
-        let counted = |name: &&HeaderName| name.as_str().starts_with("req-") || **name == KEY;
-        if head.headers.keys().filter(counted).any(doubled) {
-            return Err(bad("a header that may stand once stands twice"));
-        }
-        let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        let kind = text("req-kind").ok_or(bad("no Req-Kind"))?;
-        let (id, class) = self.classes.get(kind).ok_or(bad("unknown Req-Kind"))?;
-        if head.headers.get(REQ_ID).is_none_or(HeaderValue::is_empty) {
-            return Err(bad("no Req-Id"));
-        }
-        if head.method != Method::GET && head.method != Method::POST {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "GET or POST"));
-        }
-        // Method and key say what may be repeated; the class says the same, or one of the two is wrong.
-        let key = head.headers.get(KEY).map(|key| !key.is_empty());
-        let fits = match class.effect {
-            Effect::Safe => head.method == Method::GET && key.is_none(),
-            Effect::Keyed { .. } => head.method == Method::POST && key == Some(true),
-            Effect::Unsafe => head.method == Method::POST && key.is_none(),
-        };
-        if !fits {
-            return Err(bad("method or Idempotency-Key do not fit the class"));
-        }
-        let number =
-            |text: &str| text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse::<u64>().ok())?;
-        let time_left = match head.headers.get("req-deadline-ms") {
-            None => class.deadline,
-            Some(_) => {
-                let deadline = text("req-deadline-ms").and_then(number);
-                deadline.ok_or(bad("Req-Deadline-Ms is no number"))?.saturating_mul(1000)
-            }
-        };
-        let safe = class.effect == Effect::Safe;
-        // Guards against the kill: what is taken late is answered before it can come.
-        let until_kill =
-            self.ordered.get().filter(|at| at.elapsed() > UNHURRIED).map_or(Micros::MAX, |at| {
-                self.leave_within.saturating_sub(at.elapsed()).as_micros() as Micros
-            });
-        let (class, time_left) = (*id, time_left.min(class.deadline).min(until_kill));
-        let tenant = text("req-owner").and_then(|t| self.tenants.get(t).copied());
-        let (work, retry): (Option<Micros>, _) =
-            (text("req-cost").and_then(number), text("req-retry") == Some("1"));
-        let headers = end_to_end(&head.headers);
-        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB");
-        if body.size_hint().lower() > MOST_BODY as u64 {
-            return Err(too_large);
+    /// Trying again is harmless.
+    fn refused(&self, wish: Micros, why: &'static str) -> Answered {
+        let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, why);
+        if let Some(seconds) = self.front.retry_after(wish) {
+            response.headers_mut().insert(RETRY_AFTER, seconds);
         }
-        let body = match Limited::new(body, MOST_BODY).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) if e.is::<LengthLimitError>() => return Err(too_large),
-            Err(_) => return Err(bad("broken body")),
-        };
-        if safe && !body.is_empty() {
-            return Err(bad("a body that does not fit the class"));
-        }
-        // A request that names the whole address is for this path all the same.
-        let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
-        let call = Call { method: head.method, uri: path.into(), headers, body };
-        Ok(Asked { class, time_left, tenant, work, retry, call })
+        response
+    }
+}
+
+/// Reads a body whole; the request's clock starts when this is done.
+async fn read<W: Wire>(
+    body: Incoming,
+    admission: &Admission<W>,
+) -> Result<Bytes, (StatusCode, &'static str)> {
+    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    if body.size_hint().lower() > admission.most_body as u64 {
+        return Err(too_large);
+    }
+    let body = match Limited::new(body, admission.most_body).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => return Err(too_large),
+        Err(_) => return Err((StatusCode::BAD_REQUEST, "broken body")),
+    };
+    if admission.bodiless && !body.is_empty() {
+        return Err((StatusCode::BAD_REQUEST, "a body that does not fit the class"));
     }
+    Ok(body)
 }
 
 /// Says why, if there is a word left to say, and reads on for a while. Guards the answer: a socket that is closed
@@ -391,25 +382,6 @@
     Ok(())
 }
 
-/// A share of the bytes that bodies may take.
-struct Share<'a> {
-    left: &'a Cell<usize>,
-    bytes: usize,
-}
-
-impl Share<'_> {
-    fn take(left: &Cell<usize>, bytes: usize) -> Option<Share<'_>> {
-        left.set(left.get().checked_sub(bytes)?);
-        Some(Share { left, bytes })
-    }
-}
-
-impl Drop for Share<'_> {
-    fn drop(&mut self) {
-        self.left.set(self.left.get() + self.bytes);
-    }
-}
-
 /// The id of a request that is open.
 struct Id<'a> {
     ids: &'a RefCell<HashSet<HeaderValue>>,
@@ -427,25 +399,3 @@
         self.ids.borrow_mut().remove(&self.id);
     }
 }
-
-/// The headers that are not about the connection or the framing.
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<&str> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .collect();
-    let hop = |name: &HeaderName| {
-        [CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE].contains(name)
-            || ["keep-alive", "proxy-connection", "srv-load", "srv-declined"].contains(&name.as_str())
-            || named.iter().any(|n| n.trim().eq_ignore_ascii_case(name.as_str()))
-    };
-    headers.iter().filter(|(name, _)| !hop(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
-}
-
-fn plain(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(why.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
--- /dev/null
+++ b/http/src/front.rs
@@ -0,0 +1,99 @@
+//! What a front decides of a request: by which engine and class it goes, and in which form it is forwarded.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use finchshift as fs;
+use finchshift::Micros;
+use http_body_util::Full;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
+};
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode, Uri};
+use sloeline_engine::engine::{Engine, Wire};
+use sloeline_limits::{Share, Taken};
+
+use crate::upstream::{Call, Reply};
+
+/// A whole answer.
+pub type Answered = Response<Full<Bytes>>;
+
+/// Looks at heads. One for each listener.
+pub trait Front: 'static {
+    /// What its engines send over.
+    type Wire: Wire<Call = Call, Reply = Reply>;
+
+    /// Decides on a request by its head; the error is its final answer, and nothing of it was sent.
+    fn admit(&self, head: &Parts, peer: SocketAddr) -> Result<Admission<Self::Wire>, Answered>;
+
+    /// Requests can be served.
+    fn ready(&self) -> bool;
+
+    /// What the caller of a refused request is told, `0` for no wish of the module's.
+    fn retry_after(&self, wish: Micros) -> Option<HeaderValue>;
+}
+
+/// A request that is taken if its body comes.
+pub struct Admission<W: Wire> {
+    /// The engine that it goes to.
+    pub engine: Rc<Engine<W>>,
+    /// Its class there.
+    pub class: fs::ClassId,
+    /// How long its caller waits, from its last byte.
+    pub time_left: Micros,
+    /// Whose it is.
+    pub tenant: Option<fs::TenantId>,
+    /// A guess at its work.
+    pub work: Option<Micros>,
+    /// Its caller marks it as a repeat.
+    pub retry: bool,
+    /// The method that is forwarded.
+    pub method: Method,
+    /// Path and query that are forwarded.
+    pub uri: Uri,
+    /// The end-to-end headers that are forwarded.
+    pub headers: HeaderMap,
+    /// Most bytes of its body.
+    pub most_body: usize,
+    /// Most bytes of its answer.
+    pub most_answer: usize,
+    /// Its class has no body.
+    pub bodiless: bool,
+    /// No other open request of this listener may have it.
+    pub id: Option<HeaderValue>,
+    /// The bytes that bodies of its pool may take.
+    pub bodies: Rc<Share>,
+    /// What it holds until it is answered.
+    pub held: Option<Taken>,
+}
+
+/// The headers that are not about the connection or the framing.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<&str> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .collect();
+    let hop = |name: &HeaderName| {
+        [CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE].contains(name)
+            || ["keep-alive", "proxy-connection", "srv-load", "srv-declined"].contains(&name.as_str())
+            || named.iter().any(|n| n.trim().eq_ignore_ascii_case(name.as_str()))
+    };
+    headers.iter().filter(|(name, _)| !hop(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
+}
+
+/// An answer of the balancer's own.
+pub fn plain(status: StatusCode, why: impl Into<Bytes>) -> Answered {
+    let mut response = Response::new(Full::new(why.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Digits and nothing else.
+pub fn number(text: &str) -> Option<u64> {
+    (!text.is_empty() && text.bytes().all(|b| b.is_ascii_digit())).then(|| text.parse().ok())?
+}
--- a/http/src/gate.rs
+++ b/http/src/gate.rs
@@ -17,19 +17,31 @@
 
 use crate::framing::{Framing, request};
 
-/// A connection on which no request is open is kept this long.
-const IDLE_TIME: Duration = Duration::from_secs(2);
 /// One that has not been idle for so long is not closed for others.
 const SPARED: Duration = Duration::from_millis(100);
-/// A head may take this long from its first byte.
-const HEAD_TIME: Duration = Duration::from_millis(1500);
-/// A request may take this long from its first byte to its last.
-const BODY_TIME: Duration = Duration::from_millis(2500);
 /// Most of a head.
 const MOST_HEAD: usize = 16 * 1024;
 /// Read at once.
 const CHUNK: usize = 4096;
 
+/// How long each stage of a connection may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// A connection on which no request is open is kept this long.
+    pub idle: Duration,
+    /// A head may take this long from its first byte.
+    pub head: Duration,
+    /// A request may take this long from its first byte to its last.
+    pub body: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        let [idle, head, body] = [2000, 1500, 2500].map(Duration::from_millis);
+        Pace { idle, head, body }
+    }
+}
+
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
@@ -53,13 +65,23 @@
 }
 
 /// The connections that are idle, longest first.
-#[derive(Default)]
 pub struct Crowd {
+    pace: Cell<Pace>,
     idle: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
     next: Cell<u64>,
 }
 
 impl Crowd {
+    /// None yet.
+    pub fn new(pace: Pace) -> Rc<Crowd> {
+        Rc::new(Crowd { pace: Cell::new(pace), idle: RefCell::default(), next: Cell::default() })
+    }
+
+    /// Changes how long stages may take from now on.
+    pub fn set_pace(&self, pace: Pace) {
+        self.pace.set(pace);
+    }
+
     /// Closes the connection that has been idle longest; else, when it may be. Guards those that have just come,
     /// whose request is on its way.
     pub fn close_oldest(&self) -> Result<(), Option<Instant>> {
@@ -157,10 +179,11 @@
 
     /// When it has been at this for too long; a request that is open has a clock of its own.
     pub fn due(&self) -> Option<Instant> {
+        let pace = self.crowd.pace.get();
         match self.stage.get() {
-            Stage::Idle => Some(self.since.get() + IDLE_TIME),
-            Stage::Head => Some(self.first_byte.get() + HEAD_TIME),
-            Stage::Body => Some(self.first_byte.get() + BODY_TIME),
+            Stage::Idle => Some(self.since.get() + pace.idle),
+            Stage::Head => Some(self.first_byte.get() + pace.head),
+            Stage::Body => Some(self.first_byte.get() + pace.body),
             Stage::Open => None,
         }
     }
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -1,10 +1,15 @@
 //! HTTP/1.1 on both sides of the engine: callers' connections and requests, attempts on upstreams.
 
+pub mod callers;
 mod framing;
-mod gate;
+pub mod front;
+pub mod gate;
+pub mod platform;
 mod pool;
-pub mod server;
+pub mod routed;
 pub mod upstream;
 
-/// Most of a body, either way.
+/// Most of a body on the platform, either way.
 pub const MOST_BODY: usize = 64 * 1024;
+/// Most that is read ahead of a message; a head that does not end is given up there.
+const MOST_HEAD: usize = 64 * 1024;
--- /dev/null
+++ b/http/src/platform.rs
@@ -0,0 +1,112 @@
+//! The platform's front: one engine, and requests that name their class, tenant and time in `Req-` headers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use finchshift as fs;
+use finchshift::{Effect, Micros};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode};
+use sloeline_engine::engine::{Engine, Wire};
+use sloeline_limits::Share;
+
+use crate::MOST_BODY;
+use crate::front::{Admission, Answered, Front, end_to_end, number, plain};
+use crate::upstream::{Call, Reply};
+
+const REQ_ID: HeaderName = HeaderName::from_static("req-id");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Named classes and tenants before one engine.
+pub struct Platform<W: Wire> {
+    engine: Rc<Engine<W>>,
+    classes: HashMap<String, (fs::ClassId, fs::Class)>,
+    tenants: HashMap<String, fs::TenantId>,
+    bodies: Rc<Share>,
+}
+
+impl<W: Wire> Platform<W> {
+    /// A front for the named classes and tenants; bodies and answers may take so many bytes.
+    pub fn new(
+        engine: Rc<Engine<W>>,
+        classes: Vec<(String, fs::Class)>,
+        tenants: Vec<String>,
+        bodies: usize,
+    ) -> Platform<W> {
+        let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
+        let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
+        Platform { engine, classes, tenants, bodies: Share::alone(bodies) }
+    }
+}
+
+impl<W: Wire<Call = Call, Reply = Reply>> Front for Platform<W> {
+    type Wire = W;
+
+    fn admit(&self, head: &Parts, _peer: SocketAddr) -> Result<Admission<W>, Answered> {
+        let bad = |why: &'static str| plain(StatusCode::BAD_REQUEST, why);
+        if head.uri.path() != "/api" {
+            return Err(plain(StatusCode::NOT_FOUND, "no such path"));
+        }
+        // Guards against peers that read the first of two and others that read the last.
+        let doubled = |name: &HeaderName| head.headers.get_all(name).iter().nth(1).is_some();
+        let counted = |name: &&HeaderName| name.as_str().starts_with("req-") || **name == KEY;
+        if head.headers.keys().filter(counted).any(doubled) {
+            return Err(bad("a header that may stand once stands twice"));
+        }
+        let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let kind = text("req-kind").ok_or_else(|| bad("no Req-Kind"))?;
+        let (id, class) = self.classes.get(kind).ok_or_else(|| bad("unknown Req-Kind"))?;
+        let request_id = head.headers.get(REQ_ID).filter(|id| !HeaderValue::is_empty(id));
+        let request_id = request_id.ok_or_else(|| bad("no Req-Id"))?;
+        if head.method != Method::GET && head.method != Method::POST {
+            return Err(plain(StatusCode::METHOD_NOT_ALLOWED, "GET or POST"));
+        }
+        // Method and key say what may be repeated; the class says the same, or one of the two is wrong.
+        let key = head.headers.get(KEY).map(|key| !key.is_empty());
+        let fits = match class.effect {
+            Effect::Safe => head.method == Method::GET && key.is_none(),
+            Effect::Keyed { .. } => head.method == Method::POST && key == Some(true),
+            Effect::Unsafe => head.method == Method::POST && key.is_none(),
+        };
+        if !fits {
+            return Err(bad("method or Idempotency-Key do not fit the class"));
+        }
+        let time_left = match head.headers.get("req-deadline-ms") {
+            None => class.deadline,
+            Some(_) => {
+                let deadline = text("req-deadline-ms").and_then(number);
+                deadline.ok_or_else(|| bad("Req-Deadline-Ms is no number"))?.saturating_mul(1000)
+            }
+        };
+        // A request that names the whole address is for this path all the same.
+        let path = head.uri.path_and_query().cloned().ok_or_else(|| bad("no path"))?;
+        Ok(Admission {
+            engine: self.engine.clone(),
+            class: *id,
+            time_left: time_left.min(class.deadline),
+            tenant: text("req-owner").and_then(|t| self.tenants.get(t).copied()),
+            work: text("req-cost").and_then(number),
+            retry: text("req-retry") == Some("1"),
+            method: head.method.clone(),
+            uri: path.into(),
+            headers: end_to_end(&head.headers),
+            most_body: MOST_BODY,
+            most_answer: MOST_BODY,
+            bodiless: class.effect == Effect::Safe,
+            id: Some(request_id.clone()),
+            bodies: self.bodies.clone(),
+            held: None,
+        })
+    }
+
+    fn ready(&self) -> bool {
+        self.engine.listed()
+    }
+
+    fn retry_after(&self, wish: Micros) -> Option<HeaderValue> {
+        let seconds = HeaderValue::from_str(&format!("{:.3}", wish as f64 / 1e6));
+        (wish > 0).then_some(seconds.ok()).flatten()
+    }
+}
--- a/http/src/pool.rs
+++ b/http/src/pool.rs
@@ -18,13 +18,14 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use sloeline_engine::types::Target;
+use sloeline_limits::{Share, Taken};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::MOST_BODY;
+use crate::MOST_HEAD;
 
 /// Part of the upstreams' idle time after which a connection is closed here: far from crossing theirs.
 const KEEP: f64 = 0.7;
@@ -32,27 +33,11 @@
 const KEEP_UNTOLD: Duration = Duration::from_secs(3);
 /// A connection attempt's limit where the settings name none, and a probe's in all.
 pub const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
-/// A place among the connections; given back when the connection is closed.
-struct Place(Rc<Cell<usize>>);
-
-impl Place {
-    fn take(open: &Rc<Cell<usize>>) -> Place {
-        open.set(open.get() + 1);
-        Place(open.clone())
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// The socket as hyper's connection holds it: it can be looked at from outside and counts what is written.
 struct Socket {
     stream: Rc<RefCell<TokioIo<TcpStream>>>,
     written: Rc<Cell<u64>>,
-    _place: Place,
+    _place: Taken,
 }
 
 impl Socket {
@@ -136,32 +121,40 @@
 /// The connections that are idle, and how many there are in all.
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
-    open: Rc<Cell<usize>>,
-    most: usize,
-    keep: Duration,
-    connect_timeout: Duration,
+    places: Rc<Share>,
+    keep: Cell<Duration>,
+    connect_timeout: Cell<Duration>,
     filled: Notify,
+    changed: Notify,
 }
 
 impl Pool {
-    /// None yet, and never more than `most`.
-    pub fn new(limits: &fs::Limits, most: usize) -> Pool {
-        let span = |micros, untold| if micros == 0 { untold } else { Duration::from_micros(micros) };
-        let keep = (limits.idle_close as f64 * KEEP) as Micros;
-        Pool {
+    /// None yet, and never more than the share allows.
+    pub fn new(limits: &fs::Limits, places: Rc<Share>) -> Pool {
+        let pool = Pool {
             idle: RefCell::default(),
-            open: Rc::default(),
-            most,
-            keep: span(keep, KEEP_UNTOLD),
-            connect_timeout: span(limits.connect_timeout, CONNECT_UNTOLD),
+            places,
+            keep: Cell::default(),
+            connect_timeout: Cell::default(),
             filled: Notify::new(),
-        }
+            changed: Notify::new(),
+        };
+        pool.set(limits);
+        pool
+    }
+
+    /// Changes how long connections are kept and may take to come up.
+    pub fn set(&self, limits: &fs::Limits) {
+        let span = |micros, untold| if micros == 0 { untold } else { Duration::from_micros(micros) };
+        self.keep.set(span((limits.idle_close as f64 * KEEP) as Micros, KEEP_UNTOLD));
+        self.connect_timeout.set(span(limits.connect_timeout, CONNECT_UNTOLD));
+        self.changed.notify_one();
     }
 
     /// Connections that are open.
     #[cfg(test)]
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.places.used()
     }
 
     /// Closes the idle connections to an upstream.
@@ -174,7 +167,7 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&to.server)?;
         while let Some(Idle { conn, since }) = list.pop() {
-            if conn.address == to.address && since.elapsed() < self.keep && conn.fresh() {
+            if conn.address == to.address && since.elapsed() < self.keep.get() && conn.fresh() {
                 return Some(conn);
             }
         }
@@ -183,6 +176,10 @@
 
     /// Keeps a connection for the next request to this upstream.
     pub fn put(&self, server: ServerId, conn: Conn) {
+        // Guards other pools: what was borrowed of the common reserve goes back while it is scarce.
+        if self.places.should_return() {
+            return;
+        }
         self.idle.borrow_mut().entry(server).or_default().push(Idle { conn, since: Instant::now() });
         self.filled.notify_one();
     }
@@ -197,15 +194,17 @@
     /// A new connection, or why there is none.
     pub async fn connect(&self, address: SocketAddr) -> Result<Conn, Outcome> {
         // Guards the limit on descriptors: a connection is turned into another, or the attempt is not sent.
-        while self.open.get() >= self.most {
+        let place = loop {
+            if let Some(place) = self.places.take(1) {
+                break place;
+            }
             if !self.close_oldest() {
                 return Err(Outcome::NotSent);
             }
             // The socket is closed once its task has been dropped.
             tokio::task::yield_now().await;
-        }
-        let place = Place::take(&self.open);
-        let stream = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
+        };
+        let stream = match timeout(self.connect_timeout.get(), TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) if out_of_sockets(&e) => {
                 self.close_oldest();
@@ -220,7 +219,7 @@
         let stream = Rc::downgrade(&stream);
         let (sender, connection) = http1::Builder::new()
             // A head that does not end is given up there.
-            .max_buf_size(MOST_BODY)
+            .max_buf_size(MOST_HEAD)
             .handshake(socket)
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
@@ -236,13 +235,17 @@
             let oldest = {
                 let mut idle = self.idle.borrow_mut();
                 idle.retain(|_, list| {
-                    list.retain(|i| i.since.elapsed() < self.keep && !i.conn.sender.is_closed());
+                    list.retain(|i| i.since.elapsed() < self.keep.get() && !i.conn.sender.is_closed());
                     !list.is_empty()
                 });
                 idle.values().filter_map(|l| l.first()).map(|i| i.since).min()
             };
             match oldest {
-                Some(since) => sleep_until(since + self.keep).await,
+                Some(since) => tokio::select! {
+                    () = sleep_until(since + self.keep.get()) => {}
+                    // Another time may hold from now on.
+                    () = self.changed.notified() => {}
+                },
                 None => self.filled.notified().await,
             }
         }
--- /dev/null
+++ b/http/src/routed.rs
@@ -0,0 +1,290 @@
+//! The daemon's front: a table of routes, each with a class, a pool or a split between pools, and limits.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use finchshift as fs;
+use finchshift::{Effect, Micros};
+use hyper::header::{ALLOW, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode, Version};
+use sloeline_engine::engine::{Engine, Wire};
+use sloeline_limits::Share;
+use sloeline_routing::pattern::{Request, Seen};
+use sloeline_routing::split::{Split, hash};
+use sloeline_routing::table::{Miss, Table};
+use sloeline_routing::target::{BadTarget, Target, decoded};
+
+use crate::front::{Admission, Answered, Front, end_to_end, number, plain};
+use crate::upstream::{Call, Reply};
+
+const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+/// With these some servers take another method than the one that the route was found by.
+const OVERRIDES: [HeaderName; 3] = [
+    HeaderName::from_static("x-http-method-override"),
+    HeaderName::from_static("x-http-method"),
+    HeaderName::from_static("x-method-override"),
+];
+
+/// Where something about a request is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    /// Always the same.
+    Fixed(String),
+    /// In a header.
+    Header(HeaderName),
+    /// In a parameter of the query.
+    Query(String),
+    /// In the path's segment with this number.
+    Segment(usize),
+}
+
+/// A pool, as routes see it.
+pub struct Pool<W: Wire> {
+    /// Its name.
+    pub name: String,
+    /// Its engine.
+    pub engine: Rc<Engine<W>>,
+    /// The numbers of the tenants.
+    pub tenants: HashMap<String, fs::TenantId>,
+    /// How many requests it may have open.
+    pub open: Rc<Share>,
+    /// Bytes that bodies and answers may take.
+    pub bodies: Rc<Share>,
+    /// Most bytes of an answer.
+    pub most_answer: usize,
+}
+
+/// A class that a route may give.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassOf {
+    /// Its name.
+    pub name: String,
+    /// What may be repeated.
+    pub effect: Effect,
+    /// How long its callers wait at the longest.
+    pub deadline: Micros,
+}
+
+/// One side of a route's split, or its only pool.
+pub struct Side<W: Wire> {
+    /// The pool.
+    pub pool: Rc<Pool<W>>,
+    /// The number there of each of the route's classes.
+    pub classes: Vec<fs::ClassId>,
+}
+
+/// What becomes of the requests of a route.
+pub struct Service<W: Wire> {
+    /// The pools.
+    pub sides: Vec<Side<W>>,
+    /// Which of them, where there are several, and by what a caller is kept on its side.
+    pub split: Option<(Split, Option<Source>)>,
+    /// The classes; the first where no header chooses.
+    pub classes: Vec<ClassOf>,
+    /// The header that names the class.
+    pub class_header: Option<HeaderName>,
+    /// Whose requests they are.
+    pub tenant: Option<Source>,
+    /// What a keyed request is known by.
+    pub key: Option<Source>,
+    /// Most bytes of a body.
+    pub most_body: usize,
+}
+
+/// The routes of a listener as of one configuration.
+pub struct Routes<W: Wire> {
+    /// Finds the route.
+    pub table: Table,
+    /// What each of the table's routes leads to.
+    pub services: Vec<Service<W>>,
+    /// All pools: requests can be served when each has a list.
+    pub pools: Vec<Rc<Pool<W>>>,
+    /// The header in which callers say how long they wait, in milliseconds.
+    pub deadline_header: Option<HeaderName>,
+}
+
+/// A front whose routes can be replaced; requests that were admitted keep theirs.
+pub struct Routed<W: Wire> {
+    now: RefCell<Rc<Routes<W>>>,
+}
+
+impl<W: Wire> Routed<W> {
+    /// A front with these routes.
+    pub fn new(routes: Routes<W>) -> Routed<W> {
+        Routed { now: RefCell::new(Rc::new(routes)) }
+    }
+
+    /// Takes the next request by other routes.
+    pub fn replace(&self, routes: Routes<W>) {
+        *self.now.borrow_mut() = Rc::new(routes);
+    }
+}
+
+/// What stands in a header.
+pub fn seen(headers: &HeaderMap, name: &str) -> Seen {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Seen::Nothing,
+        (Some(value), None) => value.to_str().map_or(Seen::Unclear, |v| Seen::One(v.to_owned())),
+        (Some(_), Some(_)) => Seen::Unclear,
+    }
+}
+
+/// The target of a request in normal form.
+pub fn target(head: &Parts) -> Result<Target, BadTarget> {
+    let host = match seen(&head.headers, HOST.as_str()) {
+        Seen::One(host) => Some(host),
+        // RFC 9112 section 3.2: whoever is newer than HTTP/1.0 names one.
+        Seen::Nothing if head.version == Version::HTTP_10 => None,
+        _ => return Err(BadTarget::Host),
+    };
+    let path = head.uri.path_and_query().map_or("", |p| p.as_str());
+    match (head.uri.scheme_str(), head.uri.authority()) {
+        (Some(scheme), Some(authority)) => {
+            Target::parse(&format!("{scheme}://{authority}{path}"), host.as_deref())
+        }
+        (None, None) => Target::parse(path, host.as_deref()),
+        _ => Err(BadTarget::Form),
+    }
+}
+
+fn bad(why: impl Into<String>) -> Answered {
+    plain(StatusCode::BAD_REQUEST, why.into())
+}
+
+/// What a request says at a place; nothing where it says nothing there.
+fn told(source: &Source, request: &Request<'_>, headers: &HeaderMap) -> Result<Option<String>, Answered> {
+    let twice = |what: &str| bad(format!("{what} stands twice or is no text"));
+    let seen = match source {
+        Source::Fixed(value) => return Ok(Some(value.clone())),
+        Source::Header(name) => (seen(headers, name.as_str()), name.to_string()),
+        Source::Query(name) => {
+            let place = sloeline_routing::pattern::Place::Query(name.clone());
+            (request.seen(&place), name.clone())
+        }
+        Source::Segment(at) => {
+            let segment = request.target.path.segment(*at).map(decoded).transpose();
+            return segment.map_err(|why| bad(why.to_string()));
+        }
+    };
+    match seen {
+        (Seen::Nothing, _) => Ok(None),
+        (Seen::One(value), _) => Ok(Some(value).filter(|v| !v.is_empty())),
+        (Seen::Unclear, what) => Err(twice(&what)),
+    }
+}
+
+impl<W: Wire<Call = Call, Reply = Reply>> Front for Routed<W> {
+    type Wire = W;
+
+    fn admit(&self, head: &Parts, peer: SocketAddr) -> Result<Admission<W>, Answered> {
+        let routes = self.now.borrow().clone();
+        let target = target(head).map_err(|why| bad(why.to_string()))?;
+        let header = |name: &str| seen(&head.headers, name);
+        let request = Request { method: head.method.as_str(), target: &target, header: &header };
+        let service = match routes.table.find(&request) {
+            Ok(at) => routes.services.get(at).ok_or_else(|| plain(StatusCode::NOT_FOUND, "no such route"))?,
+            Err(Miss::Nothing) => return Err(plain(StatusCode::NOT_FOUND, "no such route")),
+            Err(Miss::Unclear(place)) => return Err(bad(format!("{place} stands twice or is no text"))),
+            Err(Miss::Method(methods)) => {
+                let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "no route for this method");
+                if let Ok(methods) = HeaderValue::from_str(&methods.join(", ")) {
+                    answer.headers_mut().insert(ALLOW, methods);
+                }
+                return Err(answer);
+            }
+        };
+        let number_of_class = match &service.class_header {
+            None => 0,
+            Some(name) => {
+                let named = told(&Source::Header(name.clone()), &request, &head.headers)?;
+                let at = named.and_then(|n| service.classes.iter().position(|c| c.name == n));
+                at.ok_or_else(|| bad(format!("{name} names no class of this route")))?
+            }
+        };
+        let Some(class) = service.classes.get(number_of_class) else {
+            return Err(plain(StatusCode::NOT_FOUND, "a route without a class"));
+        };
+        // Guards against an upstream that runs another operation than the one whose class this is.
+        if class.effect != Effect::Unsafe && OVERRIDES.iter().any(|name| head.headers.contains_key(name)) {
+            return Err(bad("a method override on a route that may be repeated"));
+        }
+        let key = service.key.as_ref().map(|s| told(s, &request, &head.headers)).transpose()?.flatten();
+        if matches!(class.effect, Effect::Keyed { .. }) && key.is_none() {
+            return Err(bad("a keyed request without its key"));
+        }
+        let tenant = service.tenant.as_ref().map(|s| told(s, &request, &head.headers)).transpose()?.flatten();
+        let waits = routes
+            .deadline_header
+            .as_ref()
+            .map(|n| told(&Source::Header(n.clone()), &request, &head.headers));
+        let waits = match waits.transpose()?.flatten() {
+            None => Micros::MAX,
+            Some(text) => number(&text).ok_or_else(|| bad("the deadline is no number"))?.saturating_mul(1000),
+        };
+        let side = match &service.split {
+            None => 0,
+            Some((split, stick)) => {
+                let value = stick.as_ref().map(|s| told(s, &request, &head.headers)).transpose()?.flatten();
+                // Who cannot be known again is known by its connection.
+                split.side(value.map_or_else(|| hash(peer.to_string().as_bytes()), |v| hash(v.as_bytes())))
+            }
+        };
+        let Some(side) = service.sides.get(side) else {
+            return Err(plain(StatusCode::NOT_FOUND, "a route without a pool"));
+        };
+        let pool = &side.pool;
+        // Nothing can be sent, and nothing was: the caller need not wait to hear so.
+        if pool.engine.upstreams() == 0 {
+            return Err(self.refused("no upstream"));
+        }
+        // Guards the other pools: one whose upstreams hang holds no more than its part.
+        let held = pool.open.take(1).ok_or_else(|| self.refused("the pool is full"))?;
+        let mut headers = end_to_end(&head.headers);
+        if let Some(host) = target.host.as_ref().and_then(|h| HeaderValue::from_str(&h.to_string()).ok()) {
+            headers.insert(HOST, host);
+        }
+        if let Ok(peer) = HeaderValue::from_str(&peer.ip().to_string()) {
+            headers.append(FORWARDED_FOR, peer);
+        }
+        Ok(Admission {
+            engine: pool.engine.clone(),
+            class: side.classes.get(number_of_class).copied().unwrap_or(usize::MAX),
+            time_left: waits.min(class.deadline),
+            tenant: tenant.and_then(|t| pool.tenants.get(&t).copied()),
+            work: None,
+            retry: false,
+            method: head.method.clone(),
+            uri: target.forwarded().parse().map_err(|_| bad("the target cannot be forwarded"))?,
+            headers,
+            most_body: service.most_body,
+            most_answer: pool.most_answer,
+            bodiless: [Method::GET, Method::HEAD].contains(&head.method),
+            id: None,
+            bodies: pool.bodies.clone(),
+            held: Some(held),
+        })
+    }
+
+    fn ready(&self) -> bool {
+        self.now.borrow().pools.iter().all(|p| p.engine.listed())
+    }
+
+    /// Whole seconds (RFC 9110 section 10.2.3), one where the module has no wish.
+    fn retry_after(&self, wish: Micros) -> Option<HeaderValue> {
+        Some(HeaderValue::from(wish.div_ceil(1_000_000).max(1)))
+    }
+}
+
+impl<W: Wire<Call = Call, Reply = Reply>> Routed<W> {
+    fn refused(&self, why: &'static str) -> Answered {
+        let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, why);
+        if let Some(seconds) = self.retry_after(0) {
+            answer.headers_mut().insert(hyper::header::RETRY_AFTER, seconds);
+        }
+        answer
+    }
+}
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -13,6 +13,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
 use sloeline_engine::engine::{Report, Wire};
 use sloeline_engine::types::Target;
+use sloeline_limits::Share;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout};
 
@@ -22,7 +23,43 @@
 /// How long a connection may take to be ready for the next request after its answer.
 const TURN_ROUND: Duration = Duration::from_millis(500);
 
-const DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
+/// How upstreams speak: what their answers mean and what they are told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dialect {
+    /// The header that tells how long the balancer waits, in whole milliseconds.
+    pub deadline: Option<HeaderName>,
+    /// Only 200 is served; else all final answers below 500 but 429 are the service's own and served.
+    pub only_ok: bool,
+    /// A header with its value, and the statuses with which it proves that the request never ran.
+    pub declined: Option<(HeaderName, HeaderValue, Vec<StatusCode>)>,
+    /// Most bytes of an answer's body.
+    pub most_answer: usize,
+}
+
+impl Dialect {
+    /// The platform's.
+    pub fn platform() -> Dialect {
+        let statuses = vec![StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT];
+        let mark = (HeaderName::from_static("srv-declined"), HeaderValue::from_static("1"), statuses);
+        Dialect {
+            deadline: Some(HeaderName::from_static("req-deadline-ms")),
+            only_ok: true,
+            declined: Some(mark),
+            most_answer: MOST_BODY,
+        }
+    }
+
+    fn served(&self, status: StatusCode) -> bool {
+        // 429 is a refusal to a caller: passed on, it would promise that the request never ran.
+        let own = status.as_u16() < 500 && status != StatusCode::TOO_MANY_REQUESTS;
+        if self.only_ok { status == StatusCode::OK } else { own && !status.is_informational() }
+    }
+
+    fn declines(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        let Some((name, value, statuses)) = &self.declined else { return false };
+        statuses.contains(&status) && headers.get(name) == Some(value)
+    }
+}
 
 /// A request as it goes to an upstream, the same in each attempt.
 pub struct Call {
@@ -37,7 +74,7 @@
 }
 
 impl Call {
-    fn request(&self, address: SocketAddr, limit: Option<Micros>) -> Request<Full<Bytes>> {
+    fn request(&self, address: SocketAddr, limit: Option<Micros>, dialect: &Dialect) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -48,10 +85,11 @@
         {
             headers.insert(HOST, host);
         }
-        if let Some(limit) = limit {
-            headers.insert(DEADLINE, HeaderValue::from(limit.div_ceil(1000)));
+        if let (Some(limit), Some(name)) = (limit, &dialect.deadline) {
+            headers.insert(name.clone(), HeaderValue::from(limit.div_ceil(1000)));
         }
-        if self.method == Method::POST {
+        // RFC 9110 section 8.6: those that expect a body say so though it is empty.
+        if !self.body.is_empty() || [Method::POST, Method::PUT, Method::PATCH].contains(&self.method) {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
         }
         request
@@ -61,6 +99,8 @@
 /// An upstream's answer, read to its end.
 #[derive(Debug)]
 pub struct Reply {
+    /// Its status.
+    pub status: StatusCode,
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
@@ -133,12 +173,19 @@
 /// All connections to upstreams.
 pub struct Upstreams {
     pool: Rc<Pool>,
+    dialect: RefCell<Rc<Dialect>>,
 }
 
 impl Upstreams {
-    /// No connections yet, and never more than `most`.
-    pub fn new(limits: &fs::Limits, most: usize) -> Upstreams {
-        Upstreams { pool: Rc::new(Pool::new(limits, most)) }
+    /// No connections yet, and never more than the share allows.
+    pub fn new(limits: &fs::Limits, places: Rc<Share>, dialect: Dialect) -> Upstreams {
+        Upstreams { pool: Rc::new(Pool::new(limits, places)), dialect: RefCell::new(Rc::new(dialect)) }
+    }
+
+    /// Goes on under other settings; attempts that are out keep theirs.
+    pub fn set(&self, limits: &fs::Limits, dialect: Dialect) {
+        self.pool.set(limits);
+        *self.dialect.borrow_mut() = Rc::new(dialect);
     }
 
     /// Closes idle connections in time; never returns.
@@ -154,10 +201,10 @@
         limit: Micros,
         report: Report<W>,
     ) -> Attempt {
-        let (pool, flight) = (self.pool.clone(), Flight::new(&call));
+        let (pool, flight, dialect) = (self.pool.clone(), Flight::new(&call), self.dialect.borrow().clone());
         let shared = flight.clone();
         let task = spawn_local(async move {
-            let ended = exchange(&pool, to, &call, Some(limit), &shared).await;
+            let ended = exchange(&pool, to, &call, Some(limit), &dialect, &shared).await;
             let mut conn = ended.conn;
             // Put back before the outcome is told: what the module sends on it finds the connection.
             let waiting = match conn.as_mut().map(|c| c.sender.is_ready()) {
@@ -177,12 +224,12 @@
 
     /// Asks an upstream how it is.
     pub fn probe(&self, to: Target, told: impl FnOnce(Duration, Outcome, Option<Load>) + 'static) {
-        let pool = self.pool.clone();
+        let (pool, dialect) = (self.pool.clone(), self.dialect.borrow().clone());
         let uri = Uri::from_static("/health/live");
         let call = Call { method: Method::GET, uri, headers: HeaderMap::new(), body: Bytes::new() };
         spawn_local(async move {
             let (flight, start) = (Flight::new(&call), Instant::now());
-            let ended = timeout(CONNECT_UNTOLD, exchange(&pool, to, &call, None, &flight)).await;
+            let ended = timeout(CONNECT_UNTOLD, exchange(&pool, to, &call, None, &dialect, &flight)).await;
             let ended = ended.unwrap_or_else(|_| Outcome::TimedOut.into());
             told(start.elapsed(), ended.outcome, ended.load);
             if let Some(conn) = ended.conn {
@@ -205,7 +252,14 @@
 
 /// One request on one connection. A pooled connection that turns out dead before anything was written to it
 /// is passed over for the next; nothing is ever written twice.
-async fn exchange(pool: &Pool, to: Target, call: &Call, limit: Option<Micros>, flight: &Flight) -> Exchanged {
+async fn exchange(
+    pool: &Pool,
+    to: Target,
+    call: &Call,
+    limit: Option<Micros>,
+    dialect: &Dialect,
+    flight: &Flight,
+) -> Exchanged {
     let start = Instant::now();
     loop {
         let (mut conn, reused) = match pool.take(to) {
@@ -217,8 +271,8 @@
         };
         flight.begin(&conn);
         let left = limit.map(|l| l.saturating_sub(start.elapsed().as_micros() as Micros));
-        match conn.sender.try_send_request(call.request(to.address, left)).await {
-            Ok(response) => return read(response, conn).await,
+        match conn.sender.try_send_request(call.request(to.address, left, dialect)).await {
+            Ok(response) => return read(response, conn, dialect).await,
             Err(mut e) => {
                 let untouched = e.take_message().is_some();
                 if untouched && reused {
@@ -232,18 +286,18 @@
 }
 
 /// Reads an answer to its end and tells what it means; the connection is kept only if it was read whole.
-async fn read(response: Response<Incoming>, conn: Conn) -> Exchanged {
+async fn read(response: Response<Incoming>, conn: Conn, dialect: &Dialect) -> Exchanged {
     let (head, body) = response.into_parts();
-    let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
+    let declined = dialect.declines(head.status, &head.headers);
     let load = head.headers.get("srv-load").and_then(|v| v.to_str().ok()).map(load);
-    let body = Limited::new(body, MOST_BODY).collect().await.ok().map(|b| b.to_bytes());
+    let body = Limited::new(body, dialect.most_answer).collect().await.ok().map(|b| b.to_bytes());
     let whole = body.is_some();
     let (outcome, reply) = match (head.status, body) {
-        (StatusCode::OK, Some(body)) => (Outcome::Ok, Some(Reply { headers: head.headers, body })),
         // Guards against an answer that is not what it seems: spoilt, it proves nothing, its mark neither.
         (_, None) => (Outcome::Reset, None),
-        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if declined => {
-            (Outcome::Full, None)
+        _ if declined => (Outcome::Full, None),
+        (status, Some(body)) if dialect.served(status) => {
+            (Outcome::Ok, Some(Reply { status, headers: head.headers, body }))
         }
         _ => (Outcome::Error, None),
     };
@@ -293,7 +347,8 @@
             let settings = fs::Settings::new(Vec::new());
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let to = Target { server: 0, address: listener.local_addr().expect("an address") };
-            test(Upstreams::new(&settings.limits, most), listener, to).await;
+            let upstreams = Upstreams::new(&settings.limits, Share::alone(most), Dialect::platform());
+            test(upstreams, listener, to).await;
         });
     }
 
@@ -305,13 +360,13 @@
     /// One exchange, on a new connection if `accept`; the peer's end of it and how it ended.
     async fn once(upstreams: &Upstreams, listener: &TcpListener, to: Target) -> (TcpStream, Outcome) {
         let (call, pool) = (call(), &upstreams.pool);
-        let flight = Flight::new(&call);
+        let (flight, dialect) = (Flight::new(&call), Dialect::platform());
         let peer = async {
             let (mut stream, _) = listener.accept().await.expect("a connection");
             serve(&mut stream).await;
             stream
         };
-        let (stream, ended) = tokio::join!(peer, exchange(pool, to, &call, None, &flight));
+        let (stream, ended) = tokio::join!(peer, exchange(pool, to, &call, None, &dialect, &flight));
         if let Some(conn) = ended.conn {
             put_when_ready(pool, to.server, conn).await;
         }
@@ -359,7 +414,7 @@
             drop(listener);
             let call = call();
             let flight = Flight::new(&call);
-            let ended = exchange(&upstreams.pool, to, &call, None, &flight).await;
+            let ended = exchange(&upstreams.pool, to, &call, None, &Dialect::platform(), &flight).await;
             assert_eq!(ended.outcome, Outcome::ConnectFailed);
             assert!(!flight.may_have_run());
         });
@@ -370,12 +425,13 @@
         with(9, async |upstreams, listener, to| {
             // More than the sockets' buffers take of a peer that does not read.
             let call = Call { method: Method::POST, body: vec![0; 32 << 20].into(), ..call() };
-            let flight = Flight::new(&call);
+            let (flight, dialect) = (Flight::new(&call), Dialect::platform());
             let peer = async {
                 let (mut stream, _) = listener.accept().await.expect("a connection");
                 stream.read_u8().await.expect("a beginning");
             };
-            let ((), ended) = tokio::join!(peer, exchange(&upstreams.pool, to, &call, None, &flight));
+            let ((), ended) =
+                tokio::join!(peer, exchange(&upstreams.pool, to, &call, None, &dialect, &flight));
             assert_eq!(ended.outcome, Outcome::ConnectFailed);
         });
     }
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -15,8 +15,10 @@
 use config::Config;
 use sloeline_engine::engine::{Engine, Report, Wire};
 use sloeline_engine::types::Target;
-use sloeline_http::server::{Phase, Room, Server};
-use sloeline_http::upstream::{Attempt, Call, Reply, Upstreams};
+use sloeline_http::callers::{Callers, Phase, Room};
+use sloeline_http::platform::Platform;
+use sloeline_http::upstream::{Attempt, Call, Dialect, Reply, Upstreams};
+use sloeline_limits::Share;
 use sloeline_membership::platform::Discovery;
 
 /// Descriptors for the runtime, the signals, the listener, discovery and standard streams.
@@ -113,7 +115,7 @@
 
     let free = config.sockets.saturating_sub(RESERVED).max(2);
     let callers = ((free as f64 * CALLERS) as usize).max(1);
-    let upstreams = Upstreams::new(&settings.limits, free - callers);
+    let upstreams = Upstreams::new(&settings.limits, Share::alone(free - callers), Dialect::platform());
     spawn_local(upstreams.tend());
     let generation = config.known.as_ref().map_or(0, |known| known.generation);
     let discovery = Discovery::new(config.discovery, generation);
@@ -159,7 +161,8 @@
         }
         let _ = stop.send(Phase::Stopping);
     });
-    let room = Room { places: callers, bodies: (config.memory as f64 * BODIES) as usize };
-    Server::new(engine, classes, tenants, room, phase).serve(listener, phases).await;
+    let room = Room::platform(callers, classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0));
+    let front = Platform::new(engine, classes, tenants, (config.memory as f64 * BODIES) as usize);
+    Callers::new(front, room, phase).serve(listener, phases).await;
     Ok(())
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -104,6 +104,7 @@
 const ASK: u64 = 3;
 
 /// Percentiles of recent latencies: a histogram with buckets of equal ratio, whose samples fade with time.
+#[derive(Clone)]
 struct Percentiles {
     counts: Vec<f64>,
     total: f64,
@@ -258,7 +259,7 @@
     closed: bool,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct ClassState {
     latency: Percentiles,
     /// The lowest P50 seen lately.
@@ -344,6 +345,35 @@
         })
     }
 
+    /// Goes on under other settings, with all that was learned of servers. Class `i` begins with what class
+    /// `learned[i]` learned; one that keeps its number keeps its requests too, so a class with open requests
+    /// must keep number and effect. Fails, and changes nothing, if the settings make no sense.
+    pub fn reconfigure(
+        &mut self,
+        settings: Settings,
+        learned: &[Option<ClassId>],
+    ) -> Result<(), SettingsError> {
+        settings.check()?;
+        let from = |i: usize| learned.get(i).copied().flatten();
+        let mut old: Vec<ClassState> = std::mem::take(&mut self.classes);
+        let held: Vec<_> = old.iter_mut().map(|c| std::mem::take(&mut c.held)).collect();
+        let copied = |i: usize| from(i).and_then(|j| old.get(j)).cloned().unwrap_or_default();
+        self.classes = (0..settings.classes.len()).map(copied).collect();
+        self.classes.iter_mut().zip(held).for_each(|(class, held)| class.held = held);
+        for server in &mut self.servers {
+            let old = std::mem::take(&mut server.breakers);
+            let copied = |i: usize| from(i).and_then(|j| old.get(j + 1)).cloned().unwrap_or_default();
+            server.breakers = vec![old.first().cloned().unwrap_or_default()];
+            server.breakers.extend((0..settings.classes.len()).map(copied));
+        }
+        self.half_life = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(1) as f64;
+        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(1);
+        self.look = (aim / SWEEPS).max(settings.tick);
+        self.settings = settings;
+        self.count_pools();
+        Ok(())
+    }
+
     /// Takes one event and appends what is to be done. `now` never goes back.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if !self.started {
