A daemon of listeners, routes and pools: run, check, route and demo

Change: sloeline-config reads TOML and checks it as a whole (all errors at once with line, key, found, expected; dangerous declarations unless asserted by name); the daemon runs an engine for each pool, divides descriptors, open requests and bytes among pools (own parts and a lent reserve), and replaces all of it atomically on SIGHUP; classes keep their numbers while requests are open. sloeline-membership watches files and follows registries. sloeline-standin holds upstreams, clients and the account of both; 'sloeline demo' plays them. The platform's program is what runs without a command, unchanged.

--- /dev/null
+++ b/config/src/model.rs
@@ -0,0 +1,229 @@
+//! What a configuration says, once it is read.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use finchshift::{Class, Micros, Tenant};
+use sloeline_routing::pattern::Route;
+
+use crate::problem::Span;
+
+/// What can be asserted in a route, a class or a split, and what it says.
+pub const ASSERTIONS: [(&str, &str); 5] = [
+    ("write-method-is-safe", "on a route: a method other than GET, HEAD and OPTIONS changes nothing"),
+    ("overlap", "on both routes: the one whose name comes first in the alphabet goes first"),
+    ("unreachable", "on a route: that no request reaches it is known"),
+    ("deadline-under-aim", "on a route or class: its callers leave before the aim"),
+    ("split-sum", "on a route: the weights of its split are relative, they need not add up to 100"),
+];
+
+/// Everything.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// This instance.
+    pub instance: Instance,
+    /// What the process may take up.
+    pub limits: Limits,
+    /// Where callers connect.
+    pub listeners: BTreeMap<String, Listener>,
+    /// Classes of requests.
+    pub classes: BTreeMap<String, NamedClass>,
+    /// Tenants.
+    pub tenants: BTreeMap<String, Tenant>,
+    /// Pools of upstreams.
+    pub pools: BTreeMap<String, Pool>,
+    /// Routes, in the order of the text.
+    pub routes: Vec<RouteTo>,
+}
+
+/// `[instance]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Its name in logs.
+    pub name: String,
+    /// The zone that it is in.
+    pub zone: String,
+    /// Its number among the instances, from 0.
+    pub number: u32,
+    /// How many instances send to the same upstreams.
+    pub count: u32,
+}
+
+/// `[limits]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Descriptors that the process may hold.
+    pub descriptors: usize,
+    /// Memory, in bytes.
+    pub memory: usize,
+    /// From the order to stop until the last answer; none for the longest deadline and half a second.
+    pub stop_within: Option<Micros>,
+    /// Where it stands.
+    pub span: Span,
+}
+
+/// `[listener.NAME]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listener {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Most connections; none for an equal part of what callers may hold.
+    pub connections: Option<usize>,
+    /// The header in which callers say how long they wait, in milliseconds.
+    pub deadline_header: Option<String>,
+    /// The path that tells whether requests can be served.
+    pub ready_path: String,
+    /// How long a connection without a request is kept.
+    pub idle_timeout: Micros,
+    /// How long a head may take.
+    pub head_timeout: Micros,
+    /// How long a request may take from its first byte to its last.
+    pub body_timeout: Micros,
+    /// Where it stands.
+    pub span: Span,
+}
+
+/// `[class.NAME]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedClass {
+    /// As the module has it.
+    pub class: Class,
+    /// What is asserted of it.
+    pub assert: Vec<String>,
+    /// Where it stands.
+    pub span: Span,
+}
+
+/// Where a pool's upstreams are listed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Nodes {
+    /// In the configuration.
+    Static(Vec<Node>),
+    /// In a file, in the form of the platform's list.
+    File(String),
+    /// At a registry that speaks the platform's protocol.
+    Registry(SocketAddr),
+}
+
+/// An upstream of a static list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its identity.
+    pub name: String,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its size.
+    pub weight: f64,
+    /// It finishes what it has and takes nothing new.
+    pub draining: bool,
+}
+
+/// What proves that an upstream turned a request away unseen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Declined {
+    /// A header ...
+    pub header: String,
+    /// ... with this value ...
+    pub value: String,
+    /// ... in an answer with one of these statuses.
+    pub statuses: Vec<u16>,
+}
+
+/// `[pool.NAME]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// Where its upstreams are listed.
+    pub nodes: Nodes,
+    /// Its part of descriptors, open requests and memory beside other pools'.
+    pub weight: f64,
+    /// How many zones its upstreams are in.
+    pub zones: u32,
+    /// Attempts for a request, all told.
+    pub attempts: u32,
+    /// Nothing new goes to an upstream this long after the news that it drains.
+    pub drain_grace: Micros,
+    /// A started upstream can do this part of its work ...
+    pub cold_from: f64,
+    /// ... and all of it after this.
+    pub warm_after: Micros,
+    /// Sent more than this multiple of what it can do ...
+    pub overload_factor: f64,
+    /// ... for this long, a cold upstream falls over.
+    pub tip_after: Micros,
+    /// How long a connection may take to come up.
+    pub connect_timeout: Micros,
+    /// After which idle time upstreams close a connection.
+    pub idle_timeout: Micros,
+    /// The header that tells upstreams how long the balancer waits, in milliseconds.
+    pub deadline_header: Option<String>,
+    /// What proves that a request never ran.
+    pub declined: Option<Declined>,
+    /// Most bytes of an answer.
+    pub answer_limit: usize,
+    /// Where it stands.
+    pub span: Span,
+}
+
+/// Where a route finds something.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    /// `header:NAME`
+    Header(String),
+    /// `query:NAME`
+    Query(String),
+    /// `path:NAME`, by the number of the segment.
+    Segment(usize),
+    /// `=TEXT`, always this.
+    Fixed(String),
+}
+
+/// `[[route]]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteTo {
+    /// What it asks for.
+    pub route: Route,
+    /// The listeners it is for.
+    pub listeners: Vec<String>,
+    /// Pools by weight; one pool has weight 100.
+    pub split: Vec<(String, u32)>,
+    /// What keeps a caller on its side.
+    pub sticky: Option<Source>,
+    /// Its classes; more than one only where a header names it.
+    pub classes: Vec<String>,
+    /// The header that names the class.
+    pub class_header: Option<String>,
+    /// Whose requests they are.
+    pub tenant: Option<Source>,
+    /// What a keyed request is known by.
+    pub key: Option<Source>,
+    /// How long callers wait at the longest, if that is less than the class says.
+    pub deadline: Option<Micros>,
+    /// Most bytes of a body.
+    pub body_limit: usize,
+    /// What is asserted of it.
+    pub assert: Vec<String>,
+    /// Where it stands.
+    pub span: Span,
+}
+
+impl Config {
+    /// The longest time that any caller may wait.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.values().map(|c| c.class.deadline).max().unwrap_or(0)
+    }
+
+    /// The names of the classes that routes send to a pool, each once, in order.
+    pub fn classes_of(&self, pool: &str) -> Vec<&str> {
+        let mut names: Vec<&str> = Vec::new();
+        for route in self.routes.iter().filter(|r| r.split.iter().any(|(p, _)| p == pool)) {
+            names.extend(route.classes.iter().map(String::as_str));
+        }
+        names.sort_unstable();
+        names.dedup();
+        names
+    }
+}
--- a/http/src/callers.rs
+++ b/http/src/callers.rs
@@ -36,6 +36,8 @@
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 /// Part of that time in which connections and requests are still taken: the front needs it to find others.
 const STILL_TAKEN: f64 = 0.37;
+/// A listener that is removed takes what its queue holds for so long: the connections are up for their callers.
+const IN_QUEUE: Duration = Duration::from_millis(20);
 /// What comes so soon after the order may take its own time.
 const UNHURRIED: Duration = Duration::from_millis(600);
 /// How long a connection that has carried nothing is still kept when no more come.
@@ -71,13 +73,16 @@
     pub ready_path: String,
     /// How long after the order to stop the last answer is given.
     pub leave_within: Duration,
+    /// How long after it connections and requests are still taken.
+    pub still_taken: Duration,
 }
 
 impl Room {
     /// So many places, and all else as the platform has it; `longest` is the longest deadline.
     pub fn platform(places: usize, longest: Micros) -> Room {
         let leave_within = Duration::from_micros(longest).min(LONGEST_WAIT) + KILL_MARGIN;
-        Room { places, pace: Pace::default(), ready_path: "/health/ready".to_owned(), leave_within }
+        let (pace, ready_path) = (Pace::default(), "/health/ready".to_owned());
+        Room { places, pace, ready_path, leave_within, still_taken: leave_within.mul_f64(STILL_TAKEN) }
     }
 }
 
@@ -135,8 +140,8 @@
         self.room.borrow().places
     }
 
-    /// Takes connections until the order to stop and a little longer; returns when all are closed.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, phases: watch::Sender<Phase>) {
+    /// Takes connections until the order to stop and a little longer, or until none are to come any more.
+    pub async fn accept(self: &Rc<Self>, listener: TcpListener, phases: &watch::Sender<Phase>) {
         let mut phase = self.phase.clone();
         let mut stop_at = None;
         loop {
@@ -166,16 +171,21 @@
                 () = end => match stop_at {
                     Some(_) => break,
                     None => {
-                        eprintln!("sloeline: told to stop");
                         let now = Instant::now();
                         self.ordered.set(Some(now));
-                        stop_at = Some(now + self.leave_within().mul_f64(STILL_TAKEN));
+                        let removed = *self.phase.borrow() == Phase::Closing;
+                        let still = if removed { IN_QUEUE } else { self.room.borrow().still_taken };
+                        stop_at = Some(now + still);
                     }
                 },
             }
         }
         drop(listener);
         let _ = phases.send(Phase::Closing);
+    }
+
+    /// Waits until all connections are closed.
+    pub async fn closed(&self) {
         let _ = self.places.acquire_many(self.most() as u32).await;
     }
 
--- a/http/src/front.rs
+++ b/http/src/front.rs
@@ -1,5 +1,6 @@
 //! What a front decides of a request: by which engine and class it goes, and in which form it is forwarded.
 
+use std::any::Any;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -14,7 +15,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode, Uri};
 use sloeline_engine::engine::{Engine, Wire};
-use sloeline_limits::{Share, Taken};
+use sloeline_limits::Share;
 
 use crate::upstream::{Call, Reply};
 
@@ -67,7 +68,7 @@
     /// The bytes that bodies of its pool may take.
     pub bodies: Rc<Share>,
     /// What it holds until it is answered.
-    pub held: Option<Taken>,
+    pub held: Option<Box<dyn Any>>,
 }
 
 /// The headers that are not about the connection or the framing.
--- a/http/src/routed.rs
+++ b/http/src/routed.rs
@@ -1,6 +1,6 @@
 //! The daemon's front: a table of routes, each with a class, a pool or a split between pools, and limits.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +16,7 @@
 use sloeline_routing::split::{Split, hash};
 use sloeline_routing::table::{Miss, Table};
 use sloeline_routing::target::{BadTarget, Target, decoded};
+use tokio::sync::oneshot;
 
 use crate::front::{Admission, Answered, Front, end_to_end, number, plain};
 use crate::upstream::{Call, Reply};
@@ -48,13 +49,15 @@
     /// Its engine.
     pub engine: Rc<Engine<W>>,
     /// The numbers of the tenants.
-    pub tenants: HashMap<String, fs::TenantId>,
+    pub tenants: RefCell<HashMap<String, fs::TenantId>>,
     /// How many requests it may have open.
     pub open: Rc<Share>,
     /// Bytes that bodies and answers may take.
     pub bodies: Rc<Share>,
     /// Most bytes of an answer.
-    pub most_answer: usize,
+    pub most_answer: Cell<usize>,
+    /// Dropped with the pool, when neither routes nor requests hold it any more.
+    pub held: oneshot::Sender<()>,
 }
 
 /// A class that a route may give.
@@ -254,18 +257,18 @@
             engine: pool.engine.clone(),
             class: side.classes.get(number_of_class).copied().unwrap_or(usize::MAX),
             time_left: waits.min(class.deadline),
-            tenant: tenant.and_then(|t| pool.tenants.get(&t).copied()),
+            tenant: tenant.and_then(|t| pool.tenants.borrow().get(&t).copied()),
             work: None,
             retry: false,
             method: head.method.clone(),
             uri: target.forwarded().parse().map_err(|_| bad("the target cannot be forwarded"))?,
             headers,
             most_body: service.most_body,
-            most_answer: pool.most_answer,
+            most_answer: pool.most_answer.get(),
             bodiless: [Method::GET, Method::HEAD].contains(&head.method),
             id: None,
             bodies: pool.bodies.clone(),
-            held: Some(held),
+            held: Some(Box::new((held, pool.clone()))),
         })
     }
 
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -1,3 +1,4 @@
 //! Where lists of upstreams come from.
 
+pub mod file;
 pub mod platform;
--- a/membership/src/platform.rs
+++ b/membership/src/platform.rs
@@ -26,6 +26,8 @@
 const WATCH_PATIENCE: Duration = Duration::from_secs(2);
 /// Pause before the first call at a new address is made again; it doubles each time.
 const AGAIN: Duration = Duration::from_millis(100);
+/// Longest pause of one that follows.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 /// How often the first call at a new address is made again before the module is told.
 const TIMES_AGAIN: u32 = 4;
 /// Most of a list's text.
@@ -134,16 +136,37 @@
         }
         self.moves.set(self.moves.get() + 1);
         self.generation.set(None);
-        self.start(TIMES_AGAIN, tell);
+        self.start(TIMES_AGAIN, None, tell);
     }
 
     /// Watches from now on and tells each list; a failure is told and ends the watch. A watch under way ends.
     pub fn watch(self: &Rc<Self>, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
-        self.start(0, tell);
+        self.start(0, None, tell);
+    }
+
+    /// Asks for the whole list at once, watches, and begins anew after each failure, which is told to nobody. The
+    /// pauses double up to a bound and are drawn at random, so that instances do not ask in step. Ends the watch
+    /// under way.
+    pub fn follow(self: &Rc<Self>, seed: u64, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
+        self.generation.set(None);
+        self.start(0, Some(fastrand::Rng::with_seed(seed)), tell);
+    }
+
+    /// Leaves: nothing is asked and nothing told any more.
+    pub fn leave(&self) {
+        self.moves.set(self.moves.get() + 1);
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
     }
 
     /// A watch whose first call is made again up to `again` times.
-    fn start(self: &Rc<Self>, mut again: u32, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
+    fn start(
+        self: &Rc<Self>,
+        mut again: u32,
+        mut follow: Option<fastrand::Rng>,
+        tell: impl Fn(ListKind, Vec<Listed>) + 'static,
+    ) {
         let this = self.clone();
         let task = spawn_local(async move {
             let (mut line, mut pause) = (None, AGAIN);
@@ -159,7 +182,7 @@
                     Ok(list) => {
                         let whole = list.reset || this.generation.get().is_none();
                         this.generation.set(Some(list.generation));
-                        again = 0;
+                        (again, pause) = (0, AGAIN);
                         tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
                     }
                     Err(why) if again > 0 => {
@@ -168,6 +191,14 @@
                         sleep(pause).await;
                         pause *= 2;
                     }
+                    Err(why) if follow.is_some() => {
+                        eprintln!("discovery: {}: {why}; asked again", this.address.get());
+                        let drawn = follow.as_mut().map_or(1.0, fastrand::Rng::f64);
+                        sleep(pause.mul_f64(0.5 + drawn)).await;
+                        // What came in between may be told nowhere else.
+                        this.generation.set(None);
+                        pause = (pause * 2).min(LONGEST_PAUSE);
+                    }
                     Err(why) => {
                         eprintln!("discovery: the watch ended: {why}");
                         return tell(ListKind::Failed, Vec::new());
--- a/routing/src/pattern.rs
+++ b/routing/src/pattern.rs
@@ -155,6 +155,11 @@
         self.segments.iter().position(|s| matches!(s, Segment::Parameter(n) if n == name))
     }
 
+    /// How many parameters it has.
+    pub fn parameters(&self) -> usize {
+        self.segments.iter().filter(|s| matches!(s, Segment::Parameter(_))).count()
+    }
+
     /// Of two that match the same path, the more specific is the greater: from left to right a text goes before a
     /// parameter, a parameter before the end of a prefix, and the exact end before that of a prefix.
     pub fn rank(&self, other: &PathPattern) -> Ordering {
--- /dev/null
+++ b/sloeline/src/cli.rs
@@ -0,0 +1,108 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use sloeline_config::model::Config;
+use sloeline_config::problem::Severity;
+use tokio::task::LocalSet;
+
+use crate::{daemon, demo, explain, platform};
+
+/// A load balancer for services that call services.
+///
+/// Without a command it is the platform's program, told what to do by EDGE_CONFIG.
+#[derive(Parser)]
+#[command(version, subcommand_required = false)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the balancer. SIGHUP reads the file again, SIGTERM and SIGINT stop it.
+    Run {
+        /// The configuration.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Check a configuration: all problems at once; status 1 if there are errors.
+    Check {
+        /// The configuration.
+        file: PathBuf,
+    },
+    /// Say which route a request takes, and why the others did not match.
+    Route {
+        /// The configuration.
+        file: PathBuf,
+        /// GET, POST, ...
+        method: String,
+        /// A path, or a whole http address.
+        url: String,
+        /// A header of the request, "Name: value".
+        #[arg(short = 'H', value_name = "HEADER")]
+        headers: Vec<String>,
+    },
+    /// Some ten seconds of upstreams, balancer and clients on this machine, with one upstream that dies and one
+    /// that drains; status 1 if not every request has one answer.
+    Demo {
+        /// How long, in seconds.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// For random numbers; drawn where none is given.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+}
+
+/// Reads the arguments and does what they ask for.
+pub fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let done = match arguments.command {
+        None if std::env::var_os("EDGE_CONFIG").is_some() => block_on(platform::run()),
+        None => {
+            let _ = Arguments::command().print_long_help();
+            return ExitCode::from(2);
+        }
+        Some(Command::Run { config }) => block_on(daemon::run(config)),
+        Some(Command::Check { file }) => match load(&file) {
+            Ok(_) => {
+                println!("{}: no errors", file.display());
+                Ok(())
+            }
+            Err(why) => Err(why),
+        },
+        Some(Command::Route { file, method, url, headers }) => load(&file)
+            .and_then(|config| explain::explain(&config, &method, &url, &headers))
+            .map(|text| print!("{text}")),
+        Some(Command::Demo { seconds, seed }) => {
+            demo::run(seconds, seed.unwrap_or_else(|| fastrand::u64(..)))
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("sloeline: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a future on a runtime of one thread.
+pub fn block_on(future: impl Future<Output = Result<(), String>>) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    LocalSet::new().block_on(&runtime, future)
+}
+
+/// Reads a configuration; problems go to standard error, each with the file's name.
+fn load(file: &std::path::Path) -> Result<Config, String> {
+    let (loaded, problems) = daemon::load(file)?;
+    for problem in &problems {
+        eprintln!("{}:{problem}", file.display());
+    }
+    let errors = problems.iter().filter(|p| p.severity == Severity::Error).count();
+    loaded.ok_or_else(|| format!("{}: {errors} errors", file.display()))
+}
--- /dev/null
+++ b/sloeline/src/daemon/pools.rs
@@ -0,0 +1,326 @@
+//! A pool that runs: its engine, its connections, its tasks and where its list comes from.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use finchshift as fs;
+use finchshift::{ListKind, Micros, ServerState};
+use hyper::StatusCode;
+use hyper::header::{HeaderName, HeaderValue};
+use sloeline_config::model::{Config, Nodes, Pool as Wanted};
+use sloeline_engine::engine::Engine;
+use sloeline_engine::types::Listed;
+use sloeline_http::routed::Pool;
+use sloeline_http::upstream::{Dialect, Upstreams};
+use sloeline_limits::{Reserve, Share};
+use sloeline_membership::file::{self, Watched};
+use sloeline_membership::platform::Discovery;
+use sloeline_settings::setup::Names;
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, spawn_local};
+
+use super::slots::{Assigned, Slot, assign};
+use crate::net::Net;
+
+/// What all pools share beyond their own parts.
+pub struct Reserves {
+    /// Connections to upstreams.
+    pub upstreams: Rc<Reserve>,
+    /// Open requests.
+    pub open: Rc<Reserve>,
+    /// Bytes of bodies and answers.
+    pub bodies: Rc<Reserve>,
+}
+
+/// A pool's own parts.
+#[derive(Clone, Copy)]
+pub struct Parts {
+    /// Connections to upstreams.
+    pub upstreams: usize,
+    /// Open requests.
+    pub open: usize,
+    /// Bytes of bodies and answers.
+    pub bodies: usize,
+}
+
+/// Where the list comes from, as long as it does.
+enum Source {
+    Static,
+    File { _watched: Option<Watched> },
+    Registry(Rc<Discovery>),
+}
+
+/// A pool under way.
+pub struct Running {
+    /// As routes see it.
+    pub pool: Rc<Pool<Net>>,
+    /// The numbers of its classes.
+    pub slots: Vec<Slot>,
+    config: Wanted,
+    connections: Rc<Share>,
+    source: Source,
+    /// When each node of a static list was first seen, if that was not at the start.
+    seen: HashMap<(String, std::net::SocketAddr), Option<Micros>>,
+    tasks: Vec<AbortHandle>,
+    /// Resolves when neither routes nor requests hold the pool any more.
+    let_go: oneshot::Receiver<()>,
+}
+
+/// What a pool needs to be made or changed, found out before anything is.
+pub struct Plan {
+    assigned: Assigned,
+    settings: fs::Settings,
+    dialect: Dialect,
+    tenants: HashMap<String, fs::TenantId>,
+    config: Wanted,
+    /// The list of a file, where it was not read before.
+    list: Option<Vec<Listed>>,
+    file: Option<PathBuf>,
+}
+
+fn dialect(pool: &Wanted) -> Result<Dialect, String> {
+    let header = |name: &str| HeaderName::try_from(name).map_err(|e| format!("{name:?}: {e}"));
+    let declined = pool.declined.as_ref().map(|d| {
+        let statuses = d.statuses.iter().filter_map(|s| StatusCode::from_u16(*s).ok()).collect();
+        let value = HeaderValue::try_from(&d.value).map_err(|e| format!("{:?}: {e}", d.value));
+        Ok::<_, String>((header(&d.header)?, value?, statuses))
+    });
+    Ok(Dialect {
+        deadline: pool.deadline_header.as_deref().map(header).transpose()?,
+        only_ok: false,
+        declined: declined.transpose()?,
+        most_answer: pool.answer_limit,
+    })
+}
+
+fn settings(config: &Config, pool: &Wanted, classes: Vec<fs::Class>, zones: &mut Names) -> fs::Settings {
+    let base = fs::Settings::new(classes);
+    fs::Settings {
+        me: config.instance.number,
+        balancers: config.instance.count,
+        zone: zones.number(&config.instance.zone),
+        zones: pool.zones,
+        tenants: config.tenants.values().copied().collect(),
+        limits: fs::Limits {
+            cancel: true,
+            retry_after: true,
+            max_attempts: pool.attempts,
+            connect_timeout: pool.connect_timeout,
+            idle_close: pool.idle_timeout,
+            ..base.limits
+        },
+        rules: fs::Rules {
+            cold_from: pool.cold_from,
+            warm_after: pool.warm_after,
+            overload_factor: pool.overload_factor,
+            tip_after: pool.tip_after,
+            drain_grace: pool.drain_grace,
+            ..base.rules
+        },
+        ..base
+    }
+}
+
+impl Plan {
+    /// What a pool is to be; fails, and changes nothing, if that makes no sense.
+    pub fn new(
+        name: &str,
+        config: &Config,
+        folder: &Path,
+        zones: &mut Names,
+        before: Option<&Running>,
+    ) -> Result<Plan, String> {
+        let named = |why: String| format!("pool.{name}: {why}");
+        let pool = config.pools.get(name).ok_or_else(|| named("not configured".to_owned()))?;
+        let mut wanted: Vec<Slot> = config
+            .classes_of(name)
+            .into_iter()
+            .filter_map(|n| {
+                config.classes.get(n).map(|c| Slot { name: n.to_owned(), class: c.class.clone() })
+            })
+            .collect();
+        if wanted.is_empty() {
+            // No route leads here yet; the module wants a class all the same.
+            let class = fs::Class {
+                effect: fs::Effect::Unsafe,
+                aim: 1_000_000,
+                aim_stretch: 0.0,
+                deadline: 1_000_000,
+                worth: 0.0,
+                late_worth: 0.0,
+                stream: false,
+            };
+            wanted.push(Slot { name: String::new(), class });
+        }
+        let assigned = match before {
+            Some(running) => assign(&running.slots, &wanted, |at| running.pool.engine.uses(at)),
+            None => assign(&[], &wanted, |_| false),
+        };
+        let settings =
+            settings(config, pool, assigned.slots.iter().map(|s| s.class.clone()).collect(), zones);
+        settings.check().map_err(|e| named(e.to_string()))?;
+        let same_source = before.is_some_and(|running| running.config.nodes == pool.nodes);
+        let file = match &pool.nodes {
+            Nodes::File(path) => Some(folder.join(path)),
+            _ => None,
+        };
+        let list = match &file {
+            Some(path) if !same_source => Some(file::read(path).map_err(named)?),
+            _ => None,
+        };
+        let tenants = config.tenants.keys().cloned().zip(0..).collect();
+        let dialect = dialect(pool).map_err(named)?;
+        Ok(Plan { assigned, settings, dialect, tenants, config: pool.clone(), list, file })
+    }
+
+    /// The numbers of the pool's classes, by name.
+    pub fn numbers(&self) -> HashMap<String, fs::ClassId> {
+        self.assigned.numbers.iter().map(|&at| (self.assigned.slots[at].name.clone(), at)).collect()
+    }
+}
+
+impl Running {
+    /// Makes a pool and starts it.
+    pub fn start(
+        name: &str,
+        plan: Plan,
+        reserves: &Reserves,
+        parts: Parts,
+        zones: &Names,
+        seed: u64,
+    ) -> Result<Running, String> {
+        let connections = Share::new(parts.upstreams, &reserves.upstreams);
+        let upstreams = Upstreams::new(&plan.settings.limits, connections.clone(), plan.dialect.clone());
+        let tend = upstreams.tend();
+        let net = Net { upstreams, discovery: None };
+        let engine = Engine::new(plan.settings.clone(), zones, seed, net)?;
+        let (held, let_go) = oneshot::channel();
+        let pool = Pool {
+            name: name.to_owned(),
+            engine: engine.clone(),
+            tenants: RefCell::new(plan.tenants.clone()),
+            open: Share::new(parts.open, &reserves.open),
+            bodies: Share::new(parts.bodies, &reserves.bodies),
+            most_answer: Cell::new(plan.config.answer_limit),
+            held,
+        };
+        let tasks = vec![spawn_local(tend).abort_handle(), spawn_local(engine.clone().run()).abort_handle()];
+        engine.begin();
+        let mut running = Running {
+            pool: Rc::new(pool),
+            slots: plan.assigned.slots.clone(),
+            config: plan.config.clone(),
+            connections,
+            source: Source::Static,
+            seen: HashMap::new(),
+            tasks,
+            let_go,
+        };
+        running.follow(&plan, None, seed);
+        Ok(running)
+    }
+
+    /// Goes on under another plan, with what was learned and the connections that are up.
+    pub fn change(&mut self, plan: Plan, parts: Parts, seed: u64) {
+        self.connections.resize(parts.upstreams);
+        self.pool.open.resize(parts.open);
+        self.pool.bodies.resize(parts.bodies);
+        let engine = &self.pool.engine;
+        let upstreams = &engine.wire().upstreams;
+        upstreams.set(&plan.settings.limits, plan.dialect.clone());
+        if let Err(why) = engine.reconfigure(plan.settings.clone(), &plan.assigned.learned) {
+            // The plan was checked by the same rules before anything was changed.
+            eprintln!("defect: pool {}: {why}", self.pool.name);
+            return;
+        }
+        self.slots.clone_from(&plan.assigned.slots);
+        self.pool.tenants.borrow_mut().clone_from(&plan.tenants);
+        self.pool.most_answer.set(plan.config.answer_limit);
+        let before = std::mem::replace(&mut self.config, plan.config.clone());
+        if before.nodes != plan.config.nodes {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            self.follow(&plan, Some(now.as_micros() as Micros), seed);
+        }
+    }
+
+    /// Takes the list from where the plan says. A node of a static list that was not there at the start counts as
+    /// started when it is first seen: guards cold upstreams, of which a file tells no more.
+    fn follow(&mut self, plan: &Plan, now: Option<Micros>, seed: u64) {
+        if let Source::Registry(discovery) = &self.source {
+            discovery.leave();
+        }
+        let engine = self.pool.engine.clone();
+        let tell = {
+            let engine = engine.clone();
+            move |kind, list| engine.list(kind, list)
+        };
+        self.source = match &plan.config.nodes {
+            Nodes::Static(nodes) => {
+                let mut seen = HashMap::new();
+                let list = nodes.iter().map(|node| {
+                    let key = (node.name.clone(), node.address);
+                    let started = self.seen.get(&key).copied().unwrap_or(now);
+                    seen.insert(key, started);
+                    Listed {
+                        instance: node.name.clone(),
+                        address: node.address,
+                        zone: node.zone.clone(),
+                        kind: String::new(),
+                        cell: node.cell,
+                        state: if node.draining { ServerState::Draining } else { ServerState::Ready },
+                        weight: node.weight,
+                        started,
+                    }
+                });
+                let list = list.collect();
+                self.seen = seen;
+                engine.list(ListKind::Complete, list);
+                Source::Static
+            }
+            Nodes::File(_) => {
+                if let Some(list) = &plan.list {
+                    engine.list(ListKind::Complete, list.clone());
+                }
+                let watched = plan.file.as_deref().map(|path| file::watch(path, tell));
+                let watched = watched.and_then(|watched| match watched {
+                    Ok(watched) => Some(watched),
+                    Err(why) => {
+                        eprintln!(
+                            "membership: pool {} follows its file on SIGHUP only: {why}",
+                            self.pool.name
+                        );
+                        None
+                    }
+                });
+                Source::File { _watched: watched }
+            }
+            Nodes::Registry(address) => {
+                let discovery = Discovery::new(*address, 0);
+                discovery.follow(seed, tell);
+                Source::Registry(discovery)
+            }
+        };
+    }
+
+    /// Ends when no request needs it any more; nothing new comes, since no route leads to it.
+    pub fn retire(self) -> impl Future<Output = ()> {
+        let Running { pool, source, tasks, let_go, .. } = self;
+        let (name, engine) = (pool.name.clone(), pool.engine.clone());
+        drop(pool);
+        async move {
+            // Requests whose bodies are on their way hold the pool; those that are open are in the engine.
+            let _ = let_go.await;
+            engine.drained().await;
+            if let Source::Registry(discovery) = &source {
+                discovery.leave();
+            }
+            tasks.iter().for_each(AbortHandle::abort);
+            // The tasks hold the engine, and the engine the connections.
+            tokio::task::yield_now().await;
+            eprintln!("sloeline: pool {name} has ended");
+        }
+    }
+}
--- /dev/null
+++ b/sloeline/src/net.rs
@@ -0,0 +1,54 @@
+//! The sockets that an engine's actions act on.
+
+use std::rc::Rc;
+
+use finchshift::{Micros, ServerId};
+use sloeline_engine::engine::{Engine, Report, Wire};
+use sloeline_engine::types::Target;
+use sloeline_http::upstream::{Attempt, Call, Reply, Upstreams};
+use sloeline_membership::platform::Discovery;
+
+/// Upstreams over HTTP, and discovery where the module asks it.
+pub struct Net {
+    /// Connections and attempts.
+    pub upstreams: Upstreams,
+    /// Nothing where lists come by themselves.
+    pub discovery: Option<Rc<Discovery>>,
+}
+
+impl Wire for Net {
+    type Call = Call;
+    type Reply = Reply;
+    type Out = Attempt;
+
+    fn send(&self, to: Target, call: Rc<Call>, limit: Micros, report: Report<Self>) -> Attempt {
+        self.upstreams.send(to, call, limit, report)
+    }
+
+    fn abort(&self, out: Attempt) -> bool {
+        out.abort()
+    }
+
+    fn probe(&self, engine: &Rc<Engine<Self>>, to: Target) {
+        let engine = engine.clone();
+        self.upstreams.probe(to, move |took, outcome, load| engine.probed(to.server, took, outcome, load));
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.upstreams.close_idle(server);
+    }
+
+    fn watch(&self, engine: &Rc<Engine<Self>>) {
+        let engine = engine.clone();
+        if let Some(discovery) = &self.discovery {
+            discovery.watch(move |kind, entries| engine.list(kind, entries));
+        }
+    }
+
+    fn fetch(&self, engine: &Rc<Engine<Self>>) {
+        let engine = engine.clone();
+        if let Some(discovery) = &self.discovery {
+            discovery.fetch(move |kind, entries| engine.list(kind, entries));
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,6 @@
+//! Stand-ins on loopback: upstreams that fail when told to, clients that measure what they are owed, and a
+//! [`record::Record`] in which both sides write, so that every request can be accounted for.
+
+pub mod client;
+pub mod node;
+pub mod record;
