--- a/routing/tests/reference.rs
+++ b/routing/tests/reference.rs
@@ -166,6 +166,11 @@
             pair[1].conditions.truncate(1);
             pair[0].conditions.truncate(1);
         }
+        // Some clash whatever the seed.
+        if round % 4 == 3 {
+            pair[1].methods = pair[0].methods.clone();
+            pair.iter_mut().for_each(|route| route.conditions.clear());
+        }
         let said = findings(&pair).iter().any(|f| matches!(f, Finding::Overlap(..)));
         let torn = findings(&pair).iter().any(|f| matches!(f, Finding::Contradiction(..)));
         // Every request that these routes can tell apart.
@@ -203,5 +208,5 @@
         }
         clashes += u32::from(seen);
     }
-    assert!(clashes > 10, "{clashes}: too few clashed");
+    assert!(clashes > 30, "{clashes}: too few clashed");
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,6 +69,20 @@
     next: u64,
 }
 
+/// A world of so many servers that started long ago.
+pub fn world(effects: &[Effect], servers: u32) -> World {
+    World::new(settings(effects), (0..servers).map(ServerEntry::new).collect(), 7)
+}
+
+/// Serves `n` requests of the class one after another, each in `took`.
+pub fn warm_up(world: &mut World, class: usize, n: usize, took: u64) {
+    for _ in 0..n {
+        world.request(class);
+        let until = world.now + took + MS;
+        world.run(until, |_| Some((took, Outcome::Ok)));
+    }
+}
+
 impl World {
     pub fn new(settings: Settings, servers: Vec<ServerEntry>, seed: u64) -> World {
         let balancer = Balancer::new(settings.clone(), seed).expect("the settings make sense");
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,24 +2,11 @@
 
 mod common;
 
-use common::{KEYED_CELL, MS, Out, SECOND, World, settings};
+use common::{KEYED_CELL, MS, Out, SECOND, World, settings, warm_up, world};
 use finchshift::{
     Action, Balancer, Discovery, Effect, Event, Goal, ListKind, Outcome, ServerEntry, ServerState, Tenant,
 };
 
-fn world(effects: &[Effect], servers: u32) -> World {
-    World::new(settings(effects), (0..servers).map(ServerEntry::new).collect(), 7)
-}
-
-/// Serves `n` requests of the class one after another, each in `took`.
-fn warm_up(world: &mut World, class: usize, n: usize, took: u64) {
-    for _ in 0..n {
-        world.request(class);
-        let until = world.now + took + MS;
-        world.run(until, |_| Some((took, Outcome::Ok)));
-    }
-}
-
 fn last_out(world: &World) -> Out {
     world.out.last().expect("an attempt is out").clone()
 }
--- a/tests/reconfigure.rs
+++ b/tests/reconfigure.rs
@@ -2,20 +2,8 @@
 
 mod common;
 
-use common::{MS, SECOND, World, class, settings};
-use finchshift::{Effect, Outcome, ServerEntry};
-
-fn world(effects: &[Effect], servers: u32) -> World {
-    World::new(settings(effects), (0..servers).map(ServerEntry::new).collect(), 7)
-}
-
-fn warm_up(world: &mut World, class: usize, n: usize, took: u64) {
-    for _ in 0..n {
-        world.request(class);
-        let until = world.now + took + MS;
-        world.run(until, |_| Some((took, Outcome::Ok)));
-    }
-}
+use common::{MS, SECOND, World, class, settings, warm_up, world};
+use finchshift::{Effect, Outcome};
 
 /// Takes over new settings, in the checker too.
 fn take(world: &mut World, settings: finchshift::Settings, learned: &[Option<usize>]) {
