Fast services: no failure on healthy pools, cost flat in upstreams, shifts followed both ways

Large zones are ranked by a stretch of 32 from a random place. A lone balancer asks for its list within 25 ms.

The bulkhead test allows no failure on the healthy pool any more.

--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -17,35 +17,46 @@
 
 use crate::upstream::message;
 
-/// How long a client waits.
-const PATIENCE: Duration = Duration::from_secs(6);
-
 /// What became of the requests.
 pub struct Outcome {
     /// By status; 0 for no answer.
     pub statuses: BTreeMap<u16, u64>,
     /// From when a request was due to its answer, served ones only, in microseconds.
     pub latency: Histogram<u64>,
+    /// From when a request was sent to its refusal, in microseconds.
+    pub refusals: Histogram<u64>,
     /// How long it took in all.
     pub span: Duration,
 }
 
 impl Outcome {
     fn new() -> Outcome {
-        let latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("good bounds");
-        Outcome { statuses: BTreeMap::new(), latency, span: Duration::ZERO }
+        let histogram = || Histogram::new_with_bounds(1, 60_000_000, 3).expect("good bounds");
+        Outcome {
+            statuses: BTreeMap::new(),
+            latency: histogram(),
+            refusals: histogram(),
+            span: Duration::ZERO,
+        }
     }
 
-    fn count(&mut self, status: u16, took: Duration) {
+    fn count(&mut self, status: u16, due: Instant, sent: Instant) {
         *self.statuses.entry(status).or_default() += 1;
-        if status == 200 {
-            self.latency.saturating_record(took.as_micros() as u64);
+        match status {
+            200 => self.latency.saturating_record(due.elapsed().as_micros() as u64),
+            503 => self.refusals.saturating_record(sent.elapsed().as_micros() as u64),
+            _ => {}
         }
     }
 
+    /// How many were answered so.
+    pub fn answered(&self, status: u16) -> u64 {
+        self.statuses.get(&status).copied().unwrap_or(0)
+    }
+
     /// Answered 200.
     pub fn served(&self) -> u64 {
-        self.statuses.get(&200).copied().unwrap_or(0)
+        self.answered(200)
     }
 
     /// All.
@@ -68,14 +79,27 @@
     Open(f64),
 }
 
+/// What a generator does.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Connections, each with one request at a time.
+    pub connections: usize,
+    /// How requests come.
+    pub arrivals: Arrivals,
+    /// How long clients wait.
+    pub patience: Duration,
+}
+
 struct Line {
     to: SocketAddr,
+    /// How long its client waits.
+    patience: Duration,
     stream: Option<BufReader<TcpStream>>,
 }
 
 impl Line {
     async fn ask(&mut self, id: u64) -> u16 {
-        let asked = timeout(PATIENCE + Duration::from_secs(1), self.exchange(id)).await;
+        let asked = timeout(self.patience + Duration::from_secs(1), self.exchange(id)).await;
         let status = asked.ok().flatten().unwrap_or(0);
         if status == 0 {
             self.stream = None;
@@ -86,7 +110,7 @@
     async fn exchange(&mut self, id: u64) -> Option<u16> {
         let request = format!(
             "PUT /files/{id} HTTP/1.1\r\nHost: bench.local\r\nIdempotency-Key: {id}\r\nRequest-Timeout-Ms: {}\r\nContent-Length: 4\r\n\r\nbody",
-            PATIENCE.as_millis()
+            self.patience.as_millis()
         );
         // A kept connection may be closed while the request is on its way: once more, on a new one.
         let kept = self.stream.is_some();
@@ -112,10 +136,10 @@
 }
 
 /// Plays load from a thread of its own.
-pub fn play(to: SocketAddr, connections: usize, arrivals: Arrivals, span: Duration, seed: u64) -> Outcome {
+pub fn play(to: SocketAddr, load: Load, span: Duration, seed: u64) -> Outcome {
     std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, run(to, connections, arrivals, span, seed))
+        LocalSet::new().block_on(&runtime, run(to, load, span, seed))
     })
     .join()
     .expect("the generator")
@@ -129,7 +153,8 @@
     next: Cell<u64>,
 }
 
-async fn run(to: SocketAddr, connections: usize, arrivals: Arrivals, span: Duration, seed: u64) -> Outcome {
+async fn run(to: SocketAddr, load: Load, span: Duration, seed: u64) -> Outcome {
+    let Load { connections, arrivals, patience } = load;
     let shared = Rc::new(Shared {
         outcome: RefCell::new(Outcome::new()),
         due: RefCell::default(),
@@ -142,7 +167,7 @@
         .map(|_| {
             let shared = shared.clone();
             spawn_local(async move {
-                let mut line = Line { to, stream: None };
+                let mut line = Line { to, patience, stream: None };
                 loop {
                     let due = match arrivals {
                         Arrivals::Closed if start.elapsed() >= span => return,
@@ -161,8 +186,9 @@
                     };
                     let id = shared.next.get();
                     shared.next.set(id + 1);
+                    let sent = Instant::now();
                     let status = line.ask(id).await;
-                    shared.outcome.borrow_mut().count(status, due.elapsed());
+                    shared.outcome.borrow_mut().count(status, due, sent);
                 }
             })
         })
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -14,10 +14,18 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use load::{Arrivals, play};
+use load::{Arrivals, Load, play};
 use program::Program;
 use upstream::{Takes, Upstreams};
 
+/// How long callers wait, but in overload.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// The pool in overload: its upstreams and the places of each.
+const SERVERS: usize = 10;
+const PLACES: usize = 4;
+/// Connections of callers in overload.
+const CALLERS: usize = 400;
+
 #[derive(Parser)]
 struct Arguments {
     #[command(subcommand)]
@@ -50,6 +58,15 @@
         #[arg(long)]
         rate: Option<f64>,
     },
+    /// A pool of ten upstreams with four places each, offered parts and multiples of what it can do.
+    Overload {
+        /// How long upstreams take, in milliseconds.
+        #[arg(long, default_value_t = 10.0)]
+        ms: f64,
+        /// How long callers wait, in milliseconds.
+        #[arg(long, default_value_t = 500)]
+        patience: u64,
+    },
     /// Sweeps over upstreams, connections and times.
     Sweep,
     /// The reference proxy, started by the other commands.
@@ -88,6 +105,9 @@
             ];
             print(cases.into_iter().map(|(u, c, ms)| closed(u, c, ms)), span, arguments.seed)
         }
+        Command::Overload { ms, patience } => {
+            overload(ms.max(0.1) / 1e3, Duration::from_millis(patience.max(1)), span, arguments.seed)
+        }
         Command::Sweep => {
             let upstreams = [10, 100, 1_000, 10_000].map(|u| closed(u, 16, 1.0));
             let connections = [1, 10, 100, 1_000].map(|c| closed(20, c, 1.0));
@@ -136,15 +156,16 @@
     let Case { upstreams, connections, takes, arrivals } = case;
     let mut reference: Option<(f64, f64, f64, f64)> = None;
     for by in ["direct", "proxy", "sloeline"] {
-        let up = Upstreams::start(*upstreams, *takes, seed);
+        let up = Upstreams::start(*upstreams, *takes, None, seed);
         let program = match by {
             "direct" => None,
             "proxy" => Some(Program::proxy(&up.addresses)?),
-            _ => Some(Program::daemon(&up.addresses)?),
+            _ => Some(Program::daemon(&up.addresses, PATIENCE)?),
         };
         let to = program.as_ref().map_or(up.addresses[0], |p| p.address);
         let before = program.as_ref().map_or(0.0, Program::cpu);
-        let outcome = play(to, *connections, *arrivals, span, seed);
+        let load = Load { connections: *connections, arrivals: *arrivals, patience: PATIENCE };
+        let outcome = play(to, load, span, seed);
         let asked = outcome.asked().max(1) as f64;
         let cpu = program.as_ref().map_or(0.0, |p| (p.cpu() - before) * 1e6 / asked);
         let figures = (outcome.ms(50.0), outcome.ms(99.0), outcome.ms(99.9), cpu);
@@ -172,3 +193,49 @@
     }
     Ok(())
 }
+
+/// Goodput, refusals and their cost as the load goes past what the pool can do.
+fn overload(takes: f64, patience: Duration, span: Duration, seed: u64) -> Result<(), String> {
+    let most = (SERVERS * PLACES) as f64 / takes;
+    println!(
+        "seed {seed}, {span:?} a play, {SERVERS} upstreams of {PLACES} places, {takes} s each: {most:.0} a second at most; callers wait {patience:?}"
+    );
+    println!(
+        "| offered | by | served a second | of the most | refused | failed | refused after ms, p50 | p99 | served p50 | p99 | processor us a request | a refusal |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for by in ["proxy", "sloeline"] {
+        let mut served_cost = 0.0;
+        for factor in [0.5, 0.9, 1.5, 3.0] {
+            let takes = Takes::Constant(Duration::from_secs_f64(takes));
+            let up = Upstreams::start(SERVERS, takes, Some(PLACES), seed);
+            let program = match by {
+                "proxy" => Program::proxy(&up.addresses)?,
+                _ => Program::daemon(&up.addresses, patience)?,
+            };
+            let load = Load { connections: CALLERS, arrivals: Arrivals::Open(factor * most), patience };
+            let before = program.cpu();
+            let outcome = play(program.address, load, span, seed);
+            let cpu = (program.cpu() - before) * 1e6;
+            let (served, refused) = (outcome.served() as f64, outcome.answered(503) as f64);
+            let failed = outcome.asked() as f64 - served - refused;
+            if factor < 1.0 {
+                served_cost = cpu / served.max(1.0);
+            }
+            let rate = served / outcome.span.as_secs_f64();
+            let refusal = (cpu - served * served_cost) / refused.max(1.0);
+            let refused_ms = |p: f64| outcome.refusals.value_at_percentile(p) as f64 / 1e3;
+            println!(
+                "| {factor} | {by} | {rate:.0} | {:.2} | {refused} | {failed} | {:.2} | {:.2} | {:.1} | {:.1} | {:.1} | {} |",
+                rate / most,
+                refused_ms(50.0),
+                refused_ms(99.0),
+                outcome.ms(50.0),
+                outcome.ms(99.0),
+                cpu / outcome.asked().max(1) as f64,
+                if refused >= 100.0 { format!("{refusal:.1}") } else { "-".to_owned() },
+            );
+        }
+    }
+    Ok(())
+}
--- a/bench/src/program.rs
+++ b/bench/src/program.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 /// Ticks in a second of `/proc`.
 const TICKS: f64 = 100.0;
@@ -49,16 +50,17 @@
         Program::start(command, None)
     }
 
-    /// The daemon, from the same folder as this program.
-    pub fn daemon(upstreams: &[SocketAddr]) -> Result<Program, String> {
+    /// The daemon, from the same folder as this program, with a class of this aim.
+    pub fn daemon(upstreams: &[SocketAddr], aim: Duration) -> Result<Program, String> {
         let own = std::env::current_exe().map_err(|e| e.to_string())?;
         let program = own.with_file_name("sloeline");
         let mut nodes = String::new();
         for (n, address) in upstreams.iter().enumerate() {
             let _ = writeln!(nodes, "  {{ name = \"n{n}\", address = \"{address}\" }},");
         }
+        let aim = aim.as_millis();
         let text = format!(
-            "[limits]\nmemory = \"1GiB\"\n[listener.l]\naddress = \"127.0.0.1:0\"\ndeadline_header = \"Request-Timeout-Ms\"\n[class.pull]\neffect = \"keyed\"\ngroup = \"all\"\nwindow = \"10s\"\naim = \"6s\"\ndeadline = \"6s\"\n[pool.p]\nnodes = [\n{nodes}]\n[[route]]\nname = \"files\"\nmethod = \"PUT\"\npath = \"/files/{{id}}\"\nclass = \"pull\"\nkey = \"header:Idempotency-Key\"\npool = \"p\"\n"
+            "[limits]\nmemory = \"1GiB\"\n[listener.l]\naddress = \"127.0.0.1:0\"\ndeadline_header = \"Request-Timeout-Ms\"\n[class.pull]\neffect = \"keyed\"\ngroup = \"all\"\nwindow = \"10s\"\naim = \"{aim}ms\"\ndeadline = \"{aim}ms\"\n[pool.p]\nnodes = [\n{nodes}]\n[[route]]\nname = \"files\"\nmethod = \"PUT\"\npath = \"/files/{{id}}\"\nclass = \"pull\"\nkey = \"header:Idempotency-Key\"\npool = \"p\"\n"
         );
         let file = std::env::temp_dir().join(format!("sloeline-bench-{}.toml", std::process::id()));
         std::fs::write(&file, text).map_err(|e| e.to_string())?;
--- a/bench/src/upstream.rs
+++ b/bench/src/upstream.rs
@@ -9,6 +9,7 @@
 use fastrand::Rng;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -55,8 +56,8 @@
 }
 
 impl Upstreams {
-    /// Starts so many.
-    pub fn start(count: usize, takes: Takes, seed: u64) -> Upstreams {
+    /// Starts so many. With `places`, what stands behind a listener works on so many requests at once; others wait.
+    pub fn start(count: usize, takes: Takes, places: Option<usize>, seed: u64) -> Upstreams {
         let counts = Arc::new(Counts::default());
         let listeners: Vec<std::net::TcpListener> = (0..LISTENERS.min(count))
             .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a port on loopback"))
@@ -71,7 +72,9 @@
                 for (n, listener) in listeners.into_iter().enumerate() {
                     listener.set_nonblocking(true).expect("a socket");
                     let listener = TcpListener::from_std(listener).expect("a socket");
-                    spawn_local(accept(listener, takes, shared.clone(), Rng::with_seed(seed ^ n as u64)));
+                    let places = places.map(|n| Rc::new(Semaphore::new(n)));
+                    let rng = Rng::with_seed(seed ^ n as u64);
+                    spawn_local(accept(listener, takes, places, shared.clone(), rng));
                 }
                 std::future::pending::<()>().await;
             });
@@ -80,21 +83,27 @@
     }
 }
 
-async fn accept(listener: TcpListener, takes: Takes, counts: Arc<Counts>, mut rng: Rng) {
+type Places = Option<Rc<Semaphore>>;
+
+async fn accept(listener: TcpListener, takes: Takes, places: Places, counts: Arc<Counts>, mut rng: Rng) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let _ = stream.set_nodelay(true);
         counts.connections.fetch_add(1, Ordering::Relaxed);
         let (counts, rng) = (counts.clone(), Rng::with_seed(rng.u64(..)));
-        spawn_local(serve(stream, takes, counts, Rc::new(std::cell::RefCell::new(rng))));
+        spawn_local(serve(stream, takes, places.clone(), counts, rng));
     }
 }
 
-async fn serve(stream: TcpStream, takes: Takes, counts: Arc<Counts>, rng: Rc<std::cell::RefCell<Rng>>) {
+async fn serve(stream: TcpStream, takes: Takes, places: Places, counts: Arc<Counts>, mut rng: Rng) {
     let mut stream = BufReader::new(stream);
     while message(&mut stream).await.is_some() {
         counts.attempts.fetch_add(1, Ordering::Relaxed);
-        let span = takes.draw(&mut rng.borrow_mut());
+        let span = takes.draw(&mut rng);
+        let _place = match &places {
+            Some(places) => places.acquire().await.ok(),
+            None => None,
+        };
         if !span.is_zero() {
             sleep(span).await;
         }
--- a/sloeline/tests/bulkhead.rs
+++ b/sloeline/tests/bulkhead.rs
@@ -63,8 +63,7 @@
             asked_for += 1;
             slowest = slowest.max(asked.elapsed());
         }
-        // A learned bound cuts one now and then, which is another issue's.
-        assert!(asked_for > 20 && f64::from(served) > 0.9 * f64::from(asked_for), "{served} of {asked_for}");
+        assert!(asked_for > 20 && served == asked_for, "{served} of {asked_for}");
         assert!(slowest < Duration::from_secs(1), "{slowest:?}");
         let (mut refused, mut failed) = (0, 0);
         for client in flood {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! One mechanism decides the ordinary path: an attempt is bounded by learned percentiles and the time left,
 //! what cannot finish is not sent, own time-outs trip a breaker, the ready server with fewest own calls wins.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use crate::api::*;
 
@@ -45,7 +45,8 @@
 const PATIENCE: f64 = 12.0;
 /// Retries that one first attempt pays for.
 const RETRY_SHARE: f64 = 0.1;
-/// Retries that may be saved up.
+/// Retries that may be saved up, or as many as the windows: what is cut short has one put aside, and a hiccup
+/// cuts all that is out.
 const RETRY_SAVINGS: f64 = 5.0;
 /// An answer that took more than this share of the time in which it is useful waited too long in queues.
 const QUEUE_TARGET: f64 = 0.7;
@@ -53,8 +54,19 @@
 const LATE_SHARE: f64 = 0.25;
 /// The window shrinks too when half of the answers took more than this many of the lowest P50 seen lately.
 const CROWDED: f64 = 1.25;
+/// ... but only from this share of the aim on: a fast service's P50 doubles for reasons that are no queue.
+const CROWDED_FROM: f64 = 0.02;
 /// Growth of that lowest P50 within a half-life, so that it follows a fleet that has changed.
 const BASE_RISE: f64 = 1.05;
+/// A class is learned anew when its answers take this many times the depth of first windows longer or
+/// shorter.
+const SLOWER: f64 = 4.0;
+/// ... while no window is wider than this many first ones.
+const MODEST: f64 = 2.0;
+/// An answer within this share of the aim that shows no queue lets a full window grow by so much more: what
+/// takes a small part of the time there is must not wait for a place.
+const ROOMY: f64 = 0.1;
+const ROOMY_GAIN: f64 = 1.0;
 /// Change of the window for one answer.
 const WINDOW_GAIN: f64 = 0.5;
 /// First window, in attempts to a server of the balancer's share of the fleet.
@@ -67,6 +79,8 @@
 const SHARED_BY: f64 = 4.0;
 /// Calls in flight that a server outside the preferred ones seems to have more.
 const OUTSIDE: f64 = 1.0;
+/// Servers of a zone that are ranked for a call: in larger zones a stretch of so many from a random place.
+const RANKED: usize = 32;
 /// A server is ejected when so many failures in a row would come by chance less often than this.
 const CHANCE: f64 = 0.01;
 /// Open time of a breaker, in longest deadlines.
@@ -91,6 +105,8 @@
 const FAR_AHEAD: f64 = 2.0;
 /// Requests held for each attempt that the window allows.
 const HELD_FOR_WINDOW: f64 = 4.0;
+/// ... or as many as the window serves within this share of the shortest aim, where that is more.
+const HELD_FOR_AIM: f64 = 0.05;
 /// Requests that may always be held.
 const HELD_ALWAYS: usize = 16;
 /// Looks at the held requests in the shortest aim.
@@ -99,6 +115,9 @@
 const HOUSEKEEPING: u64 = 16;
 /// Discovery is first asked within this share of the span allowed for asking.
 const ASK_SPREAD: f64 = 0.9;
+/// ... but this share for each balancer is enough: a few must not wait for their first list as hundreds have
+/// to.
+const ASK_EACH: f64 = 0.0025;
 /// Discovery is asked again within this share of that span after a failed call.
 const ASK_AGAIN: f64 = 0.4;
 
@@ -188,8 +207,6 @@
     not_before: Micros,
     /// Since when its idle connections have been so.
     idle: Vec<Micros>,
-    /// One of the few servers that this balancer prefers.
-    preferred: bool,
 }
 
 impl Server {
@@ -224,8 +241,15 @@
 #[derive(Default)]
 struct Pool {
     servers: u32,
+    /// Where they begin among all servers.
+    from: usize,
+    /// The few that this balancer prefers: the first of them, counted from there, and how many they are.
+    first: usize,
+    few: usize,
     /// Servers that take calls and are warm: beside them cold ones are spared.
     warm: u32,
+    /// There are none, and none are spared.
+    all_cold: bool,
     /// Attempts that may be out at once.
     window: f64,
     in_flight: u32,
@@ -246,6 +270,8 @@
     deadline: Micros,
     sent: u32,
     retried: bool,
+    /// A retry is put aside for it.
+    assured: bool,
     /// Its hinted work beside its class's mean; 1 where there is no hint.
     scale: f64,
     /// The earliest attempt that may have run: when it was sent and where.
@@ -277,6 +303,8 @@
     latency: Percentiles,
     /// The lowest P50 seen lately.
     base: f64,
+    /// Answers in a row that show a service far faster or slower than it was, and the last one's server.
+    shifted: (i32, ServerId),
     /// Mean of the hinted work.
     work: f64,
     offered: f64,
@@ -307,16 +335,19 @@
 pub struct Balancer {
     settings: Settings,
     rng: fastrand::Rng,
+    /// By zone, then around the ring.
     servers: Vec<Server>,
-    /// Where the preferred servers stand among them.
-    preferred: Vec<usize>,
+    /// Where each stands among them.
+    places: HashMap<ServerId, usize>,
     pools: BTreeMap<ZoneId, Pool>,
     requests: BTreeMap<RequestId, Request>,
     classes: Vec<ClassState>,
     all: Percentiles,
     /// Retries that wait for their backoff or are bound to a group.
     retries: Vec<RequestId>,
+    /// Those that are not put aside, and how many are.
     retry_budget: f64,
+    assured: u32,
     failing: f64,
     /// The longest deadline: samples fade by half over it, so a shift shows within seconds.
     half_life: f64,
@@ -340,12 +371,13 @@
             classes: settings.classes.iter().map(|_| ClassState::default()).collect(),
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
-            preferred: Vec::new(),
+            places: HashMap::new(),
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
             all: Percentiles::default(),
             retries: Vec::new(),
             retry_budget: RETRY_SAVINGS,
+            assured: 0,
             failing: 0.01,
             half_life: longest as f64,
             stale: [[0.0; 64]; 2],
@@ -394,7 +426,8 @@
             self.housekept = now;
             self.housekeep(now, actions);
             if self.settings.discovery == Discovery::Ask {
-                self.ask_within(self.settings.rules.ask_within as f64 * ASK_SPREAD, actions);
+                let spread = ASK_SPREAD.min(ASK_EACH * self.settings.balancers as f64);
+                self.ask_within(self.settings.rules.ask_within as f64 * spread, actions);
             }
         }
         match event {
@@ -406,9 +439,7 @@
                 self.outcome(now, request, &Ended { server, outcome, latency, closed }, actions);
             }
             // A stream that has begun is the client's: no limit, no retry; its outcome frees the place.
-            Event::FirstByte { request, .. } => {
-                self.requests.remove(&request);
-            }
+            Event::FirstByte { request, .. } => _ = self.forget(request),
             Event::Gone { request } => self.gone(request),
             Event::Timer { token: SWEEP } => self.sweep(now, actions),
             Event::Timer { token: HOUSEKEEP } => self.housekeep(now, actions),
@@ -425,11 +456,19 @@
     /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave: a call
     /// that was out then counts as late. Hurts where clients leave for reasons of their own.
     fn gone(&mut self, id: RequestId) {
-        let Some(attempt) = self.requests.remove(&id).and_then(|r| r.out) else { return };
+        let Some(attempt) = self.forget(id).and_then(|r| r.out) else { return };
         let Some(pool) = self.pools.get_mut(&attempt.zone) else { return };
         pool.window = (pool.window - WINDOW_GAIN * pool.window.min(1.0)).max(LEAST_WINDOW);
     }
 
+    /// What was put aside for it is free again.
+    fn forget(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.remove(&id)?;
+        self.assured -= u32::from(request.assured);
+        self.retry_budget += f64::from(u8::from(request.assured));
+        Some(request)
+    }
+
     // Intake.
 
     fn take(
@@ -473,7 +512,9 @@
     /// Prevents a backlog of requests that have no hope from filling the memory: the least worth go first.
     fn bound_held(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let window: f64 = self.pools.values().map(|p| p.window).sum();
-        let most = ((window * HELD_FOR_WINDOW) as usize).max(HELD_ALWAYS);
+        let soon = (self.look * SWEEPS) as f64 * HELD_FOR_AIM / self.all.p50;
+        let rounds = if self.all.p50 > 0.0 { soon.max(HELD_FOR_WINDOW) } else { HELD_FOR_WINDOW };
+        let most = ((window * rounds) as usize).max(HELD_ALWAYS);
         if self.classes.iter().map(|c| c.held.len()).sum::<usize>() > most {
             let order = self.class_order();
             let id = order.iter().rev().find_map(|&c| self.classes[c].held.pop_front());
@@ -485,7 +526,7 @@
 
     /// Final answer without service: refused where the rules let it be and its client may still gain.
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.remove(&id) else { return };
+        let Some(request) = self.forget(id) else { return };
         let class = &self.settings.classes[request.class];
         let repeatable = matches!(class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let may_refuse = request.ran.is_none() || repeatable;
@@ -603,8 +644,8 @@
         }
     }
 
-    fn in_group(&self, request: &Request, entry: &ServerEntry) -> bool {
-        match (self.settings.classes[request.class].effect, request.ran) {
+    fn in_group(effect: Effect, request: &Request, entry: &ServerEntry) -> bool {
+        match (effect, request.ran) {
             (Effect::Keyed { group: Group::Zone, .. }, Some((_, zone, _))) => entry.zone == zone,
             (Effect::Keyed { group: Group::Cell, .. }, Some((_, _, cell))) => entry.cell == cell,
             _ => true,
@@ -613,54 +654,75 @@
 
     /// The ready server with fewest own calls in flight for its size; own zone first.
     fn pick(&mut self, now: Micros, id: RequestId) -> Option<usize> {
-        let request = &self.requests[&id];
-        let may_cross = self.may_cross(now, request);
-        let room = if self.express == Some(request.class) { EXPRESS } else { 1.0 };
-        let home = self.settings.zone;
-        let mut best: Option<(bool, f64, usize)> = None;
-        let others = (0..self.servers.len()).filter(|&at| !self.servers[at].preferred);
-        for (turn, at) in self.preferred.iter().copied().chain(others).enumerate() {
-            // Prevents a ranking of the whole fleet for each call: the others seem to have one more.
-            if turn >= self.preferred.len() && best.is_some_and(|(away, score, _)| !away && score < OUTSIDE) {
+        let may_cross = self.may_cross(now, &self.requests[&id]);
+        let Balancer { requests, settings, servers, pools, rng, express, .. } = self;
+        let request = &requests[&id];
+        let effect = settings.classes[request.class].effect;
+        let room = if *express == Some(request.class) { EXPRESS } else { 1.0 };
+        let mut best: Option<(f64, usize)> = None;
+        for away in [false, true] {
+            if away && (best.is_some() || !may_cross) {
                 break;
             }
-            let server = &self.servers[at];
-            let entry = &server.entry;
-            let away = entry.zone != home;
-            if entry.state != ServerState::Ready || (away && !may_cross) || !self.in_group(request, entry) {
-                continue;
-            }
-            let pool = &self.pools[&entry.zone];
-            let Some(trial) = server.passes(request.class, now) else { continue };
-            let given_up = if self.settings.tier == 0 { pool.lingering } else { 0.0 };
-            let full = pool.in_flight as f64 + given_up >= pool.window.max(1.0) * room;
-            if full || (now < pool.resume && room == 1.0) {
-                continue;
-            }
-            let share = server.share(now, &self.settings.rules);
-            if now < server.not_before {
-                continue;
-            }
-            let size = entry.weight * share;
-            let again = if request.last == Some(entry.id) { 2.0 } else { 1.0 };
-            let spread = self.rng.f64() + if server.preferred { 0.0 } else { OUTSIDE };
-            let score = (server.in_flight as f64 + spread) * again / size;
-            let score = if trial { -1.0 } else { score };
-            if best.is_none_or(|(a, s, _)| (away, score) < (a, s)) {
-                best = Some((away, score, at));
+            for pool in pools.iter().filter(|(zone, _)| away == (**zone != settings.zone)).map(|(_, p)| p) {
+                let given_up = if settings.tier == 0 { pool.lingering } else { 0.0 };
+                let full = pool.in_flight as f64 + given_up >= pool.window.max(1.0) * room;
+                if full || (now < pool.resume && room == 1.0) {
+                    continue;
+                }
+                let (few, all) = (pool.few, pool.servers as usize);
+                let from = if few > RANKED { rng.usize(..few) } else { 0 };
+                let mut ranked = 0;
+                for turn in 0..all {
+                    // Prevents a ranking of the whole fleet for each call: the others seem to have one more.
+                    let good = turn >= few && best.is_some_and(|(score, _)| score < OUTSIDE);
+                    if good || ranked == RANKED {
+                        break;
+                    }
+                    let turn = if turn < few { (from + turn) % few } else { turn };
+                    let at = pool.from + (pool.first + turn) % all;
+                    let server = &servers[at];
+                    let entry = &server.entry;
+                    let fits = entry.state == ServerState::Ready && Self::in_group(effect, request, entry);
+                    if !fits || now < server.not_before {
+                        continue;
+                    }
+                    let Some(trial) = server.passes(request.class, now) else { continue };
+                    ranked += 1;
+                    let size = entry.weight * server.share(now, &settings.rules);
+                    let again = if request.last == Some(entry.id) { 2.0 } else { 1.0 };
+                    let spread = rng.f64() + if turn < few { 0.0 } else { OUTSIDE };
+                    let score = (server.in_flight as f64 + spread) * again / size;
+                    let score = if trial { -1.0 } else { score };
+                    if best.is_none_or(|(s, _)| score < s) {
+                        best = Some((score, at));
+                    }
+                }
             }
         }
-        best.map(|(_, _, at)| at)
+        best.map(|(_, at)| at)
     }
 
     // Send.
 
     fn send(&mut self, now: Micros, id: RequestId, at: usize, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let (limit, class) = (self.limit(now, request), request.class);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.sent == 0 {
+            let windows: f64 = self.pools.values().map(|p| p.window).sum();
+            let most = (windows.max(RETRY_SAVINGS) - f64::from(self.assured)).max(0.0);
+            self.retry_budget = (self.retry_budget + RETRY_SHARE).min(most);
+        }
+        let repeats = !request.retried && self.settings.classes[request.class].effect != Effect::Unsafe;
+        if repeats && !request.assured && self.retry_budget >= 1.0 {
+            self.retry_budget -= 1.0;
+            self.assured += 1;
+            request.assured = true;
+        }
+        let (limit, class) = (self.limit(now, &self.requests[&id]), self.requests[&id].class);
         // Prevents silent servers from hiding behind attempts bound by time left alone.
-        let patience =
-            self.percentiles(class).map_or(limit, |p| (p.p50 * request.scale * PATIENCE) as Micros);
+        let patience = self
+            .percentiles(class)
+            .map_or(limit, |p| (p.p50 * self.requests[&id].scale * PATIENCE) as Micros);
         let server = &mut self.servers[at];
         let share = server.share(now, &self.settings.rules);
         let pool = self.pools.entry(server.entry.zone).or_default();
@@ -671,7 +733,7 @@
             let state = &mut server.breakers[breaker].state;
             *state = if *state == State::Closed { State::Closed } else { State::HalfOpen };
         }
-        if share < 1.0 && pool.warm > 0 {
+        if share < 1.0 && !pool.all_cold {
             let interval = self.half_life * std::f64::consts::LOG2_E * pool.servers as f64 / pool.sent;
             server.spare(now, interval / share * (0.5 + self.rng.f64()), &self.settings.rules);
         }
@@ -687,9 +749,6 @@
         }
         let ServerEntry { id: server, zone, cell, .. } = server.entry;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.sent == 0 {
-            self.retry_budget = (self.retry_budget + RETRY_SHARE).min(RETRY_SAVINGS);
-        }
         request.sent += 1;
         request.last = Some(server);
         let own_limit = now + limit.min(patience) < request.deadline;
@@ -700,7 +759,11 @@
     /// P99 for a first attempt, with room for a retry where one may follow; P50 for the retry.
     fn limit(&self, now: Micros, request: &Request) -> Micros {
         let left = (request.useful - now) as f64;
-        let Some(p) = self.percentiles(request.class) else { return left as Micros };
+        // Its own: what other classes take would cut off the first of a slower one.
+        let p = &self.classes[request.class].latency;
+        if p.total < MIN_SAMPLES {
+            return left as Micros;
+        }
         let limit = if request.retried {
             p.p50 * request.scale
         } else if self.settings.classes[request.class].effect == Effect::Unsafe {
@@ -711,8 +774,8 @@
                 if left - reserve > p.p50 * request.scale * RETRY_ROOM { left - reserve } else { left };
             (p.p99 * request.scale).min(room)
         };
-        let last = request.retried || self.settings.classes[request.class].effect == Effect::Unsafe;
-        let limit = if last { limit.max(left * LAST_SHARE) } else { limit };
+        // Prevents a failure with time left: what is cut short must have a retry to follow.
+        let limit = if !request.assured { limit.max(left * LAST_SHARE) } else { limit };
         limit.min(left).max(1.0) as Micros
     }
 
@@ -731,17 +794,23 @@
             for (stale, failed) in
                 self.stale.iter_mut().zip([broken || ended.outcome == Outcome::TimedOut, broken])
             {
-                // What fails after a gap fails after longer ones, what works works after shorter ones.
-                let alike = if failed { idle..64 } else { 0..idle + 1 };
-                let share = f64::from(u8::from(failed));
-                stale[alike].iter_mut().for_each(|s| *s += STALE_GAIN * (share - *s));
+                // What fails after a gap fails after longer ones, what works works after shorter ones. The
+                // longer ones no more often than this one: a stray failure among many that work says nothing
+                // of them.
+                if failed {
+                    stale[idle] += STALE_GAIN * (1.0 - stale[idle]);
+                    let share = stale[idle];
+                    stale[idle..].iter_mut().for_each(|s| *s = s.max(share));
+                } else {
+                    stale[..=idle].iter_mut().for_each(|s| *s -= STALE_GAIN * *s);
+                }
             }
         }
         self.judge(now, class.map(|(c, _)| c), ended, own, late);
         let Some(request) = self.requests.get_mut(&id) else { return };
         if ended.closed {
             self.classes[request.class].served += f64::from(u8::from(ended.outcome == Outcome::Ok));
-            self.requests.remove(&id);
+            self.forget(id);
             return;
         }
         if let Some(a) = attempt.filter(|_| !ended.outcome.never_ran()) {
@@ -761,10 +830,12 @@
             unused
         } else {
             let effect = self.settings.classes[request.class].effect;
-            let may = unused && !request.retried && effect != Effect::Unsafe && self.retry_budget >= 1.0;
+            let paid = request.assured || self.retry_budget >= 1.0;
+            let may = unused && !request.retried && effect != Effect::Unsafe && paid;
             if may {
-                self.retry_budget -= 1.0;
-                request.retried = true;
+                self.assured -= u32::from(request.assured);
+                self.retry_budget -= f64::from(u8::from(!request.assured));
+                (request.retried, request.assured) = (true, false);
             }
             may
         };
@@ -776,13 +847,42 @@
         }
     }
 
+    /// A service that has become far faster or slower is learned anew: what faded would follow only when the
+    /// new answers outnumber all that is remembered. Queues at first windows make a call longer by about
+    /// their depth, so that what is far longer there is none. Guards against one server that answers at once:
+    /// it has to be shown by several, where there are several.
+    fn notice_shift(&mut self, class: ClassId, scale: f64, ended: &Ended) -> bool {
+        let first = |zone: ZoneId, p: &Pool| due(&self.settings, zone, p.servers).max(2.0);
+        let modest = self.pools.iter().all(|(zone, p)| p.window <= MODEST * first(*zone, p));
+        let state = &mut self.classes[class];
+        let (latency, far) = (ended.latency as f64 / scale, SLOWER * FIRST_WINDOW);
+        let known = state.base > 0.0 && ended.outcome == Outcome::Ok;
+        let slower = known && modest && latency > far * state.base;
+        let faster = known && latency < state.latency.p50 / far;
+        let (run, last) = state.shifted;
+        state.shifted = match (slower, faster) {
+            (false, false) if ended.outcome != Outcome::Ok => (run, last),
+            _ if run != 0 && last == ended.server && self.servers.len() > 1 => (run, last),
+            (true, _) => (run.max(0) + 1, ended.server),
+            (_, true) => (run.min(0) - 1, ended.server),
+            _ => (0, last),
+        };
+        if f64::from(state.shifted.0.abs()) >= KEPT_SAMPLES {
+            (state.shifted.0, state.base) = (0, latency);
+            state.latency = Percentiles { faded: state.latency.faded, ..Percentiles::default() };
+        }
+        slower
+    }
+
     /// Records what an attempt tells of latencies; tells how far it was later than the queueing target.
     fn learn(&mut self, class: ClassId, scale: f64, ended: &Ended) -> Option<f64> {
         let outcome = ended.outcome;
+        let slower = self.notice_shift(class, scale, ended);
         let base = self.classes[class].base;
-        let crowded = if base > 0.0 { CROWDED * base * scale } else { f64::INFINITY };
         // Only what comes on top of the lowest P50 is waiting: a call with tiers behind is long without any.
         let aim = self.split(self.settings.classes[class].aim) as f64;
+        let crowded = if base > 0.0 { CROWDED * base * scale } else { f64::INFINITY };
+        let crowded = if slower { f64::INFINITY } else { crowded.max(CROWDED_FROM * aim) };
         let unqueued = (base * scale).min(aim);
         let target = unqueued + QUEUE_TARGET * (aim - unqueued);
         let latency = ended.latency as f64;
@@ -797,6 +897,7 @@
             Outcome::Full => Some(1.0),
             Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > target => Some(1.0),
             Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > crowded => Some(2.0 * LATE_SHARE),
+            Outcome::Ok if latency < ROOMY * aim => Some(-ROOMY_GAIN),
             Outcome::Ok => Some(0.0),
             _ => None,
         }
@@ -805,10 +906,9 @@
     /// Keeps the server's counts, breakers and memory, and its pool's window.
     fn judge(&mut self, now: Micros, class: Option<ClassId>, ended: &Ended, own: bool, late: Option<f64>) {
         let outcome = ended.outcome;
-        let some_failed = if outcome == Outcome::Ok { &[] } else { self.servers.as_slice() };
-        let ejected = some_failed.iter().filter(|s| s.ejected()).count() as f64;
-        let (known, p50) = (self.servers.len() as f64, self.all.p50);
-        let Some(server) = self.servers.iter_mut().find(|s| s.entry.id == ended.server) else { return };
+        let p50 = self.all.p50;
+        let Some(&place) = self.places.get(&ended.server) else { return };
+        let server = &mut self.servers[place];
         let pool = self.pools.entry(server.entry.zone).or_default();
         let used = pool.in_flight as f64 >= 0.7 * pool.window;
         if server.in_flight > 0 {
@@ -820,7 +920,7 @@
             // is under its balancer's part, the more it grows, and the less above.
             let due = due(&self.settings, server.entry.zone, pool.servers);
             let pull = (due / pool.window).clamp(1.0 / MOST_PULL, MOST_PULL);
-            let step = if late > 0.0 || used { LATE_SHARE * pull } else { 0.0 } - late;
+            let step = if late > 0.0 || used { LATE_SHARE * pull - late } else { 0.0 };
             // Prevents balancers that outnumber their servers from swamping them with one call each: a part
             // of a place is a place with pauses, and grows in proportion.
             let gain = WINDOW_GAIN * pool.window.min(1.0);
@@ -855,8 +955,15 @@
         let needed = (CHANCE.ln() / self.failing.clamp(0.01, 0.5).ln()).max(2.0);
         // Prevents a lost zone from taking every call in turn: what cannot be reached may be most of it.
         let most = if outcome == Outcome::ConnectFailed { MOST_UNREACHED } else { MOST_EJECTED };
-        let may_eject = server.ejected() || ejected < most * known;
-        for at in [Some(0), class.map(|c| c + 1)].into_iter().flatten() {
+        let concerned = [Some(0), class.map(|c| c + 1)].into_iter().flatten();
+        let close = |at: usize| failed && server.breakers[at].failures as f64 + 1.0 >= needed;
+        let may_eject = server.ejected()
+            || concerned.clone().any(close) && {
+                let ejected = self.servers.iter().filter(|s| s.ejected()).count();
+                (ejected as f64) < most * self.servers.len() as f64
+            };
+        let server = &mut self.servers[place];
+        for at in concerned {
             let breaker = &mut server.breakers[at];
             if !failed {
                 *breaker = Breaker::default();
@@ -883,38 +990,59 @@
             self.ask_within(self.settings.rules.ask_within as f64 * ASK_AGAIN, actions);
             return;
         }
-        if kind != ListKind::Changes {
-            let listed: std::collections::BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
-            self.servers.retain(|s| listed.contains(&s.entry.id));
+        let gone = entries.iter().filter(|e| e.state == ServerState::Gone).map(|e| e.id);
+        let (gone, listed): (HashSet<_>, HashSet<_>) =
+            (gone.collect(), entries.iter().map(|e| e.id).collect());
+        let stays = |id: &ServerId| !gone.contains(id) && (kind == ListKind::Changes || listed.contains(id));
+        let mut moved = kind != ListKind::Changes || gone.iter().any(|id| self.places.contains_key(id));
+        for entry in entries.into_iter().filter(|e| e.state != ServerState::Gone) {
+            moved |= self.place(now, entry);
         }
-        for entry in entries {
-            self.place(now, entry);
+        if moved {
+            self.servers.retain(|s| stays(&s.entry.id));
+            self.count_pools(now);
+        } else if self.pools.values().any(|p| p.warm == 0 && !p.all_cold) {
+            self.count_warm(now);
         }
-        self.count_pools(now);
     }
 
-    fn place(&mut self, now: Micros, mut entry: ServerEntry) {
+    /// Takes an entry over; tells whether servers have come or moved.
+    fn place(&mut self, now: Micros, mut entry: ServerEntry) -> bool {
         entry.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
-        let known = self.servers.iter().position(|s| s.entry.id == entry.id);
-        if entry.state == ServerState::Gone {
-            return self.servers.retain(|s| s.entry.id != entry.id);
+        let pool = self.pools.entry(entry.zone).or_default();
+        let rules = &self.settings.rules;
+        let counts =
+            |s: &Server| u32::from(s.entry.state == ServerState::Ready && s.share(now, rules) >= 1.0);
+        let known = self.places.get(&entry.id).copied();
+        if let Some(server) =
+            known.map(|at| &mut self.servers[at]).filter(|s| s.entry.started == entry.started)
+        {
+            let moved = (server.entry.zone, server.entry.ring) != (entry.zone, entry.ring);
+            let before = counts(server);
+            server.entry = entry;
+            pool.warm = (pool.warm + counts(server)).saturating_sub(before);
+            return moved;
+        }
+        let interval =
+            self.half_life * std::f64::consts::LOG2_E * pool.servers.max(1) as f64 / pool.sent.max(0.1);
+        let breakers = vec![Breaker::default(); self.classes.len() + 1];
+        let mut server = Server { entry, breakers, ..Server::default() };
+        if server.share(now, rules) < 1.0 && !pool.all_cold {
+            let wait = interval / rules.cold_from * self.rng.f64();
+            server.spare(now, wait, rules);
         }
         match known {
-            Some(at) if self.servers[at].entry.started == entry.started => self.servers[at].entry = entry,
-            _ => {
-                let in_flight = known.map_or(0, |at| self.servers.remove(at).in_flight);
-                let pool = self.pools.entry(entry.zone).or_default();
-                let interval = self.half_life * std::f64::consts::LOG2_E * pool.servers.max(1) as f64
-                    / pool.sent.max(0.1);
-                let breakers = vec![Breaker::default(); self.classes.len() + 1];
-                let mut server = Server { entry, in_flight, breakers, ..Server::default() };
-                if server.share(now, &self.settings.rules) < 1.0 && (pool.warm > 0 || pool.window == 0.0) {
-                    let wait = interval / self.settings.rules.cold_from * self.rng.f64();
-                    server.spare(now, wait, &self.settings.rules);
-                }
+            // It has started again; what is out there is still counted.
+            Some(at) => {
+                server.in_flight = self.servers[at].in_flight;
+                self.servers[at] = server;
+            }
+            None => {
+                self.places.insert(server.entry.id, self.servers.len());
                 self.servers.push(server);
             }
         }
+        true
     }
 
     fn count_pools(&mut self, now: Micros) {
@@ -939,19 +1067,18 @@
     /// Where all are cold, nothing is gained by sparing each for the others' sake, and the pace would feed on
     /// itself: what was sent sets what may be sent. There the first window alone guards them.
     fn count_warm(&mut self, now: Micros) {
-        let before: Vec<u32> = self.pools.values_mut().map(|p| std::mem::take(&mut p.warm)).collect();
+        self.pools.values_mut().for_each(|p| p.warm = 0);
         for s in self.servers.iter().filter(|s| s.entry.state == ServerState::Ready) {
             let warm = s.share(now, &self.settings.rules) >= 1.0;
             self.pools.entry(s.entry.zone).or_default().warm += u32::from(warm);
         }
-        for ((&zone, pool), before) in self.pools.iter_mut().zip(before) {
-            if pool.warm > 0 || (before == 0 && pool.window > 0.0) {
-                continue;
-            }
-            pool.window = pool.window.min(due(&self.settings, zone, pool.servers).max(2.0));
-            for s in self.servers.iter_mut().filter(|s| s.entry.zone == zone) {
-                s.not_before = 0;
+        for (&zone, pool) in &mut self.pools {
+            if pool.warm == 0 && !pool.all_cold {
+                pool.window = pool.window.min(due(&self.settings, zone, pool.servers).max(2.0));
+                let own = pool.from..pool.from + pool.servers as usize;
+                self.servers[own].iter_mut().for_each(|s| s.not_before = 0);
             }
+            pool.all_cold = pool.warm == 0;
         }
     }
 
@@ -959,20 +1086,16 @@
     /// the balancers take neighbouring stretches.
     fn prefer(&mut self) {
         self.servers.sort_by_key(|s| (s.entry.zone, s.entry.ring, s.entry.id));
+        self.places = self.servers.iter().enumerate().map(|(at, s)| (s.entry.id, at)).collect();
         let (me, balancers) = (self.settings.me as usize, self.settings.balancers as usize);
         let mut from = 0;
-        while from < self.servers.len() {
-            let zone = self.servers[from].entry.zone;
-            let n = self.servers[from..].iter().take_while(|s| s.entry.zone == zone).count();
+        for (&zone, pool) in &mut self.pools {
+            let n = pool.servers as usize;
             let near = if zone == self.settings.zone { self.settings.zones as f64 } else { 1.0 };
             let few = (SHARED_BY * n as f64 * near / balancers as f64).ceil() as usize;
-            let first = me * n / balancers;
-            for (i, server) in self.servers[from..from + n].iter_mut().enumerate() {
-                server.preferred = (i + n - first % n) % n < few;
-            }
+            (pool.from, pool.first, pool.few) = (from, me * n / balancers, few.min(n));
             from += n;
         }
-        self.preferred = (0..self.servers.len()).filter(|&at| self.servers[at].preferred).collect();
     }
 
     // Timers.
