A retry goes out when its backoff ends, not at the next look at held requests

A retry whose backoff ended while nothing else happened waited for one. It has a timer of its own now; the test fails without.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -124,6 +124,7 @@
 const SWEEP: u64 = 1;
 const HOUSEKEEP: u64 = 2;
 const ASK: u64 = 3;
+const RETRY: u64 = 4;
 
 /// Percentiles of recent latencies: a histogram with buckets of equal ratio, whose samples fade with time.
 #[derive(Clone)]
@@ -840,8 +841,11 @@
             may
         };
         if may {
-            request.not_before = now + wait.max(self.settings.tick);
+            let wait = wait.max(self.settings.tick);
+            request.not_before = now + wait;
             self.retries.push(id);
+            // Prevents a retry from waiting for the next look where nothing else happens.
+            actions.push(Action::Timer { delay: wait, token: RETRY });
         } else {
             self.give_up(now, id, actions);
         }
--- a/tests/fast.rs
+++ b/tests/fast.rs
@@ -255,3 +255,16 @@
     assert!(closed * 100 < sent as usize, "{closed} of {sent}");
     assert_eq!(given_up(&world), (0, 0));
 }
+
+#[test]
+fn a_retry_goes_out_after_its_backoff_where_nothing_else_happens() {
+    let mut world = patient(3, &[6 * SECOND]);
+    let start = world.now;
+    steady(&mut world, 0, 10 * MS, start + 3 * SECOND, |_| Some((MS, Outcome::Ok)));
+    let asked = world.now;
+    world.request(0);
+    world.run(asked + SECOND, |out| Some((MS, if out.attempt == 0 { Outcome::Error } else { Outcome::Ok })));
+    let sent: Vec<_> =
+        world.trace.iter().filter(|(at, a)| *at >= asked && matches!(a, Action::Send { .. })).collect();
+    assert!(sent.len() == 2 && sent[1].0 <= asked + 5 * MS, "{sent:?}");
+}
