A pool with no upstreams: refused at once with Retry-After, nothing sent, others untouched

Change: a test in bulkhead.rs, all nodes of one pool draining beside a healthy pool. Result: 20 of 20 refused within a second with Retry-After 1, nothing sent, 20 of 20 served by the other pool; the program needed no change.

--- a/sloeline/tests/bulkhead.rs
+++ b/sloeline/tests/bulkhead.rs
@@ -235,3 +235,25 @@
         daemon.stop().await;
     });
 }
+
+#[test]
+fn a_pool_with_no_upstreams_refuses_at_once_and_leaves_the_others_alone() {
+    with(async |record| {
+        let (gone, good) = (Node::start("hung", "g", &record), Node::start("good", "g", &record));
+        let mark = format!("address = \"{}\"", gone.address);
+        let daemon = start(&text(&gone, &good).replace(&mark, &format!("{mark}, draining = true"))).await;
+        let to = public(&daemon);
+        let mut client = Client::new(to, &record);
+        for _ in 0..20 {
+            let asked = Instant::now();
+            assert_eq!(client.ask(&pay("/hung")).await.0, Told::Refused);
+            assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+            assert_eq!(client.ask(&pay("/good")).await.0, Told::Served);
+        }
+        let refused = raw(to, "POST /hung HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n").await;
+        assert!(refused.status == 503 && refused.head.contains("retry-after: 1"), "{}", refused.head);
+        assert_eq!((record.sends("hung"), record.sends("good")), (0, 20));
+        assert!(record.account().closes(), "{:?}", record.violations());
+        daemon.stop().await;
+    });
+}
