Operators' calls, orders that last, clients sent away, retune, and a listener handed over

New package operations/: orders, calls and presence decide without I/O; a control listener of one call a connection, a file of orders in TMPDIR and a link over a Unix socket (SCM_RIGHTS) are the shells. The engine's registry lays orders over the list, so the module sees an upstream that is out as draining and needs no line for it; put back, it counts as started then unless the list told a start. The platform numbers classes by the daemon's slots at SIGHUP and keeps the old settings whole when a key is missing. A new process gets the listener itself, the list and the orders; both hold half of the descriptors and of the memory for bodies.

A defect found by the new tests: hyper closes a connection that has carried nothing when told to shut down gracefully, so a front's question on a fresh one found an end; unused ones are left their 200 ms now.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -251,6 +251,50 @@
         self.feed(Event::Servers { kind, entries });
     }
 
+    /// The list as it was told last; nothing before the first.
+    pub fn list_held(&self) -> Option<Vec<Listed>> {
+        self.listed().then(|| self.tables.borrow().registry.listed())
+    }
+
+    /// Sends nothing new to an upstream, whatever lists say, until it is put back; false for one that was never listed.
+    pub fn take_out(self: &Rc<Self>, instance: &str) -> bool {
+        let entries = self.tables.borrow_mut().registry.take_out(instance);
+        self.ordered(entries)
+    }
+
+    /// The same by the word of another process, which has met it.
+    pub fn order_out(self: &Rc<Self>, instance: &str) {
+        let entries = self.tables.borrow_mut().registry.order_out(instance);
+        self.ordered(Some(entries));
+    }
+
+    /// Ends that; false for one that was never listed.
+    pub fn put_back(self: &Rc<Self>, instance: &str) -> bool {
+        let entries = self.tables.borrow_mut().registry.put_back(instance, self.clock.now());
+        self.ordered(entries)
+    }
+
+    /// Those put back whose start the list has not told; see [`take_returned`](Engine::take_returned).
+    pub fn returned(&self) -> Vec<(String, Option<Micros>, Micros)> {
+        self.tables.borrow().registry.returned()
+    }
+
+    /// Takes over what another process tells of those, before its list.
+    pub fn take_returned(&self, returned: Vec<(String, Option<Micros>, Micros)>) {
+        self.tables.borrow_mut().registry.take_returned(returned);
+    }
+
+    fn ordered(self: &Rc<Self>, entries: Option<Vec<fs::ServerEntry>>) -> bool {
+        let Some(entries) = entries else { return false };
+        if !entries.is_empty() {
+            for entry in entries.iter().filter(|e| e.state != fs::ServerState::Ready) {
+                self.wire.close_idle(entry.id);
+            }
+            self.feed(Event::Servers { kind: ListKind::Changes, entries });
+        }
+        true
+    }
+
     /// Starts the module with no list known. Guards against a module that waits for its first event while
     /// nothing but that event would make it ask discovery.
     pub fn begin(self: &Rc<Self>) {
--- a/engine/src/registry.rs
+++ b/engine/src/registry.rs
@@ -1,11 +1,9 @@
 //! The upstreams that discovery names: their numbers for the module, and where they are.
 
-use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
-
 use finchshift as fs;
-use finchshift::{ListKind, ServerId, ServerState};
+use finchshift::{ListKind, Micros, ServerId, ServerState};
 use sloeline_settings::setup::{Names, ring};
+use std::collections::{HashMap, HashSet};
 
 use crate::types::{Listed, Target};
 
@@ -50,14 +48,24 @@
     }
 }
 
-/// Where an upstream is, and which zone and kind it was given.
+/// Most identities that are remembered, listed or not. Guards the memory where upstreams come and go for months.
+const MOST_MET: usize = 1 << 16;
+
+/// An upstream as it was listed, and which zone and kind it was given.
 struct Place {
-    address: SocketAddr,
+    listed: Listed,
+    /// What the module is told of it.
     state: ServerState,
     zone: u32,
     kind: u32,
 }
 
+/// One that was put back: until the list tells another start than this one, it counts as started then.
+struct Returned {
+    listed: Option<Micros>,
+    since: Micros,
+}
+
 /// All upstreams that are listed; those that are gone are forgotten.
 pub struct Registry {
     servers: HashMap<String, ServerId>,
@@ -66,6 +74,11 @@
     zones: Numbers,
     kinds: Numbers,
     ready: usize,
+    /// Those that operators have taken out, and the start that the list told then; nothing where it had none.
+    out: HashMap<String, Option<Option<Micros>>>,
+    returned: HashMap<String, Returned>,
+    /// Hashes of all identities that were ever listed.
+    met: HashSet<u64>,
 }
 
 impl Registry {
@@ -75,12 +88,93 @@
         let by_name = zones.names.iter().cloned().zip(0..).collect();
         let zones = Numbers { by_name, next: settled, settled, ..Numbers::default() };
         let (servers, places) = (HashMap::new(), HashMap::new());
-        Registry { servers, next: 0, places, zones, kinds: Numbers::default(), ready: 0 }
+        let (out, returned, met) = (HashMap::new(), HashMap::new(), HashSet::new());
+        let kinds = Numbers::default();
+        Registry { servers, next: 0, places, zones, kinds, ready: 0, out, returned, met }
+    }
+
+    /// The list as it was told, without those that are gone.
+    pub fn listed(&self) -> Vec<Listed> {
+        self.places.values().map(|p| p.listed.clone()).collect()
+    }
+
+    /// Those that were put back and whose start the list has not told: the start that it tells, and since when they
+    /// count as started.
+    pub fn returned(&self) -> Vec<(String, Option<Micros>, Micros)> {
+        self.returned.iter().map(|(name, r)| (name.clone(), r.listed, r.since)).collect()
+    }
+
+    /// Takes that over from another process; before the list that goes with it.
+    pub fn take_returned(&mut self, returned: Vec<(String, Option<Micros>, Micros)>) {
+        let each = returned.into_iter().map(|(name, listed, since)| (name, Returned { listed, since }));
+        self.returned.extend(each);
+    }
+
+    /// It is or was in a list.
+    fn has_met(&self, instance: &str) -> bool {
+        self.out.contains_key(instance) || self.met.contains(&ring(instance))
+    }
+
+    /// Takes an upstream out, whatever lists say; what the module is to be told, or `None` for one never listed.
+    pub fn take_out(&mut self, instance: &str) -> Option<Vec<fs::ServerEntry>> {
+        if !self.has_met(instance) {
+            return None;
+        }
+        Some(self.order_out(instance))
+    }
+
+    /// The same for one that another process knew, listed here or not.
+    pub fn order_out(&mut self, instance: &str) -> Vec<fs::ServerEntry> {
+        let started = self.servers.get(instance).and_then(|id| self.places.get(id)).map(|p| p.listed.started);
+        self.out.entry(instance.to_owned()).or_insert(started);
+        self.told_again(instance)
+    }
+
+    /// Ends that; what the module is to be told, or `None` for one never listed. It was restarted meanwhile: where the
+    /// list has not told so it counts as started now. Guards one that is cold against a list that is late.
+    pub fn put_back(&mut self, instance: &str, now: Micros) -> Option<Vec<fs::ServerEntry>> {
+        if !self.has_met(instance) {
+            return None;
+        }
+        let Some(before) = self.out.remove(instance) else { return Some(Vec::new()) };
+        let told = self.servers.get(instance).and_then(|id| self.places.get(id)).map(|p| p.listed.started);
+        if let Some(listed) = told.or(before)
+            && before.is_none_or(|b| b == listed)
+        {
+            self.returned.insert(instance.to_owned(), Returned { listed, since: now });
+        }
+        Some(self.told_again(instance))
+    }
+
+    /// The entry of one that is listed, as orders have it now.
+    fn told_again(&mut self, instance: &str) -> Vec<fs::ServerEntry> {
+        let id = self.servers.get(instance).copied();
+        let Some(listed) = id.and_then(|id| self.places.get(&id)).map(|p| p.listed.clone()) else {
+            return Vec::new();
+        };
+        self.take(ListKind::Changes, &[listed]).0
+    }
+
+    /// What orders make of an entry.
+    fn ordered(&mut self, l: &Listed) -> (ServerState, Option<Micros>) {
+        let state = match l.state {
+            ServerState::Ready if self.out.contains_key(&l.instance) => ServerState::Draining,
+            other => other,
+        };
+        let started = match self.returned.get(&l.instance) {
+            Some(returned) if returned.listed == l.started => Some(returned.since),
+            Some(_) => {
+                self.returned.remove(&l.instance);
+                l.started
+            }
+            None => l.started,
+        };
+        (state, started)
     }
 
     /// Where an upstream is, if it is listed.
     pub fn target(&self, server: ServerId) -> Option<Target> {
-        self.places.get(&server).map(|p| Target { server, address: p.address })
+        self.places.get(&server).map(|p| Target { server, address: p.listed.address })
     }
 
     /// How many are listed that take requests.
@@ -95,6 +189,10 @@
         let id = self.next;
         self.next = self.next.wrapping_add(1);
         self.servers.insert(instance.to_owned(), id);
+        if self.met.len() >= MOST_MET {
+            self.met = self.servers.keys().map(|name| ring(name)).collect();
+        }
+        self.met.insert(ring(instance));
         id
     }
 
@@ -133,8 +231,10 @@
             }
             let id = self.number(&l.instance);
             let gone = l.state == ServerState::Gone;
+            let (state, started) = self.ordered(l);
             let (before, zone, kind) = if gone {
                 self.servers.remove(&l.instance);
+                self.returned.remove(&l.instance);
                 named.remove(&id);
                 let Some(before) = self.remove(id) else { continue };
                 (None, before.zone, before.kind)
@@ -143,9 +243,9 @@
                     named.insert(id);
                 }
                 let (zone, kind) = (self.zones.number(&l.zone), self.kinds.number(&l.kind));
-                (self.place(id, Place { address: l.address, state: l.state, zone, kind }), zone, kind)
+                (self.place(id, Place { listed: l.clone(), state, zone, kind }), zone, kind)
             };
-            if gone || before.is_some_and(|b| b.address != l.address) {
+            if gone || before.is_some_and(|b| b.listed.address != l.address) {
                 left.push(id);
             }
             entries.push(fs::ServerEntry {
@@ -155,9 +255,9 @@
                 cell: l.cell,
                 // Of the instance: its address differs between balancers, the ring must not.
                 ring: ring(&l.instance),
-                state: l.state,
+                state,
                 weight: if l.weight.is_finite() && l.weight > 0.0 { l.weight } else { 1.0 },
-                started: l.started,
+                started,
             });
         }
         if whole {
@@ -167,6 +267,7 @@
                 self.remove(*id);
             }
             self.servers.retain(|_, id| named.contains(id));
+            self.returned.retain(|name, _| self.servers.contains_key(name));
             left.extend(unnamed);
         }
         (entries, left)
@@ -175,6 +276,8 @@
 
 #[cfg(test)]
 mod tests {
+    use std::net::SocketAddr;
+
     use super::*;
 
     fn listed(instance: &str, port: u16, state: ServerState) -> Listed {
@@ -272,4 +375,58 @@
         assert_eq!(left, [a[0].id]);
         assert_ne!(b[0].id, a[0].id);
     }
+
+    #[test]
+    fn what_is_out_stays_out_whatever_lists_say_and_comes_back_cold() {
+        const READY: ServerState = ServerState::Ready;
+        let mut registry = Registry::new(&Names::default());
+        let told = |state, started| Listed { started, ..listed("a", 80, state) };
+        assert_eq!(registry.take_out("a"), None);
+        assert_eq!(registry.put_back("a", 1), None);
+        registry.take(ListKind::Complete, &[told(READY, Some(5))]);
+        let state =
+            |entries: Vec<fs::ServerEntry>| entries.iter().map(|e| (e.state, e.started)).collect::<Vec<_>>();
+        assert_eq!(state(registry.take_out("a").expect("listed")), [(ServerState::Draining, Some(5))]);
+        assert_eq!(registry.ready(), 0);
+        // Said again, told again, and told as a whole.
+        assert_eq!(state(registry.take_out("a").expect("listed")), [(ServerState::Draining, Some(5))]);
+        for kind in [ListKind::Changes, ListKind::Complete] {
+            let (entries, _) = registry.take(kind, &[told(READY, Some(5))]);
+            assert_eq!(state(entries), [(ServerState::Draining, Some(5))]);
+        }
+        // The list has told no start since: it counts from the call, also in later lists.
+        assert_eq!(state(registry.put_back("a", 70).expect("listed")), [(READY, Some(70))]);
+        assert_eq!(state(registry.take(ListKind::Complete, &[told(READY, Some(5))]).0), [(READY, Some(70))]);
+        // Until one tells it.
+        assert_eq!(state(registry.take(ListKind::Changes, &[told(READY, Some(60))]).0), [(READY, Some(60))]);
+        // A start told while it was out holds, and a call back of one that is not out changes nothing.
+        registry.take_out("a").expect("listed");
+        registry.take(ListKind::Changes, &[told(READY, Some(90))]);
+        assert_eq!(state(registry.put_back("a", 99).expect("listed")), [(READY, Some(90))]);
+        assert_eq!(registry.put_back("a", 100), Some(Vec::new()));
+        // Out when it goes, still out when it comes again, and known when it is not there.
+        registry.take_out("a").expect("listed");
+        registry.take(ListKind::Changes, &[told(ServerState::Gone, None)]);
+        let (entries, _) = registry.take(ListKind::Changes, &[told(READY, Some(120))]);
+        assert_eq!(state(entries), [(ServerState::Draining, Some(120))]);
+        registry.take(ListKind::Complete, &[]);
+        assert_eq!(registry.put_back("a", 130), Some(Vec::new()));
+        // One that drains by the list is not put back by an order.
+        registry.take(ListKind::Complete, &[told(ServerState::Draining, Some(120))]);
+        registry.take_out("a").expect("listed");
+        let entries = registry.put_back("a", 140).expect("listed");
+        assert_eq!(entries[0].state, ServerState::Draining);
+    }
+
+    #[test]
+    fn identities_that_are_remembered_are_bounded() {
+        let mut registry = Registry::new(&Names::default());
+        for n in 0..MOST_MET + 10 {
+            let name = format!("s-{n}");
+            registry.take(ListKind::Changes, &[listed(&name, 80, ServerState::Ready)]);
+            registry.take(ListKind::Changes, &[listed(&name, 80, ServerState::Gone)]);
+        }
+        assert!(registry.met.len() <= MOST_MET, "{}", registry.met.len());
+        assert!(registry.has_met(&format!("s-{}", MOST_MET + 9)));
+    }
 }
--- a/http/src/callers.rs
+++ b/http/src/callers.rs
@@ -19,6 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
 use sloeline_engine::engine::Wire;
 use sloeline_engine::types::{Answer, Asked, Failure};
+use sloeline_operations::presence::Posture;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{AcquireError, Notify, OwnedSemaphorePermit, Semaphore, watch};
@@ -99,6 +100,8 @@
     /// Rings when the last answer is due after that order.
     leave: Notify,
     phase: watch::Receiver<Phase>,
+    /// What operators' orders and a successor make of it.
+    posture: watch::Sender<Posture>,
 }
 
 impl<F: Front> Callers<F> {
@@ -107,7 +110,13 @@
         let (places, crowd) = (Arc::new(Semaphore::new(room.places)), Crowd::new(room.pace));
         let (room, ids) = (RefCell::new(room), RefCell::default());
         let (ordered, leave) = (Cell::default(), Notify::new());
-        Rc::new(Callers { front, places, room, crowd, ids, ordered, leave, phase })
+        let (posture, _) = watch::channel(Posture::default());
+        Rc::new(Callers { front, places, room, crowd, ids, ordered, leave, phase, posture })
+    }
+
+    /// Meets clients in this way from now on.
+    pub fn pose(&self, posture: Posture) {
+        self.posture.send_if_modified(|now| std::mem::replace(now, posture) != posture);
     }
 
     /// The front.
@@ -146,8 +155,12 @@
     /// Takes connections until the order to stop and a little longer, or until none are to come any more.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener, phases: &watch::Sender<Phase>) {
         let mut phase = self.phase.clone();
+        let mut posture = self.posture.subscribe();
         let mut stop_at = None;
+        // One that waits for a place. Guards it against what happens meanwhile: it has been accepted.
+        let mut waiting = None;
         loop {
+            let accepts = posture.borrow_and_update().accepts || waiting.is_some();
             let end = async {
                 match stop_at {
                     Some(at) => sleep_until(at).await,
@@ -157,20 +170,20 @@
                 }
             };
             let accept = async {
-                let accepted = listener.accept().await;
-                (self.place().await, accepted)
+                if waiting.is_none() {
+                    waiting = Some(listener.accept().await?);
+                }
+                self.place().await.map_err(io::Error::other)
             };
             tokio::select! {
                 biased;
-                (place, accepted) = accept => match (place, accepted) {
-                    (Ok(place), Ok((stream, peer))) => {
-                        let progress = Progress::new(self.crowd.clone());
-                        let task = spawn_local(self.clone().connection(stream, peer, place, progress.clone()));
-                        progress.of(task.abort_handle());
-                    }
+                place = accept, if accepts => match (place, waiting.take()) {
+                    (Ok(place), Some((stream, peer))) => self.take(stream, peer, place),
                     // Guards against a spin while no descriptor is free: the connection stays in the queue.
                     _ => sleep(NO_SOCKET_PAUSE).await,
                 },
+                // The front itself holds the other end.
+                _ = posture.changed() => {}
                 () = end => match stop_at {
                     Some(_) => break,
                     None => {
@@ -191,10 +204,26 @@
                 },
             }
         }
+        // What the queue still holds would be reset; with a successor it is the successor's.
+        while posture.borrow().accepts
+            && let Some((stream, peer)) = match waiting.take() {
+                Some(waiting) => Some(waiting),
+                None => timeout(Duration::ZERO, listener.accept()).await.ok().and_then(Result::ok),
+            }
+            && let Ok(place) = self.places.clone().try_acquire_owned()
+        {
+            self.take(stream, peer, place);
+        }
         drop(listener);
         let _ = phases.send(Phase::Closing);
     }
 
+    fn take(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr, place: OwnedSemaphorePermit) {
+        let progress = Progress::new(self.crowd.clone());
+        let task = spawn_local(self.clone().connection(stream, peer, place, progress.clone()));
+        progress.of(task.abort_handle());
+    }
+
     /// Waits until all connections are closed.
     pub async fn closed(&self) {
         let _ = self.places.acquire_many(self.most() as u32).await;
@@ -237,11 +266,14 @@
         builder.max_buf_size(MOST_HEAD);
         let mut connection = builder.serve_connection(Gate::new(stream, progress.clone()), service);
         let mut phase = self.phase.clone();
+        let mut posture = self.posture.subscribe();
         let mut late = Box::pin(sleep(Duration::ZERO));
         loop {
-            let now = *phase.borrow_and_update();
-            // Not before: callers that find their connections closed may have no other balancer yet.
-            if now == Phase::Closing {
+            let idle_close = posture.borrow_and_update().idle_close;
+            let closing = idle_close || *phase.borrow_and_update() == Phase::Closing;
+            // Not before: callers that find their connections closed may have no other balancer yet. One that has just
+            // come may have a request on its way, which hyper would not wait for; its answer closes it.
+            if closing && used.get() {
                 Pin::new(&mut connection).graceful_shutdown();
             }
             // The connection until it ends, or until it has been at one thing for too long.
@@ -258,9 +290,10 @@
             let too_late = tokio::select! {
                 too_late = served => too_late,
                 // Guards the stop against a caller that never ends its first request.
-                () = sleep(NOTHING_YET), if now == Phase::Closing && !used.get() => {
+                () = sleep(NOTHING_YET), if closing && !used.get() => {
                     if used.get() { continue } else { return }
                 }
+                _ = posture.changed() => continue,
                 changed = phase.changed() => if changed.is_err() { return } else { continue },
             };
             let error = match (progress.fault(), too_late, progress.stage()) {
@@ -292,14 +325,17 @@
         }
         let most = self.most();
         let crowded = (self.places.available_permits() as f64) < (1.0 - CROWDED) * most as f64;
-        if last || crowded || *self.phase.borrow() == Phase::Closing {
+        if last || crowded || self.posture.borrow().answers_close || *self.phase.borrow() == Phase::Closing {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
     fn ready(&self) -> Answered {
-        if *self.phase.borrow() == Phase::Running && self.front.ready() {
+        // Stopping, it is ready only where another process serves at its address.
+        let posture = *self.posture.borrow();
+        let running = *self.phase.borrow() == Phase::Running || !posture.accepts;
+        if running && posture.ready && self.front.ready() {
             plain(StatusCode::OK, "ready")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- a/http/src/front.rs
+++ b/http/src/front.rs
@@ -1,6 +1,7 @@
 //! What a front decides of a request: by which engine and class it goes, and in which form it is forwarded.
 
 use std::any::Any;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -71,6 +72,45 @@
     pub held: Option<Box<dyn Any>>,
 }
 
+/// How many requests have each class, from their heads to their answers. Guards a body that is on its way while the
+/// classes change.
+#[derive(Debug, Default)]
+pub struct Admitted {
+    counts: RefCell<Vec<usize>>,
+}
+
+impl Admitted {
+    /// Counts one until what is returned is dropped.
+    pub fn hold(self: &Rc<Self>, class: fs::ClassId) -> Holding {
+        let mut counts = self.counts.borrow_mut();
+        if counts.len() <= class {
+            counts.resize(class + 1, 0);
+        }
+        counts[class] += 1;
+        Holding { admitted: self.clone(), class }
+    }
+
+    /// Whether there is any of this class.
+    pub fn any(&self, class: fs::ClassId) -> bool {
+        self.counts.borrow().get(class).is_some_and(|n| *n > 0)
+    }
+}
+
+/// A request that is counted.
+#[derive(Debug)]
+pub struct Holding {
+    admitted: Rc<Admitted>,
+    class: fs::ClassId,
+}
+
+impl Drop for Holding {
+    fn drop(&mut self) {
+        if let Some(count) = self.admitted.counts.borrow_mut().get_mut(self.class) {
+            *count -= 1;
+        }
+    }
+}
+
 /// The headers that are not about the connection or the framing.
 pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<&str> = headers
--- a/http/src/platform.rs
+++ b/http/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's front: one engine, and requests that name their class, tenant and time in `Req-` headers.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 use sloeline_limits::Share;
 
 use crate::MOST_BODY;
-use crate::front::{Admission, Answered, Front, end_to_end, number, plain};
+use crate::front::{Admission, Admitted, Answered, Front, end_to_end, number, plain};
 use crate::upstream::{Call, Reply};
 
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
@@ -22,22 +23,34 @@
 /// Named classes and tenants before one engine.
 pub struct Platform<W: Wire> {
     engine: Rc<Engine<W>>,
-    classes: HashMap<String, (fs::ClassId, fs::Class)>,
-    tenants: HashMap<String, fs::TenantId>,
+    named: RefCell<Named>,
+    admitted: Rc<Admitted>,
     bodies: Rc<Share>,
 }
 
+/// What requests may name.
+#[derive(Default)]
+pub struct Named {
+    /// Classes: their number and definition.
+    pub classes: HashMap<String, (fs::ClassId, fs::Class)>,
+    /// Tenants: their number.
+    pub tenants: HashMap<String, fs::TenantId>,
+}
+
 impl<W: Wire> Platform<W> {
-    /// A front for the named classes and tenants; bodies and answers may take so many bytes.
-    pub fn new(
-        engine: Rc<Engine<W>>,
-        classes: Vec<(String, fs::Class)>,
-        tenants: Vec<String>,
-        bodies: usize,
-    ) -> Platform<W> {
-        let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
-        let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
-        Platform { engine, classes, tenants, bodies: Share::alone(bodies) }
+    /// A front for what may be named; bodies and answers take of the share.
+    pub fn new(engine: Rc<Engine<W>>, named: Named, bodies: Rc<Share>) -> Platform<W> {
+        Platform { engine, named: RefCell::new(named), admitted: Rc::default(), bodies }
+    }
+
+    /// Takes the next request by other names; those that are admitted keep their class.
+    pub fn rename(&self, named: Named) {
+        *self.named.borrow_mut() = named;
+    }
+
+    /// Whether a request of the class is admitted or open: its number must keep its meaning.
+    pub fn uses(&self, class: fs::ClassId) -> bool {
+        self.admitted.any(class) || self.engine.uses(class)
     }
 }
 
@@ -57,7 +70,8 @@
         }
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         let kind = text("req-kind").ok_or_else(|| bad("no Req-Kind"))?;
-        let (id, class) = self.classes.get(kind).ok_or_else(|| bad("unknown Req-Kind"))?;
+        let named = self.named.borrow();
+        let (id, class) = named.classes.get(kind).ok_or_else(|| bad("unknown Req-Kind"))?;
         let request_id = head.headers.get(REQ_ID).filter(|id| !HeaderValue::is_empty(id));
         let request_id = request_id.ok_or_else(|| bad("no Req-Id"))?;
         if head.method != Method::GET && head.method != Method::POST {
@@ -91,7 +105,7 @@
             engine: self.engine.clone(),
             class: *id,
             time_left: time_left.min(class.deadline),
-            tenant: text("req-owner").and_then(|t| self.tenants.get(t).copied()),
+            tenant: text("req-owner").and_then(|t| named.tenants.get(t).copied()),
             work: text("req-cost").and_then(number),
             retry: text("req-retry") == Some("1"),
             method: head.method.clone(),
@@ -102,7 +116,7 @@
             bodiless: class.effect == Effect::Safe,
             id: Some(request_id.clone()),
             bodies: self.bodies.clone(),
-            held: None,
+            held: Some(Box::new(self.admitted.hold(*id))),
         })
     }
 
--- a/http/src/routed.rs
+++ b/http/src/routed.rs
@@ -18,7 +18,7 @@
 use sloeline_routing::target::{BadTarget, Target, decoded};
 use tokio::sync::oneshot;
 
-use crate::front::{Admission, Answered, Front, end_to_end, number, plain};
+use crate::front::{Admission, Admitted, Answered, Front, Holding, end_to_end, number, plain};
 use crate::upstream::{Call, Reply};
 
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
@@ -56,8 +56,8 @@
     pub bodies: Rc<Share>,
     /// Most bytes of an answer.
     pub most_answer: Cell<usize>,
-    /// How many requests that were admitted have each class, their bodies still on their way or not.
-    pub admitted: RefCell<Vec<usize>>,
+    /// The requests that are admitted, their bodies still on their way or not.
+    pub admitted: Rc<Admitted>,
     /// Dropped with the pool, when neither routes nor requests hold it any more.
     pub held: oneshot::Sender<()>,
 }
@@ -65,35 +65,20 @@
 impl<W: Wire> Pool<W> {
     /// Whether a request of the class is admitted or open: its number must keep its meaning.
     pub fn uses(&self, class: fs::ClassId) -> bool {
-        self.admitted.borrow().get(class).is_some_and(|n| *n > 0) || self.engine.uses(class)
+        self.admitted.any(class) || self.engine.uses(class)
     }
 }
 
-/// A request in a pool, from its head to its answer. Guards a body that is on its way while the classes change.
+/// A request in a pool, from its head to its answer.
 struct InHand<W: Wire> {
-    pool: Rc<Pool<W>>,
-    class: fs::ClassId,
+    _pool: Rc<Pool<W>>,
+    _class: Holding,
     _place: Taken,
 }
 
 impl<W: Wire> InHand<W> {
     fn new(pool: &Rc<Pool<W>>, class: fs::ClassId, place: Taken) -> InHand<W> {
-        let mut admitted = pool.admitted.borrow_mut();
-        if admitted.len() <= class {
-            admitted.resize(class + 1, 0);
-        }
-        admitted[class] += 1;
-        drop(admitted);
-        InHand { pool: pool.clone(), class, _place: place }
-    }
-}
-
-impl<W: Wire> Drop for InHand<W> {
-    fn drop(&mut self) {
-        let mut admitted = self.pool.admitted.borrow_mut();
-        if let Some(count) = admitted.get_mut(self.class) {
-            *count -= 1;
-        }
+        InHand { _pool: pool.clone(), _class: pool.admitted.hold(class), _place: place }
     }
 }
 
--- a/http/tests/admission.rs
+++ b/http/tests/admission.rs
@@ -76,7 +76,7 @@
         open: Share::alone(open),
         bodies: Share::alone(1 << 20),
         most_answer: Cell::new(4096),
-        admitted: RefCell::default(),
+        admitted: Rc::default(),
         held: oneshot::channel().0,
     })
 }
--- a/membership/src/platform.rs
+++ b/membership/src/platform.rs
@@ -11,9 +11,9 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode, header::HOST};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use sloeline_engine::types::Listed;
-use sloeline_settings::setup::{micros, one};
+use sloeline_settings::setup::{micros, millis, one};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
@@ -34,7 +34,7 @@
 const MOST_LIST: usize = 8 << 20;
 
 /// A list as discovery sends it.
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct List {
     /// Its version.
     pub generation: u64,
@@ -46,7 +46,7 @@
 }
 
 /// An entry as discovery sends it.
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Instance {
     instance_id: String,
@@ -63,7 +63,7 @@
     started_at_ms: f64,
 }
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "UPPERCASE")]
 enum Lifecycle {
     Serving,
@@ -72,6 +72,25 @@
 }
 
 impl List {
+    /// A whole list in discovery's form.
+    pub fn whole(generation: u64, listed: Vec<Listed>) -> List {
+        let instance = |l: Listed| Instance {
+            instance_id: l.instance,
+            host_port: l.address.to_string(),
+            zone: l.zone,
+            machine_type: l.kind,
+            cell: l.cell,
+            lifecycle: match l.state {
+                ServerState::Ready => Lifecycle::Serving,
+                ServerState::Draining => Lifecycle::Draining,
+                ServerState::Gone => Lifecycle::Deleted,
+            },
+            weight: l.weight,
+            started_at_ms: l.started.map_or(0.0, millis),
+        };
+        List { generation, reset: true, instances: listed.into_iter().map(instance).collect() }
+    }
+
     /// The entries for the engine; one whose address cannot be read is logged and passed over.
     pub fn entries(self) -> Vec<Listed> {
         let entry = |i: Instance| {
@@ -128,6 +147,11 @@
         Rc::new(Discovery { address, moves: Cell::new(0), generation, watch: RefCell::default() })
     }
 
+    /// The version of the list held; 0 where there is none.
+    pub fn generation(&self) -> u64 {
+        self.generation.get().unwrap_or(0)
+    }
+
     /// Leaves the present address, its watch and its line: the new one is asked for the whole list at once and
     /// then watched. Guards against versions of another discovery, which say nothing there.
     pub fn move_to(self: &Rc<Self>, address: SocketAddr, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -1,7 +1,6 @@
 //! The daemon: listeners, routes and pools from one configuration, replaced as a whole on SIGHUP.
 
 mod pools;
-mod slots;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -294,7 +293,7 @@
         let leads = on.iter().map(|r| leads(config, r)).collect::<Result<_, _>>().map_err(named)?;
         let deadline_header = wanted.deadline_header.as_deref().map(header).transpose().map_err(named)?;
         let known = self.listeners.contains_key(&identity(name, wanted.address));
-        let socket = if known { None } else { Some(listen(wanted.address).map_err(named)?) };
+        let socket = if known { None } else { Some(listen(wanted.address, false).map_err(named)?) };
         let room = room(config, wanted, places);
         Ok(ListenerPlan {
             name: name.to_owned(),
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -22,8 +22,8 @@
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, spawn_local};
 
-use super::slots::{Assigned, Slot, assign};
 use crate::net::Net;
+use crate::slots::{Assigned, Slot, assign};
 
 /// What all pools share beyond their own parts.
 pub struct Reserves {
@@ -209,7 +209,7 @@
             open: Share::new(parts.open, &reserves.open),
             bodies: Share::new(parts.bodies, &reserves.bodies),
             most_answer: Cell::new(plan.config.answer_limit),
-            admitted: RefCell::default(),
+            admitted: Rc::default(),
             held,
         };
         let tasks = vec![spawn_local(tend).abort_handle(), spawn_local(engine.clone().run()).abort_handle()];
--- a/sloeline/src/lib.rs
+++ b/sloeline/src/lib.rs
@@ -6,4 +6,4 @@
 pub mod explain;
 pub mod net;
 pub mod platform;
-mod platform_config;
+mod slots;
--- a/sloeline/src/platform.rs
+++ b/sloeline/src/platform.rs
@@ -1,30 +1,26 @@
 //! The program as the platform runs it: one listener, one engine, all of it told by `EDGE_CONFIG`.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use finchshift::ListKind;
-use sloeline_engine::engine::Engine;
-use sloeline_http::callers::{Callers, Phase, Room};
-use sloeline_http::platform::Platform;
-use sloeline_http::upstream::{Dialect, Upstreams};
-use sloeline_limits::Share;
-use sloeline_membership::platform::Discovery;
-use sloeline_settings::setup::{Names, settings};
+use sloeline_operations::control;
+use sloeline_operations::keep::Keep;
+use sloeline_operations::link::{find, meeting_place};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-use crate::net::Net;
-use crate::platform_config::Config;
+use self::config::Config;
+use self::operator::{Handed, Operator};
+use self::service::Service;
+use sloeline_http::callers::Phase;
+
+pub mod config;
+mod operator;
+mod service;
 
-/// Descriptors for the runtime, the signals, the listener, discovery and standard streams.
-const RESERVED: usize = 40;
-/// Part of the other descriptors that callers may hold; upstreams have the rest.
-const CALLERS: f64 = 0.55;
-/// Part of the memory that the bodies of open requests and their answers may fill. The rest is for what each
-/// connection has beside: of 32 MB with 256 descriptors, 8 KB buffers and heads take 5, the program itself 2.
-const BODIES: f64 = 0.4;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -32,24 +28,12 @@
     std::env::var(name).ok()
 }
 
-/// Takes over what may change while it runs, which is where discovery is. Guards against a file that is half
-/// written or wrong: the running configuration is kept then.
-fn reload(engine: &Rc<Engine<Net>>, discovery: &Rc<Discovery>) {
-    match Config::read_again(variable) {
-        Ok(config) => {
-            eprintln!("sloeline: configuration read again; discovery is {}", config.discovery);
-            let engine = engine.clone();
-            discovery.move_to(config.discovery, move |kind, entries| engine.list(kind, entries));
-        }
-        Err(why) => eprintln!("sloeline: the running configuration is kept: {why}"),
-    }
-}
-
-/// Takes an address; the error names it.
-pub fn listen(address: std::net::SocketAddr) -> Result<TcpListener, String> {
+/// Takes an address; the error names it. `beside` another process that has done the same.
+pub fn listen(address: SocketAddr, beside: bool) -> Result<TcpListener, String> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
     let listener = socket.and_then(|s| {
         s.set_reuseaddr(true)?;
+        s.set_reuseport(beside)?;
         s.bind(address)?;
         s.listen(BACKLOG)
     });
@@ -64,57 +48,118 @@
     let mut terminate = order(SignalKind::terminate())?;
     let mut interrupt = order(SignalKind::interrupt())?;
     let config = Config::read(variable)?;
-    let mut zones = Names::default();
-    let settings = settings(&config.setup, &mut zones)?;
+    let operated = config.control.is_some();
+    // Where another process of this balancer may be met; only where operators run it.
+    let folder = operated.then(|| variable("TMPDIR")).flatten().map(std::path::PathBuf::from);
+    let place = folder.as_ref().and_then(|folder| {
+        meeting_place(folder, &config.name).inspect_err(|why| eprintln!("link: {why}")).ok()
+    });
+    let inherited = match &place {
+        Some(place) => find::<Handed>(place).await.unwrap_or_else(|why| {
+            eprintln!("link: the process that serves gave nothing: {why}");
+            None
+        }),
+        None => None,
+    };
+    let (ours, hello, line) = match inherited {
+        Some(i) => (Some(i.listener), Some(i.hello), Some(i.line)),
+        None => (None, None, None),
+    };
+    let same = |l: &std::net::TcpListener| {
+        l.local_addr().is_ok_and(|a| a == config.listen || config.listen.port() == 0)
+    };
+    let listener = match ours.filter(same) {
+        Some(listener) => listener,
+        None => listen(config.listen, operated)?.into_std().map_err(|e| e.to_string())?,
+    };
+    listener.set_nonblocking(true).map_err(|e| e.to_string())?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let second = listener.try_clone().map_err(|e| e.to_string())?;
+    let control = config.control.map(|address| listen(address, false)).transpose()?;
 
-    let free = config.sockets.saturating_sub(RESERVED).max(2);
-    let callers = ((free as f64 * CALLERS) as usize).max(1);
-    let upstreams = Upstreams::new(&settings.limits, Share::alone(free - callers), Dialect::platform());
-    spawn_local(upstreams.tend());
-    let generation = config.known.as_ref().map_or(0, |known| known.generation);
-    let discovery = Discovery::new(config.discovery, generation);
-    let classes: Vec<_> = config
-        .setup
-        .categories
-        .iter()
-        .map(|c| c.name.clone())
-        .zip(settings.classes.iter().cloned())
-        .collect();
-    let tenants = config.setup.realms.iter().map(|r| r.name.clone()).collect();
-    let engine =
-        Engine::new(settings, &zones, config.seed, Net { upstreams, discovery: Some(discovery.clone()) })?;
-    match config.known {
-        Some(known) => engine.list(ListKind::Stale, known.entries()),
-        None => engine.begin(),
+    let (phases, phase) = watch::channel(Phase::Running);
+    let keep = folder.map(|folder| Keep::new(&folder, &config.name));
+    let (known, name) = (config.known, config.name);
+    let handed = hello.as_ref().and_then(|h| h.list.as_ref());
+    let generation = handed.filter(|h| h.discovery == config.discovery).map(|h| h.list.generation);
+    let generation = generation.or(known.as_ref().map(|k| k.generation)).unwrap_or(0);
+    let service = Service::new(
+        service::Told {
+            setup: config.setup,
+            file: config.file,
+            discovery: config.discovery,
+            generation,
+            seed: config.seed,
+            sockets: config.sockets,
+            memory: config.memory,
+        },
+        line.is_some(),
+        phase,
+    )?;
+    let (orders, list) = match hello {
+        Some(hello) => (hello.orders, hello.list),
+        None => {
+            let kept = keep.as_ref().map(Keep::read).transpose();
+            let kept = kept.inspect_err(|why| eprintln!("sloeline: no orders are known: {why}"));
+            (kept.ok().flatten().unwrap_or_default(), None)
+        }
+    };
+    let engine = service.engine().clone();
+    let operator = Operator::new(service.clone(), keep, second);
+    // Before any list: nothing is sent to an upstream that is out.
+    operator.adopt(&orders);
+    match (list, known) {
+        (Some(handed), _) => {
+            engine.take_returned(handed.returned);
+            engine.list(ListKind::Complete, handed.list.entries());
+        }
+        (None, Some(known)) => engine.list(ListKind::Stale, known.entries()),
+        (None, None) => engine.begin(),
     }
-    spawn_local(engine.clone().run());
+    spawn_local(engine.run());
     spawn_local({
-        let engine = engine.clone();
+        let service = service.clone();
         async move {
             while hangup.recv().await.is_some() {
-                reload(&engine, &discovery);
+                match Config::read_again(variable, &service.file()).and_then(|c| service.retune(c)) {
+                    Ok(discovery) => {
+                        eprintln!("sloeline: configuration read again; discovery is {discovery}");
+                    }
+                    // Guards against a file that is half written or wrong.
+                    Err(why) => eprintln!("sloeline: the running configuration is kept: {why}"),
+                }
             }
         }
     });
 
-    let listener = listen(config.listen)?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    eprintln!("sloeline {} listens on {address}", config.name);
-
-    let (phases, phase) = watch::channel(Phase::Running);
+    let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
+    eprintln!("sloeline {name} listens on {address}");
+    spawn_local(operator.clone().pose());
+    if let Some(control) = control {
+        let address = control.local_addr().map_err(|e| e.to_string())?;
+        eprintln!("sloeline {name} takes operators' calls on {address}");
+        spawn_local(control::serve(control, operator.clone()));
+    }
+    if let Some(place) = place {
+        spawn_local(operator.clone().meet(place, line));
+    }
     let stop = phases.clone();
-    spawn_local(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+    spawn_local({
+        let operator = operator.clone();
+        async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            eprintln!("sloeline: told to stop");
+            operator.stop();
+            let _ = stop.send(Phase::Stopping);
         }
-        eprintln!("sloeline: told to stop");
-        let _ = stop.send(Phase::Stopping);
     });
-    let room = Room::platform(callers, classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0));
-    let front = Platform::new(engine, classes, tenants, (config.memory as f64 * BODIES) as usize);
-    let callers = Callers::new(front, room, phase);
+    let callers: &Rc<_> = service.callers();
+    operator.serving();
     callers.accept(listener, &phases).await;
+    operator.let_go();
     callers.closed().await;
     Ok(())
 }
--- /dev/null
+++ b/sloeline/src/platform/service.rs
@@ -0,0 +1,196 @@
+//! The engine with its callers, and how both go on under other settings.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use finchshift as fs;
+use finchshift::Micros;
+use serde_json::Value;
+use sloeline_engine::engine::Engine;
+use sloeline_http::callers::{Callers, Phase, Room};
+use sloeline_http::platform::{Named, Platform};
+use sloeline_http::upstream::{Dialect, Upstreams};
+use sloeline_limits::Share;
+use sloeline_membership::platform::Discovery;
+use sloeline_settings::setup::{Names, Setup, settings};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use super::config::Config;
+use crate::net::Net;
+use crate::slots::{Slot, assign};
+
+/// Descriptors for the runtime, the signals, the listeners, operators' calls, discovery and standard streams.
+const RESERVED: usize = 40;
+/// Part of the other descriptors that callers may hold; upstreams have the rest.
+const CALLERS: f64 = 0.55;
+/// Part of the memory that the bodies of open requests and their answers may fill. The rest is for what each
+/// connection has beside: of 32 MB with 256 descriptors, 8 KB buffers and heads take 5, the program itself 2.
+const BODIES: f64 = 0.4;
+
+/// What a service is told at its start.
+pub struct Told {
+    /// The settings.
+    pub setup: Setup,
+    /// The file that they stood in.
+    pub file: Value,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The version of the list that is known.
+    pub generation: u64,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that it may hold.
+    pub sockets: usize,
+    /// Memory that it may use, in bytes.
+    pub memory: usize,
+}
+
+/// The balancer between its sockets.
+pub struct Service {
+    engine: Rc<Engine<Net>>,
+    callers: Rc<Callers<Platform<Net>>>,
+    discovery: Rc<Discovery>,
+    connections: Rc<Share>,
+    bodies: Rc<Share>,
+    sockets: usize,
+    memory: usize,
+    /// Another process of the same balancer is there and takes its half.
+    halved: Cell<bool>,
+    longest: Cell<Micros>,
+    slots: RefCell<Vec<Slot>>,
+    zone: String,
+    file: RefCell<Value>,
+    at: Cell<SocketAddr>,
+}
+
+fn wanted(setup: &Setup, settings: &fs::Settings) -> Vec<Slot> {
+    let classes = setup.categories.iter().zip(&settings.classes);
+    classes.map(|(c, class)| Slot { name: c.name.clone(), class: class.clone() }).collect()
+}
+
+fn named(setup: &Setup, wanted: &[Slot], numbers: &[fs::ClassId]) -> Named {
+    let classes = wanted.iter().zip(numbers).map(|(w, n)| (w.name.clone(), (*n, w.class.clone())));
+    let tenants = setup.realms.iter().enumerate().map(|(i, r)| (r.name.clone(), i));
+    Named { classes: classes.collect(), tenants: tenants.collect() }
+}
+
+fn longest(wanted: &[Slot]) -> Micros {
+    wanted.iter().map(|w| w.class.deadline).max().unwrap_or(0)
+}
+
+/// How many descriptors callers and upstreams have.
+fn descriptors(sockets: usize, halved: bool) -> (usize, usize) {
+    let free = match halved {
+        true => sockets.saturating_sub(2 * RESERVED) / 2,
+        false => sockets.saturating_sub(RESERVED),
+    };
+    let free = free.max(2);
+    let callers = ((free as f64 * CALLERS) as usize).max(1);
+    (callers, free - callers)
+}
+
+fn body_bytes(memory: usize, halved: bool) -> usize {
+    (memory as f64 * BODIES) as usize / if halved { 2 } else { 1 }
+}
+
+impl Service {
+    /// One that has no list yet; `halved` beside another process. The error is one plain line.
+    pub fn new(told: Told, halved: bool, phase: watch::Receiver<Phase>) -> Result<Rc<Service>, String> {
+        let Told { setup, file, discovery: at, generation, seed, sockets, memory } = told;
+        let mut zones = Names::default();
+        let settings = settings(&setup, &mut zones)?;
+        let slots = wanted(&setup, &settings);
+        let (callers, upstreams) = descriptors(sockets, halved);
+        let connections = Share::alone(upstreams);
+        let upstreams = Upstreams::new(&settings.limits, connections.clone(), Dialect::platform());
+        spawn_local(upstreams.tend());
+        let discovery = Discovery::new(at, generation);
+        let net = Net { upstreams, discovery: Some(discovery.clone()) };
+        let engine = Engine::new(settings, &zones, seed, net)?;
+        let numbers: Vec<_> = (0..slots.len()).collect();
+        let bodies = Share::alone(body_bytes(memory, halved));
+        let front = Platform::new(engine.clone(), named(&setup, &slots, &numbers), bodies.clone());
+        let longest = longest(&slots);
+        Ok(Rc::new(Service {
+            engine,
+            callers: Callers::new(front, Room::platform(callers, longest), phase),
+            discovery,
+            connections,
+            bodies,
+            sockets,
+            memory,
+            halved: Cell::new(halved),
+            longest: Cell::new(longest),
+            slots: RefCell::new(slots),
+            zone: setup.zone,
+            file: RefCell::new(file),
+            at: Cell::new(at),
+        }))
+    }
+
+    /// The engine.
+    pub fn engine(&self) -> &Rc<Engine<Net>> {
+        &self.engine
+    }
+
+    /// The callers.
+    pub fn callers(&self) -> &Rc<Callers<Platform<Net>>> {
+        &self.callers
+    }
+
+    /// The file whose settings hold.
+    pub fn file(&self) -> Value {
+        self.file.borrow().clone()
+    }
+
+    /// Where discovery is, and the version of the list that is held.
+    pub fn discovery(&self) -> (SocketAddr, u64) {
+        (self.at.get(), self.discovery.generation())
+    }
+
+    /// Another process of this balancer has come or gone. Both together hold no more than one may.
+    pub fn halve(&self, halved: bool) {
+        if self.halved.replace(halved) != halved {
+            self.resize();
+        }
+    }
+
+    fn resize(&self) {
+        let (callers, upstreams) = descriptors(self.sockets, self.halved.get());
+        self.callers.resize(Room::platform(callers, self.longest.get()));
+        self.connections.resize(upstreams);
+        self.bodies.resize(body_bytes(self.memory, self.halved.get()));
+    }
+
+    /// Goes on under another configuration; with an error nothing has changed. Requests that are admitted keep their
+    /// class. Returns where discovery is now.
+    pub fn retune(&self, config: Config) -> Result<SocketAddr, String> {
+        if config.setup.zone != self.zone {
+            let (found, expected) = (&config.setup.zone, &self.zone);
+            return Err(format!(
+                "settings.Zone: found {found:?}, expected {expected:?}: it changes with a restart"
+            ));
+        }
+        let mut settings = settings(&config.setup, &mut Names::default())?;
+        // What is wanted, before the classes that are only kept are among it.
+        settings.check().map_err(|e| format!("settings: {e}"))?;
+        let wanted = wanted(&config.setup, &settings);
+        let assigned = assign(&self.slots.borrow(), &wanted, |class| self.callers.front().uses(class));
+        settings.classes = assigned.slots.iter().map(|s| s.class.clone()).collect();
+        let limits = settings.limits.clone();
+        self.engine.reconfigure(settings, &assigned.learned)?;
+        self.callers.front().rename(named(&config.setup, &wanted, &assigned.numbers));
+        self.engine.wire().upstreams.set(&limits, Dialect::platform());
+        // A class that is gone may have requests that are to be answered before a stop.
+        self.longest.set(longest(&assigned.slots));
+        *self.slots.borrow_mut() = assigned.slots;
+        self.resize();
+        *self.file.borrow_mut() = config.file;
+        self.at.set(config.discovery);
+        let engine = self.engine.clone();
+        self.discovery.move_to(config.discovery, move |kind, entries| engine.list(kind, entries));
+        Ok(config.discovery)
+    }
+}
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -168,6 +168,29 @@
     pub memory: usize,
     pub listen: String,
     pub descriptors: Option<u32>,
+    /// Operators may call.
+    pub operated: bool,
+    /// `$TMPDIR`.
+    pub folder: Option<PathBuf>,
+}
+
+/// A folder that goes with the test.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("sloeline-folder-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
 }
 
 impl Setup {
@@ -184,6 +207,8 @@
             memory: 192,
             listen: "127.0.0.1:0".to_owned(),
             descriptors: None,
+            operated: false,
+            folder: None,
         }
     }
 
@@ -196,8 +221,9 @@
             Some(address) => ("subscribe", address),
             None => ("automatic", nowhere()),
         };
+        let control = if self.operated { r#""control":"127.0.0.1:0","# } else { "" };
         format!(
-            r#"{{"name":"n3","listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{known}"settings":{}}}"#,
+            r#"{{"name":"n3",{control}"listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{known}"settings":{}}}"#,
             self.listen,
             self.memory,
             self.sockets,
@@ -219,19 +245,30 @@
         // As the platform does: the variable stays what it was when the process started.
         let discovery = self.discovery.unwrap_or_else(nowhere).to_string();
         command.env("EDGE_DISCOVERY", discovery).env("EDGE_CONFIG", &file).stderr(Stdio::piped());
+        if let Some(folder) = &self.folder {
+            command.env("TMPDIR", folder);
+        }
         let mut child = command.spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
-        let mut line = String::new();
-        log.read_line(&mut line).expect("a line");
-        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address in {line:?}"));
+        let mut told = |text: &str| -> SocketAddr {
+            loop {
+                let mut line = String::new();
+                assert!(log.read_line(&mut line).expect("a line") > 0, "no line with {text:?}");
+                if line.contains(text) {
+                    let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+                    return address.unwrap_or_else(|| panic!("no address in {line:?}"));
+                }
+            }
+        };
+        let address = told(" listens on ");
+        let control = self.operated.then(|| told("operators' calls on "));
         let (sender, lines) = channel();
         std::thread::spawn(move || {
             log.lines().map_while(Result::ok).for_each(|l| {
                 let _ = sender.send(l);
             });
         });
-        Balancer { child, address, log: lines, file }
+        Balancer { child, address, control, log: lines, file }
     }
 }
 
@@ -261,6 +298,7 @@
 pub struct Balancer {
     pub child: Child,
     pub address: SocketAddr,
+    pub control: Option<SocketAddr>,
     pub log: Receiver<String>,
     pub file: PathBuf,
 }
@@ -286,6 +324,13 @@
         exchange(&mut self.connect(), request)
     }
 
+    /// An operator's call; its status.
+    pub fn call(&self, method: &str, path: &str) -> u16 {
+        let mut stream = TcpStream::connect(self.control.expect("operated")).expect("it listens");
+        let _ = stream.set_read_timeout(Some(LONG));
+        exchange(&mut stream, &format!("{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n")).status()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -296,7 +341,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([name, &id]).status().expect("kill runs");
         assert!(sent.success());
