Bodies up to 32 MB, answers that pass through as they come, and clients that are slow

A body is now read as it comes, its memory taken from the share step by step, so that a claimed length costs nothing, and one body leaves as much free as it has itself. A head has 2.6 s; a body may go on at half of the slowest rate asked for, but not through 2 s of silence. Answers up to 64 KiB are held as before; a longer one goes to the caller as it comes (Event::FirstByte, which the module had), with no limit from then on, and its attempt ends with it.

Tried and taken back: an answer's end at the None of its body. With a told length hyper never asks for it, so connections looked busy for 6 s and then broke 36 requests. Also: a connection that still takes its last answer counted as idle; 1.2 s from the head alone cut off small requests in pieces.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -60,6 +60,8 @@
     server: ServerId,
     at: Micros,
     handle: Option<O>,
+    /// Its answer has begun to go to the caller: no limit holds any more.
+    begun: bool,
 }
 
 /// A request that is not answered or has attempts out.
@@ -114,6 +116,28 @@
     }
 }
 
+/// Where the beginning of an answer that goes on is told.
+pub struct Opening<W: Wire> {
+    engine: Rc<Engine<W>>,
+    request: RequestId,
+    attempt: u32,
+}
+
+impl<W: Wire> Opening<W> {
+    /// The caller gets this reply now; its rest is the wire's business, which reports the attempt's end as ever. Where
+    /// the caller has left the reply is dropped.
+    pub fn begin(self, reply: W::Reply) {
+        self.engine.began(self.request, self.attempt, reply);
+    }
+}
+
+impl<W: Wire> Report<W> {
+    /// For an answer that begins before the attempt ends.
+    pub fn opening(&self) -> Opening<W> {
+        Opening { engine: self.engine.clone(), request: self.request, attempt: self.attempt }
+    }
+}
+
 impl<W: Wire> Drop for Report<W> {
     fn drop(&mut self) {
         if !self.told {
@@ -398,6 +422,7 @@
         let handle = {
             let mut tables = self.tables.borrow_mut();
             let out = tables.open.get_mut(&id).and_then(|o| o.out.iter_mut().find(|o| o.attempt == attempt));
+            let out = out.filter(|o| !(o.begun && outcome == Outcome::TimedOut));
             out.and_then(|o| o.handle.take())
         };
         let Some(handle) = handle else { return };
@@ -410,6 +435,20 @@
         self.ended(id, attempt, outcome, None, None);
     }
 
+    /// An attempt's answer has begun. What is dropped may come back with its end, so nothing is borrowed then.
+    fn began(self: &Rc<Self>, id: RequestId, attempt: u32, reply: W::Reply) {
+        let answer = {
+            let mut tables = self.tables.borrow_mut();
+            let Some(open) = tables.open.get_mut(&id) else { return };
+            let Some(out) = open.out.iter_mut().find(|o| o.attempt == attempt) else { return };
+            out.begun = true;
+            open.answer.take()
+        };
+        let Some(answer) = answer else { return };
+        self.feed(Event::FirstByte { request: id, attempt });
+        let _ = answer.send(Answer::Served(reply));
+    }
+
     /// The one outcome of an attempt; later ones find it no longer out.
     fn ended(
         self: &Rc<Self>,
@@ -520,7 +559,7 @@
             let limits = self.limits.borrow();
             let copies = open.out.is_empty() || limits.second_copies;
             let may = open.answer.is_some() && copies && attempt < limits.max_attempts && limit > 0;
-            open.out.push(Out { attempt, server, at: now, handle: None });
+            open.out.push(Out { attempt, server, at: now, handle: None, begun: false });
             (may.then(|| open.call.clone()), attempt, limit)
         };
         let (Some(call), Some(target)) = (call, target) else {
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -95,6 +95,37 @@
     });
 }
 
+#[test]
+fn an_answer_that_has_begun_has_no_limit_and_its_end_is_told() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        let report = fake.take();
+        report.opening().begin(7);
+        assert_eq!(asking.answer().await, Answer::Served(7));
+        // Long after its client's time it is neither aborted nor forgotten.
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        assert_eq!((fake.aborted.get(), engine.open()), (0, 1));
+        report.end(Outcome::Ok, None, None);
+        assert_eq!(engine.open(), 0);
+        // Its place is free: as many as before go out.
+        let again = engine.ask(asked(1_000_000));
+        fake.take().end(Outcome::Ok, None, Some(8));
+        assert_eq!(again.answer().await, Answer::Served(8));
+    });
+}
+
+#[test]
+fn an_answer_that_begins_when_its_client_has_left_goes_nowhere() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        let report = fake.take();
+        drop(asking);
+        report.opening().begin(7);
+        report.end(Outcome::Cancelled, None, None);
+        assert_eq!((engine.open(), fake.sent.borrow().len()), (0, 0));
+    });
+}
+
 #[test]
 fn an_attempt_that_was_never_written_lets_an_unsafe_request_go_out_again() {
     with(async |fake, engine| {
--- a/http/src/callers.rs
+++ b/http/src/callers.rs
@@ -12,13 +12,14 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use finchshift::Micros;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
 use sloeline_engine::engine::Wire;
 use sloeline_engine::types::{Answer, Asked, Failure};
+use sloeline_limits::Taken;
 use sloeline_operations::presence::Posture;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,10 +27,11 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::MOST_HEAD;
 use crate::front::{Admission, Answered, Front, end_to_end, plain};
 use crate::gate::{Crowd, Fault, Gate, Pace, Progress, Stage};
+use crate::payload::{End, Payload};
 use crate::upstream::Call;
+use crate::{HELD, MOST_HEAD};
 
 /// From the order to stop to the kill there is the longest deadline, or this where that is longer ...
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
@@ -312,7 +314,12 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, peer: SocketAddr, progress: &Progress) -> Answered {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+        progress: &Rc<Progress>,
+    ) -> Answered {
         let mut response = if request.uri().path() == self.room.borrow().ready_path {
             self.ready()
         } else {
@@ -320,8 +327,19 @@
         };
         // What comes after a request that was not read, or whose end only hyper knows, is no request.
         let last = progress.unread() || progress.chunked();
-        if !last {
-            progress.answered();
+        match response.body_mut() {
+            Payload::Passing(passing) => {
+                // The next request waits for the end of this one's answer.
+                progress.answering();
+                let progress = progress.clone();
+                passing.at_end(move |end| {
+                    if !last && end == End::Whole {
+                        progress.answered();
+                    }
+                });
+            }
+            Payload::Whole(_) if !last => progress.answered(),
+            Payload::Whole(_) => {}
         }
         let most = self.most();
         let crowded = (self.places.available_permits() as f64) < (1.0 - CROWDED) * most as f64;
@@ -348,14 +366,14 @@
             Ok(admission) => admission,
             Err(answer) => return answer,
         };
-        // The longest that it can get, and its answer beside. Guards the memory: past the bound nothing is read.
-        let longest = body.size_hint().exact().unwrap_or(u64::MAX).min(admission.most_body as u64);
-        let Some(_bytes) = admission.bodies.take(longest as usize + admission.most_answer) else {
+        // What it holds of the memory for bodies: a place for its answer, and its own body as far as it has come.
+        let Some(mut room) = admission.bodies.take(admission.most_answer).map(|answer| vec![answer]) else {
             return self.refused(0, "no room");
         };
-        let body = match read(body, &admission).await {
+        let body = match read(body, &admission, &mut room).await {
             Ok(body) => body,
-            Err((status, why)) => return plain(status, why),
+            Err(Unread::NoRoom) => return self.refused(0, "no room"),
+            Err(Unread::Bad(status, why)) => return plain(status, why),
         };
         progress.taken();
         let Admission { engine, class, tenant, work, retry, method, uri, headers, id, held, .. } = admission;
@@ -381,9 +399,13 @@
             () = self.leave.notified() => Answer::Failed(Failure::Time),
         };
         match answer {
-            Answer::Served(reply) => {
+            Answer::Served(mut reply) => {
+                // The request's body is kept as long as its attempt, which ends with the answer.
+                if let Payload::Passing(passing) = &mut reply.body {
+                    passing.at_end(move |_| drop(room));
+                }
                 let length = reply.headers.get(CONTENT_LENGTH).filter(|_| head_only).cloned();
-                let mut response = Response::new(Full::new(reply.body));
+                let mut response = Response::new(reply.body);
                 *response.status_mut() = reply.status;
                 *response.headers_mut() = end_to_end(&reply.headers);
                 // Of the body that is not there (RFC 9110 section 9.3.2).
@@ -408,24 +430,52 @@
     }
 }
 
-/// Reads a body whole; the request's clock starts when this is done.
+/// Why a body was not read.
+enum Unread {
+    /// There is no memory for it now.
+    NoRoom,
+    /// It is none that can be taken.
+    Bad(StatusCode, &'static str),
+}
+
+/// Reads a body whole; the request's clock starts when this is done. Memory is taken as it comes, so that a length
+/// that is only claimed costs nothing.
 async fn read<W: Wire>(
-    body: Incoming,
+    mut body: Incoming,
     admission: &Admission<W>,
-) -> Result<Bytes, (StatusCode, &'static str)> {
-    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    if body.size_hint().lower() > admission.most_body as u64 {
-        return Err(too_large);
+    room: &mut Vec<Taken>,
+) -> Result<Bytes, Unread> {
+    let too_large = || Unread::Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    let most = admission.most_body as u64;
+    if body.size_hint().lower() > most {
+        return Err(too_large());
+    }
+    let exact = body.size_hint().exact().unwrap_or(0) as usize;
+    let (mut whole, mut reserved) = (BytesMut::new(), 0);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Unread::Bad(StatusCode::BAD_REQUEST, "broken body"))?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = whole.len() + data.len();
+        if length as u64 > most {
+            return Err(too_large());
+        }
+        if length > reserved {
+            // Twice as much each time, as the buffer grows, and no more than is told.
+            let more = if exact > 0 { exact.min(2 * length) } else { 2 * length }.max(length) - reserved;
+            // Guards the others: as with shares of a reserve, one body leaves free as much as it has itself.
+            if reserved + more > HELD && admission.bodies.left() < reserved + 2 * more {
+                return Err(Unread::NoRoom);
+            }
+            room.push(admission.bodies.take(more).ok_or(Unread::NoRoom)?);
+            reserved += more;
+            whole.reserve(reserved - whole.len());
+        }
+        whole.extend_from_slice(&data);
     }
-    let body = match Limited::new(body, admission.most_body).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => return Err(too_large),
-        Err(_) => return Err((StatusCode::BAD_REQUEST, "broken body")),
-    };
-    if admission.bodiless && !body.is_empty() {
-        return Err((StatusCode::BAD_REQUEST, "a body that does not fit the class"));
+    if admission.bodiless && !whole.is_empty() {
+        return Err(Unread::Bad(StatusCode::BAD_REQUEST, "a body that does not fit the class"));
     }
-    Ok(body)
+    Ok(whole.freeze())
 }
 
 /// Says why, if there is a word left to say, and reads on for a while. Guards the answer: a socket that is closed
--- a/http/src/front.rs
+++ b/http/src/front.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use finchshift as fs;
 use finchshift::Micros;
-use http_body_util::Full;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
     UPGRADE,
@@ -18,10 +17,11 @@
 use sloeline_engine::engine::{Engine, Wire};
 use sloeline_limits::Share;
 
+use crate::payload::Payload;
 use crate::upstream::{Call, Reply};
 
-/// A whole answer.
-pub type Answered = Response<Full<Bytes>>;
+/// A final answer.
+pub type Answered = Response<Payload>;
 
 /// Looks at heads. One for each listener.
 pub trait Front: 'static {
@@ -60,7 +60,7 @@
     pub headers: HeaderMap,
     /// Most bytes of its body.
     pub most_body: usize,
-    /// Most bytes of its answer.
+    /// Most bytes of its answer that are held at once.
     pub most_answer: usize,
     /// Its class has no body.
     pub bodiless: bool,
@@ -129,7 +129,7 @@
 
 /// An answer of the balancer's own.
 pub fn plain(status: StatusCode, why: impl Into<Bytes>) -> Answered {
-    let mut response = Response::new(Full::new(why.into()));
+    let mut response = Response::new(why.into().into());
     *response.status_mut() = status;
     response
 }
--- a/http/src/gate.rs
+++ b/http/src/gate.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -21,8 +22,10 @@
 const SPARED: Duration = Duration::from_millis(100);
 /// Most of a head.
 const MOST_HEAD: usize = 16 * 1024;
+/// Slowest that a body may come on the platform, in bytes a second: half of what its slowest clients send.
+const SLOWEST: u64 = 32 * 1000;
 /// Read at once.
-const CHUNK: usize = 4096;
+const CHUNK: usize = 16 * 1024;
 
 /// How long each stage of a connection may take.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,14 +34,25 @@
     pub idle: Duration,
     /// A head may take this long from its first byte.
     pub head: Duration,
-    /// A request may take this long from its first byte to its last.
+    /// A body may take this long from the end of its head ...
     pub body: Duration,
+    /// ... and so much longer as what has come of it takes at this rate, in bytes a second; 0 for no longer. Spares a
+    /// slow sender ...
+    pub rate: u64,
+    /// ... but not one of which nothing has come for so long.
+    pub silence: Duration,
+    /// Longest silence of an upstream within an answer that passes through.
+    pub stall: Duration,
+    /// Longest time in which a caller takes nothing of its answer. Far longer than the others: the kernel tells of room
+    /// only when a third of its buffer is free, some megabytes to a caller that takes little.
+    pub stuck: Duration,
 }
 
 impl Default for Pace {
     fn default() -> Pace {
-        let [idle, head, body] = [2000, 1500, 2500].map(Duration::from_millis);
-        Pace { idle, head, body }
+        let [idle, head, body, silence] = [2000, 2600, 1200, 2000].map(Duration::from_millis);
+        let [stall, stuck] = [6000, 30_000].map(Duration::from_millis);
+        Pace { idle, head, body, rate: SLOWEST, silence, stall, stuck }
     }
 }
 
@@ -53,6 +67,8 @@
     Body,
     /// The request has come whole and is not answered.
     Open,
+    /// Its answer passes through.
+    Answering,
 }
 
 /// What cannot be let through; the connection is of no further use.
@@ -103,11 +119,17 @@
     stage: Cell<Stage>,
     since: Cell<Instant>,
     first_byte: Cell<Instant>,
+    /// Bytes that have come since the head began.
+    passed: Cell<u64>,
+    /// When the last of them came.
+    came: Cell<Instant>,
     place: Cell<Option<u64>>,
     fault: Cell<Option<Fault>>,
     chunked: Cell<bool>,
     unread: Cell<bool>,
     stuck: Cell<bool>,
+    /// When bytes last went to the caller.
+    written: Cell<Instant>,
 }
 
 impl Progress {
@@ -120,11 +142,14 @@
             stage: Cell::new(Stage::Open),
             since: Cell::new(now),
             first_byte: Cell::new(now),
+            passed: Cell::default(),
+            came: Cell::new(now),
             place: Cell::default(),
             fault: Cell::default(),
             chunked: Cell::default(),
             unread: Cell::default(),
             stuck: Cell::default(),
+            written: Cell::new(now),
         })
     }
 
@@ -143,6 +168,7 @@
         let now = Instant::now();
         if stage == Stage::Head {
             self.first_byte.set(now);
+            self.passed.set(0);
         }
         self.stage.set(stage);
         self.since.set(now);
@@ -161,12 +187,22 @@
         }
     }
 
+    fn came(&self, bytes: u64) {
+        self.passed.set(self.passed.get().saturating_add(bytes));
+        self.came.set(Instant::now());
+    }
+
     /// The request has come whole.
     pub fn taken(&self) {
         self.unread.set(false);
         self.enter(Stage::Open);
     }
 
+    /// Its answer has begun.
+    pub fn answering(&self) {
+        self.enter(Stage::Answering);
+    }
+
     /// It has its answer: the next one may pass.
     pub fn answered(&self) {
         self.enter(Stage::Idle);
@@ -181,10 +217,22 @@
     pub fn due(&self) -> Option<Instant> {
         let pace = self.crowd.pace.get();
         match self.stage.get() {
-            Stage::Idle => Some(self.since.get() + pace.idle),
+            Stage::Idle | Stage::Answering if self.stuck.get() => Some(self.written.get() + pace.stuck),
+            // One that still takes its last answer is not idle yet.
+            Stage::Idle => Some(self.since.get().max(self.written.get()) + pace.idle),
             Stage::Head => Some(self.first_byte.get() + pace.head),
-            Stage::Body => Some(self.first_byte.get() + pace.body),
+            Stage::Body => {
+                let earned = match pace.rate {
+                    0 => Duration::ZERO,
+                    rate => Duration::from_secs_f64(self.passed.get() as f64 / rate as f64),
+                };
+                // A whole request has at least as long as a head.
+                let least = self.first_byte.get() + pace.head;
+                let slow = (self.since.get() + pace.body).max(least) + earned;
+                Some(slow.min((self.came.get() + pace.silence).max(least)))
+            }
             Stage::Open => None,
+            Stage::Answering => Some(self.since.get().max(self.written.get()) + pace.stall),
         }
     }
 
@@ -242,8 +290,8 @@
 
     /// Reads more into what is held; tells how much it was.
     fn fill(&mut self, cx: &mut Context<'_>, most: usize) -> Poll<io::Result<usize>> {
-        let mut chunk = [0; CHUNK];
-        let mut read = ReadBuf::new(&mut chunk[..most.min(CHUNK)]);
+        let mut chunk = [MaybeUninit::uninit(); CHUNK];
+        let mut read = ReadBuf::uninit(&mut chunk[..most.min(CHUNK)]);
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
         self.held.extend_from_slice(read.filled());
         Poll::Ready(Ok(read.filled().len()))
@@ -281,7 +329,9 @@
         }
         loop {
             match this.next {
-                Next::Head if matches!(this.progress.stage(), Stage::Body | Stage::Open) => {
+                Next::Head
+                    if matches!(this.progress.stage(), Stage::Body | Stage::Open | Stage::Answering) =>
+                {
                     // Whether the caller has left, and what it sends too early: held until the answer went.
                     let room = MOST_HEAD - this.held.len().min(MOST_HEAD);
                     if room == 0 {
@@ -321,6 +371,7 @@
                         return Poll::Ready(Ok(()));
                     }
                     let passed = this.pass(&mut buf, n);
+                    this.progress.came(passed);
                     this.next = Next::Pass(n - passed);
                     return Poll::Ready(Ok(()));
                 }
@@ -328,7 +379,8 @@
                     if this.held.is_empty() && ready!(this.fill(cx, CHUNK))? == 0 {
                         return Poll::Ready(Ok(()));
                     }
-                    this.pass(&mut buf, u64::MAX);
+                    let passed = this.pass(&mut buf, u64::MAX);
+                    this.progress.came(passed);
                     return Poll::Ready(Ok(()));
                 }
             }
@@ -339,6 +391,9 @@
 impl Gate {
     fn note<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         self.progress.stuck.set(written.is_pending());
+        if matches!(written, Poll::Ready(Ok(_))) {
+            self.progress.written.set(Instant::now());
+        }
         written
     }
 }
@@ -370,3 +425,63 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn paused(test: impl AsyncFnOnce(Rc<Progress>)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        // Within, where the clock stands.
+        let test = async { test(Progress::new(Crowd::new(Pace::default()))).await };
+        runtime.expect("a runtime").block_on(test);
+    }
+
+    const HALF: Duration = Duration::from_millis(500);
+
+    #[test]
+    fn a_body_that_comes_slowly_has_its_time_and_one_that_stops_has_not() {
+        paused(async |progress| {
+            let start = Instant::now();
+            progress.enter(Stage::Head);
+            progress.enter(Stage::Body);
+            // 64 kB a second for 20 s.
+            for _ in 0..40 {
+                tokio::time::advance(HALF).await;
+                progress.came(32_000);
+                assert!(progress.due().expect("a time") > Instant::now() + HALF);
+            }
+            // A head and then nothing: an error is owed within 3 s of connecting.
+            progress.answered();
+            let begun = Instant::now();
+            progress.enter(Stage::Head);
+            progress.enter(Stage::Body);
+            assert!(progress.due().expect("a time") < begun + Duration::from_secs(3));
+            // Nor with much that came at once.
+            let much = Instant::now();
+            progress.came(2_000_000);
+            assert!(progress.due().expect("a time") < much + Duration::from_secs(3));
+            assert!(begun > start);
+        });
+    }
+
+    #[test]
+    fn one_that_takes_its_answer_slowly_is_not_idle_and_an_upstream_that_stops_is_not_waited_for() {
+        paused(async |progress| {
+            progress.taken();
+            assert_eq!(progress.due(), None);
+            progress.answering();
+            let pace = Pace::default();
+            assert_eq!(progress.due(), Some(Instant::now() + pace.stall));
+            tokio::time::advance(HALF).await;
+            // Something went out, then the caller takes nothing.
+            progress.written.set(Instant::now());
+            progress.stuck.set(true);
+            assert_eq!(progress.due(), Some(Instant::now() + pace.stuck));
+            progress.answered();
+            assert_eq!(progress.due(), Some(Instant::now() + pace.stuck));
+            progress.stuck.set(false);
+            assert_eq!(progress.due(), Some(Instant::now() + pace.idle));
+        });
+    }
+}
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -4,12 +4,16 @@
 mod framing;
 pub mod front;
 pub mod gate;
+pub mod payload;
 pub mod platform;
 mod pool;
 pub mod routed;
 pub mod upstream;
 
 /// Most of a body on the platform, either way.
-pub const MOST_BODY: usize = 64 * 1024;
+pub const MOST_BODY: usize = 32 << 20;
+/// Answers up to here are read whole before they go on: until then another upstream may be asked. Longer ones pass
+/// through as they come.
+pub const HELD: usize = 64 * 1024;
 /// Most that is read ahead of a message; a head that does not end is given up there.
 const MOST_HEAD: usize = 64 * 1024;
--- /dev/null
+++ b/http/src/payload.rs
@@ -0,0 +1,165 @@
+//! Bodies of answers: whole ones, and long ones that pass through as they come.
+
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+/// How a long answer ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// All of it has passed.
+    Whole,
+    /// The upstream broke off, or it is longer than it may be.
+    Broken,
+    /// Nobody wants the rest.
+    Left,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Payload {
+    /// It is here.
+    Whole(Full<Bytes>),
+    /// It is on its way.
+    Passing(Box<Passing>),
+}
+
+impl From<Bytes> for Payload {
+    fn from(bytes: Bytes) -> Payload {
+        Payload::Whole(Full::new(bytes))
+    }
+}
+
+/// A body that goes to the caller as the upstream gives it: what is not taken on is not read, so that it takes no more
+/// memory than a buffer on each side.
+pub struct Passing {
+    first: Option<Bytes>,
+    rest: Incoming,
+    /// Bytes that the rest may still have.
+    most: u64,
+    ends: Vec<Box<dyn FnOnce(End)>>,
+}
+
+impl fmt::Debug for Passing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Passing").field("most", &self.most).finish_non_exhaustive()
+    }
+}
+
+impl Passing {
+    /// What has come of a body, and its rest, which may have so many bytes.
+    pub fn new(first: Bytes, rest: Incoming, most: u64) -> Passing {
+        Passing { first: Some(first).filter(|f| !f.is_empty()), rest, most, ends: Vec::new() }
+    }
+
+    /// Tells its end once, also when it is dropped.
+    pub fn at_end(&mut self, tell: impl FnOnce(End) + 'static) {
+        self.ends.push(Box::new(tell));
+    }
+
+    /// Of a body whose length was told nobody asks for more than that.
+    fn end_if_last(&mut self) {
+        if self.rest.is_end_stream() {
+            self.end(End::Whole);
+        }
+    }
+
+    fn end(&mut self, how: End) {
+        for tell in self.ends.drain(..) {
+            tell(how);
+        }
+    }
+}
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        self.end(End::Left);
+    }
+}
+
+impl Body for Passing {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let this = &mut *self;
+        if let Some(first) = this.first.take() {
+            this.end_if_last();
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        // With what has no end the caller must see that it is not whole: an error breaks its connection.
+        let failed = match ready!(Pin::new(&mut this.rest).poll_frame(cx)) {
+            None => {
+                this.end(End::Whole);
+                return Poll::Ready(None);
+            }
+            Some(Ok(frame)) => {
+                let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+                match this.most.checked_sub(length) {
+                    Some(most) => {
+                        this.most = most;
+                        this.end_if_last();
+                        return Poll::Ready(Some(Ok(frame)));
+                    }
+                    None => io::Error::other("the answer is too long"),
+                }
+            }
+            Some(Err(e)) => io::Error::other(e),
+        };
+        this.end(End::Broken);
+        Poll::Ready(Some(Err(failed)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // Its end is told when it is asked for.
+        false
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let here = self.first.as_ref().map_or(0, |first| first.len() as u64);
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower().saturating_add(here));
+        if let Some(upper) = rest.upper().and_then(|upper| upper.checked_add(here)) {
+            hint.set_upper(upper);
+        }
+        hint
+    }
+}
+
+impl Body for Payload {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Payload::Whole(whole) => Pin::new(whole).poll_frame(cx).map_err(|never| match never {}),
+            Payload::Passing(passing) => Pin::new(&mut **passing).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Payload::Whole(whole) => whole.is_end_stream(),
+            Payload::Passing(passing) => passing.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Payload::Whole(whole) => whole.size_hint(),
+            Payload::Passing(passing) => passing.size_hint(),
+        }
+    }
+}
--- a/http/src/platform.rs
+++ b/http/src/platform.rs
@@ -13,9 +13,9 @@
 use sloeline_engine::engine::{Engine, Wire};
 use sloeline_limits::Share;
 
-use crate::MOST_BODY;
 use crate::front::{Admission, Admitted, Answered, Front, end_to_end, number, plain};
 use crate::upstream::{Call, Reply};
+use crate::{HELD, MOST_BODY};
 
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -112,7 +112,7 @@
             uri: path.into(),
             headers,
             most_body: MOST_BODY,
-            most_answer: MOST_BODY,
+            most_answer: HELD,
             bodiless: class.effect == Effect::Safe,
             id: Some(request_id.clone()),
             bodies: self.bodies.clone(),
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -8,17 +8,18 @@
 use bytes::Bytes;
 use finchshift as fs;
 use finchshift::{Load, Micros, Outcome, ServerId};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming};
 use sloeline_engine::engine::{Report, Wire};
 use sloeline_engine::types::Target;
 use sloeline_limits::Share;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout};
 
-use crate::MOST_BODY;
+use crate::payload::{End, Passing, Payload};
 use crate::pool::{CONNECT_UNTOLD, Conn, Pool};
+use crate::{HELD, MOST_BODY};
 
 /// How long a connection may take to be ready for the next request after its answer.
 const TURN_ROUND: Duration = Duration::from_millis(500);
@@ -34,6 +35,8 @@
     pub declined: Option<(HeaderName, HeaderValue, Vec<StatusCode>)>,
     /// Most bytes of an answer's body.
     pub most_answer: usize,
+    /// Answers up to here are read whole before they go on; longer ones pass through.
+    pub held: usize,
 }
 
 impl Dialect {
@@ -46,6 +49,7 @@
             only_ok: true,
             declined: Some(mark),
             most_answer: MOST_BODY,
+            held: HELD,
         }
     }
 
@@ -96,7 +100,7 @@
     }
 }
 
-/// An upstream's answer, read to its end.
+/// An upstream's answer.
 #[derive(Debug)]
 pub struct Reply {
     /// Its status.
@@ -104,7 +108,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// How far an attempt's request is written; the engine's end of an attempt looks at it.
@@ -160,13 +164,16 @@
 struct Exchanged {
     outcome: Outcome,
     load: Option<Load>,
+    /// Its body is on its way if the connection is not here.
     reply: Option<Reply>,
     conn: Option<Conn>,
+    /// The connection on which the rest of the answer comes.
+    passing: Option<Conn>,
 }
 
 impl From<Outcome> for Exchanged {
     fn from(outcome: Outcome) -> Exchanged {
-        Exchanged { outcome, load: None, reply: None, conn: None }
+        Exchanged { outcome, load: None, reply: None, conn: None, passing: None }
     }
 }
 
@@ -205,6 +212,10 @@
         let shared = flight.clone();
         let task = spawn_local(async move {
             let ended = exchange(&pool, to, &call, Some(limit), &dialect, &shared).await;
+            let whole = match (ended.passing, ended.reply) {
+                (Some(conn), Some(reply)) => return pass(pool, to.server, conn, reply, ended.load, report),
+                (_, whole) => whole,
+            };
             let mut conn = ended.conn;
             // Put back before the outcome is told: what the module sends on it finds the connection.
             let waiting = match conn.as_mut().map(|c| c.sender.is_ready()) {
@@ -214,7 +225,7 @@
                 }),
                 _ => conn,
             };
-            report.end(ended.outcome, ended.load, ended.reply);
+            report.end(ended.outcome, ended.load, whole);
             if let Some(conn) = waiting {
                 put_when_ready(&pool, to.server, conn).await;
             }
@@ -285,23 +296,77 @@
     }
 }
 
-/// Reads an answer to its end and tells what it means; the connection is kept only if it was read whole.
+/// Lets the rest of an answer go to the caller; the attempt ends with it.
+fn pass<W: Wire<Reply = Reply>>(
+    pool: Rc<Pool>,
+    server: ServerId,
+    conn: Conn,
+    mut reply: Reply,
+    load: Option<Load>,
+    report: Report<W>,
+) {
+    let opening = report.opening();
+    if let Payload::Passing(passing) = &mut reply.body {
+        passing.at_end(move |end| match end {
+            End::Whole => {
+                report.end(Outcome::Ok, load, None);
+                spawn_local(async move { put_when_ready(&pool, server, conn).await });
+            }
+            // With the connection, which is dropped here: nothing more is to come on it.
+            End::Broken => report.end(Outcome::Reset, load, None),
+            End::Left => report.end(Outcome::Cancelled, load, None),
+        });
+    }
+    opening.begin(reply);
+}
+
+/// Reads an answer as far as it is held and tells what it means; the connection is kept only if it was read whole.
 async fn read(response: Response<Incoming>, conn: Conn, dialect: &Dialect) -> Exchanged {
-    let (head, body) = response.into_parts();
+    let (head, mut body) = response.into_parts();
     let declined = dialect.declines(head.status, &head.headers);
     let load = head.headers.get("srv-load").and_then(|v| v.to_str().ok()).map(load);
-    let body = Limited::new(body, dialect.most_answer).collect().await.ok().map(|b| b.to_bytes());
-    let whole = body.is_some();
-    let (outcome, reply) = match (head.status, body) {
-        // Guards against an answer that is not what it seems: spoilt, it proves nothing, its mark neither.
-        (_, None) => (Outcome::Reset, None),
+    let served = !declined && dialect.served(head.status);
+    let (exact, most) = (body.size_hint().exact(), dialect.most_answer as u64);
+    let long = exact.is_some_and(|length| length > dialect.held as u64);
+    // Guards against an answer that is not what it seems: spoilt, it proves nothing, its mark neither.
+    let spoilt = Exchanged { load, ..Outcome::Reset.into() };
+    if exact.is_some_and(|length| length > most) || (long && !served) {
+        return spoilt;
+    }
+    let mut held: Vec<Bytes> = Vec::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return spoilt };
+        let Ok(data) = frame.into_data() else { continue };
+        length += data.len();
+        held.push(data);
+        if length > dialect.held || long {
+            if !served || length as u64 > most {
+                return spoilt;
+            }
+            let passing = Passing::new(joined(held), body, most - length as u64);
+            let (status, headers, body) = (head.status, head.headers, Payload::Passing(Box::new(passing)));
+            let reply = Some(Reply { status, headers, body });
+            return Exchanged { load, reply, passing: Some(conn), ..Outcome::Ok.into() };
+        }
+    }
+    let (outcome, reply) = match head.status {
         _ if declined => (Outcome::Full, None),
-        (status, Some(body)) if dialect.served(status) => {
+        status if served => {
+            let body = joined(held).into();
             (Outcome::Ok, Some(Reply { status, headers: head.headers, body }))
         }
         _ => (Outcome::Error, None),
     };
-    Exchanged { outcome, load, reply, conn: whole.then_some(conn) }
+    Exchanged { outcome, load, reply, conn: Some(conn), passing: None }
+}
+
+/// Most have one part, which is not copied.
+fn joined(mut parts: Vec<Bytes>) -> Bytes {
+    match parts.len() {
+        0 | 1 => parts.pop().unwrap_or_default(),
+        _ => parts.concat().into(),
+    }
 }
 
 /// A load report, `name=value,name=value`; what is unknown or unreadable is passed over.
--- a/limits/src/lib.rs
+++ b/limits/src/lib.rs
@@ -59,6 +59,11 @@
         self.used.get()
     }
 
+    /// What it could still take if nobody else took any.
+    pub fn left(&self) -> usize {
+        self.own.get().saturating_sub(self.used.get()) + self.reserve.free()
+    }
+
     /// What is taken beyond its own.
     pub fn borrowed(&self) -> usize {
         self.used.get().saturating_sub(self.own.get())
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -96,6 +96,7 @@
         only_ok: false,
         declined: declined.transpose()?,
         most_answer: pool.answer_limit,
+        held: pool.answer_limit,
     })
 }
 
--- a/sloeline/src/platform/service.rs
+++ b/sloeline/src/platform/service.rs
@@ -27,7 +27,7 @@
 const CALLERS: f64 = 0.55;
 /// Part of the memory that the bodies of open requests and their answers may fill. The rest is for what each
 /// connection has beside: of 32 MB with 256 descriptors, 8 KB buffers and heads take 5, the program itself 2.
-const BODIES: f64 = 0.4;
+const BODIES: f64 = 0.5;
 
 /// What a service is told at its start.
 pub struct Told {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -440,7 +440,9 @@
                 self.outcome(now, request, &Ended { server, outcome, latency, closed }, actions);
             }
             // A stream that has begun is the client's: no limit, no retry; its outcome frees the place.
-            Event::FirstByte { request, .. } => _ = self.forget(request),
+            Event::FirstByte { request, .. } => {
+                let _ = self.forget(request).map(|r| self.classes[r.class].served += 1.0);
+            }
             Event::Gone { request } => self.gone(request),
             Event::Timer { token: SWEEP } => self.sweep(now, actions),
             Event::Timer { token: HOUSEKEEP } => self.housekeep(now, actions),
