A process that takes over goes on with what the one before has learned

Ruled out: requests turned back at the door (0), calls late or wrong (0 of 108), upstreams left unused (0 of 9).

The module gives what it has learned of classes and zones as figures (Learned) and goes on with them after its list; what is missing, no number or of another shape changes nothing. They pass over the link by the names of classes and zones.

Three module tests: limit, window, and figures that are none.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -298,6 +298,23 @@
         self.ordered(entries)
     }
 
+    /// What the module has learned, for another process: its figures, and those of each zone by name.
+    pub fn learned(&self) -> (fs::Learned, Vec<(String, Vec<f64>)>) {
+        let mut learned = self.balancer.borrow().learned();
+        let tables = self.tables.borrow();
+        let zones = std::mem::take(&mut learned.zones);
+        let named = |(zone, figures)| Some((tables.registry.zone_name(zone)?.to_owned(), figures));
+        (learned, zones.into_iter().filter_map(named).collect())
+    }
+
+    /// Goes on with what another process has learned; after its list.
+    pub fn resume(&self, mut learned: fs::Learned, zones: Vec<(String, Vec<f64>)>) {
+        let tables = self.tables.borrow();
+        let numbered = |(name, figures): (String, _)| Some((tables.registry.zone_number(&name)?, figures));
+        learned.zones = zones.into_iter().filter_map(numbered).collect();
+        self.balancer.borrow_mut().resume(self.clock.now(), &learned);
+    }
+
     /// Those put back whose start the list has not told; see [`take_returned`](Engine::take_returned).
     pub fn returned(&self) -> Vec<(String, Option<Micros>, Micros)> {
         self.tables.borrow().registry.returned()
--- a/engine/src/registry.rs
+++ b/engine/src/registry.rs
@@ -177,6 +177,16 @@
         self.places.get(&server).map(|p| Target { server, address: p.listed.address })
     }
 
+    /// The name of a zone.
+    pub fn zone_name(&self, zone: u32) -> Option<&str> {
+        self.zones.by_name.iter().find(|(_, number)| **number == zone).map(|(name, _)| name.as_str())
+    }
+
+    /// The number of a zone.
+    pub fn zone_number(&self, name: &str) -> Option<u32> {
+        self.zones.by_name.get(name).copied()
+    }
+
     /// How many are listed that take requests.
     pub fn ready(&self) -> usize {
         self.ready
--- a/sloeline/src/platform.rs
+++ b/sloeline/src/platform.rs
@@ -112,6 +112,7 @@
         (Some(handed), _) => {
             engine.take_returned(handed.returned);
             engine.list(ListKind::Complete, handed.list.entries());
+            service.resume(handed.learned);
         }
         (None, Some(known)) => engine.list(ListKind::Stale, known.entries()),
         (None, None) => engine.begin(),
--- a/sloeline/src/platform/operator.rs
+++ b/sloeline/src/platform/operator.rs
@@ -1,6 +1,7 @@
 //! Carries out operators' orders, and meets the process before and the one after.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -32,6 +33,19 @@
     pub list: List,
     /// Those put back whose start the list has not told, the start that it tells, and since when they count as started.
     pub returned: Vec<(String, Option<Micros>, Micros)>,
+    /// What was learned.
+    pub learned: Learned,
+}
+
+/// What the module has learned, by names.
+#[derive(Serialize, Deserialize)]
+pub struct Learned {
+    /// Of each class.
+    pub classes: BTreeMap<String, Vec<f64>>,
+    /// Of all together.
+    pub all: Vec<f64>,
+    /// Of each zone.
+    pub zones: Vec<(String, Vec<f64>)>,
 }
 
 /// The hands of the operators in a process.
@@ -186,6 +200,7 @@
             discovery,
             list: List::whole(generation, listed),
             returned: engine.returned(),
+            learned: self.service.learned(),
         });
         let hello = Hello { orders: self.orders.borrow().clone(), list };
         guest.welcome(&listener, &hello).await
--- a/sloeline/src/platform/service.rs
+++ b/sloeline/src/platform/service.rs
@@ -18,6 +18,7 @@
 use tokio::task::spawn_local;
 
 use super::config::Config;
+use super::operator::Learned;
 use crate::net::Net;
 use crate::slots::{Slot, assign};
 
@@ -150,6 +151,24 @@
         (self.at.get(), self.discovery.generation())
     }
 
+    /// What the module has learned.
+    pub fn learned(&self) -> Learned {
+        let (learned, zones) = self.engine.learned();
+        let slots = self.slots.borrow();
+        let classes = slots.iter().map(|s| s.name.clone()).zip(learned.classes).collect();
+        Learned { classes, all: learned.all, zones }
+    }
+
+    /// Goes on with what another process has learned; after its list.
+    pub fn resume(&self, mut learned: Learned) {
+        let slots = self.slots.borrow();
+        // A class that the other did not have begins anew.
+        let classes = slots.iter().map(|s| learned.classes.remove(&s.name).unwrap_or_default());
+        let classes = classes.collect();
+        let figures = fs::Learned { classes, all: learned.all, zones: Vec::new() };
+        self.engine.resume(figures, learned.zones);
+    }
+
     /// Another process of this balancer has come or gone. Both together hold no more than one may.
     pub fn halve(&self, halved: bool) {
         if self.halved.replace(halved) != halved {
--- a/src/api.rs
+++ b/src/api.rs
@@ -77,6 +77,17 @@
     pub quota: f64,
 }
 
+/// What a balancer has learned, as figures whose meaning is the module's: for another of the same build.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// Of each class.
+    pub classes: Vec<Vec<f64>>,
+    /// Of all classes together.
+    pub all: Vec<f64>,
+    /// Of each zone.
+    pub zones: Vec<(ZoneId, Vec<f64>)>,
+}
+
 /// What [`ServerEntry::weight`] says.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Weights {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -164,6 +164,10 @@
         self.total += 1.0;
         let step = if timed_out { 1.0 } else { -0.01 };
         self.widen = (self.widen * WIDEN.powf(step)).clamp(1.0, WIDEST);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
         self.p50 = self.quantile(0.5);
         let tail = self.total >= TAIL_SAMPLES;
         // Its bucket's upper edge: within the bucket, a service that always takes the same would be cut off.
@@ -171,6 +175,20 @@
         self.p99 = if tail { self.quantile(0.99) * edge * self.widen } else { f64::INFINITY };
     }
 
+    fn figures(&self) -> Vec<f64> {
+        [&[self.widen], &self.counts[..]].concat()
+    }
+
+    /// What [`figures`](Percentiles::figures) told, as of now.
+    fn resume(&mut self, now: Micros, figures: &[f64]) {
+        let [widen, counts @ ..] = figures else { return };
+        if counts.len() == BUCKETS && counts.iter().any(|c| *c > 0.0) {
+            (self.widen, self.counts, self.faded) = (widen.clamp(1.0, WIDEST), counts.to_vec(), now);
+            self.total = counts.iter().sum();
+            self.settle();
+        }
+    }
+
     fn quantile(&self, q: f64) -> f64 {
         let mut left = q * self.total;
         let at = self.counts.iter().position(|c| {
@@ -420,6 +438,34 @@
         Ok(())
     }
 
+    /// What was learned of classes and zones, for a balancer of the same build that takes over.
+    pub fn learned(&self) -> Learned {
+        let class =
+            |c: &ClassState| [&[c.base, c.work, c.offered, c.served], &c.latency.figures()[..]].concat();
+        let classes = self.classes.iter().map(class).collect();
+        let zones = self.pools.iter().map(|(&zone, p)| (zone, vec![p.window, p.lingering, p.sent])).collect();
+        Learned { classes, all: self.all.figures(), zones }
+    }
+
+    /// Goes on with what another has learned; after its list, before any request. Prevents first windows on a fleet
+    /// that has room for less. What is missing or no number stays as it was.
+    pub fn resume(&mut self, now: Micros, learned: &Learned) {
+        let good = |figures: &[f64]| figures.iter().all(|f| f.is_finite() && *f >= 0.0);
+        for (class, figures) in self.classes.iter_mut().zip(&learned.classes).filter(|(_, f)| good(f)) {
+            let [base, work, offered, served, latency @ ..] = &figures[..] else { continue };
+            (class.base, class.work, class.offered, class.served) = (*base, *work, *offered, *served);
+            class.latency.resume(now, latency);
+        }
+        if good(&learned.all) {
+            self.all.resume(now, &learned.all);
+        }
+        for (zone, figures) in learned.zones.iter().filter(|(_, f)| good(f)) {
+            if let ([window, lingering, sent], Some(pool)) = (&figures[..], self.pools.get_mut(zone)) {
+                (pool.window, pool.lingering, pool.sent) = (window.max(LEAST_WINDOW), *lingering, *sent);
+            }
+        }
+    }
+
     /// Takes one event and appends what is to be done. `now` never goes back.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if !self.started {
--- /dev/null
+++ b/tests/resume.rs
@@ -0,0 +1,70 @@
+//! A balancer that goes on with what another has learned.
+
+mod common;
+
+use common::{MS, settings, warm_up, world};
+use finchshift::{Effect, Learned};
+
+#[test]
+fn the_first_attempt_of_a_successor_is_bounded_by_what_the_other_learned() {
+    let mut old = world(&[Effect::Safe, Effect::Keyed { group: finchshift::Group::All, window: 1 }], 3);
+    warm_up(&mut old, 0, 160, 10 * MS);
+    let learned = old.balancer.learned();
+    let limit = |learned: Option<&Learned>| {
+        let mut new = world(&[Effect::Safe, Effect::Keyed { group: finchshift::Group::All, window: 1 }], 3);
+        if let Some(learned) = learned {
+            new.balancer.resume(new.now, learned);
+        }
+        new.request(0);
+        new.out.last().expect("an attempt").limit
+    };
+    let (bounded, unbounded) = (limit(Some(&learned)), limit(None));
+    assert!((9 * MS..13 * MS).contains(&bounded) && unbounded > 100 * MS, "{bounded} {unbounded}");
+}
+
+#[test]
+fn the_window_of_a_successor_is_that_of_the_other_and_not_the_first() {
+    let mut old = world(&[Effect::Safe], 3);
+    old.balancer.reconfigure(settings(&[Effect::Safe]), &[Some(0)]).expect("the same");
+    let mut learned = old.balancer.learned();
+    let out = |learned: &Learned| {
+        let mut new = world(&[Effect::Safe], 3);
+        new.balancer.resume(new.now, learned);
+        (0..200).for_each(|_| _ = new.request(0));
+        new.out.len()
+    };
+    let first = out(&learned);
+    for (_, figures) in &mut learned.zones {
+        figures[0] = 2.0;
+    }
+    assert!(first > 2 && out(&learned) == 2, "{first}");
+}
+
+#[test]
+fn what_is_no_figure_or_of_another_build_changes_nothing() {
+    let mut old = world(&[Effect::Safe], 3);
+    warm_up(&mut old, 0, 160, 10 * MS);
+    let good = old.balancer.learned();
+    let spoilt = |change: &dyn Fn(&mut Learned)| {
+        let mut learned = good.clone();
+        change(&mut learned);
+        let mut new = world(&[Effect::Safe], 3);
+        let before = new.balancer.learned();
+        new.balancer.resume(new.now, &learned);
+        (before, new.balancer.learned())
+    };
+    let nothing = |l: &mut Learned| {
+        *l = Learned { classes: vec![Vec::new(); 4], all: vec![1.0; 7], zones: vec![(99, vec![1.0; 3])] };
+    };
+    let wrong = |value: f64| {
+        move |l: &mut Learned| {
+            l.classes[0][2] = value;
+            l.all[5] = value;
+            l.zones.iter_mut().for_each(|(_, f)| f[0] = value);
+        }
+    };
+    for change in [&nothing as &dyn Fn(&mut Learned), &wrong(f64::NAN), &wrong(f64::INFINITY), &wrong(-1.0)] {
+        let (before, after) = spoilt(change);
+        assert_eq!(before, after);
+    }
+}
