--- a/src/brain.rs
+++ b/src/brain.rs
@@ -447,8 +447,8 @@
         Learned { classes, all: self.all.figures(), zones }
     }
 
-    /// Goes on with what another has learned; after its list, before any request. Prevents first windows on a fleet
-    /// that has room for less. What is missing or no number stays as it was.
+    /// Goes on with what another has learned; after its list, before any request. Prevents first windows on a
+    /// fleet that has room for less. What is missing or no number stays as it was.
     pub fn resume(&mut self, now: Micros, learned: &Learned) {
         let good = |figures: &[f64]| figures.iter().all(|f| f.is_finite() && *f >= 0.0);
         for (class, figures) in self.classes.iter_mut().zip(&learned.classes).filter(|(_, f)| good(f)) {
