--- a/engine/src/registry.rs
+++ b/engine/src/registry.rs
@@ -439,4 +439,27 @@
         assert!(registry.met.len() <= MOST_MET, "{}", registry.met.len());
         assert!(registry.has_met(&format!("s-{}", MOST_MET + 9)));
     }
+
+    #[test]
+    fn a_successor_knows_what_is_out_and_what_came_back() {
+        const READY: ServerState = ServerState::Ready;
+        let told = |started| vec![Listed { started, ..listed("a", 80, READY) }];
+        let mut old = Registry::new(&Names::default());
+        old.take(ListKind::Complete, &told(Some(5)));
+        old.take_out("a").expect("listed");
+        old.put_back("a", 70).expect("listed");
+        // Put back, and not yet told to have started again.
+        let mut new = Registry::new(&Names::default());
+        new.take_returned(old.returned());
+        let (entries, _) = new.take(ListKind::Complete, &old.listed());
+        assert_eq!((entries[0].state, entries[0].started), (READY, Some(70)));
+        assert_eq!(new.take(ListKind::Complete, &told(Some(60))).0[0].started, Some(60));
+        // Out, as another process says, before any list; then it is listed and put back.
+        let mut other = Registry::new(&Names::default());
+        assert_eq!(other.order_out("a"), Vec::new());
+        assert_eq!(other.take(ListKind::Complete, &told(Some(60))).0[0].state, ServerState::Draining);
+        let back = other.put_back("a", 80).expect("it was ordered out");
+        // Whether that start came before or after is not known here: cold is the safe reading.
+        assert_eq!((back[0].state, back[0].started), (READY, Some(80)));
+    }
 }
--- a/sloeline/src/platform/service.rs
+++ b/sloeline/src/platform/service.rs
@@ -213,3 +213,25 @@
         Ok(config.discovery)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_processes_hold_no_more_than_one_may() {
+        for sockets in [60, 64, 100, 256, 384, 1024, 4096] {
+            let (callers, upstreams) = descriptors(sockets, false);
+            assert!(callers > 0 && upstreams > 0 && callers + upstreams + RESERVED <= sockets);
+            let (halved_callers, halved_upstreams) = descriptors(sockets, true);
+            assert!(halved_callers > 0 && halved_upstreams > 0);
+            // Where there is room for two at all.
+            if sockets >= 100 {
+                assert!(2 * (halved_callers + halved_upstreams + RESERVED) <= sockets, "{sockets}");
+            }
+        }
+        for memory in [1 << 20, 33 << 20] {
+            assert!(2 * body_bytes(memory, true) <= body_bytes(memory, false));
+        }
+    }
+}
--- a/sloeline/tests/operations.rs
+++ b/sloeline/tests/operations.rs
@@ -335,17 +335,94 @@
     let known = [a.address];
     let setup =
         |listen: String| operated(Setup { listen, folder: Some(folder.0.clone()), ..Setup::knowing(&known) });
-    let old = setup("127.0.0.23:0".to_owned()).start();
+    let mut old = setup("127.0.0.23:0".to_owned()).start();
     assert_eq!(old.call("PUT", "/maintenance/enter/s-0"), 200);
     old.signal("-STOP");
     // Beside it by SO_REUSEPORT, with the orders of the file.
     let new = setup(old.address.to_string()).start();
     assert_eq!(new.call("GET", "/status"), 200);
     assert_eq!(new.address, old.address);
-    old.signal("-KILL");
+    // Until it has ended, its socket has its part of the connections.
+    old.child.kill().expect("it is killed");
+    old.child.wait().expect("it ends");
     let answer = new.ask(&request("look", "r-1", "Req-Deadline-Ms: 300\r\n"));
     assert!(answer.status() >= 500, "the only upstream is out");
     let _requests = naming(a, "a");
     assert_eq!(new.call("PUT", "/maintenance/exit/s-0"), 200);
     assert_eq!(served_by(&new, "r-2"), "a");
 }
+
+#[test]
+fn a_chain_of_successors_keeps_orders_and_sends_clients_away_together() {
+    let (folder, a, b) = (Folder::new(), Peer::new(), Peer::new());
+    let known = [a.address, b.address];
+    let setup =
+        |listen: String| operated(Setup { listen, folder: Some(folder.0.clone()), ..Setup::knowing(&known) });
+    let mut old = setup("127.0.0.24:0".to_owned()).start();
+    let (from_a, _from_b) = (naming(a, "a"), naming(b, "b"));
+    assert_eq!(old.call("PUT", "/maintenance/enter/s-0"), 200);
+    assert_eq!(old.call("PUT", "/standby"), 200);
+    for _ in 0..3 {
+        let new = setup(old.address.to_string()).start();
+        old.logged("another process has come");
+        // Neither says that it is ready, whichever is asked.
+        assert_eq!((new.call("GET", "/status"), new.ask(READY).status()), (200, 503));
+        old.terminate();
+        assert!(old.child.wait().expect("it ends").success());
+        new.logged("the process before has gone");
+        assert_eq!(new.ask(READY).status(), 503);
+        for n in 0..10 {
+            assert_eq!(served_by(&new, &format!("r-{n}")), "b");
+        }
+        old = new;
+    }
+    assert!(from_a.try_recv().is_err(), "it got a request while it was out");
+    assert_eq!((old.call("PUT", "/active"), old.ask(READY).status()), (200, 200));
+    assert_eq!(old.call("PUT", "/maintenance/exit/s-0"), 200);
+    assert_eq!(old.call("PUT", "/maintenance/enter/s-1"), 200);
+    assert_eq!(served_by(&old, "back"), "a");
+}
+
+#[test]
+fn clients_are_sent_away_from_both_processes_by_an_order_to_the_new_one() {
+    let (folder, a) = (Folder::new(), Peer::new());
+    let known = [a.address];
+    let setup =
+        |listen: String| operated(Setup { listen, folder: Some(folder.0.clone()), ..Setup::knowing(&known) });
+    let old = setup("127.0.0.25:0".to_owned()).start();
+    let _requests = naming(a, "a");
+    let mut kept = old.connect();
+    assert_eq!(exchange(&mut kept, READY).status(), 200);
+    let new = setup(old.address.to_string()).start();
+    old.logged("another process has come");
+    assert_eq!(new.call("PUT", "/standby"), 200);
+    old.logged("taken over from the other process");
+    // The old one's: unready, and closed when it has carried nothing for a while.
+    match kept.write_all(READY.as_bytes()).ok().and_then(|()| read(&mut kept)) {
+        Some(answer) => assert_eq!(answer.status(), 503),
+        None => return,
+    }
+    assert!(closed(&mut kept), "it stays");
+}
+
+#[test]
+fn a_reload_while_clients_are_sent_away_and_a_stop_then() {
+    let upstream = Peer::new();
+    let setup = operated(Setup::knowing(&[upstream.address]));
+    let config = setup.config();
+    let mut balancer = setup.start();
+    let mut held = balancer.connect();
+    held.write_all(request("look", "r-1", "").as_bytes()).expect("it reads");
+    let mut stream = upstream.accept();
+    read(&mut stream).expect("an attempt");
+    assert_eq!(balancer.call("PUT", "/standby"), 200);
+    balancer.reload(&config.replace(r#"{"Name":"look""#, r#"{"Name":"see""#));
+    balancer.logged("configuration read again");
+    assert_eq!(balancer.ask(READY).status(), 503);
+    balancer.terminate();
+    balancer.logged("told to stop");
+    assert_eq!(balancer.call("GET", "/status"), 409);
+    ok(&mut stream);
+    assert_eq!(read(&mut held).expect("an answer").status(), 200);
+    assert!(balancer.child.wait().expect("it ends").success());
+}
