Two processes of one balancer share one window

Each process filled a whole window while both were there, so upstreams got up to twice what they had room for.

While there are two, each tells the other every 20 ms over the link how many attempts it has out in each zone, where that has changed, and the module counts those beside its own when it asks whether a window is full. When the other goes the count is 0.

A module test fills one window from two sides.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -307,6 +307,26 @@
         (learned, zones.into_iter().filter_map(named).collect())
     }
 
+    /// Attempts that are out, by zone.
+    pub fn in_flight(&self) -> Vec<(String, f64)> {
+        let tables = self.tables.borrow();
+        let zones = self.balancer.borrow().in_flight();
+        let named = |(zone, n)| Some((tables.registry.zone_name(zone)?.to_owned(), n));
+        zones.into_iter().filter_map(named).collect()
+    }
+
+    /// What another process of this balancer has out from now on; both share each zone's window.
+    pub fn beside(self: &Rc<Self>, others: &[(String, f64)]) {
+        let others: Vec<_> = {
+            let tables = self.tables.borrow();
+            let numbered = |(name, n): &(String, f64)| Some((tables.registry.zone_number(name)?, *n));
+            others.iter().filter_map(numbered).collect()
+        };
+        self.balancer.borrow_mut().beside(&others);
+        // Places may be free: requests that are held are looked at.
+        self.feed(Event::Timer { token: 0 });
+    }
+
     /// Goes on with what another process has learned; after its list.
     pub fn resume(&self, mut learned: fs::Learned, zones: Vec<(String, Vec<f64>)>) {
         let tables = self.tables.borrow();
--- a/operations/src/link.rs
+++ b/operations/src/link.rs
@@ -51,6 +51,8 @@
     Serving,
     /// All orders that hold, as the sender has changed them.
     Orders(Orders),
+    /// Attempts that the sender has out, by zone.
+    InFlight(Vec<(String, f64)>),
 }
 
 /// Where the processes of the balancer with this name meet in a folder.
--- a/sloeline/src/platform/operator.rs
+++ b/sloeline/src/platform/operator.rs
@@ -17,10 +17,13 @@
 use sloeline_operations::orders::{Order, Orders};
 use sloeline_operations::presence::Presence;
 use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{interval, sleep, sleep_until};
 
 use super::service::Service;
 
+/// How often two processes tell each other what they have out: short beside a request, so that both together keep
+/// to one window.
+const TELL: Duration = Duration::from_millis(20);
 /// Pause after the meeting place could not be taken, or a guest not be heard.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -213,8 +216,23 @@
         if newer && self.serving.get() {
             line.mouth().say(Note::Serving);
         }
-        while let Some(note) = line.next().await {
+        let engine = self.service.engine();
+        let (mut tell, mut told) = (interval(TELL), Vec::new());
+        loop {
+            let note = tokio::select! {
+                note = line.next() => note,
+                _ = tell.tick() => {
+                    let now = engine.in_flight();
+                    if now != told {
+                        line.mouth().say(Note::InFlight(now.clone()));
+                        told = now;
+                    }
+                    continue;
+                }
+            };
+            let Some(note) = note else { break };
             match note {
+                Note::InFlight(others) => engine.beside(&others),
                 // From now on it has the listener's queue for itself.
                 Note::Serving if newer => {}
                 Note::Serving => self.turn(|p| p.succeeded(true)),
@@ -222,6 +240,7 @@
             }
         }
         *self.other.borrow_mut() = None;
+        engine.beside(&[]);
         self.service.halve(false);
         self.turn(|p| p.succeeded(false));
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -272,6 +272,8 @@
     /// Attempts that may be out at once.
     window: f64,
     in_flight: u32,
+    /// Those of another process of this balancer, while there are two.
+    beside: f64,
     /// Attempts given up that servers may still work on; they fade.
     lingering: f64,
     /// With a window under one attempt: nothing goes out earlier.
@@ -466,6 +468,20 @@
         }
     }
 
+    /// Attempts that are out, by zone.
+    pub fn in_flight(&self) -> Vec<(ZoneId, f64)> {
+        self.pools.iter().map(|(&zone, p)| (zone, f64::from(p.in_flight))).collect()
+    }
+
+    /// What another process of this balancer has out, from now on; nothing for a zone that is not named.
+    /// Prevents two processes from filling a window each.
+    pub fn beside(&mut self, others: &[(ZoneId, f64)]) {
+        for (zone, pool) in &mut self.pools {
+            let told = others.iter().find(|(z, n)| z == zone && n.is_finite());
+            pool.beside = told.map_or(0.0, |(_, n)| n.max(0.0));
+        }
+    }
+
     /// Takes one event and appends what is to be done. `now` never goes back.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if !self.started {
@@ -715,7 +731,8 @@
             }
             for pool in pools.iter().filter(|(zone, _)| away == (**zone != settings.zone)).map(|(_, p)| p) {
                 let given_up = if settings.tier == 0 { pool.lingering } else { 0.0 };
-                let full = pool.in_flight as f64 + given_up >= pool.window.max(1.0) * room;
+                let held = pool.in_flight as f64 + pool.beside + given_up;
+                let full = held >= pool.window.max(1.0) * room;
                 if full || (now < pool.resume && room == 1.0) {
                     continue;
                 }
@@ -962,7 +979,7 @@
         let Some(&place) = self.places.get(&ended.server) else { return };
         let server = &mut self.servers[place];
         let pool = self.pools.entry(server.entry.zone).or_default();
-        let used = pool.in_flight as f64 >= 0.7 * pool.window;
+        let used = pool.in_flight as f64 + pool.beside >= 0.7 * pool.window;
         if server.in_flight > 0 {
             server.in_flight -= 1;
             pool.in_flight = pool.in_flight.saturating_sub(1);
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -68,3 +68,30 @@
         assert_eq!(before, after);
     }
 }
+
+#[test]
+fn two_processes_share_one_window() {
+    let mut one = world(&[Effect::Safe], 3);
+    (0..200).for_each(|_| _ = one.request(0));
+    let window = one.out.len();
+    let in_flight = one.balancer.in_flight();
+    assert_eq!(in_flight.iter().map(|(_, n)| n).sum::<f64>(), window as f64);
+    // Beside one that has filled it nothing goes out; where that one has let go of two, two do.
+    let mut other = world(&[Effect::Safe], 3);
+    other.balancer.beside(&in_flight);
+    (0..200).for_each(|_| _ = other.request(0));
+    assert_eq!(other.out.len(), 0);
+    let fewer: Vec<_> = in_flight.iter().map(|(zone, n)| (*zone, n - 2.0)).collect();
+    other.balancer.beside(&fewer);
+    other.request(0);
+    assert_eq!(other.out.len(), 2 * in_flight.len());
+    // It has gone.
+    other.balancer.beside(&[]);
+    other.request(0);
+    assert_eq!(other.out.len(), window);
+    // What is no number is nothing.
+    let mut third = world(&[Effect::Safe], 3);
+    third.balancer.beside(&in_flight.iter().map(|(zone, _)| (*zone, f64::NAN)).collect::<Vec<_>>());
+    (0..200).for_each(|_| _ = third.request(0));
+    assert_eq!(third.out.len(), window);
+}
