--- a/operations/src/call.rs
+++ b/operations/src/call.rs
@@ -84,4 +84,40 @@
         }
         assert_eq!(parse("PUT", &format!("/maintenance/enter/{}", "a".repeat(257))), Err(NoCall::Id));
     }
+
+    #[test]
+    fn whatever_comes_is_a_call_or_none_and_identities_are_bounded() {
+        let seed =
+            std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or_else(|| fastrand::u64(..));
+        println!("SEED={seed}");
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let parts = [
+            "/",
+            "maintenance",
+            "enter",
+            "exit",
+            "standby",
+            "status",
+            "%",
+            "%2F",
+            "%00",
+            "%e2%82",
+            "a",
+            "\u{e9}",
+        ];
+        let mut taken = 0;
+        for _ in 0..20_000 {
+            let mut path = ["", "/maintenance/enter/", "/maintenance/exit/"][rng.usize(0..3)].to_owned();
+            for _ in 0..rng.usize(0..6) {
+                path += parts[rng.usize(0..parts.len())];
+            }
+            let method = ["GET", "PUT", ""][rng.usize(0..3)];
+            if let Ok(Call::Order(Order::TakeOut(id) | Order::PutBack(id))) = parse(method, &path) {
+                assert!(method == "PUT" && !id.is_empty() && id.len() <= MOST_ID, "{path:?}");
+                assert!(!id.chars().any(char::is_control), "{path:?}");
+                taken += 1;
+            }
+        }
+        assert!(taken > 1000, "{taken}");
+    }
 }
