A new process at another address leaves the old one accepting at its own

Only a process that has the old one's listener says so now; orders and limits are shared as before. A test starts one at another address, waits until an order shows that all earlier notes were heard, and is served at both.

--- a/sloeline/src/platform.rs
+++ b/sloeline/src/platform.rs
@@ -68,7 +68,10 @@
     let same = |l: &std::net::TcpListener| {
         l.local_addr().is_ok_and(|a| a == config.listen || config.listen.port() == 0)
     };
-    let listener = match ours.filter(same) {
+    let ours = ours.filter(same);
+    // Told another address it follows nobody: the one before goes on at its own until it is told to stop.
+    let follows = ours.is_some();
+    let listener = match ours {
         Some(listener) => listener,
         None => listen(config.listen, operated)?.into_std().map_err(|e| e.to_string())?,
     };
@@ -105,7 +108,7 @@
         }
     };
     let engine = service.engine().clone();
-    let operator = Operator::new(service.clone(), keep, second);
+    let operator = Operator::new(service.clone(), keep, second, follows);
     // Before any list: nothing is sent to an upstream that is out.
     operator.adopt(&orders);
     match (list, known) {
--- a/sloeline/src/platform/operator.rs
+++ b/sloeline/src/platform/operator.rs
@@ -63,12 +63,20 @@
     /// The other process.
     other: RefCell<Option<Mouth>>,
     serving: Cell<bool>,
+    /// It has the listener of the process before.
+    follows: bool,
     stopping: Cell<bool>,
 }
 
 impl Operator {
-    /// Nothing ordered; `listener` is a second descriptor of the one that serves.
-    pub fn new(service: Rc<Service>, keep: Option<Keep>, listener: TcpListener) -> Rc<Operator> {
+    /// Nothing ordered; `listener` is a second descriptor of the one that serves, which may be that of the process
+    /// before.
+    pub fn new(
+        service: Rc<Service>,
+        keep: Option<Keep>,
+        listener: TcpListener,
+        follows: bool,
+    ) -> Rc<Operator> {
         Rc::new(Operator {
             service,
             orders: RefCell::default(),
@@ -78,6 +86,7 @@
             listener: RefCell::new(Some(listener)),
             other: RefCell::default(),
             serving: Cell::default(),
+            follows,
             stopping: Cell::default(),
         })
     }
@@ -85,7 +94,7 @@
     /// The process takes clients from now on.
     pub fn serving(&self) {
         self.serving.set(true);
-        if let Some(other) = &*self.other.borrow() {
+        if let (true, Some(other)) = (self.follows, &*self.other.borrow()) {
             other.say(Note::Serving);
         }
     }
@@ -213,7 +222,7 @@
     async fn talk(&self, mut line: Line, newer: bool) {
         self.service.halve(true);
         *self.other.borrow_mut() = Some(line.mouth());
-        if newer && self.serving.get() {
+        if newer && self.follows && self.serving.get() {
             line.mouth().say(Note::Serving);
         }
         let engine = self.service.engine();
--- a/sloeline/tests/operations.rs
+++ b/sloeline/tests/operations.rs
@@ -426,3 +426,24 @@
     assert_eq!(read(&mut held).expect("an answer").status(), 200);
     assert!(balancer.child.wait().expect("it ends").success());
 }
+
+#[test]
+fn one_at_another_address_leaves_the_old_one_its_own() {
+    let (folder, a) = (Folder::new(), Peer::new());
+    let known = [a.address];
+    let setup = |listen: &str| {
+        let listen = listen.to_owned();
+        operated(Setup { listen, folder: Some(folder.0.clone()), ..Setup::knowing(&known) })
+    };
+    let old = setup("127.0.0.26:0").start();
+    let _requests = naming(a, "a");
+    let other = format!("127.0.0.27:{}", old.address.port());
+    let new = setup(&other).start();
+    old.logged("another process has come");
+    assert_eq!(new.address.to_string(), other);
+    // An order shows that all that the new one had to say before has been heard.
+    assert_eq!(new.call("PUT", "/standby"), 200);
+    old.logged("taken over from the other process");
+    assert_eq!(old.call("PUT", "/active"), 200);
+    assert_eq!((served_by(&old, "r-1"), served_by(&new, "r-2")), ("a".to_owned(), "a".to_owned()));
+}
