Windows allow five eighths of a window for each tier behind, a quarter at first

Change: due windows are 4 a server and 2.5 more for each tier behind, first ones 4 and 1 more; one function with the allowance as an argument.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,6 +71,9 @@
 const WINDOW_GAIN: f64 = 0.5;
 /// First window, in attempts to a server of the balancer's share of the fleet.
 const FIRST_WINDOW: f64 = 4.0;
+/// Allowance for each tier behind, as a part of that; in first windows, before answers tell of queues.
+const BEHIND: f64 = 0.625;
+const FIRST_BEHIND: f64 = 0.25;
 /// Most by which a window's growth is raised or lowered, as it lies under or over that first window.
 const MOST_PULL: f64 = 3.0;
 /// The window's floor, in attempts in all: a part of one is one with pauses.
@@ -346,10 +349,12 @@
     servers as f64 * weight / balancers
 }
 
-/// The window that a balancer is due. A place is held while the tiers behind work too, but not all servers of
-/// a tier wait for them at once: with a whole window for each tier they were crowded until they turned slow.
-fn due(settings: &Settings, zone: ZoneId, servers: u32) -> f64 {
-    FIRST_WINDOW * part(settings, zone, servers) * (1 + settings.tiers - settings.tier) as f64 / 2.0
+/// The window that a balancer is due, with an allowance for each tier behind: a place is held while those
+/// work too, but not all calls wait for them at once. With a whole window for each, servers were crowded until
+/// they turned slow.
+fn due(settings: &Settings, zone: ZoneId, servers: u32, behind: f64) -> f64 {
+    let allowance = 1.0 + behind * (settings.tiers - settings.tier - 1) as f64;
+    FIRST_WINDOW * part(settings, zone, servers) * allowance
 }
 
 /// The decisions of one balancer.
@@ -921,7 +926,7 @@
     /// their depth, so that what is far longer there is none. Guards against one server that answers at once:
     /// it has to be shown by several, where there are several.
     fn notice_shift(&mut self, class: ClassId, scale: f64, ended: &Ended) -> bool {
-        let first = |zone: ZoneId, p: &Pool| due(&self.settings, zone, p.servers).max(2.0);
+        let first = |zone: ZoneId, p: &Pool| due(&self.settings, zone, p.servers, BEHIND).max(2.0);
         let modest = self.pools.iter().all(|(zone, p)| p.window <= MODEST * first(*zone, p));
         let state = &mut self.classes[class];
         let (latency, far) = (ended.latency as f64 / scale, SLOWER * FIRST_WINDOW);
@@ -987,7 +992,7 @@
         if let Some(late) = late {
             // Prevents some balancers from keeping all places of servers that all share: the further a window
             // is under its balancer's part, the more it grows, and the less above.
-            let due = due(&self.settings, server.entry.zone, pool.servers);
+            let due = due(&self.settings, server.entry.zone, pool.servers, BEHIND);
             let pull = (due / pool.window).clamp(1.0 / MOST_PULL, MOST_PULL);
             let step = if late > 0.0 || used { LATE_SHARE * pull - late } else { 0.0 };
             // Prevents balancers that outnumber their servers from swamping them with one call each: a part
@@ -1128,7 +1133,7 @@
         self.count_warm(now);
         for (&zone, pool) in &mut self.pools {
             if pool.window == 0.0 {
-                pool.window = (FIRST_WINDOW * part(&self.settings, zone, pool.servers)).max(2.0);
+                pool.window = due(&self.settings, zone, pool.servers, FIRST_BEHIND).max(2.0);
             }
         }
     }
@@ -1143,7 +1148,7 @@
         }
         for (&zone, pool) in &mut self.pools {
             if pool.warm == 0 && !pool.all_cold {
-                pool.window = pool.window.min(due(&self.settings, zone, pool.servers).max(2.0));
+                pool.window = pool.window.min(due(&self.settings, zone, pool.servers, BEHIND).max(2.0));
                 let own = pool.from..pool.from + pool.servers as usize;
                 self.servers[own].iter_mut().for_each(|s| s.not_before = 0);
             }
