--- a/src/brain.rs
+++ b/src/brain.rs
@@ -350,8 +350,8 @@
 }
 
 /// The window that a balancer is due, with an allowance for each tier behind: a place is held while those
-/// work too, but not all calls wait for them at once. With a whole window for each, servers were crowded until
-/// they turned slow.
+/// work too, but not all calls wait for them at once. With a whole window for each, servers were crowded
+/// until they turned slow.
 fn due(settings: &Settings, zone: ZoneId, servers: u32, behind: f64) -> f64 {
     let allowance = 1.0 + behind * (settings.tiers - settings.tier - 1) as f64;
     FIRST_WINDOW * part(settings, zone, servers) * allowance
