--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -133,6 +133,10 @@
     pub statuses: Vec<u16>,
 }
 
+/// Answers up to this many bytes are held until they are whole, so that a spoilt one can be repeated; longer ones pass
+/// through as they come.
+pub const ANSWER_HELD: usize = 64 << 10;
+
 /// `[pool.NAME]`
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
@@ -162,7 +166,7 @@
     pub deadline_header: Option<String>,
     /// What proves that a request never ran.
     pub declined: Option<Declined>,
-    /// Most bytes of an answer.
+    /// Most bytes of an answer; what is longer than [`ANSWER_HELD`] passes through.
     pub answer_limit: usize,
     /// Where it stands.
     pub span: Span,
--- a/operations/src/link.rs
+++ b/operations/src/link.rs
@@ -3,6 +3,9 @@
 //! The older process sends one byte with its listener's descriptor (`SCM_RIGHTS`, unix(7)), then a line of JSON, the
 //! [`Hello`]. From then on either side sends a [`Note`] a line. The end of the connection tells that the other process
 //! has gone.
+//!
+//! The two may be of different builds, either of them the newer. A part of the hello that this build cannot read, and a
+//! note that it does not know, is passed over and told in the log; the listener and the orders are what must pass.
 
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -17,7 +20,8 @@
     SendFlags, recvmsg, sendmsg,
 };
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
@@ -36,13 +40,25 @@
 
 /// What the older process hands over beside its listener.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
+#[serde(bound(deserialize = "L: DeserializeOwned"))]
 pub struct Hello<L> {
     /// The orders that hold.
     pub orders: Orders,
-    /// The list of upstreams as it has it; nothing where it has none.
+    /// The list of upstreams as it has it; nothing where it has none or words it in a way that this build cannot read.
+    #[serde(default, deserialize_with = "readable")]
     pub list: Option<L>,
 }
 
+/// Reads a part that another build may word otherwise; where it cannot be read it is as if it had not been told.
+/// Guards what stands beside it.
+pub fn readable<'de, D: Deserializer<'de>, T: DeserializeOwned + Default>(from: D) -> Result<T, D::Error> {
+    let value = Value::deserialize(from)?;
+    Ok(serde_json::from_value(value).unwrap_or_else(|why| {
+        eprintln!("link: a part that another build words otherwise is passed over: {why}");
+        T::default()
+    }))
+}
+
 /// What either tells the other later.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -105,16 +121,19 @@
 async fn hear(mut reader: BufReader<OwnedReadHalf>, heard: UnboundedSender<Note>) {
     loop {
         let line = tokio::select! {
-            line = read_line::<Note>(&mut reader) => line,
+            line = read_line::<Value>(&mut reader) => line,
             // Whoever listened has left.
             () = heard.closed() => return,
         };
         match line {
-            Ok(Some(note)) => {
-                if heard.send(note).is_err() {
-                    return;
+            Ok(Some(value)) => match serde_json::from_value(value) {
+                Ok(note) => {
+                    if heard.send(note).is_err() {
+                        return;
+                    }
                 }
-            }
+                Err(why) => eprintln!("link: a note of another build is passed over: {why}"),
+            },
             Ok(None) => return,
             Err(why) => return eprintln!("link: {why}"),
         }
@@ -207,8 +226,8 @@
 }
 
 impl Guest {
-    /// Hands everything over.
-    pub async fn welcome<L: Serialize>(self, listener: &impl AsFd, hello: &Hello<L>) -> Result<Line, String> {
+    /// Hands everything over: the listener and a [`Hello`].
+    pub async fn welcome(self, listener: &impl AsFd, hello: &impl Serialize) -> Result<Line, String> {
         let Guest { stream } = self;
         let given = async {
             give_descriptor(&stream, listener).await?;
--- a/operations/src/orders.rs
+++ b/operations/src/orders.rs
@@ -20,9 +20,8 @@
     Active,
 }
 
-/// All that holds.
+/// All that holds. What another build has beside is passed over: what this one knows must hold all the same.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Orders {
     /// The upstreams that are out, by identity.
     pub out: BTreeSet<String>,
--- a/operations/tests/link.rs
+++ b/operations/tests/link.rs
@@ -86,6 +86,39 @@
     });
 }
 
+#[test]
+fn what_another_build_words_otherwise_is_passed_over_and_the_rest_holds() {
+    block_on(async || {
+        let folder = Folder::new("builds");
+        let place = meeting_place(&folder.0, "n3").expect("a path");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        for (list, known) in [("41", Some(41)), (r#"{"of":"another","build":[]}"#, None), ("null", None)] {
+            let seat = Seat::take(&place).expect("a seat");
+            let orders = r#"{"out":["s-1"],"standby":true,"paused":[]}"#;
+            let hello = format!(r#"{{"orders":{orders},"list":{list},"more":1}}"#);
+            let hello: serde_json::Value = serde_json::from_str(&hello).expect("JSON");
+            let (found, _line) = tokio::join!(find::<u32>(&place), async {
+                seat.next().await.expect("a guest").welcome(&listener, &hello).await.expect("it reads")
+            });
+            let found = found.expect("an answer").expect("somebody").hello;
+            assert_eq!((found.list, found.orders.standby, found.orders.out.len()), (known, true, 1));
+        }
+        // Notes that this build does not know do not end the line.
+        let seat = Seat::take(&place).expect("a seat");
+        let hello = Hello { orders: Orders::default(), list: None::<u32> };
+        let guest = async {
+            let mut stream = tokio::net::UnixStream::connect(&place).await.expect("a seat");
+            let notes = b"{\"rehearse\":3}\n\"later\"\n[1]\n{\"in_flight\":{}}\n\"serving\"\n";
+            stream.write_all(notes).await.expect("it reads");
+            stream
+        };
+        let welcome =
+            async { seat.next().await.expect("a guest").welcome(&listener, &hello).await.expect("it reads") };
+        let (_stream, mut line) = tokio::join!(guest, welcome);
+        assert_eq!(line.next().await, Some(Note::Serving));
+    });
+}
+
 #[test]
 fn a_guest_that_sends_no_notes_ends_the_line() {
     block_on(async || {
--- a/sloeline/src/platform/operator.rs
+++ b/sloeline/src/platform/operator.rs
@@ -13,7 +13,7 @@
 use sloeline_operations::call::Call;
 use sloeline_operations::control::Operated;
 use sloeline_operations::keep::Keep;
-use sloeline_operations::link::{Hello, Line, Mouth, Note, Seat};
+use sloeline_operations::link::{Hello, Line, Mouth, Note, Seat, readable};
 use sloeline_operations::orders::{Order, Orders};
 use sloeline_operations::presence::Presence;
 use tokio::sync::Notify;
@@ -35,13 +35,15 @@
     /// The list.
     pub list: List,
     /// Those put back whose start the list has not told, the start that it tells, and since when they count as started.
+    #[serde(default, deserialize_with = "readable")]
     pub returned: Vec<(String, Option<Micros>, Micros)>,
     /// What was learned.
+    #[serde(default, deserialize_with = "readable")]
     pub learned: Learned,
 }
 
-/// What the module has learned, by names.
-#[derive(Serialize, Deserialize)]
+/// What the module has learned, by names. Nothing of it is as good as a start.
+#[derive(Default, Serialize, Deserialize)]
 pub struct Learned {
     /// Of each class.
     pub classes: BTreeMap<String, Vec<f64>>,
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -5,9 +5,10 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Nothing takes this long.
 pub const LONG: Duration = Duration::from_secs(30);
@@ -371,3 +372,86 @@
 }
 
 pub const READY: &str = "GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n";
+
+/// With an address for operators' calls.
+pub fn operated(setup: Setup) -> Setup {
+    Setup { operated: true, ..setup }
+}
+
+/// Which upstream served, where each answers with its name.
+pub fn served_by(balancer: &Balancer, id: &str) -> String {
+    let answer = balancer.ask(&request("look", id, ""));
+    assert_eq!(answer.status(), 200);
+    String::from_utf8(answer.body).expect("text")
+}
+
+pub fn naming(peer: Peer, name: &'static str) -> std::sync::mpsc::Receiver<Message> {
+    peer.serve(move |_, stream| answer(stream, "200 OK", "", name.as_bytes()))
+}
+
+/// Clients that ask without pause, each second one on a connection of its own each time; what failed.
+pub struct Clients {
+    stop: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    threads: Vec<std::thread::JoinHandle<Vec<String>>>,
+}
+
+impl Clients {
+    pub fn start(address: std::net::SocketAddr, number: usize) -> Clients {
+        let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let client = |n: usize| {
+            let (stop, served) = (stop.clone(), served.clone());
+            std::thread::spawn(move || {
+                let (mut kept, mut failed) = (None, Vec::new());
+                let mut at = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    at += 1;
+                    let request = request("pay", &format!("c-{n}-{at}"), "");
+                    // A connection that closes between requests sends its client to a new one, once.
+                    let old: Option<TcpStream> = kept.take().filter(|_| n.is_multiple_of(2));
+                    let reused = old.is_some();
+                    let ask = |old: Option<TcpStream>| -> Option<(TcpStream, Message)> {
+                        let mut stream = match old {
+                            Some(stream) => stream,
+                            None => TcpStream::connect(address).ok()?,
+                        };
+                        let _ = stream.set_read_timeout(Some(LONG));
+                        stream.write_all(request.as_bytes()).ok()?;
+                        let answer = read(&mut stream)?;
+                        Some((stream, answer))
+                    };
+                    let asked = match ask(old) {
+                        None if reused => ask(None),
+                        other => other,
+                    };
+                    match asked {
+                        Some((stream, answer)) if answer.status() == 200 => {
+                            served.fetch_add(1, Ordering::SeqCst);
+                            kept = (answer.header("connection") != Some("close")).then_some(stream);
+                        }
+                        Some((_, answer)) => failed.push(format!("c-{n}-{at}: {}", answer.first_line())),
+                        None => failed.push(format!("c-{n}-{at}: turned back")),
+                    }
+                }
+                failed
+            })
+        };
+        let threads = (0..number).map(client).collect();
+        Clients { stop, served, threads }
+    }
+
+    /// Waits until so many more were served.
+    pub fn go_on(&self, more: usize) {
+        let until = self.served.load(Ordering::SeqCst) + more;
+        let start = Instant::now();
+        while self.served.load(Ordering::SeqCst) < until {
+            assert!(start.elapsed() < LONG, "they are stuck");
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn end(self) -> Vec<String> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().flat_map(|t| t.join().expect("a client")).collect()
+    }
+}
--- a/sloeline/tests/operations.rs
+++ b/sloeline/tests/operations.rs
@@ -4,16 +4,10 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use common::*;
 
-fn operated(setup: Setup) -> Setup {
-    Setup { operated: true, ..setup }
-}
-
 #[test]
 fn calls_are_answered_yes_or_no() {
     let balancer = operated(Setup::knowing(&[nowhere()])).start();
@@ -53,17 +47,6 @@
     assert_eq!(balancer.ask(READY).status(), 200);
 }
 
-/// Two upstreams; which of them served.
-fn served_by(balancer: &Balancer, id: &str) -> String {
-    let answer = balancer.ask(&request("look", id, ""));
-    assert_eq!(answer.status(), 200);
-    String::from_utf8(answer.body).expect("text")
-}
-
-fn naming(peer: Peer, name: &'static str) -> std::sync::mpsc::Receiver<Message> {
-    peer.serve(move |_, stream| answer(stream, "200 OK", "", name.as_bytes()))
-}
-
 #[test]
 fn one_that_is_out_gets_nothing_whatever_the_list_says_until_it_is_put_back() {
     let (discovery, a, b) = (Peer::new(), Peer::new(), Peer::new());
@@ -202,73 +185,6 @@
     assert_eq!(read(&mut held).expect("an answer").status(), 200);
 }
 
-/// Clients that ask without pause, each second one on a connection of its own each time; what failed.
-struct Clients {
-    stop: Arc<AtomicBool>,
-    served: Arc<AtomicUsize>,
-    threads: Vec<std::thread::JoinHandle<Vec<String>>>,
-}
-
-impl Clients {
-    fn start(address: std::net::SocketAddr, number: usize) -> Clients {
-        let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-        let client = |n: usize| {
-            let (stop, served) = (stop.clone(), served.clone());
-            std::thread::spawn(move || {
-                let (mut kept, mut failed) = (None, Vec::new());
-                let mut at = 0;
-                while !stop.load(Ordering::SeqCst) {
-                    at += 1;
-                    let request = request("pay", &format!("c-{n}-{at}"), "");
-                    // A connection that closes between requests sends its client to a new one, once.
-                    let old: Option<TcpStream> = kept.take().filter(|_| n.is_multiple_of(2));
-                    let reused = old.is_some();
-                    let ask = |old: Option<TcpStream>| -> Option<(TcpStream, Message)> {
-                        let mut stream = match old {
-                            Some(stream) => stream,
-                            None => TcpStream::connect(address).ok()?,
-                        };
-                        let _ = stream.set_read_timeout(Some(LONG));
-                        stream.write_all(request.as_bytes()).ok()?;
-                        let answer = read(&mut stream)?;
-                        Some((stream, answer))
-                    };
-                    let asked = match ask(old) {
-                        None if reused => ask(None),
-                        other => other,
-                    };
-                    match asked {
-                        Some((stream, answer)) if answer.status() == 200 => {
-                            served.fetch_add(1, Ordering::SeqCst);
-                            kept = (answer.header("connection") != Some("close")).then_some(stream);
-                        }
-                        Some((_, answer)) => failed.push(format!("c-{n}-{at}: {}", answer.first_line())),
-                        None => failed.push(format!("c-{n}-{at}: turned back")),
-                    }
-                }
-                failed
-            })
-        };
-        let threads = (0..number).map(client).collect();
-        Clients { stop, served, threads }
-    }
-
-    /// Waits until so many more were served.
-    fn go_on(&self, more: usize) {
-        let until = self.served.load(Ordering::SeqCst) + more;
-        let start = Instant::now();
-        while self.served.load(Ordering::SeqCst) < until {
-            assert!(start.elapsed() < LONG, "they are stuck");
-            std::thread::yield_now();
-        }
-    }
-
-    fn end(self) -> Vec<String> {
-        self.stop.store(true, Ordering::SeqCst);
-        self.threads.into_iter().flat_map(|t| t.join().expect("a client")).collect()
-    }
-}
-
 #[test]
 fn a_new_process_takes_over_with_its_orders_and_no_request_is_turned_back() {
     let (folder, a, b, c) = (Folder::new(), Peer::new(), Peer::new(), Peer::new());
