Watches of the list wait 8 s at the most, so that silent ones are noticed in 10 s, not 22

A watch asked for 20 s of waiting, so that silence showed after 22 s: the whole release went unheard.

Change: a watch waits for 8 s. A call each 8 s and instance is what the operators' discovery takes of all at once.

A test in paused time fails without it.

--- a/membership/src/platform.rs
+++ b/membership/src/platform.rs
@@ -18,8 +18,9 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// How long a watch may wait for news.
-const WAIT: Duration = Duration::from_secs(20);
+/// How long a watch may wait for news. One that has fallen silent is noticed this and [`WATCH_PATIENCE`] later; until then
+/// a release goes unheard, and calls go to upstreams that have left.
+const WAIT: Duration = Duration::from_secs(8);
 /// A call without a wait that takes longer counts as failed.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// The same for a watch, after its wait: what discovery had to tell counts as told from then on.
--- /dev/null
+++ b/membership/tests/silent.rs
@@ -0,0 +1,35 @@
+//! A watch whose answer never comes, as where something between has dropped the connection unseen.
+
+use std::time::Duration;
+
+use finchshift::ListKind;
+use sloeline_membership::platform::Discovery;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+/// Time stands while anything is to be done, and goes on to the next timer when nothing is.
+#[test]
+fn a_silent_watch_is_told_as_failed_within_ten_seconds() {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let discovery = Discovery::new(listener.local_addr().expect("an address"), 41);
+        let (tell, mut told) = unbounded_channel();
+        let start = Instant::now();
+        discovery.watch(move |kind, entries| tell.send((kind, entries.len())).expect("the test waits"));
+        let (mut stream, _) = listener.accept().await.expect("a call");
+        let mut call = Vec::new();
+        while !call.ends_with(b"\r\n\r\n") {
+            call.push(stream.read_u8().await.expect("a byte"));
+        }
+        let call = String::from_utf8(call).expect("text");
+        assert!(call.starts_with("GET /registry/instances?index=41&wait="), "{call}");
+        assert_eq!(told.recv().await, Some((ListKind::Failed, 0)));
+        // An upstream that is replaced meanwhile is called for as long as this at the most.
+        assert!(start.elapsed() <= Duration::from_secs(10), "{:?}", start.elapsed());
+    });
+}
