Windows allow three quarters of a window for each tier behind

Change: 4 calls an upstream and 3 more for each tier behind (2.5 before); first windows stay at 4 and 1 more, which is what keeps upstreams from being crowded at the start.

Workspace tests pass.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -72,7 +72,7 @@
 /// First window, in attempts to a server of the balancer's share of the fleet.
 const FIRST_WINDOW: f64 = 4.0;
 /// Allowance for each tier behind, as a part of that; in first windows, before answers tell of queues.
-const BEHIND: f64 = 0.625;
+const BEHIND: f64 = 0.75;
 const FIRST_BEHIND: f64 = 0.25;
 /// Most by which a window's growth is raised or lowered, as it lies under or over that first window.
 const MOST_PULL: f64 = 3.0;
