What an answer may hold stands in one place; notes of another build are told once

Cause: how much of a daemon's answer is held was worked out in four places, and a note that this build does not know was logged each time, where another build may send one every 20 ms for as long as both are there.

Change: Pool::held in the configuration's model, used by its check and by the daemon; the first unknown note of a line is logged, the others are passed over.

--- a/config/src/check.rs
+++ b/config/src/check.rs
@@ -9,7 +9,7 @@
 use sloeline_routing::split::WHOLE;
 use sloeline_routing::target::Path;
 
-use crate::model::{ANSWER_HELD, Config, RouteTo};
+use crate::model::{Config, RouteTo};
 use crate::problem::Problems;
 
 /// Methods that change nothing by their definition (RFC 9110 section 9.2.1).
@@ -233,7 +233,7 @@
         let most = own[at] + reserve / 2;
         let largest = config.routes.iter().filter(|r| r.split.iter().any(|(p, _)| p == name));
         let Some(largest) = largest.max_by_key(|r| r.body_limit) else { continue };
-        let needed = largest.body_limit.saturating_add(pool.answer_limit.min(ANSWER_HELD));
+        let needed = largest.body_limit.saturating_add(pool.held());
         if needed > most {
             let found = format!("{needed} bytes for one body and its answer in pool {name:?}");
             let expected = format!("at most {most}, its part of limits.memory");
--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -135,7 +135,14 @@
 
 /// Answers up to this many bytes are held until they are whole, so that a spoilt one can be repeated; longer ones pass
 /// through as they come.
-pub const ANSWER_HELD: usize = 64 << 10;
+const ANSWER_HELD: usize = 64 << 10;
+
+impl Pool {
+    /// Most bytes of an answer that are held at once.
+    pub fn held(&self) -> usize {
+        self.answer_limit.min(ANSWER_HELD)
+    }
+}
 
 /// `[pool.NAME]`
 #[derive(Clone, Debug, PartialEq)]
@@ -166,7 +173,7 @@
     pub deadline_header: Option<String>,
     /// What proves that a request never ran.
     pub declined: Option<Declined>,
-    /// Most bytes of an answer; what is longer than [`ANSWER_HELD`] passes through.
+    /// Most bytes of an answer; what is longer than [`held`](Pool::held) passes through.
     pub answer_limit: usize,
     /// Where it stands.
     pub span: Span,
--- a/operations/src/link.rs
+++ b/operations/src/link.rs
@@ -119,6 +119,8 @@
 }
 
 async fn hear(mut reader: BufReader<OwnedReadHalf>, heard: UnboundedSender<Note>) {
+    // Told once: another build may say it with every change of what it has out.
+    let mut passed_over = false;
     loop {
         let line = tokio::select! {
             line = read_line::<Value>(&mut reader) => line,
@@ -132,7 +134,11 @@
                         return;
                     }
                 }
-                Err(why) => eprintln!("link: a note of another build is passed over: {why}"),
+                Err(_) if passed_over => {}
+                Err(why) => {
+                    passed_over = true;
+                    eprintln!("link: notes of another build are passed over, such as: {why}");
+                }
             },
             Ok(None) => return,
             Err(why) => return eprintln!("link: {why}"),
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -10,7 +10,7 @@
 use finchshift::{ListKind, Micros, ServerState};
 use hyper::StatusCode;
 use hyper::header::{HeaderName, HeaderValue};
-use sloeline_config::model::{ANSWER_HELD, Config, Nodes, Pool as Wanted};
+use sloeline_config::model::{Config, Nodes, Pool as Wanted};
 use sloeline_engine::engine::Engine;
 use sloeline_engine::types::Listed;
 use sloeline_http::routed::Pool;
@@ -96,7 +96,7 @@
         only_ok: false,
         declined: declined.transpose()?,
         most_answer: pool.answer_limit,
-        held: pool.answer_limit.min(ANSWER_HELD),
+        held: pool.held(),
     })
 }
 
@@ -209,7 +209,7 @@
             tenants: RefCell::new(plan.tenants.clone()),
             open: Share::new(parts.open, &reserves.open),
             bodies: Share::new(parts.bodies, &reserves.bodies),
-            most_answer: Cell::new(plan.config.answer_limit.min(ANSWER_HELD)),
+            most_answer: Cell::new(plan.config.held()),
             admitted: Rc::default(),
             held,
         };
@@ -244,7 +244,7 @@
         }
         self.slots.clone_from(&plan.assigned.slots);
         self.pool.tenants.borrow_mut().clone_from(&plan.tenants);
-        self.pool.most_answer.set(plan.config.answer_limit.min(ANSWER_HELD));
+        self.pool.most_answer.set(plan.config.held());
         let before = std::mem::replace(&mut self.config, plan.config.clone());
         if before.nodes != plan.config.nodes {
             self.follow(&plan, known, now, seed);
