A body without room passes on to one upstream as it comes, instead of 503

An upstream that takes nothing for 6 s ends it (504), a client that sends too slowly is told 408 as before; the time in which nobody reads is counted apart.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -37,6 +37,14 @@
     fn send(&self, to: Target, call: Rc<Self::Call>, limit: Micros, report: Report<Self>) -> Self::Out;
     /// Ends an attempt by closing its connection; tells whether it may have run.
     fn abort(&self, out: Self::Out) -> bool;
+    /// The call's body still comes from its caller: its time counts from the last byte.
+    fn coming(&self, _call: &Self::Call) -> bool {
+        false
+    }
+    /// A part of such a body is used up: the call cannot be sent again.
+    fn spent(&self, _call: &Self::Call) -> bool {
+        false
+    }
     /// Asks an upstream how it is.
     fn probe(&self, engine: &Rc<Engine<Self>>, to: Target);
     /// Closes the idle connections to an upstream.
@@ -62,6 +70,8 @@
     handle: Option<O>,
     /// Its answer has begun to go to the caller: no limit holds any more.
     begun: bool,
+    /// The limit, where it counts only from the body's last byte, which has not come.
+    coming: Option<Micros>,
 }
 
 /// A request that is not answered or has attempts out.
@@ -71,11 +81,20 @@
     /// Where the final answer goes; nothing once it went or the client left.
     answer: Option<oneshot::Sender<Answer<W::Reply>>>,
     deadline: Micros,
+    time_left: Micros,
     sent: u32,
     out: Vec<Out<W::Out>>,
     failure: Failure,
 }
 
+impl<W: Wire> Open<W> {
+    /// A body is still coming, or its last byte came so late that the request has time left.
+    fn early(&self, now: Micros) -> bool {
+        let coming = self.out.iter().any(|o| o.coming.is_some());
+        coming || now + LAST_RESORT < self.deadline
+    }
+}
+
 struct Tables<W: Wire> {
     open: HashMap<RequestId, Open<W>>,
     next: RequestId,
@@ -131,7 +150,26 @@
     }
 }
 
+/// Where it is told that the last byte of a body has come which the attempt passes on.
+pub struct Come<W: Wire> {
+    engine: Rc<Engine<W>>,
+    request: RequestId,
+    attempt: u32,
+}
+
+impl<W: Wire> Come<W> {
+    /// Now: the time of the request and of its attempt counts from here.
+    pub fn tell(self) {
+        self.engine.has_come(self.request, self.attempt);
+    }
+}
+
 impl<W: Wire> Report<W> {
+    /// For a body that passes on while it comes.
+    pub fn come(&self) -> Come<W> {
+        Come { engine: self.engine.clone(), request: self.request, attempt: self.attempt }
+    }
+
     /// For an answer that begins before the attempt ends.
     pub fn opening(&self) -> Opening<W> {
         Opening { engine: self.engine.clone(), request: self.request, attempt: self.attempt }
@@ -251,8 +289,8 @@
             tables.next += 1;
             let call = Rc::new(asked.call);
             let failure = Failure::Time;
-            let (answer, class, out) = (Some(sender), asked.class, Vec::new());
-            let open = Open { call, class, answer, deadline, sent: 0, out, failure };
+            let (answer, class, out, time_left) = (Some(sender), asked.class, Vec::new(), asked.time_left);
+            let open = Open { call, class, answer, deadline, time_left, sent: 0, out, failure };
             tables.open.insert(id, open);
             id
         };
@@ -400,7 +438,10 @@
             Due::Limit(id, attempt) => self.call_off(id, attempt, Outcome::TimedOut),
             Due::LastResort(id) => {
                 let mut tables = self.tables.borrow_mut();
-                let Some(answer) = tables.open.get_mut(&id).and_then(|o| o.answer.take()) else { return };
+                let open = tables.open.get_mut(&id);
+                // Its time has not begun, or has begun later than this timer.
+                let Some(open) = open.filter(|o| !o.early(self.clock.now())) else { return };
+                let Some(answer) = open.answer.take() else { return };
                 eprintln!("defect: the module left request {id} unanswered; failed just before its time");
                 let _ = answer.send(Answer::Failed(Failure::Time));
                 drop(tables);
@@ -433,13 +474,38 @@
 
     /// The client left, or has its answer.
     fn gone(self: &Rc<Self>, id: RequestId) {
-        let left = {
+        let (left, cut) = {
             let mut tables = self.tables.borrow_mut();
-            tables.open.get_mut(&id).and_then(|o| o.answer.take()).is_some()
+            let Some(open) = tables.open.get_mut(&id) else { return };
+            let cut = open.out.iter().find(|o| o.coming.is_some()).map(|o| o.attempt);
+            (open.answer.take().is_some(), cut)
         };
         if left {
             self.feed(Event::Gone { request: id });
-            self.settle(id);
+        }
+        // Its body can never come whole, and no limit would end it.
+        if let Some(attempt) = cut {
+            self.call_off(id, attempt, Outcome::Cancelled);
+        }
+        self.settle(id);
+    }
+
+    /// The last byte of a body that passes on has come: the time of the request and of its attempt begins.
+    fn has_come(&self, id: RequestId, attempt: u32) {
+        let now = self.clock.now();
+        let limit = {
+            let mut tables = self.tables.borrow_mut();
+            let Some(open) = tables.open.get_mut(&id) else { return };
+            let Some(out) = open.out.iter_mut().find(|o| o.attempt == attempt) else { return };
+            let Some(limit) = out.coming.take() else { return };
+            out.at = now;
+            open.deadline = now + open.time_left;
+            limit
+        };
+        self.set_timer(now + limit, Due::Limit(id, attempt));
+        let last = self.tables.borrow().open.get(&id).map(|o| o.deadline.saturating_sub(LAST_RESORT));
+        if let Some(last) = last {
+            self.set_timer(last, Due::LastResort(id));
         }
     }
 
@@ -503,11 +569,18 @@
             let out = open.out.swap_remove(at);
             let timed_out = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
             open.failure = if timed_out { Failure::Time } else { Failure::Upstream };
+            let again = outcome == Outcome::Ok || !self.wire.spent(&open.call);
             if let (Outcome::Ok, Some(reply)) = (outcome, reply)
                 && let Some(answer) = open.answer.take()
             {
                 let _ = answer.send(Answer::Served(reply));
             }
+            // What is left of its body is no request: no other attempt can follow. Each before it never ran, or it
+            // would have been the last.
+            if let Some(answer) = open.answer.take_if(|_| !again) {
+                let refused = Answer::Refused { retry_after: 0 };
+                let _ = answer.send(if outcome.never_ran() { refused } else { Answer::Failed(open.failure) });
+            }
             let closed = open.answer.is_none();
             let latency = now.saturating_sub(out.at);
             Event::Outcome { request: id, attempt, server: out.server, outcome, latency, closed, load }
@@ -596,7 +669,8 @@
             let limits = self.limits.borrow();
             let copies = open.out.is_empty() || limits.second_copies;
             let may = open.answer.is_some() && copies && attempt < limits.max_attempts && limit > 0;
-            open.out.push(Out { attempt, server, at: now, handle: None, begun: false });
+            let coming = self.wire.coming(&open.call).then_some(limit);
+            open.out.push(Out { attempt, server, at: now, handle: None, begun: false, coming });
             (may.then(|| open.call.clone()), attempt, limit)
         };
         let (Some(call), Some(target)) = (call, target) else {
@@ -604,12 +678,16 @@
         };
         let report = Report { engine: self.clone(), request: id, attempt, told: false };
         let handle = self.wire.send(target, call, limit, report);
+        let mut counts = true;
         if let Some(open) = self.tables.borrow_mut().open.get_mut(&id)
             && let Some(out) = open.out.iter_mut().find(|o| o.attempt == attempt)
         {
             out.handle = Some(handle);
+            counts = out.coming.is_none();
+        }
+        if counts {
+            self.set_timer(now + limit, Due::Limit(id, attempt));
         }
-        self.set_timer(now + limit, Due::Limit(id, attempt));
     }
 }
 
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -11,6 +11,8 @@
     sent: Rc<RefCell<Vec<Report<Fake>>>>,
     aborted: Rc<Cell<u32>>,
     ran: Rc<Cell<bool>>,
+    coming: Rc<Cell<bool>>,
+    spent: Rc<Cell<bool>>,
 }
 
 impl Wire for Fake {
@@ -24,6 +26,12 @@
         self.aborted.set(self.aborted.get() + 1);
         self.ran.get()
     }
+    fn coming(&self, _: &()) -> bool {
+        self.coming.get()
+    }
+    fn spent(&self, _: &()) -> bool {
+        self.spent.get()
+    }
     fn probe(&self, _: &Rc<Engine<Self>>, _: Target) {}
     fn close_idle(&self, _: ServerId) {}
     fn watch(&self, _: &Rc<Engine<Self>>) {}
@@ -199,3 +207,67 @@
         assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
     });
 }
+
+/// A body that passes on: the request's time counts from its last byte, and what is used up is not sent again.
+#[test]
+fn the_time_of_a_body_that_passes_counts_from_its_last_byte() {
+    with(async |fake, engine| {
+        fake.coming.set(true);
+        let asking = engine.ask(asked(4_000_000));
+        let report = fake.take();
+        let come = report.come();
+        let start = Instant::now();
+        let answer = spawn_local(asking.answer());
+        // Far longer than the deadline; nothing ends it.
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        assert!(!answer.is_finished() && engine.open() == 1 && fake.aborted.get() == 0);
+        fake.ran.set(true);
+        come.tell();
+        assert_eq!(answer.await.expect("it ends"), Answer::Failed(Failure::Time));
+        let took = start.elapsed() - Duration::from_secs(20);
+        assert!(took > Duration::from_secs(3) && took <= Duration::from_secs(4), "{took:?}");
+        assert_eq!(fake.aborted.get(), 1);
+        drop(report);
+    });
+}
+
+#[test]
+fn a_call_that_is_used_up_ends_with_its_attempt() {
+    for (outcome, expected) in [
+        (Outcome::Full, Answer::Refused { retry_after: 0 }),
+        (Outcome::ConnectFailed, Answer::Refused { retry_after: 0 }),
+        (Outcome::Reset, Answer::Failed(Failure::Upstream)),
+        (Outcome::Error, Answer::Failed(Failure::Upstream)),
+    ] {
+        with(async |fake, engine| {
+            fake.coming.set(true);
+            let asking = engine.ask(asked(4_000_000));
+            fake.spent.set(true);
+            fake.take().end(outcome, None, None);
+            assert_eq!(asking.answer().await, expected, "{outcome:?}");
+            assert!(fake.sent.borrow().is_empty() && engine.open() == 0);
+        });
+    }
+    // Untouched it goes out again.
+    with(async |fake, engine| {
+        fake.coming.set(true);
+        let asking = engine.ask(asked(4_000_000));
+        fake.take().end(Outcome::ConnectFailed, None, None);
+        while fake.sent.borrow().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fake.take().end(Outcome::Ok, None, Some(7));
+        assert_eq!(asking.answer().await, Answer::Served(7));
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_within_its_body_ends_the_attempt() {
+    with(async |fake, engine| {
+        fake.coming.set(true);
+        let asking = engine.ask(asked(4_000_000));
+        let _report = fake.take();
+        drop(asking);
+        assert_eq!((fake.aborted.get(), engine.open()), (1, 0));
+    });
+}
--- a/http/src/callers.rs
+++ b/http/src/callers.rs
@@ -30,6 +30,7 @@
 use crate::front::{Admission, Answered, Front, end_to_end, plain};
 use crate::gate::{Crowd, Fault, Gate, Pace, Progress, Stage};
 use crate::payload::{End, Payload};
+use crate::upload::{Sent, Upload};
 use crate::upstream::Call;
 use crate::{HELD, MOST_HEAD};
 
@@ -301,6 +302,7 @@
             let error = match (progress.fault(), too_late, progress.stage()) {
                 (Some(Fault::Bad), ..) => Some("400 Bad Request"),
                 (Some(Fault::TooLarge), ..) => Some("431 Request Header Fields Too Large"),
+                (None, true, Stage::Body) if progress.held_up() => Some("504 Gateway Timeout"),
                 (None, true, Stage::Head | Stage::Body) => Some("408 Request Timeout"),
                 _ => None,
             };
@@ -360,22 +362,36 @@
         }
     }
 
-    async fn serve_one(&self, request: Request<Incoming>, peer: SocketAddr, progress: &Progress) -> Answered {
+    async fn serve_one(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+        progress: &Rc<Progress>,
+    ) -> Answered {
         let (head, body) = request.into_parts();
         let admission = match self.front.admit(&head, peer) {
             Ok(admission) => admission,
             Err(answer) => return answer,
         };
         // What it holds of the memory for bodies: a place for its answer, and its own body as far as it has come.
-        let Some(mut room) = admission.bodies.take(admission.most_answer).map(|answer| vec![answer]) else {
+        let Some(room) = admission.bodies.take(admission.most_answer) else {
             return self.refused(0, "no room");
         };
-        let body = match read(body, &admission, &mut room).await {
-            Ok(body) => body,
-            Err(Unread::NoRoom) => return self.refused(0, "no room"),
-            Err(Unread::Bad(status, why)) => return plain(status, why),
+        let mut upload = None;
+        let (body, room) = match read(body, &admission).await {
+            Ok(Come::Whole(body, own)) => {
+                progress.taken();
+                (Sent::Whole(body), (room, own))
+            }
+            Ok(Come::Passing(body)) => {
+                let progress = progress.clone();
+                progress.passes(Duration::from_micros(admission.time_left));
+                body.when_come(move || progress.taken());
+                upload = Some(body.clone());
+                (Sent::Passing(body), (room, Vec::new()))
+            }
+            Err((status, why)) => return plain(status, why),
         };
-        progress.taken();
         let Admission { engine, class, tenant, work, retry, method, uri, headers, id, held, .. } = admission;
         // Guards against a second request under an id that is open: upstreams could not tell them apart.
         let _id = match id.map(|id| Id::take(&self.ids, &id)) {
@@ -414,6 +430,10 @@
                 }
                 response
             }
+            // It never ran, and it never will.
+            Answer::Refused { .. } if upload.is_some_and(|u| u.broken()) => {
+                plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or broke off")
+            }
             Answer::Refused { retry_after } => self.refused(retry_after, "refused"),
             Answer::Failed(Failure::Time) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
             Answer::Failed(Failure::Upstream) => plain(StatusCode::BAD_GATEWAY, "upstream failed"),
@@ -430,52 +450,53 @@
     }
 }
 
-/// Why a body was not read.
-enum Unread {
-    /// There is no memory for it now.
-    NoRoom,
-    /// It is none that can be taken.
-    Bad(StatusCode, &'static str),
+/// A body as far as it was read.
+enum Come {
+    /// All of it, and its memory.
+    Whole(Bytes, Vec<Taken>),
+    /// There is no memory for the rest: it passes on.
+    Passing(Rc<Upload>),
 }
 
-/// Reads a body whole; the request's clock starts when this is done. Memory is taken as it comes, so that a length
-/// that is only claimed costs nothing.
+/// Reads a body whole, if there is memory for it; the request's clock starts when this is done. Memory is taken as it
+/// comes, so that a length that is only claimed costs nothing. The error is for the caller.
 async fn read<W: Wire>(
     mut body: Incoming,
     admission: &Admission<W>,
-    room: &mut Vec<Taken>,
-) -> Result<Bytes, Unread> {
-    let too_large = || Unread::Bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+) -> Result<Come, (StatusCode, &'static str)> {
+    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
     let most = admission.most_body as u64;
     if body.size_hint().lower() > most {
-        return Err(too_large());
+        return Err(too_large);
     }
     let exact = body.size_hint().exact().unwrap_or(0) as usize;
-    let (mut whole, mut reserved) = (BytesMut::new(), 0);
+    let (mut whole, mut room, mut reserved) = (BytesMut::new(), Vec::new(), 0);
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Unread::Bad(StatusCode::BAD_REQUEST, "broken body"))?;
+        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?;
         let Ok(data) = frame.into_data() else { continue };
+        if admission.bodiless && !data.is_empty() {
+            return Err((StatusCode::BAD_REQUEST, "a body that does not fit the class"));
+        }
         let length = whole.len() + data.len();
         if length as u64 > most {
-            return Err(too_large());
+            return Err(too_large);
         }
         if length > reserved {
             // Twice as much each time, as the buffer grows, and no more than is told.
             let more = if exact > 0 { exact.min(2 * length) } else { 2 * length }.max(length) - reserved;
             // Guards the others: as with shares of a reserve, one body leaves free as much as it has itself.
-            if reserved + more > HELD && admission.bodies.left() < reserved + 2 * more {
-                return Err(Unread::NoRoom);
-            }
-            room.push(admission.bodies.take(more).ok_or(Unread::NoRoom)?);
+            let modest = reserved + more <= HELD || admission.bodies.left() >= reserved + 2 * more;
+            let Some(taken) = admission.bodies.take(more).filter(|_| modest) else {
+                whole.extend_from_slice(&data);
+                return Ok(Come::Passing(Upload::new(whole.freeze(), room, body, most - length as u64)));
+            };
+            room.push(taken);
             reserved += more;
             whole.reserve(reserved - whole.len());
         }
         whole.extend_from_slice(&data);
     }
-    if admission.bodiless && !whole.is_empty() {
-        return Err(Unread::Bad(StatusCode::BAD_REQUEST, "a body that does not fit the class"));
-    }
-    Ok(whole.freeze())
+    Ok(Come::Whole(whole.freeze(), room))
 }
 
 /// Says why, if there is a word left to say, and reads on for a while. Guards the answer: a socket that is closed
--- a/http/src/gate.rs
+++ b/http/src/gate.rs
@@ -123,6 +123,12 @@
     passed: Cell<u64>,
     /// When the last of them came.
     came: Cell<Instant>,
+    /// Since when nobody asks for more: what comes goes on to an upstream that takes none now.
+    held_up: Cell<Option<Instant>>,
+    /// How long it was so since the head began.
+    held: Cell<Duration>,
+    /// How long it may be so where the request waits to be sent.
+    waits: Cell<Duration>,
     place: Cell<Option<u64>>,
     fault: Cell<Option<Fault>>,
     chunked: Cell<bool>,
@@ -144,6 +150,9 @@
             first_byte: Cell::new(now),
             passed: Cell::default(),
             came: Cell::new(now),
+            held_up: Cell::default(),
+            held: Cell::default(),
+            waits: Cell::default(),
             place: Cell::default(),
             fault: Cell::default(),
             chunked: Cell::default(),
@@ -169,7 +178,10 @@
         if stage == Stage::Head {
             self.first_byte.set(now);
             self.passed.set(0);
+            self.held.set(Duration::ZERO);
+            self.waits.set(Duration::ZERO);
         }
+        self.held_up.set(None);
         self.stage.set(stage);
         self.since.set(now);
         self.leave_crowd();
@@ -189,7 +201,28 @@
 
     fn came(&self, bytes: u64) {
         self.passed.set(self.passed.get().saturating_add(bytes));
-        self.came.set(Instant::now());
+        let now = Instant::now();
+        self.came.set(now);
+        self.held_up.set(Some(now));
+    }
+
+    /// More is asked for: what comes late from here on is the caller's doing.
+    fn asked(&self) {
+        if let Some(since) = self.held_up.take() {
+            let now = Instant::now();
+            self.held.set(self.held.get() + (now - since));
+            self.came.set(now);
+        }
+    }
+
+    /// The body passes on; its request may wait so long to be sent, as any other.
+    pub fn passes(&self, waits: Duration) {
+        self.waits.set(waits);
+    }
+
+    /// The body waits for an upstream that does not take it.
+    pub fn held_up(&self) -> bool {
+        self.stage.get() == Stage::Body && self.held_up.get().is_some()
     }
 
     /// The request has come whole.
@@ -221,6 +254,10 @@
             // One that still takes its last answer is not idle yet.
             Stage::Idle => Some(self.since.get().max(self.written.get()) + pace.idle),
             Stage::Head => Some(self.first_byte.get() + pace.head),
+            // The upstream's doing.
+            Stage::Body if self.held_up() => {
+                self.held_up.get().map(|since| since + pace.stall.max(self.waits.get()))
+            }
             Stage::Body => {
                 let earned = match pace.rate {
                     0 => Duration::ZERO,
@@ -228,7 +265,7 @@
                 };
                 // A whole request has at least as long as a head.
                 let least = self.first_byte.get() + pace.head;
-                let slow = (self.since.get() + pace.body).max(least) + earned;
+                let slow = (self.since.get() + pace.body).max(least) + earned + self.held.get();
                 Some(slow.min((self.came.get() + pace.silence).max(least)))
             }
             Stage::Open => None,
@@ -367,6 +404,7 @@
                 }
                 Next::Pass(0) => this.next = Next::Head,
                 Next::Pass(n) => {
+                    this.progress.asked();
                     if this.held.is_empty() && ready!(this.fill(cx, CHUNK))? == 0 {
                         return Poll::Ready(Ok(()));
                     }
@@ -376,6 +414,7 @@
                     return Poll::Ready(Ok(()));
                 }
                 Next::All => {
+                    this.progress.asked();
                     if this.held.is_empty() && ready!(this.fill(cx, CHUNK))? == 0 {
                         return Poll::Ready(Ok(()));
                     }
@@ -449,6 +488,7 @@
             for _ in 0..40 {
                 tokio::time::advance(HALF).await;
                 progress.came(32_000);
+                progress.asked();
                 assert!(progress.due().expect("a time") > Instant::now() + HALF);
             }
             // A head and then nothing: an error is owed within 3 s of connecting.
@@ -460,8 +500,18 @@
             // Nor with much that came at once.
             let much = Instant::now();
             progress.came(2_000_000);
+            progress.asked();
             assert!(progress.due().expect("a time") < much + Duration::from_secs(3));
             assert!(begun > start);
+            // Held up by an upstream it is waited for, and the caller has its own time afterwards.
+            let pace = Pace::default();
+            progress.came(1000);
+            assert!(progress.held_up());
+            assert_eq!(progress.due(), Some(Instant::now() + pace.stall));
+            tokio::time::advance(10 * HALF).await;
+            progress.asked();
+            assert!(!progress.held_up());
+            assert_eq!(progress.due(), Some(Instant::now() + pace.silence));
         });
     }
 
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod platform;
 mod pool;
 pub mod routed;
+pub mod upload;
 pub mod upstream;
 
 /// Most of a body on the platform, either way.
--- a/http/src/payload.rs
+++ b/http/src/payload.rs
@@ -1,4 +1,4 @@
-//! Bodies of answers: whole ones, and long ones that pass through as they come.
+//! Bodies of answers: whole ones, and long ones that pass through as they come. Those of requests that pass use the same.
 
 use std::fmt;
 use std::io;
@@ -9,12 +9,12 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-/// How a long answer ended.
+/// How a long body ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum End {
     /// All of it has passed.
     Whole,
-    /// The upstream broke off, or it is longer than it may be.
+    /// Its sender broke off, or it is longer than it may be.
     Broken,
     /// Nobody wants the rest.
     Left,
@@ -35,8 +35,8 @@
     }
 }
 
-/// A body that goes to the caller as the upstream gives it: what is not taken on is not read, so that it takes no more
-/// memory than a buffer on each side.
+/// A body that goes on as its sender gives it, in either direction: what is not taken on is not read, so that it takes no
+/// more memory than a buffer on each side.
 pub struct Passing {
     first: Option<Bytes>,
     rest: Incoming,
@@ -95,7 +95,7 @@
             this.end_if_last();
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        // With what has no end the caller must see that it is not whole: an error breaks its connection.
+        // With what has no end its reader must see that it is not whole: an error breaks its connection.
         let failed = match ready!(Pin::new(&mut this.rest).poll_frame(cx)) {
             None => {
                 this.end(End::Whole);
@@ -109,7 +109,7 @@
                         this.end_if_last();
                         return Poll::Ready(Some(Ok(frame)));
                     }
-                    None => io::Error::other("the answer is too long"),
+                    None => io::Error::other("it is longer than it may be"),
                 }
             }
             Some(Err(e)) => io::Error::other(e),
--- a/http/src/pool.rs
+++ b/http/src/pool.rs
@@ -12,10 +12,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use finchshift as fs;
 use finchshift::{Micros, Outcome, ServerId};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -28,6 +26,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::MOST_HEAD;
+use crate::upload::Outgoing;
 
 /// Part of the upstreams' idle time after which a connection is closed here: far from crossing theirs.
 const KEEP: f64 = 0.7;
@@ -103,7 +102,7 @@
 /// A connection; dropped, it is closed.
 pub struct Conn {
     /// Takes the next request.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<Outgoing>,
     /// What moves its bytes; ended, the connection is closed.
     pub driver: AbortHandle,
     stream: Weak<RefCell<TokioIo<TcpStream>>>,
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use finchshift as fs;
 use finchshift::{Load, Micros, Outcome, ServerId};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming};
 use sloeline_engine::engine::{Report, Wire};
@@ -19,6 +19,7 @@
 
 use crate::payload::{End, Passing, Payload};
 use crate::pool::{CONNECT_UNTOLD, Conn, Pool};
+use crate::upload::{Outgoing, Sent};
 use crate::{HELD, MOST_BODY};
 
 /// How long a connection may take to be ready for the next request after its answer.
@@ -73,13 +74,13 @@
     pub uri: Uri,
     /// End-to-end headers.
     pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
+    /// The body.
+    pub body: Sent,
 }
 
 impl Call {
-    fn request(&self, address: SocketAddr, limit: Option<Micros>, dialect: &Dialect) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, address: SocketAddr, limit: Option<Micros>, dialect: &Dialect) -> Request<Outgoing> {
+        let mut request = Request::new(self.body.outgoing());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
@@ -93,8 +94,10 @@
             headers.insert(name.clone(), HeaderValue::from(limit.div_ceil(1000)));
         }
         // RFC 9110 section 8.6: those that expect a body say so though it is empty.
-        if !self.body.is_empty() || [Method::POST, Method::PUT, Method::PATCH].contains(&self.method) {
-            headers.insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        if let Some(length) = self.body.length()
+            && (length > 0 || [Method::POST, Method::PUT, Method::PATCH].contains(&self.method))
+        {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
         }
         request
     }
@@ -112,11 +115,11 @@
 }
 
 /// How far an attempt's request is written; the engine's end of an attempt looks at it.
-#[derive(Default)]
 struct Flight {
     begun: RefCell<Option<Begun>>,
     /// Bytes of the request at the least.
     least: u64,
+    body: Sent,
 }
 
 struct Begun {
@@ -127,7 +130,8 @@
 
 impl Flight {
     fn new(call: &Call) -> Rc<Flight> {
-        Rc::new(Flight { begun: RefCell::new(None), least: call.body.len() as u64 + 1 })
+        let (least, body) = (call.body.least() + 1, call.body.clone());
+        Rc::new(Flight { begun: RefCell::new(None), least, body })
     }
 
     fn begin(&self, conn: &Conn) {
@@ -138,7 +142,8 @@
 
     /// False only if the request's last byte is surely not written.
     fn may_have_run(&self) -> bool {
-        self.begun.borrow().as_ref().is_some_and(|b| b.written.get() - b.before >= self.least)
+        let written = |b: &Begun| b.written.get() - b.before >= self.least;
+        self.body.has_come() && self.begun.borrow().as_ref().is_some_and(written)
     }
 }
 
@@ -210,6 +215,10 @@
     ) -> Attempt {
         let (pool, flight, dialect) = (self.pool.clone(), Flight::new(&call), self.dialect.borrow().clone());
         let shared = flight.clone();
+        if let Sent::Passing(upload) = &call.body {
+            let come = report.come();
+            upload.when_come(move || come.tell());
+        }
         let task = spawn_local(async move {
             let ended = exchange(&pool, to, &call, Some(limit), &dialect, &shared).await;
             let whole = match (ended.passing, ended.reply) {
@@ -237,7 +246,8 @@
     pub fn probe(&self, to: Target, told: impl FnOnce(Duration, Outcome, Option<Load>) + 'static) {
         let (pool, dialect) = (self.pool.clone(), self.dialect.borrow().clone());
         let uri = Uri::from_static("/health/live");
-        let call = Call { method: Method::GET, uri, headers: HeaderMap::new(), body: Bytes::new() };
+        let call =
+            Call { method: Method::GET, uri, headers: HeaderMap::new(), body: Sent::Whole(Bytes::new()) };
         spawn_local(async move {
             let (flight, start) = (Flight::new(&call), Instant::now());
             let ended = timeout(CONNECT_UNTOLD, exchange(&pool, to, &call, None, &dialect, &flight)).await;
@@ -418,7 +428,7 @@
     }
 
     fn call() -> Call {
-        let (uri, body) = (Uri::from_static("/api"), Bytes::new());
+        let (uri, body) = (Uri::from_static("/api"), Sent::Whole(Bytes::new()));
         Call { method: Method::GET, uri, headers: HeaderMap::new(), body }
     }
 
@@ -489,7 +499,7 @@
     fn a_request_that_is_not_written_to_its_end_has_not_run() {
         with(9, async |upstreams, listener, to| {
             // More than the sockets' buffers take of a peer that does not read.
-            let call = Call { method: Method::POST, body: vec![0; 32 << 20].into(), ..call() };
+            let call = Call { method: Method::POST, body: Sent::Whole(vec![0; 32 << 20].into()), ..call() };
             let (flight, dialect) = (Flight::new(&call), Dialect::platform());
             let peer = async {
                 let (mut stream, _) = listener.accept().await.expect("a connection");
--- a/sloeline/src/net.rs
+++ b/sloeline/src/net.rs
@@ -25,6 +25,14 @@
         self.upstreams.send(to, call, limit, report)
     }
 
+    fn coming(&self, call: &Call) -> bool {
+        !call.body.has_come()
+    }
+
+    fn spent(&self, call: &Call) -> bool {
+        call.body.spent()
+    }
+
     fn abort(&self, out: Attempt) -> bool {
         out.abort()
     }
