--- a/lab/src/scenarios.rs
+++ b/lab/src/scenarios.rs
@@ -1,7 +1,7 @@
 //! The scenarios that ship.
 
 /// Each by its name: the text of an experiment.
-pub const SCENARIOS: [(&str, &str); 24] = [
+pub const SCENARIOS: [(&str, &str); 26] = [
     ("calm", include_str!("../scenarios/calm.toml")),
     ("flash-crowd", include_str!("../scenarios/flash-crowd.toml")),
     ("zone-lost", include_str!("../scenarios/zone-lost.toml")),
@@ -26,4 +26,6 @@
     ("lossy", include_str!("../scenarios/lossy.toml")),
     ("pauses", include_str!("../scenarios/pauses.toml")),
     ("swing", include_str!("../scenarios/swing.toml")),
+    ("many-see-little", include_str!("../scenarios/many-see-little.toml")),
+    ("many-see-failing", include_str!("../scenarios/many-see-failing.toml")),
 ];
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+use std::ffi::OsString;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -45,6 +47,13 @@
         #[arg(short = 'H', value_name = "HEADER")]
         headers: Vec<String>,
     },
+    /// Experiments on an emulated fleet: the arguments are those of `sloeline-lab`, which must stand beside this program.
+    #[command(disable_help_flag = true)]
+    Lab {
+        /// Such as `list`, or `run zone-lost`.
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        arguments: Vec<OsString>,
+    },
     /// Some ten seconds of upstreams, balancer and clients on this machine, with one upstream that dies and one
     /// that drains; status 1 if not every request has one answer.
     Demo {
@@ -57,6 +66,17 @@
     },
 }
 
+/// Where the laboratory's program is: beside this one, so that what balances does not carry it.
+const LAB: &str = "sloeline-lab";
+
+/// Becomes the laboratory; returns only why not.
+fn lab(arguments: &[OsString]) -> Result<(), String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let path = own.with_file_name(LAB);
+    let why = std::process::Command::new(&path).args(arguments).exec();
+    Err(format!("{}: {why} (`cargo build --release -p {LAB}` builds it)", path.display()))
+}
+
 /// Reads the arguments and does what they ask for.
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
@@ -77,6 +97,7 @@
         Some(Command::Route { file, method, url, headers }) => load(&file)
             .and_then(|config| explain::explain(&config, &method, &url, &headers))
             .map(|text| print!("{text}")),
+        Some(Command::Lab { arguments }) => lab(&arguments),
         Some(Command::Demo { seconds, seed }) => {
             demo::run(seconds, seed.unwrap_or_else(|| fastrand::u64(..)))
         }
--- a/sloeline/tests/cli.rs
+++ b/sloeline/tests/cli.rs
@@ -112,3 +112,22 @@
         assert!(page.contains(&format!("`{assertion}`")), "no word on `{assertion}`");
     }
 }
+
+#[test]
+fn lab_becomes_the_program_beside_it_or_says_where_it_is_not() {
+    use std::os::unix::fs::PermissionsExt;
+    let folder = std::env::temp_dir().join(format!("sloeline-lab-cli-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (program, beside) = (folder.join("sloeline"), folder.join("sloeline-lab"));
+    std::fs::copy(env!("CARGO_BIN_EXE_sloeline"), &program).expect("a copy");
+    let asked =
+        || Command::new(&program).args(["lab", "run", "--seeds", "3", "--help"]).output().expect("it runs");
+    let missing = asked();
+    std::fs::write(&beside, "#!/bin/sh\necho \"$@\"\nexit 7\n").expect("a script");
+    std::fs::set_permissions(&beside, std::fs::Permissions::from_mode(0o755)).expect("it may run");
+    let found = asked();
+    let _ = std::fs::remove_dir_all(&folder);
+    assert_eq!(missing.status.code(), Some(1));
+    assert!(text(&missing.stderr).contains(&format!("{}", beside.display())), "{}", text(&missing.stderr));
+    assert_eq!((found.status.code(), text(&found.stdout).trim()), (Some(7), "run --seeds 3 --help"));
+}
