Emulator: connections of a node's earlier life are gone, and whom a line takes stands once

Second reading: a balancer kept its idle connections to a node over that node's death, so that its first attempts afterwards went without a handshake. They now belong to a life of the node.

--- a/emulator/src/node.rs
+++ b/emulator/src/node.rs
@@ -4,7 +4,7 @@
 
 use finchshift::Micros;
 
-use crate::run::AttemptKey;
+use crate::run::{AttemptKey, Idle};
 use crate::world::Nodes;
 
 /// What ails a node.
@@ -135,6 +135,13 @@
         over && !std::mem::replace(&mut self.tipped, true)
     }
 
+    /// Idle connections to it are closed, if they were made in this life.
+    pub(crate) fn closes(&mut self, idle: Idle) {
+        if idle.life == self.life {
+            self.connections = self.connections.saturating_sub(idle.count);
+        }
+    }
+
     /// It dies: all that it holds is lost. Returns what was there.
     pub fn die(&mut self) -> Vec<AttemptKey> {
         self.up = false;
--- a/emulator/src/play.rs
+++ b/emulator/src/play.rs
@@ -81,16 +81,8 @@
         let happening = &self.world.events[line as usize];
         let (nodes, balancers) = (self.nodes.len(), self.balancers.len());
         let whom = match &happening.what {
-            What::Slow { nodes: w, .. }
-            | What::Down { nodes: w }
-            | What::Roll { nodes: w, .. }
-            | What::Drain { nodes: w }
-            | What::Pause { nodes: w }
-            | What::Fail { nodes: w, .. }
-            | What::Hang { nodes: w }
-            | What::Empty { nodes: w } => self.chosen(line, *w, nodes),
             What::Restart { balancers: w, .. } => self.chosen(line, *w, balancers),
-            _ => Vec::new(),
+            what => what.nodes().map(|w| self.chosen(line, w, nodes)).unwrap_or_default(),
         };
         match &happening.what {
             What::Load { by, callers } => self.load(callers, *by),
--- a/emulator/src/run.rs
+++ b/emulator/src/run.rs
@@ -147,6 +147,16 @@
     settled: bool,
 }
 
+/// Idle connections of a balancer to a node.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Idle {
+    pub count: u32,
+    /// When one was used last.
+    pub used: Micros,
+    /// The life of the node in which they were made: with it they are gone.
+    pub life: u32,
+}
+
 /// A balancer's place in the world.
 pub(crate) struct Balancer {
     pub host: Box<dyn Host>,
@@ -159,8 +169,8 @@
     /// Its processor has work until then.
     busy: Micros,
     calls: Table<RequestId, CallKey>,
-    /// Idle connections to each node, and when one was used last.
-    pub idle: Table<u32, (u32, Micros)>,
+    /// Idle connections to each node.
+    pub idle: Table<u32, Idle>,
     pub stream: Stream,
     /// Nodes that it may send nothing new to, and since when it knows.
     pub barred: Table<u32, Micros>,
@@ -657,9 +667,8 @@
                     }
                 }
                 Deed::CloseIdle { node } => {
-                    if let Some((idle, _)) = self.balancers[at].idle.remove(&node) {
-                        let node = &mut self.nodes[node as usize];
-                        node.connections = node.connections.saturating_sub(idle);
+                    if let Some(idle) = self.balancers[at].idle.remove(&node) {
+                        self.nodes[node as usize].closes(idle);
                     }
                 }
             }
@@ -756,9 +765,8 @@
         balancer.life += 1;
         balancer.armed = Micros::MAX;
         let (calls, idle) = (std::mem::take(&mut balancer.calls), std::mem::take(&mut balancer.idle));
-        for (node, (count, _)) in idle {
-            let node = &mut self.nodes[node as usize];
-            node.connections = node.connections.saturating_sub(count);
+        for (node, idle) in idle {
+            self.nodes[node as usize].closes(idle);
         }
         let mut keys: Vec<CallKey> = calls.into_values().collect();
         // In an order of their own: that of the table is none.
--- a/emulator/src/script.rs
+++ b/emulator/src/script.rs
@@ -172,6 +172,23 @@
     }
 }
 
+impl What {
+    /// The nodes that it takes.
+    pub fn nodes(&self) -> Option<Whom> {
+        match self {
+            What::Slow { nodes, .. }
+            | What::Down { nodes }
+            | What::Roll { nodes, .. }
+            | What::Drain { nodes }
+            | What::Pause { nodes }
+            | What::Fail { nodes, .. }
+            | What::Hang { nodes }
+            | What::Empty { nodes } => Some(*nodes),
+            _ => None,
+        }
+    }
+}
+
 impl Happening {
     /// Why it cannot happen in a world.
     pub fn check(&self, world: &World) -> Result<(), String> {
@@ -189,7 +206,6 @@
             Whom::Some(n) if *n > count => Err(format!("{n}: there are {count}")),
             _ => Ok(()),
         };
-        let nodes = |w: &Whom| whom(w, world.nodes.count);
         let fits = match &self.what {
             What::Load { callers, .. }
                 if !callers.is_empty() && !world.callers.iter().any(|c| c.title() == callers) =>
@@ -208,16 +224,8 @@
             What::Cut { from, to, .. } if *from >= world.zones || *to >= world.zones => {
                 Err(format!("zones {from} and {to}: there are {}", world.zones))
             }
-            What::Slow { nodes: w, .. }
-            | What::Down { nodes: w }
-            | What::Roll { nodes: w, .. }
-            | What::Drain { nodes: w }
-            | What::Pause { nodes: w }
-            | What::Fail { nodes: w, .. }
-            | What::Hang { nodes: w }
-            | What::Empty { nodes: w } => nodes(w),
             What::Restart { balancers, .. } => whom(balancers, world.balancers.count),
-            _ => Ok(()),
+            what => what.nodes().map_or(Ok(()), |nodes| whom(&nodes, world.nodes.count)),
         };
         fits.or_else(told)
     }
--- a/emulator/src/way.rs
+++ b/emulator/src/way.rs
@@ -5,7 +5,7 @@
 
 use crate::check::{Rule, Step};
 use crate::node::Mood;
-use crate::run::{At, AttemptKey, Call, CallKey, Ev, Run};
+use crate::run::{At, AttemptKey, Call, CallKey, Ev, Idle, Run};
 use crate::streams::{Stream, factor};
 use crate::world::{Effect, Group, World};
 
@@ -123,18 +123,19 @@
         let (from, to) = (balancer.zone, self.nodes[node as usize].zone);
         let stream = &mut balancer.stream;
         // A connection that is idle, or a new one: its handshake is a way there and one back.
-        let kept =
-            balancer.idle.get(&node).copied().filter(|(n, used)| *n > 0 && now < used + world.network.idle.0);
+        let life = self.nodes[node as usize].life;
+        let good =
+            |idle: &Idle| idle.count > 0 && idle.life == life && now < idle.used + world.network.idle.0;
+        let kept = balancer.idle.get(&node).copied().filter(good);
         if kept.is_none()
-            && let Some((idle, _)) = balancer.idle.remove(&node)
+            && let Some(idle) = balancer.idle.remove(&node)
         {
-            let node = &mut self.nodes[node as usize];
-            node.connections = node.connections.saturating_sub(idle);
+            self.nodes[node as usize].closes(idle);
         }
         let mut start = now + delay;
         let mut refused = false;
-        if let Some((idle, used)) = kept {
-            balancer.idle.insert(node, (idle - 1, used));
+        if let Some(idle) = kept {
+            balancer.idle.insert(node, Idle { count: idle.count - 1, ..idle });
         } else {
             let there = self.ways.time(world, from, to, stream);
             let back = self.ways.time(world, to, from, stream);
@@ -392,7 +393,8 @@
         let same = self.nodes[node as usize].life == attempt.lives.1;
         if here && kept && same {
             let idle = balancer.idle.entry(node).or_default();
-            *idle = (idle.0 + 1, now);
+            let count = if idle.life == attempt.lives.1 { idle.count + 1 } else { 1 };
+            *idle = Idle { count, used: now, life: attempt.lives.1 };
         } else if here && same && outcome != Outcome::ConnectFailed {
             let n = &mut self.nodes[node as usize];
             n.connections = n.connections.saturating_sub(1);
