Results belong to a build; the table of all policies played again

Cause: a cell was kept under a digest of the world and the version, so that after a change of the decisions the old figures would have been told as the new ones. The digest of the program is in it now.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,5 +1,7 @@
 //! An experiment: a world, the variants that are tried in it, and the seeds. Read from TOML.
 
+use std::sync::OnceLock;
+
 use serde::Deserialize;
 use sloeline_baselines::POLICIES;
 use sloeline_emulator::world::World;
@@ -113,6 +115,19 @@
     Ok(())
 }
 
+/// What tells this build from others: a digest of the program itself. Guards against results of decisions that have
+/// changed since.
+fn build() -> &'static str {
+    static BUILD: OnceLock<String> = OnceLock::new();
+    BUILD.get_or_init(|| {
+        let own = std::env::current_exe().and_then(std::fs::read);
+        own.map_or_else(
+            |_| env!("CARGO_PKG_VERSION").to_owned(),
+            |bytes| blake3::hash(&bytes).to_hex().to_string(),
+        )
+    })
+}
+
 /// The world of a table, checked.
 pub fn world(written: &Table) -> Result<World, String> {
     let world: World = written.clone().try_into().map_err(|e| format!("world: {}", e.to_string().trim()))?;
@@ -168,10 +183,10 @@
         Ok(())
     }
 
-    /// A digest of all that results depend on, for one variant: another experiment has another.
+    /// A digest of all that results depend on, for one variant: another experiment or another build has another.
     pub fn digest(&self, variant: usize) -> String {
         let (variant, world) = &self.variants[variant];
-        let text = format!("{}\n{world:?}\n{variant:?}", env!("CARGO_PKG_VERSION"));
+        let text = format!("{}\n{world:?}\n{variant:?}", build());
         blake3::hash(text.as_bytes()).to_hex()[..16].to_owned()
     }
 }
