Sources of membership with watches: etcd, Consul, DNS, weighed and merged

What it tells goes through rules for doubt (older views, mass losses, empty lists, registries that were restored) and is merged by precedence; an order of any source holds until that source takes it back. [[pool.NAME.source]], [pool.NAME.doubt], [announce] (an entry on a lease, withdrawn before the daemon stops taking), `sloeline members FILE`. nodes, nodes_file and registry are as before.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -9,6 +9,7 @@
 mod read;
 mod routes;
 mod sections;
+mod sources;
 
 use model::Config;
 use problem::{Problem, Problems, Severity};
--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -24,6 +24,8 @@
     pub instance: Instance,
     /// What the process may take up.
     pub limits: Limits,
+    /// Where this instance is announced, if anywhere.
+    pub announce: Option<Announce>,
     /// Where callers connect.
     pub listeners: BTreeMap<String, Listener>,
     /// Classes of requests.
@@ -103,6 +105,111 @@
     File(String),
     /// At a registry that speaks the platform's protocol.
     Registry(SocketAddr),
+    /// At several places, in the order of their precedence, or at one whose news is weighed.
+    Sources(Vec<Origin>, Doubt),
+}
+
+/// `[[pool.NAME.source]]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Origin {
+    /// Its name in logs.
+    pub name: String,
+    /// Calls a second that all instances together may make there after a failure.
+    pub fleet_calls: f64,
+    /// How long an answer may take.
+    pub answer: Micros,
+    /// Where it is and how it is asked.
+    pub place: Place,
+}
+
+/// Where a source is and how it is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Place {
+    /// `etcd`
+    Etcd {
+        /// Its endpoints.
+        endpoints: Vec<SocketAddr>,
+        /// Ends with a slash.
+        prefix: String,
+        /// How often a quiet watch is checked.
+        check: Micros,
+        /// How far a watch may lag behind what a check found.
+        patience: Micros,
+        /// How long the known cluster must be silent before an older view or another cluster is believed.
+        believe_after: Micros,
+    },
+    /// `consul`
+    Consul {
+        /// Its endpoints.
+        endpoints: Vec<SocketAddr>,
+        /// The service.
+        service: String,
+        /// How long a question waits for news.
+        wait: Micros,
+        /// Any server may answer.
+        stale: bool,
+        /// One that has not heard of its leader for so long is not believed.
+        most_stale: Micros,
+    },
+    /// `dns` or `srv`
+    Dns {
+        /// The name.
+        name: String,
+        /// All members' port; none where SRV records tell it.
+        port: Option<u16>,
+        /// Whose zone its members are in.
+        zone: String,
+        /// Servers to ask; none for the system's.
+        servers: Vec<SocketAddr>,
+        /// Records live no shorter than this ...
+        least: Micros,
+        /// ... and no longer than this.
+        most: Micros,
+    },
+    /// `file`
+    File(String),
+    /// `registry`
+    Registry(SocketAddr),
+}
+
+/// `[pool.NAME.doubt]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Doubt {
+    /// Losing more than this part of the serving members within the window is suspect.
+    pub most_lost: f64,
+    /// The window.
+    pub window: Micros,
+    /// How long what is suspect is held.
+    pub hold: Micros,
+    /// The lists are right, whatever they have lost.
+    pub accept: bool,
+    /// More members than this are not taken from one source.
+    pub most_members: usize,
+}
+
+impl Default for Doubt {
+    fn default() -> Doubt {
+        Doubt { most_lost: 0.5, window: 10_000_000, hold: 300_000_000, accept: false, most_members: 100_000 }
+    }
+}
+
+/// `[announce]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Announce {
+    /// Endpoints of an etcd.
+    pub endpoints: Vec<SocketAddr>,
+    /// Ends with a slash.
+    pub prefix: String,
+    /// What this instance is known by there.
+    pub identity: String,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// How long the entry outlives the instance.
+    pub lease: Micros,
+    /// Calls a second that all instances together may make there after a failure.
+    pub fleet_calls: f64,
+    /// How long a call may take.
+    pub answer: Micros,
 }
 
 /// An upstream of a static list.
--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -9,7 +9,7 @@
 use crate::model::{Config, Declined, Instance, Limits, Listener, NamedClass, Node, Nodes, Pool};
 use crate::problem::Problems;
 use crate::read::{At, Section, Size, Time};
-use crate::routes;
+use crate::{routes, sources};
 
 const MILLISECOND: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -23,6 +23,7 @@
     let root = Section::new(table, "", problems);
     let instance = instance(root.section("instance"));
     let limits = limits(root.section("limits"), descriptors);
+    let announce = root.section("announce").and_then(|section| sources::announce(section, &instance));
     // What is named but wrong is known by name all the same: it would be noted twice.
     let (mut named, mut classes) = (Vec::new(), BTreeMap::new());
     for (name, section) in root.named("class") {
@@ -58,7 +59,7 @@
         }
     }
     root.end();
-    Some(Config { instance, limits, listeners, classes, tenants, pools, routes })
+    Some(Config { instance, limits, announce, listeners, classes, tenants, pools, routes })
 }
 
 fn instance(section: Option<Section<'_>>) -> Instance {
@@ -100,7 +101,7 @@
 }
 
 /// A span that must not be zero.
-fn positive(section: &Section<'_>, key: &'static str, otherwise: Micros) -> Micros {
+pub fn positive(section: &Section<'_>, key: &'static str, otherwise: Micros) -> Micros {
     match section.get::<Time>(key) {
         Some(At { value: Time(0), span }) => {
             section.wrong(&span, key, "0", "a span that is longer than nothing");
@@ -300,9 +301,16 @@
     let list = section.list("nodes");
     let file = section.get::<String>("nodes_file");
     let registry = section.get("registry");
-    let given = usize::from(!list.is_empty()) + usize::from(file.is_some()) + usize::from(registry.is_some());
-    if given != 1 {
-        let expected = "exactly one of nodes (a list of tables), nodes_file and registry";
+    let origins = section.list("source");
+    let doubt = section.section("doubt").map(|doubt| (doubt.span.clone(), sources::doubt(doubt)));
+    let given = [!list.is_empty(), file.is_some(), registry.is_some(), !origins.is_empty()];
+    if let (Some((span, _)), true) = (&doubt, origins.is_empty()) {
+        section.wrong(span, "doubt", "rules of doubt for lists that are not weighed", "source");
+    }
+    if given.iter().filter(|given| **given).count() != 1 {
+        let given = given.iter().filter(|given| **given).count();
+        let expected =
+            "exactly one of nodes (a list of tables), nodes_file, registry and source (a list of tables)";
         section.wrong(&section.span, "nodes", format!("{given} sources of upstreams"), expected);
         list.into_iter().for_each(|entry| drop(node(entry, instance)));
         return None;
@@ -313,6 +321,10 @@
     if let Some(registry) = registry {
         return Some(Nodes::Registry(registry.value));
     }
+    if !origins.is_empty() {
+        let origins = sources::origins(section, origins, instance)?;
+        return Some(Nodes::Sources(origins, doubt.map(|(_, doubt)| doubt).unwrap_or_default()));
+    }
     let mut nodes: Vec<Node> = Vec::new();
     for entry in list {
         let span = entry.span.clone();
--- a/config/tests/dangerous.rs
+++ b/config/tests/dangerous.rs
@@ -281,3 +281,48 @@
     }
     assert!(refused > 1000, "{refused}");
 }
+
+#[test]
+fn sources_are_checked_key_by_key() {
+    let with =
+        |pool: &str| config(CLASS, ROUTE, "").replace("nodes = [{ address = \"127.0.0.1:9001\" }]", pool);
+    let etcd = "etcd = [\"127.0.0.1:2379\"]";
+    let good = format!(
+        "source = [{{ {etcd}, prefix = \"/a/\", check = \"1s\" }}, {{ name = \"b\", {etcd}, prefix = \"/b/\" }}, \
+         {{ consul = [\"127.0.0.1:1\"], service = \"s\" }}, {{ dns = \"a.b\", port = 80 }}, {{ srv = \"_a._tcp.b\" }}, \
+         {{ file = \"f\" }}, {{ registry = \"127.0.0.1:1\" }}]\ndoubt = {{ most_lost = 0.3, accept = true }}"
+    );
+    assert_eq!(problems(&with(&good)), [""; 0]);
+    let cases = [
+        ("nodes_file = \"a\"\nsource = [{ file = \"b\" }]".to_owned(), "found 2 sources of upstreams"),
+        ("nodes_file = \"a\"\ndoubt = {}".to_owned(), "rules of doubt for lists that are not weighed"),
+        ("source = [{}]".to_owned(), "found 0 of them, expected exactly one of etcd, consul"),
+        ("source = [{ file = \"a\", srv = \"b\" }]".to_owned(), "found 2 of them"),
+        (format!("source = [{{ {etcd} }}]"), "prefix: found nothing"),
+        (format!("source = [{{ {etcd}, prefix = \"/a\" }}]"), "that ends with a slash"),
+        (
+            "source = [{ etcd = [], prefix = \"/a/\" }]".to_owned(),
+            "found an empty list, expected at least one address",
+        ),
+        (
+            format!("source = [{{ {etcd}, prefix = \"/a/\", service = \"s\" }}]"),
+            "service: found an unknown key",
+        ),
+        ("source = [{ consul = [\"127.0.0.1:1\"] }]".to_owned(), "service: found nothing"),
+        ("source = [{ dns = \"a\" }]".to_owned(), "port: found nothing"),
+        ("source = [{ dns = \"a..b\", port = 1 }]".to_owned(), "a name of the DNS"),
+        ("source = [{ srv = \"a\", port = 1 }]".to_owned(), "none: SRV records tell it"),
+        ("source = [{ file = \"a\" }, { file = \"b\" }]".to_owned(), "found \"file\" twice"),
+        ("source = [{ srv = \"a\", fleet_calls = 0 }]".to_owned(), "1 or more calls a second"),
+        ("source = [{ file = \"a\" }]\ndoubt = { most_lost = 2 }".to_owned(), "a part, from 0 to 1"),
+    ];
+    for (pool, expected) in cases {
+        let found = problems(&with(&pool));
+        assert!(found.iter().any(|p| p.contains(expected)), "{pool}: {found:#?}");
+    }
+    let announce = |more: &str| problems(&(config(CLASS, ROUTE, "") + "\n[announce]\n" + more));
+    let whole = format!("{etcd}\nprefix = \"/f/\"\naddress = \"10.0.0.1:80\"");
+    assert_eq!(announce(&whole), [""; 0]);
+    assert!(announce(etcd).iter().any(|p| p.contains("announce.address: found nothing")));
+    assert!(announce(&(whole + "\nlease = \"1s\"")).iter().any(|p| p.contains("expected 2 s to 1 h")));
+}
--- a/engine/src/types.rs
+++ b/engine/src/types.rs
@@ -15,7 +15,7 @@
 }
 
 /// An entry of a list, as discovery words it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
     /// The same at every balancer.
     pub instance: String,
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -10,7 +10,7 @@
 use sloeline_config::problem::Severity;
 use tokio::task::LocalSet;
 
-use crate::{daemon, demo, explain, platform};
+use crate::{daemon, demo, explain, members, platform};
 
 /// A load balancer for services that call services.
 ///
@@ -47,6 +47,18 @@
         #[arg(short = 'H', value_name = "HEADER")]
         headers: Vec<String>,
     },
+    /// Ask every source of membership and show each pool's members: state, source, revision, age, why a node is out;
+    /// status 1 if a source told nothing in time.
+    Members {
+        /// The configuration.
+        file: PathBuf,
+        /// Only this pool.
+        #[arg(long)]
+        pool: Option<String>,
+        /// How long sources have, in milliseconds.
+        #[arg(long, default_value_t = 5000, value_parser = clap::value_parser!(u64).range(1..=600_000))]
+        wait: u64,
+    },
     /// Experiments on an emulated fleet: the arguments are those of `sloeline-lab`, which must stand beside this program.
     #[command(disable_help_flag = true)]
     Lab {
@@ -97,6 +109,14 @@
         Some(Command::Route { file, method, url, headers }) => load(&file)
             .and_then(|config| explain::explain(&config, &method, &url, &headers))
             .map(|text| print!("{text}")),
+        Some(Command::Members { file, pool, wait }) => load(&file).and_then(|config| {
+            let folder = file.parent().unwrap_or(std::path::Path::new("")).to_owned();
+            block_on(async move {
+                let wait = std::time::Duration::from_millis(wait);
+                print!("{}", members::members(&config, &folder, pool.as_deref(), wait).await?);
+                Ok(())
+            })
+        }),
         Some(Command::Lab { arguments }) => lab(&arguments),
         Some(Command::Demo { seconds, seed }) => {
             demo::run(seconds, seed.unwrap_or_else(|| fastrand::u64(..)))
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -12,12 +12,14 @@
 use finchshift::Micros;
 use hyper::header::HeaderName;
 use sloeline_config::check::{Division, division};
-use sloeline_config::model::{Config, Listener, RouteTo, Source as ToldBy};
+use sloeline_config::model::{Announce, Config, Listener, RouteTo, Source as ToldBy};
 use sloeline_config::problem::Problem;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
 use sloeline_http::routed::{ClassOf, Routed, Routes, Service, Side, Source};
 use sloeline_limits::Reserve;
+use sloeline_membership::announce::Wanted;
+use sloeline_membership::announce::line::Announcement;
 use sloeline_routing::split::Split;
 use sloeline_routing::table::Table;
 use sloeline_settings::setup::Names;
@@ -28,6 +30,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::net::Net;
+use crate::origins;
 use crate::platform::listen;
 use pools::{Parts, Plan, Reserves, Running, Seen};
 
@@ -37,6 +40,8 @@
 const STOP_MARGIN: Micros = 500_000;
 /// How long connections and requests are still taken after the order to stop.
 const STILL_TAKEN: Duration = Duration::from_millis(500);
+/// How long a registry has to take note that this instance leaves.
+const WITHDRAWN_WITHIN: Duration = Duration::from_secs(1);
 /// What is still open so long after the last answer was due is left: a caller that does not read.
 const LEFT_OPEN: Duration = Duration::from_secs(1);
 
@@ -94,6 +99,10 @@
     reserves: Reserves,
     zones: Names,
     rng: fastrand::Rng,
+    /// Where this instance is announced, and by what words.
+    announced: Option<(Announce, Announcement)>,
+    /// When this instance started, in Unix time.
+    started: Micros,
 }
 
 /// What a listener is known by from one configuration to the next.
@@ -101,6 +110,11 @@
     if address.port() == 0 { format!("{address}/{name}") } else { address.to_string() }
 }
 
+/// The present time, in Unix time.
+fn unix() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
+}
+
 fn time(micros: Micros) -> Duration {
     Duration::from_micros(micros)
 }
@@ -197,6 +211,8 @@
             reserves: Reserves { upstreams: reserve(), open: reserve(), bodies: reserve() },
             zones: Names::default(),
             rng: fastrand::Rng::with_seed(seed),
+            announced: None,
+            started: unix(),
         };
         daemon.take(config, None).await?;
         Ok(daemon)
@@ -210,8 +226,7 @@
                 "instance.zone: found {found:?}, expected {expected:?}: it changes with a restart"
             ));
         }
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        self.take(config, Some(now.as_micros() as Micros)).await
+        self.take(config, Some(unix())).await
     }
 
     /// All that can fail comes first and changes nothing; what comes after cannot fail and does not wait, so that
@@ -274,9 +289,41 @@
             spawn_local(running.retire());
         }
         self.config = config;
+        self.announce();
         Ok(())
     }
 
+    /// Announces this instance as the configuration says, once every pool has a list. An announcement that goes on in the
+    /// same words is not touched: its readers see no change.
+    fn announce(&mut self) {
+        let wanted = self.config.announce.as_ref();
+        if self.announced.as_ref().map(|(words, _)| words) == wanted {
+            return;
+        }
+        if let Some((_, before)) = self.announced.take() {
+            // It must not stand beside the next one, nor be kept alive for nothing.
+            spawn_local(async move {
+                before.want(Wanted::Gone);
+                let _ = timeout(WITHDRAWN_WITHIN, before.stands()).await;
+            });
+        }
+        let Some(words) = wanted.cloned() else { return };
+        let settings = origins::announce(&self.config, &words, self.started);
+        match Announcement::start(settings, &words.endpoints, self.rng.u64(..)) {
+            Ok(announcement) => {
+                let pools: Vec<_> = self.pools.values().map(Running::listed).collect();
+                let ready = async move {
+                    for listed in pools {
+                        listed.await;
+                    }
+                };
+                announcement.want_after(ready, Wanted::Serving);
+                self.announced = Some((words, announcement));
+            }
+            Err(why) => eprintln!("announce: {why}"),
+        }
+    }
+
     fn resize(&self, division: &Division) {
         self.reserves.upstreams.resize(division.upstreams.1);
         self.reserves.open.resize(division.open.1);
@@ -381,6 +428,11 @@
     pub async fn stop(self) {
         let longest = self.config.longest_deadline() + STOP_MARGIN;
         let within = time(self.config.limits.stop_within.unwrap_or(longest)) + LEFT_OPEN;
+        // Readers of the registry send their callers elsewhere while this instance still takes them.
+        if let Some((_, announcement)) = &self.announced {
+            announcement.want(Wanted::Draining);
+            let _ = timeout(WITHDRAWN_WITHIN, announcement.stands()).await;
+        }
         for heard in self.listeners.values() {
             let _ = heard.phases.send(Phase::Stopping);
         }
@@ -391,6 +443,10 @@
                 eprintln!("sloeline: {} has connections that do not end; they are left", heard.name);
             }
         }
+        if let Some((_, announcement)) = &self.announced {
+            announcement.want(Wanted::Gone);
+            let _ = timeout(WITHDRAWN_WITHIN, announcement.stands()).await;
+        }
     }
 }
 
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -17,12 +17,14 @@
 use sloeline_http::upstream::{Dialect, Upstreams};
 use sloeline_limits::{Reserve, Share};
 use sloeline_membership::file::{self, Watched};
+use sloeline_membership::follow::Following;
 use sloeline_membership::platform::Discovery;
 use sloeline_settings::setup::Names;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 
 use crate::net::Net;
+use crate::origins;
 use crate::slots::{Assigned, Slot, assign};
 
 /// What all pools share beyond their own parts.
@@ -51,6 +53,7 @@
     Static,
     File { _watched: Option<Watched> },
     Registry(Rc<Discovery>),
+    Sources(Following),
 }
 
 /// When each node of a static list was first seen, by name and address; nothing for those that were there when the
@@ -66,6 +69,8 @@
     config: Wanted,
     connections: Rc<Share>,
     source: Source,
+    /// A list came.
+    heard: Rc<Notify>,
     seen: Seen,
     tasks: Vec<AbortHandle>,
     /// Resolves when neither routes nor requests hold the pool any more.
@@ -82,6 +87,8 @@
     /// The list of a file, where it was not read before.
     list: Option<Vec<Listed>>,
     file: Option<PathBuf>,
+    folder: PathBuf,
+    instances: u32,
 }
 
 fn dialect(pool: &Wanted) -> Result<Dialect, String> {
@@ -177,7 +184,17 @@
         };
         let tenants = config.tenants.keys().cloned().zip(0..).collect();
         let dialect = dialect(pool).map_err(named)?;
-        Ok(Plan { assigned, settings, dialect, tenants, config: pool.clone(), list, file })
+        Ok(Plan {
+            assigned,
+            settings,
+            dialect,
+            tenants,
+            config: pool.clone(),
+            list,
+            file,
+            folder: folder.to_owned(),
+            instances: config.instance.count,
+        })
     }
 
     /// The numbers of the pool's classes, by name.
@@ -221,6 +238,7 @@
             config: plan.config.clone(),
             connections,
             source: Source::Static,
+            heard: Rc::default(),
             seen: HashMap::new(),
             tasks,
             let_go,
@@ -246,8 +264,27 @@
         self.pool.tenants.borrow_mut().clone_from(&plan.tenants);
         self.pool.most_answer.set(plan.config.held());
         let before = std::mem::replace(&mut self.config, plan.config.clone());
-        if before.nodes != plan.config.nodes {
-            self.follow(&plan, known, now, seed);
+        match (&before.nodes, &plan.config.nodes, &self.source) {
+            (was, is, _) if was == is => {}
+            // Only the rules of doubt are others: what is followed goes on, and what was held is weighed by them.
+            (Nodes::Sources(was, _), Nodes::Sources(is, doubt), Source::Sources(following)) if was == is => {
+                following.set(&origins::rules(doubt));
+            }
+            _ => self.follow(&plan, known, now, seed),
+        }
+    }
+
+    /// Resolves when its first list is there.
+    pub fn listed(&self) -> impl Future<Output = ()> + 'static {
+        let (engine, heard) = (self.pool.engine.clone(), self.heard.clone());
+        async move {
+            loop {
+                let came = heard.notified();
+                if engine.listed() {
+                    return;
+                }
+                came.await;
+            }
         }
     }
 
@@ -264,8 +301,11 @@
         }
         let engine = self.pool.engine.clone();
         let tell = {
-            let engine = engine.clone();
-            move |kind, list| engine.list(kind, list)
+            let (engine, heard) = (engine.clone(), self.heard.clone());
+            move |kind, list| {
+                engine.list(kind, list);
+                heard.notify_waiters();
+            }
         };
         self.source = match &plan.config.nodes {
             Nodes::Static(nodes) => {
@@ -314,6 +354,12 @@
                 discovery.follow(seed, tell);
                 Source::Registry(discovery)
             }
+            Nodes::Sources(list, doubt) => {
+                self.seen.clear();
+                let origins = origins::origins(list, plan.instances, &plan.folder);
+                let rules = origins::rules(doubt);
+                Source::Sources(Following::start(&self.pool.name, &origins, &rules, seed, tell))
+            }
         };
     }
 
--- a/sloeline/src/lib.rs
+++ b/sloeline/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod daemon;
 pub mod demo;
 pub mod explain;
+pub mod members;
 pub mod net;
+pub mod origins;
 pub mod platform;
 mod slots;
--- /dev/null
+++ b/sloeline/src/origins.rs
@@ -0,0 +1,104 @@
+//! From the configuration's words on sources to what membership is told.
+
+use std::path::Path;
+
+use finchshift::Micros;
+use sloeline_config::model::{self, Doubt, Nodes, Place};
+use sloeline_membership::doubt::Rules;
+use sloeline_membership::follow::Origin;
+use sloeline_membership::{announce, consul, dns, etcd, view};
+
+/// Questions to Consul are no closer than this: guards against a service that changes all the time.
+const APART: Micros = 100_000;
+
+/// The rules of doubt.
+pub fn rules(doubt: &Doubt) -> Rules {
+    Rules {
+        most_lost: doubt.most_lost,
+        window: doubt.window,
+        hold: doubt.hold,
+        accept: doubt.accept,
+        most_members: doubt.most_members,
+    }
+}
+
+/// Sources with their names, in the order of their precedence; paths are seen from the folder.
+pub fn origins(list: &[model::Origin], instances: u32, folder: &Path) -> Vec<(String, Origin)> {
+    let origin = |o: &model::Origin| {
+        let (rate, answer) = (o.fleet_calls, o.answer);
+        let origin = match &o.place {
+            Place::Etcd { endpoints, prefix, check, patience, believe_after } => {
+                let settings = etcd::Settings {
+                    prefix: prefix.clone(),
+                    endpoints: endpoints.len(),
+                    instances,
+                    rate,
+                    check: *check,
+                    patience: *patience,
+                    answer,
+                    believe_after: *believe_after,
+                    most_entries: Rules::default().most_members,
+                };
+                Origin::Etcd(settings, endpoints.clone())
+            }
+            Place::Consul { endpoints, service, wait, stale, most_stale } => {
+                let settings = consul::Settings {
+                    service: service.clone(),
+                    endpoints: endpoints.len(),
+                    instances,
+                    rate,
+                    wait: *wait,
+                    answer,
+                    apart: APART,
+                    most_stale: *most_stale,
+                    stale: *stale,
+                };
+                Origin::Consul(settings, endpoints.clone())
+            }
+            Place::Dns { name, port, zone, servers, least, most } => {
+                let name = match port {
+                    Some(port) => dns::Name::Addresses(name.clone(), *port),
+                    None => dns::Name::Services(name.clone()),
+                };
+                let (zone, least, most) = (zone.clone(), *least, *most);
+                let settings = dns::Settings { name, zone, instances, rate, least, most, answer };
+                Origin::Dns(settings, servers.clone())
+            }
+            Place::File(path) => Origin::File(folder.join(path)),
+            Place::Registry(address) => Origin::List(*address),
+        };
+        (o.name.clone(), origin)
+    };
+    list.iter().map(origin).collect()
+}
+
+/// The sources of a pool whatever way they are written; none for a list in the configuration.
+pub fn all(pool: &model::Pool, instances: u32, folder: &Path) -> Vec<(String, Origin)> {
+    match &pool.nodes {
+        Nodes::Static(_) => Vec::new(),
+        Nodes::File(path) => vec![("file".to_owned(), Origin::File(folder.join(path)))],
+        Nodes::Registry(address) => vec![("registry".to_owned(), Origin::List(*address))],
+        Nodes::Sources(list, _) => origins(list, instances, folder),
+    }
+}
+
+/// This instance as it announces itself, started at `started` in Unix time.
+pub fn announce(config: &model::Config, wanted: &model::Announce, started: Micros) -> announce::Settings {
+    announce::Settings {
+        prefix: wanted.prefix.clone(),
+        node: view::Node {
+            identity: wanted.identity.clone(),
+            address: wanted.address,
+            zone: config.instance.zone.clone(),
+            kind: "sloeline".to_owned(),
+            cell: 0,
+            weight: 1.0,
+            started: Some(started),
+        },
+        lease: wanted.lease,
+        endpoints: wanted.endpoints.len(),
+        instances: config.instance.count,
+        rate: wanted.fleet_calls,
+        answer: wanted.answer,
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! [`record::Record`] in which both sides write, so that every request can be accounted for.
 
 pub mod client;
+pub mod keys;
 pub mod node;
 pub mod record;
 pub mod registry;
