--- a/membership/src/announce.rs
+++ b/membership/src/announce.rs
@@ -17,6 +17,9 @@
 /// The lease is kept alive this many times in its life.
 const TIMES: u64 = 3;
 
+/// While a lease lives, a pause is no shorter than this part of its life.
+const LEAST_PART: u64 = 20;
+
 /// What is announced, and how.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -149,6 +152,7 @@
     pub fn stands(&self) -> bool {
         match self.wanted {
             Wanted::Nothing | Wanted::Gone => self.lease.is_none(),
+            Wanted::Draining if self.lease.is_none() => true,
             wanted => self.written == Some(wanted),
         }
     }
@@ -222,7 +226,9 @@
         let pause = self.backoff.pause(&mut self.rng);
         // A lease that is about to run out is not lost to a pause: the next try comes while it lives.
         let left = self.lives.saturating_sub(now);
-        self.next = now + if left > 0 { pause.min(left / 2) } else { pause };
+        // Nor is it tried faster and faster as its end comes near.
+        let least = self.settings.lease / LEAST_PART;
+        self.next = now + if left > 0 { pause.min((left / 2).max(least)) } else { pause };
         if self.wanted == Wanted::Gone {
             // The lease runs out by itself.
             self.lease = None;
@@ -268,7 +274,9 @@
             (Told::Done { .. }, _) => {
                 // What is wanted may have changed while it was on its way.
                 self.written = Some(self.writing);
-                self.next = self.made + self.settings.lease / TIMES;
+                // A put does not lengthen the lease's life.
+                let renewed = self.lives.saturating_sub(self.settings.lease);
+                self.next = now.max(renewed + self.settings.lease / TIMES);
             }
         }
         self.backoff.reset();
--- a/membership/src/etcd.rs
+++ b/membership/src/etcd.rs
@@ -1,6 +1,6 @@
 //! Following a prefix of etcd v3: a range, then a watch from the revision after it. No I/O, time as an argument.
 //!
-//! Below the prefix, `nodes/ID` holds an [`entry`](crate::entry) and `drains/ID`, whatever its value, orders the node out;
+//! Below the prefix, `nodes/ID` holds an [`entry`] and `drains/ID`, whatever its value, orders the node out;
 //! the order outlives the node's entry and holds until the key is deleted.
 //!
 //! What the machine guards against, and how:
@@ -33,6 +33,9 @@
 /// asked about counts as run out.
 const MOST_LEASES: usize = 16;
 
+/// After so many watches that are deaf everything is read again.
+const MOST_DEAF: u32 = 2;
+
 /// What a source at etcd is told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -195,6 +198,8 @@
     /// Leases that are asked about: the members that went with each.
     leases: HashMap<u64, Vec<String>>,
     health: Health,
+    /// Watches in a row that were left because they were deaf.
+    deaf: u32,
     /// Names that have gone since those were last forgotten.
     gone: usize,
     /// The last problem with an entry.
@@ -222,6 +227,7 @@
             keys: BTreeMap::new(),
             leases: HashMap::new(),
             health: Health::default(),
+            deaf: 0,
             gone: 0,
             problem: None,
             settings,
@@ -293,6 +299,11 @@
             }
             Phase::Watch { check: Check::Reach { revision, .. }, .. } => {
                 let why = format!("the watch did not reach revision {revision} in time");
+                self.deaf += 1;
+                // The next one may be as deaf: what it would not tell is read.
+                if self.deaf >= MOST_DEAF {
+                    (self.deaf, self.last) = (0, None);
+                }
                 self.fail(now, why);
             }
         }
@@ -558,7 +569,9 @@
         events: Vec<Event>,
     ) {
         if compacted > 0 {
+            // The registry is there: only the reading of everything is to be spread over the fleet.
             self.last = None;
+            self.backoff.reset();
             return self.fail(now, format!("compacted up to {compacted}: everything is read again"));
         }
         if self.cluster.is_some_and(|known| known != header.cluster) {
@@ -590,6 +603,7 @@
         if let Phase::Watch { check: Check::Reach { revision, .. }, .. } = &self.phase
             && reached >= *revision
         {
+            self.deaf = 0;
             self.backoff.reset();
             self.health.confirmed = Some(now);
             self.health.trouble = None;
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A source is a machine without I/O ([`source::Machine`]: [`etcd`], [`consul`], [`dns`]) and a line that carries its calls.
 //! What it tells is weighed ([`doubt`]), merged with what other sources tell ([`merge`]) and handed to the engine
-//! ([`follow`]). The platform's list ([`platform`]) and a file ([`file`]) can be a pool's only source without any of that.
+//! ([`follow`]). The platform's list ([`platform`]) and a file ([`mod@file`]) can be a pool's only source without any of that.
 
 pub mod announce;
 pub mod backoff;
--- a/membership/tests/common/mod.rs
+++ b/membership/tests/common/mod.rs
@@ -80,6 +80,8 @@
 pub struct Fault {
     /// It answers nothing, and its watches break.
     pub down: bool,
+    /// It takes calls and answers none.
+    pub silent: bool,
     /// Its watches stay open and say nothing, not even how far they are.
     pub deaf: bool,
     /// It knows nothing past this revision, and answers all the same as if it were the newest.
@@ -109,6 +111,8 @@
     pub rng: fastrand::Rng,
     /// Calls of each kind: ranges of everything, watches, checks, leases.
     pub calls: [u64; 4],
+    /// How often the engine was told something.
+    pub tellings: u64,
     /// Answers take this much longer.
     pub slow: Micros,
     /// Answers come in pieces, and are broken off in between, with this chance.
@@ -130,6 +134,7 @@
             watches: BTreeMap::new(),
             rng: fastrand::Rng::with_seed(seed ^ 0x5eed),
             calls: [0; 4],
+            tellings: 0,
             slow: 0,
             fragments: 0.0,
         }
@@ -214,6 +219,12 @@
     }
 
     fn answer(&mut self, ask: Ask) {
+        if let Ask::Range { endpoint, count_only: false, .. } = &ask
+            && self.faults[*endpoint].silent
+        {
+            self.calls[0] += 1;
+            return;
+        }
         let failed = |call, compacted| Told::Failed { call, why: "failed".into(), compacted };
         match ask {
             Ask::Range { call, endpoint, from, end, revision, limit, count_only } => {
@@ -288,6 +299,7 @@
         self.members.health(0, self.etcd.health().clone());
         self.members.tick(self.now);
         if let Some((kind, list)) = self.members.changes(self.now) {
+            self.tellings += 1;
             if kind == finchshift::ListKind::Complete {
                 self.told.clear();
             }
--- /dev/null
+++ b/membership/tests/hard.rs
@@ -0,0 +1,267 @@
+//! Hard cases of a registry with watches, each by name.
+
+mod common;
+
+use common::*;
+use finchshift::ServerState;
+use sloeline_membership::doubt::{Reason, Rules};
+use sloeline_membership::entry;
+use sloeline_membership::source::Machine;
+use sloeline_membership::view::{Node, Standing};
+use sloeline_standin::keys::Write;
+
+const SERVING: Standing = Standing::Serving;
+
+/// A world with these nodes, known to the source; `lease` makes one for each.
+fn with(names: &[&str], lease: bool) -> World {
+    let mut world = World::with(seed(), settings(), Rules::default());
+    for name in names {
+        let lease = if lease { world.store.grant() } else { 0 };
+        world.store.put(&key(name), value(name, SERVING), lease);
+    }
+    pass(&mut world, 100 * MS);
+    assert_eq!(world.serving(), names);
+    world
+}
+
+fn pass(world: &mut World, span: u64) {
+    let at = world.now + span;
+    world.push();
+    world.until(at, |_| ());
+}
+
+fn all(world: &mut World, fault: Fault) {
+    (0..3).for_each(|e| world.fault(e, fault));
+}
+
+fn down() -> Fault {
+    Fault { down: true, ..Fault::default() }
+}
+
+/// Within this a watch that is deaf has been found out, a new one too, and everything has been read again.
+const DEAF: u64 = 2 * (6 + 1 + 4) * SECOND;
+
+#[test]
+fn a_drain_and_a_return_within_a_gap_that_was_compacted_away() {
+    let mut world = with(&["a", "b"], false);
+    all(&mut world, down());
+    world.store.put(&drain("a"), "", 0);
+    world.store.put(&drain("b"), "", 0);
+    world.store.delete(&drain("a"));
+    let again = Node { started: Some(900 * SECOND), ..node("a", 80) };
+    world.store.put(&key("a"), entry::write(&again, SERVING), 0);
+    world.store.compact(world.store.revision);
+    pass(&mut world, 20 * SECOND);
+    assert_eq!(world.serving(), ["a", "b"], "the last view holds");
+    let ranges = world.calls[0];
+    all(&mut world, Fault::default());
+    pass(&mut world, 10 * SECOND);
+    assert_eq!(world.serving(), ["a"]);
+    let started = world.members.verdict("a").and_then(|v| v.listed.started);
+    assert_eq!(started, Some(900 * SECOND), "it has started again: it is cold");
+    assert_eq!(world.calls[0], ranges + 1, "one range, of everything");
+}
+
+#[test]
+fn a_drain_between_the_range_and_the_watch() {
+    let mut world = World::with(seed(), settings(), Rules::default());
+    for name in ["a", "b"] {
+        world.store.put(&key(name), value(name, SERVING), 0);
+    }
+    world.step();
+    assert_eq!(
+        (world.calls[0], world.calls[1], world.etcd.applied()),
+        (1, 0, None),
+        "the answer is on its way"
+    );
+    world.store.put(&drain("a"), "", 0);
+    pass(&mut world, 20 * MS);
+    assert_eq!((world.serving(), world.calls[0]), (vec!["b"], 1));
+}
+
+#[test]
+fn watches_that_are_open_and_deaf_everywhere() {
+    let mut world = with(&["a", "b"], false);
+    all(&mut world, Fault { deaf: true, ..Fault::default() });
+    world.store.put(&drain("a"), "", 0);
+    pass(&mut world, DEAF);
+    assert_eq!(world.serving(), ["b"]);
+    // A member that is well hears what comes then.
+    all(&mut world, Fault::default());
+    pass(&mut world, DEAF);
+    let ranges = world.calls[0];
+    world.store.put(&drain("b"), "", 0);
+    pass(&mut world, 10 * MS);
+    assert_eq!((world.serving().len(), world.calls[0]), (0, ranges));
+}
+
+#[test]
+fn members_that_answer_in_turns_one_of_them_behind() {
+    let mut world = with(&["a", "b"], false);
+    let behind = Some(world.store.revision);
+    world.fault(0, Fault { behind, ..Fault::default() });
+    world.store.put(&drain("a"), "", 0);
+    pass(&mut world, DEAF);
+    assert_eq!(world.serving(), ["b"]);
+    let before = world.members.sources().next().and_then(|s| s.2);
+    // Reconnections that come to the one that is behind do not take the drain back.
+    for endpoint in [1, 2, 1, 2] {
+        world.fault(endpoint, down());
+        pass(&mut world, 3 * SECOND);
+        assert_eq!(world.serving(), ["b"]);
+        world.fault(endpoint, Fault::default());
+        pass(&mut world, 3 * SECOND);
+    }
+    let after = world.members.sources().next().and_then(|s| s.2);
+    assert_eq!((world.serving(), before), (vec!["b"], after));
+}
+
+#[test]
+fn a_registry_restored_from_a_backup_takes_no_drain_back() {
+    for same_cluster in [false, true] {
+        let mut world = with(&["a", "b", "c"], false);
+        let backup = world.store.clone();
+        world.store.put(&drain("a"), "", 0);
+        world.store.put("/q/x", "", 0);
+        world.store.delete(&key("c"));
+        pass(&mut world, 10 * SECOND);
+        assert_eq!(world.serving(), ["b"]);
+        all(&mut world, down());
+        world.store = backup;
+        world.store.cluster += u64::from(!same_cluster);
+        pass(&mut world, SECOND);
+        all(&mut world, Fault::default());
+        // Not believed at once, and then only as another registry.
+        pass(&mut world, 5 * SECOND);
+        assert_eq!(world.members.sources().next().and_then(|s| s.2).map(|r| r.epoch), Some(0));
+        pass(&mut world, 60 * SECOND);
+        assert_eq!(world.members.sources().next().and_then(|s| s.2).map(|r| r.epoch), Some(1));
+        assert_eq!(world.serving(), ["b"], "same cluster: {same_cluster}");
+        assert_eq!(world.members.verdict("a").map(|v| v.reason), Some(Reason::Sealed));
+        // Somebody who knows writes it anew.
+        world.store.put(&key("a"), value("a", SERVING), 0);
+        pass(&mut world, 100 * MS);
+        assert_eq!(world.serving(), ["a", "b"]);
+    }
+}
+
+#[test]
+fn addresses_and_identities_that_change_places() {
+    let mut world = with(&["a"], false);
+    let moved = entry::write(&node("a", 81), SERVING);
+    world.store.put(&key("a"), moved, 0);
+    pass(&mut world, 10 * MS);
+    assert_eq!(world.members.verdict("a").map(|v| v.listed.address.port()), Some(81));
+    // Another one at its place, and it gone, in one transaction: never both, never none.
+    let other = entry::write(&node("b", 81), SERVING);
+    world.store.write(vec![Write::Put(key("b"), other, 0), Write::Delete(key("a"))]);
+    pass(&mut world, 10 * MS);
+    assert_eq!(world.serving(), ["b"]);
+    // Deleted and made again, with no start of its own: it counts as started then.
+    let silent = entry::write(&Node { started: None, ..node("b", 81) }, SERVING);
+    world.store.put(&key("c"), value("c", SERVING), 0);
+    world.store.put(&key("b"), silent.clone(), 0);
+    pass(&mut world, 100 * MS);
+    let first = world.members.verdict("b").and_then(|v| v.listed.started);
+    world.store.delete(&key("b"));
+    world.store.put(&key("b"), silent, 0);
+    pass(&mut world, 100 * MS);
+    let then = world.members.verdict("b").and_then(|v| v.listed.started);
+    assert!(then > first && then.is_some(), "{first:?} {then:?}");
+}
+
+#[test]
+fn what_went_by_order_is_told_apart_from_what_ran_out() {
+    let names = ["a", "b", "c", "d", "e"];
+    let four = |f: fn(&str) -> Write| -> Vec<Write> { names[..4].iter().map(|n| f(n)).collect() };
+    // Deleted while their leases live: an order, once the leases were asked about.
+    let mut world = with(&names, true);
+    world.store.write(four(|n| Write::Delete(key(n))));
+    pass(&mut world, 100 * MS);
+    assert_eq!((world.serving(), world.calls[3]), (vec!["e"], 4));
+    // Drained and deleted in one transaction: an order at once, with nothing asked.
+    let mut world = with(&names, true);
+    let mut both = four(|n| Write::Delete(key(n)));
+    both.extend(four(|n| Write::Put(drain(n), Vec::new(), 0)));
+    world.store.write(both);
+    pass(&mut world, 10 * MS);
+    assert_eq!((world.serving(), world.calls[3]), (vec!["e"], 0));
+    // Leases that ran out together: held, with a limit in time.
+    let mut world = with(&names, true);
+    (1..5).for_each(|lease| world.store.end(lease));
+    pass(&mut world, SECOND);
+    assert_eq!((world.serving().len(), world.calls[3]), (5, 4), "more than half: not believed yet");
+    pass(&mut world, 301 * SECOND);
+    assert_eq!(world.serving(), ["e"]);
+}
+
+#[test]
+fn slow_and_silent_registries() {
+    let mut world = World::with(seed(), settings(), Rules::default());
+    world.store.put(&key("a"), value("a", SERVING), 0);
+    // Nothing comes of the first call, and half an answer of the second.
+    all(&mut world, Fault { silent: true, ..Fault::default() });
+    pass(&mut world, 4 * SECOND);
+    assert!(world.calls[0] >= 1 && world.told.is_empty());
+    all(&mut world, Fault::default());
+    pass(&mut world, 8 * SECOND);
+    assert_eq!(world.serving(), ["a"]);
+
+    let slow = sloeline_membership::etcd::Settings { answer: 15 * SECOND, ..settings() };
+    let mut world = World::with(seed(), slow, Rules::default());
+    world.slow = 10 * SECOND;
+    world.store.put(&key("a"), value("a", SERVING), 0);
+    pass(&mut world, 21 * SECOND);
+    assert_eq!(
+        (world.serving(), world.calls[0]),
+        (vec!["a"], 1),
+        "no call is made again while one is under way"
+    );
+}
+
+#[test]
+fn a_registry_with_too_much_to_say() {
+    let mut world = World::with(seed(), settings(), Rules::default());
+    for n in 0..100_000 {
+        let name = format!("n{n:06}");
+        world.store.put(&key(&name), value(&name, SERVING), 0);
+    }
+    pass(&mut world, SECOND);
+    assert_eq!((world.serving().len(), world.calls[0]), (100_000, 50));
+    // One entry, ten thousand times in a second: the engine hears of it now and then.
+    let before = world.tellings;
+    for n in 0..10_000_u32 {
+        let weight = Node { weight: 1.0 + f64::from(n % 2), ..node("n000000", 80) };
+        world.store.put(&key("n000000"), entry::write(&weight, SERVING), 0);
+        pass(&mut world, 100);
+    }
+    assert!(world.tellings - before <= 25, "{}", world.tellings - before);
+    // A drain among them is told at once.
+    world.store.put(&drain("n000001"), "", 0);
+    pass(&mut world, 5 * MS);
+    assert_eq!(world.told.get("n000001"), Some(&ServerState::Draining));
+}
+
+#[test]
+fn garbage_is_no_loss_and_no_order() {
+    let mut world = with(&["a", "b"], false);
+    for text in ["", "{", "null", "[]", "{\"address\":7}", "{\"address\":\"nowhere\"}", "\u{0}\u{ff}"] {
+        world.store.put(&key("a"), text, 0);
+        world.store.put(&key("new"), text, 0);
+        world.store.put(&format!("{PREFIX}other/a"), text, 0);
+        pass(&mut world, 10 * MS);
+        assert_eq!(world.serving(), ["a", "b"], "{text:?}");
+    }
+    assert_eq!(world.etcd.health().unreadable, 14);
+    // An order on it counts all the same, and so does its end.
+    world.store.put(&drain("a"), "\u{0}", 0);
+    pass(&mut world, 10 * MS);
+    assert_eq!(world.serving(), ["b"]);
+    world.store.put(&key("a"), "x".repeat(5000), 0);
+    world.store.delete(&drain("a"));
+    pass(&mut world, 100 * MS);
+    assert_eq!(world.serving(), ["a", "b"]);
+    world.store.delete(&key("a"));
+    pass(&mut world, 10 * MS);
+    assert_eq!(world.serving(), ["b"]);
+}
--- a/standin/src/keys.rs
+++ b/standin/src/keys.rs
@@ -42,6 +42,7 @@
     pub log: Vec<Changed>,
     keys: BTreeMap<Vec<u8>, Pair>,
     leases: BTreeSet<i64>,
+    granted: i64,
 }
 
 /// A change to make; several in one revision make a transaction.
@@ -63,6 +64,7 @@
             log: Vec::new(),
             keys: BTreeMap::new(),
             leases: BTreeSet::new(),
+            granted: 0,
         }
     }
 
@@ -107,9 +109,9 @@
 
     /// A new lease.
     pub fn grant(&mut self) -> i64 {
-        let lease = self.leases.last().map_or(1, |l| l + 1);
-        self.leases.insert(lease);
-        lease
+        self.granted += 1;
+        self.leases.insert(self.granted);
+        self.granted
     }
 
     /// Whether a lease lives.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,6 +2,9 @@
 //! [`record::Record`] in which both sides write, so that every request can be accounted for.
 
 pub mod client;
+pub mod consul;
+pub mod dns;
+pub mod etcd;
 pub mod keys;
 pub mod node;
 pub mod record;
