--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -151,6 +151,19 @@
         /// One that has not heard of its leader for so long is not believed.
         most_stale: Micros,
     },
+    /// `xds`
+    Xds {
+        /// Its endpoints.
+        endpoints: Vec<SocketAddr>,
+        /// The cluster.
+        cluster: String,
+        /// Incremental, not state of the world.
+        delta: bool,
+        /// A stream is opened anew after this.
+        renew: Micros,
+        /// How long a version that was seen before is not believed on a new stream.
+        believe_after: Micros,
+    },
     /// `dns` or `srv`
     Dns {
         /// The name.
--- a/config/src/sources.rs
+++ b/config/src/sources.rs
@@ -62,12 +62,20 @@
 }
 
 fn place(section: &Section<'_>, instance: &Instance) -> Option<(&'static str, Place)> {
-    let kinds = ["etcd", "consul", "dns", "srv", "file", "registry"];
+    let kinds = ["etcd", "consul", "xds", "dns", "srv", "file", "registry"];
     let (etcd, consul) = (endpoints(section, "etcd"), endpoints(section, "consul"));
+    let xds = endpoints(section, "xds");
     let (dns, srv) = (section.get::<String>("dns"), section.get::<String>("srv"));
     let (file, registry) = (section.get::<String>("file"), section.get::<SocketAddr>("registry"));
-    let given =
-        [etcd.is_some(), consul.is_some(), dns.is_some(), srv.is_some(), file.is_some(), registry.is_some()];
+    let given = [
+        etcd.is_some(),
+        consul.is_some(),
+        xds.is_some(),
+        dns.is_some(),
+        srv.is_some(),
+        file.is_some(),
+        registry.is_some(),
+    ];
     let count = given.iter().filter(|g| **g).count();
     if count != 1 {
         let found = format!("{count} of them");
@@ -89,6 +97,14 @@
         let service = service?.value;
         return Some(("consul", Place::Consul { endpoints, service, wait, stale, most_stale }));
     }
+    if let Some(endpoints) = xds {
+        let cluster = section.need::<String>("cluster", "the name of the cluster");
+        let delta = section.or("delta", false);
+        let renew = positive(section, "renew", 300 * SECOND);
+        let believe_after = positive(section, "believe_after", 30 * SECOND);
+        let cluster = cluster?.value;
+        return Some(("xds", Place::Xds { endpoints, cluster, delta, renew, believe_after }));
+    }
     if let Some((key, at)) = dns.map(|d| ("dns", d)).or(srv.map(|s| ("srv", s))) {
         let port = match (key, section.get::<u64>("port")) {
             ("srv", None) => None,
--- a/config/tests/dangerous.rs
+++ b/config/tests/dangerous.rs
@@ -290,7 +290,7 @@
     let good = format!(
         "source = [{{ {etcd}, prefix = \"/a/\", check = \"1s\" }}, {{ name = \"b\", {etcd}, prefix = \"/b/\" }}, \
          {{ consul = [\"127.0.0.1:1\"], service = \"s\" }}, {{ dns = \"a.b\", port = 80 }}, {{ srv = \"_a._tcp.b\" }}, \
-         {{ file = \"f\" }}, {{ registry = \"127.0.0.1:1\" }}]\ndoubt = {{ most_lost = 0.3, accept = true }}"
+         {{ xds = [\"127.0.0.1:1\"], cluster = \"c\", delta = true }}, {{ file = \"f\" }}, {{ registry = \"127.0.0.1:1\" }}]\ndoubt = {{ most_lost = 0.3, accept = true }}"
     );
     assert_eq!(problems(&with(&good)), [""; 0]);
     let cases = [
@@ -309,6 +309,7 @@
             "service: found an unknown key",
         ),
         ("source = [{ consul = [\"127.0.0.1:1\"] }]".to_owned(), "service: found nothing"),
+        ("source = [{ xds = [\"127.0.0.1:1\"] }]".to_owned(), "cluster: found nothing"),
         ("source = [{ dns = \"a\" }]".to_owned(), "port: found nothing"),
         ("source = [{ dns = \"a..b\", port = 1 }]".to_owned(), "a name of the DNS"),
         ("source = [{ srv = \"a\", port = 1 }]".to_owned(), "none: SRV records tell it"),
--- a/membership/src/announce.rs
+++ b/membership/src/announce.rs
@@ -237,7 +237,8 @@
 
     fn lost(&mut self, now: Micros) {
         (self.lease, self.written) = (None, None);
-        // Not at once: every instance's lease ran out while the registry was away.
+        // Not at once: every instance's lease ran out while the registry was away. It is there again: the first ceiling.
+        self.backoff.reset();
         self.next = now + self.backoff.pause(&mut self.rng);
     }
 
--- a/membership/src/etcd/line.rs
+++ b/membership/src/etcd/line.rs
@@ -94,7 +94,7 @@
 }
 
 /// A message stream that ends when its sender goes.
-struct Outgoing<T>(mpsc::Receiver<T>);
+pub struct Outgoing<T>(pub mpsc::Receiver<T>);
 
 impl<T> Stream for Outgoing<T> {
     type Item = T;
--- a/membership/src/follow.rs
+++ b/membership/src/follow.rs
@@ -17,7 +17,7 @@
 use crate::merge::Members;
 use crate::source::{Line, Machine};
 use crate::view::{Health, News};
-use crate::{consul, dns, file, platform};
+use crate::{consul, dns, file, platform, xds};
 
 /// Where a list comes from.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,6 +26,8 @@
     Etcd(etcd::Settings, Vec<SocketAddr>),
     /// A service in Consul.
     Consul(consul::Settings, Vec<SocketAddr>),
+    /// A cluster at xDS servers.
+    Xds(xds::Settings, Vec<SocketAddr>),
     /// A name in the DNS; no servers for those of the system.
     Dns(dns::Settings, Vec<SocketAddr>),
     /// A file in the form of the platform's list.
@@ -176,6 +178,12 @@
                 let machine = consul::Consul::new(now, settings.clone(), seed);
                 spawn_local(run(shared, at, named, machine, questions))
             }
+            Origin::Xds(settings, endpoints) => {
+                let line =
+                    xds::line::Stream::new(&settings.cluster, &settings.node, settings.delta, endpoints)?;
+                let machine = xds::Xds::new(now, settings.clone(), seed);
+                spawn_local(run(shared, at, named, machine, line))
+            }
             Origin::Dns(settings, servers) => {
                 let questions = dns::line::Questions::new(servers)?;
                 let machine = dns::Dns::new(now, settings.clone(), seed);
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -1,6 +1,6 @@
 //! Where lists of upstreams come from.
 //!
-//! A source is a machine without I/O ([`source::Machine`]: [`etcd`], [`consul`], [`dns`]) and a line that carries its calls.
+//! A source is a machine without I/O ([`source::Machine`]: [`etcd`], [`consul`], [`dns`], [`xds`]) and a line that carries its calls.
 //! What it tells is weighed ([`doubt`]), merged with what other sources tell ([`merge`]) and handed to the engine
 //! ([`follow`]). The platform's list ([`platform`]) and a file ([`mod@file`]) can be a pool's only source without any of that.
 
@@ -17,3 +17,4 @@
 pub mod platform;
 pub mod source;
 pub mod view;
+pub mod xds;
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -10,7 +10,7 @@
 use finchshift::{ListKind, Micros, ServerState};
 use hyper::StatusCode;
 use hyper::header::{HeaderName, HeaderValue};
-use sloeline_config::model::{Config, Nodes, Pool as Wanted};
+use sloeline_config::model::{Config, Instance, Nodes, Pool as Wanted};
 use sloeline_engine::engine::Engine;
 use sloeline_engine::types::Listed;
 use sloeline_http::routed::Pool;
@@ -88,7 +88,7 @@
     list: Option<Vec<Listed>>,
     file: Option<PathBuf>,
     folder: PathBuf,
-    instances: u32,
+    instance: Instance,
 }
 
 fn dialect(pool: &Wanted) -> Result<Dialect, String> {
@@ -193,7 +193,7 @@
             list,
             file,
             folder: folder.to_owned(),
-            instances: config.instance.count,
+            instance: config.instance.clone(),
         })
     }
 
@@ -356,7 +356,7 @@
             }
             Nodes::Sources(list, doubt) => {
                 self.seen.clear();
-                let origins = origins::origins(list, plan.instances, &plan.folder);
+                let origins = origins::origins(list, &plan.instance, &plan.folder);
                 let rules = origins::rules(doubt);
                 Source::Sources(Following::start(&self.pool.name, &origins, &rules, seed, tell))
             }
--- a/sloeline/src/members.rs
+++ b/sloeline/src/members.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use finchshift::{Micros, ServerState};
-use sloeline_config::model::{Config, Nodes};
+use sloeline_config::model::{Config, Instance, Nodes};
 use sloeline_engine::types::Listed;
 use sloeline_membership::doubt::{Reason, Rules};
 use sloeline_membership::follow::Following;
@@ -82,6 +82,7 @@
     only: Option<&str>,
     wait: Duration,
 ) -> Result<String, String> {
+    let alone = Instance { count: 1, number: 0, ..config.instance.clone() };
     let (mut text, mut silent) = (String::new(), Vec::new());
     if let Some(name) = only.filter(|name| !config.pools.contains_key(*name)) {
         let pools: Vec<&str> = config.pools.keys().map(String::as_str).collect();
@@ -111,7 +112,7 @@
             _ => Rules::default(),
         };
         // The instance asks alone: nothing that the fleet has in common failed here.
-        let origins = origins::all(pool, 1, folder);
+        let origins = origins::all(pool, &alone, folder);
         let following = Following::start(name, &origins, &rules, fastrand::u64(..), |_, _| {});
         let _ = timeout(wait, following.whole()).await;
         following.look(|now, members| {
--- a/sloeline/src/origins.rs
+++ b/sloeline/src/origins.rs
@@ -3,10 +3,10 @@
 use std::path::Path;
 
 use finchshift::Micros;
-use sloeline_config::model::{self, Doubt, Nodes, Place};
+use sloeline_config::model::{self, Doubt, Instance, Nodes, Place};
 use sloeline_membership::doubt::Rules;
 use sloeline_membership::follow::Origin;
-use sloeline_membership::{announce, consul, dns, etcd, view};
+use sloeline_membership::{announce, consul, dns, etcd, view, xds};
 
 /// Questions to Consul are no closer than this: guards against a service that changes all the time.
 const APART: Micros = 100_000;
@@ -23,7 +23,8 @@
 }
 
 /// Sources with their names, in the order of their precedence; paths are seen from the folder.
-pub fn origins(list: &[model::Origin], instances: u32, folder: &Path) -> Vec<(String, Origin)> {
+pub fn origins(list: &[model::Origin], instance: &Instance, folder: &Path) -> Vec<(String, Origin)> {
+    let instances = instance.count;
     let origin = |o: &model::Origin| {
         let (rate, answer) = (o.fleet_calls, o.answer);
         let origin = match &o.place {
@@ -55,6 +56,20 @@
                 };
                 Origin::Consul(settings, endpoints.clone())
             }
+            Place::Xds { endpoints, cluster, delta, renew, believe_after } => {
+                let settings = xds::Settings {
+                    cluster: cluster.clone(),
+                    delta: *delta,
+                    node: instance.name.clone(),
+                    endpoints: endpoints.len(),
+                    instances,
+                    rate,
+                    answer,
+                    renew: *renew,
+                    believe_after: *believe_after,
+                };
+                Origin::Xds(settings, endpoints.clone())
+            }
             Place::Dns { name, port, zone, servers, least, most } => {
                 let name = match port {
                     Some(port) => dns::Name::Addresses(name.clone(), *port),
@@ -73,12 +88,12 @@
 }
 
 /// The sources of a pool whatever way they are written; none for a list in the configuration.
-pub fn all(pool: &model::Pool, instances: u32, folder: &Path) -> Vec<(String, Origin)> {
+pub fn all(pool: &model::Pool, instance: &Instance, folder: &Path) -> Vec<(String, Origin)> {
     match &pool.nodes {
         Nodes::Static(_) => Vec::new(),
         Nodes::File(path) => vec![("file".to_owned(), Origin::File(folder.join(path)))],
         Nodes::Registry(address) => vec![("registry".to_owned(), Origin::List(*address))],
-        Nodes::Sources(list, _) => origins(list, instances, folder),
+        Nodes::Sources(list, _) => origins(list, instance, folder),
     }
 }
 
--- a/sloeline/tests/cli.rs
+++ b/sloeline/tests/cli.rs
@@ -95,12 +95,12 @@
          [pool.p]\n{wrong}\nnodes = [{{ {wrong} }}]\n[pool.p.declined]\n{wrong}\n\
          [pool.p.doubt]\n{wrong}\n[announce]\n{wrong}\n\
          [pool.e]\nsource = [{{ etcd = [\"127.0.0.1:1\"], prefix = \"/a/\", {wrong} }}, {{ consul = [\"127.0.0.1:1\"], service = \"s\", {wrong} }}, \
-         {{ dns = \"a\", port = 1, {wrong} }}, {{ file = \"a\", {wrong} }}]\n\
+         {{ xds = [\"127.0.0.1:1\"], cluster = \"c\", {wrong} }}, {{ dns = \"a\", port = 1, {wrong} }}, {{ file = \"a\", {wrong} }}]\n\
          [[route]]\n{wrong}\nsplit = [{{ {wrong} }}]\n"
     );
     let problems = sloeline_config::load(&config, 1024).expect_err("unknown keys");
     let known: Vec<_> = problems.iter().filter(|p| p.found == "an unknown key").collect();
-    assert_eq!(known.len(), 17, "{known:#?}");
+    assert_eq!(known.len(), 18, "{known:#?}");
     let mut keys = 0;
     for problem in known {
         let names = problem.expected.strip_prefix("one of ").expect("a list of keys");
--- a/sloeline/tests/registries.rs
+++ b/sloeline/tests/registries.rs
@@ -8,6 +8,9 @@
 use rig::*;
 use sloeline::members::members;
 use sloeline_membership::view::{Node as Entry, Standing};
+use sloeline_membership::xds::messages::{
+    Address, ClusterLoadAssignment, Endpoint, LbEndpoint, LocalityLbEndpoints, SocketAddress,
+};
 use sloeline_standin::client::Client;
 use sloeline_standin::consul::Consul;
 use sloeline_standin::dns::{Data, Dns};
@@ -15,6 +18,7 @@
 use sloeline_standin::keys::{Store, Write};
 use sloeline_standin::node::Node;
 use sloeline_standin::record::{Record, Told};
+use sloeline_standin::xds::Xds;
 use tokio::time::sleep;
 
 fn entry(node: &Node, standing: Standing) -> Vec<u8> {
@@ -178,6 +182,56 @@
     });
 }
 
+#[test]
+fn a_cluster_at_an_xds_server_is_followed_in_both_ways() {
+    for delta in [false, true] {
+        with(async |record| {
+            let (a, b) = (Node::start("a", "g", &record), Node::start("b", "g", &record));
+            let xds = Xds::start("checks").expect("a server");
+            let set = |states: &[(&Node, i32)]| {
+                let endpoint = |(node, health_status): &(&Node, i32)| {
+                    let (address, port_value) =
+                        (node.address.ip().to_string(), u32::from(node.address.port()));
+                    let address = Address { socket_address: Some(SocketAddress { address, port_value }) };
+                    let endpoint = Some(Endpoint { address: Some(address) });
+                    LbEndpoint { endpoint, health_status: *health_status, load_balancing_weight: None }
+                };
+                let group = LocalityLbEndpoints {
+                    locality: None,
+                    lb_endpoints: states.iter().map(endpoint).collect(),
+                    priority: 0,
+                };
+                xds.set(&ClusterLoadAssignment { cluster_name: "checks".to_owned(), endpoints: vec![group] });
+            };
+            set(&[(&a, 1), (&b, 0)]);
+            let text = format!(
+                "{HEAD}[pool.p]\nsource = [{{ xds = [\"{}\"], cluster = \"checks\", delta = {delta} }}]\n{}",
+                xds.address,
+                routes("p")
+            );
+            let daemon = start(&text).await;
+            let to = public(&daemon);
+            until_ready(to).await;
+            let mut client = Client::new(to, &record);
+            until_used(&mut client, &record, "a").await;
+            until_used(&mut client, &record, "b").await;
+            set(&[(&a, 3), (&b, 1)]);
+            until_unused(&mut client, &record, "a").await;
+            // What can't be read is refused, and what was known holds.
+            let taken = xds.taken();
+            xds.set_raw(vec![0xff; 9]);
+            while xds.refused().is_empty() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            until_unused(&mut client, &record, "a").await;
+            assert_eq!((xds.refused().len(), xds.taken()), (1, taken));
+            set(&[(&a, 1), (&b, 3)]);
+            until_unused(&mut client, &record, "b").await;
+            daemon.stop().await;
+        });
+    }
+}
+
 #[test]
 fn names_are_followed_as_their_records_live() {
     with(async |record| {
--- a/standin/src/etcd.rs
+++ b/standin/src/etcd.rs
@@ -1,26 +1,21 @@
-//! etcd's v3 interface on loopback, over the [`Store`](crate::keys::Store): ranges, puts, watches with fragments and
+//! etcd's v3 interface on loopback, over the [`Store`]: ranges, puts, watches with fragments and
 //! progress, leases. What it does not have: authentication, transactions of callers, filters.
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use prost::Message;
 use sloeline_membership::etcd::messages::*;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 
+use crate::grpc::{Frames, Local, Messages, Sender, end, responding, send};
 use crate::keys::{Changed, Pair, Store};
 
 /// Events in a piece of an answer.
@@ -39,6 +34,7 @@
     /// The newest revision, and how often watches were broken.
     news: watch::Sender<(i64, u64)>,
     calls: Cell<u64>,
+    sent: Rc<Cell<u64>>,
 }
 
 impl Drop for Etcd {
@@ -47,17 +43,6 @@
     }
 }
 
-#[derive(Clone)]
-struct Local;
-
-impl<F: Future + 'static> hyper::rt::Executor<F> for Local {
-    fn execute(&self, future: F) {
-        spawn_local(async move {
-            future.await;
-        });
-    }
-}
-
 impl Etcd {
     /// Listens on any port.
     pub fn start(store: Store) -> std::io::Result<Etcd> {
@@ -71,7 +56,8 @@
         socket.bind(address)?;
         let listener = socket.listen(64)?;
         let (address, news) = (listener.local_addr()?, watch::Sender::new((store.revision, 0)));
-        let shared = Rc::new(Shared { store: RefCell::new(store), news, calls: Cell::new(0) });
+        let shared =
+            Rc::new(Shared { store: RefCell::new(store), news, calls: Cell::new(0), sent: Rc::default() });
         let tasks = Rc::new(RefCell::new(Vec::new()));
         let task = spawn_local(accept(listener, shared.clone(), tasks.clone()));
         tasks.borrow_mut().push(task.abort_handle());
@@ -96,6 +82,11 @@
         self.shared.store.borrow().clone()
     }
 
+    /// Bytes of messages that it sent.
+    pub fn bytes(&self) -> u64 {
+        self.shared.sent.get()
+    }
+
     /// How many calls came.
     pub fn calls(&self) -> u64 {
         self.shared.calls.get()
@@ -119,59 +110,6 @@
     }
 }
 
-/// A body that is sent as it is made.
-struct Frames(mpsc::UnboundedReceiver<Frame<Bytes>>);
-
-impl Body for Frames {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.0.poll_recv(context).map(|frame| frame.map(Ok))
-    }
-}
-
-type Sender = mpsc::UnboundedSender<Frame<Bytes>>;
-
-fn send<M: Message>(sender: &Sender, message: &M) -> bool {
-    let mut frame = BytesMut::with_capacity(5 + message.encoded_len());
-    frame.put_u8(0);
-    frame.put_u32(message.encoded_len() as u32);
-    message.encode(&mut frame).is_ok() && sender.send(Frame::data(frame.freeze())).is_ok()
-}
-
-fn end(sender: &Sender, status: u16, why: &'static str) {
-    let mut trailers = HeaderMap::new();
-    trailers.insert("grpc-status", HeaderValue::from(status));
-    trailers.insert("grpc-message", HeaderValue::from_static(why));
-    let _ = sender.send(Frame::trailers(trailers));
-}
-
-/// The messages of a request.
-struct Messages {
-    body: Incoming,
-    buffer: BytesMut,
-}
-
-impl Messages {
-    async fn next<M: Message + Default>(&mut self) -> Option<M> {
-        loop {
-            if self.buffer.len() >= 5 {
-                let length = (&self.buffer[1..5]).get_u32() as usize;
-                if self.buffer.len() >= 5 + length {
-                    self.buffer.advance(5);
-                    return M::decode(self.buffer.split_to(length).freeze()).ok();
-                }
-            }
-            let frame = self.body.frame().await?.ok()?;
-            self.buffer.extend_from_slice(&frame.into_data().unwrap_or_default());
-        }
-    }
-}
-
 fn pair(key: &[u8], pair: &Pair) -> KeyValue {
     KeyValue {
         key: key.to_vec(),
@@ -207,9 +145,9 @@
 
 async fn answer(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Frames> {
     shared.calls.set(shared.calls.get() + 1);
-    let (sender, frames) = mpsc::unbounded_channel();
+    let (sender, response) = responding(&shared.sent);
     let path = request.uri().path().to_owned();
-    let mut messages = Messages { body: request.into_body(), buffer: BytesMut::new() };
+    let mut messages = Messages::new(request.into_body());
     if path == path::WATCH {
         spawn_local(watched(shared, messages, sender));
     } else if path == path::KEEP_ALIVE {
@@ -228,8 +166,6 @@
             None => end(&sender, 3, "a message that is none"),
         }
     }
-    let mut response = Response::new(Frames(frames));
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/grpc"));
     response
 }
 
