etcd: a watch and its check that are both behind no longer win over a third member

Cause: a check asked one endpoint and always the same one. Where the watch and that endpoint were behind, a drain that a third member knew of was missed, and after believe_after the older view was believed as another epoch.

Change: checks go round the endpoints, and to the next one at once where one fails or is behind what is known; another registry is believed only after every endpoint was asked.

--- a/membership/src/etcd.rs
+++ b/membership/src/etcd.rs
@@ -147,8 +147,8 @@
 enum Check {
     /// The next one is due then.
     Due(Micros),
-    /// The cluster's revision is asked for.
-    Head { call: u64, until: Micros },
+    /// The cluster's revision is asked for, at one endpoint after the other until one knows it.
+    Head { call: u64, endpoint: usize, left: usize, until: Micros },
     /// The watch must come this far by then.
     Reach { revision: i64, until: Micros },
 }
@@ -181,6 +181,8 @@
     settings: Settings,
     phase: Phase,
     endpoint: usize,
+    /// The endpoint that the last check asked first.
+    checker: usize,
     calls: u64,
     asks: VecDeque<Ask>,
     news: VecDeque<News>,
@@ -194,6 +196,8 @@
     highest: i64,
     /// When the known cluster last answered as itself.
     good: Option<Micros>,
+    /// Calls since then that failed or were answered by a member that is behind.
+    missed: usize,
     keys: BTreeMap<String, Keys>,
     /// Leases that are asked about: the members that went with each.
     leases: HashMap<u64, Vec<String>>,
@@ -214,6 +218,7 @@
         Etcd {
             endpoint: rng.usize(..settings.endpoints.max(1)),
             phase: Phase::Pause { until: now },
+            checker: 0,
             calls: 0,
             asks: VecDeque::new(),
             news: VecDeque::new(),
@@ -224,6 +229,7 @@
             last: None,
             highest: 0,
             good: None,
+            missed: 0,
             keys: BTreeMap::new(),
             leases: HashMap::new(),
             health: Health::default(),
@@ -277,25 +283,16 @@
             Phase::Pause { .. } => self.go_on(now),
             Phase::Range { .. } => self.fail(now, "no answer to a range in time".to_owned()),
             Phase::Watch { check: Check::Due(_), .. } => {
-                let (from, end) = self.span();
-                let (call, endpoint) = (self.call(), self.other());
-                self.asks.push_back(Ask::Range {
-                    call,
-                    endpoint,
-                    from,
-                    end,
-                    revision: 0,
-                    limit: 1,
-                    count_only: true,
-                });
-                let until = now + self.settings.patience;
-                self.check(Check::Head { call, until });
+                // Another one each time: one that is behind itself finds nothing wrong with a watch that is.
+                self.checker = (self.checker + 1) % self.settings.endpoints.max(1);
+                if self.checker == self.endpoint {
+                    self.checker = self.other();
+                }
+                self.ask_head(now, self.checker, self.settings.endpoints.max(1));
             }
             Phase::Watch { check: Check::Head { call, .. }, .. } => {
-                // Who can't say how far the cluster is proves nothing about the watch.
                 self.asks.push_back(Ask::Leave { call: *call });
-                self.health.trouble = Some("a check was not answered".to_owned());
-                self.check_later(now);
+                self.no_head(now, "a check was not answered".to_owned());
             }
             Phase::Watch { check: Check::Reach { revision, .. }, .. } => {
                 let why = format!("the watch did not reach revision {revision} in time");
@@ -315,6 +312,31 @@
         }
     }
 
+    fn ask_head(&mut self, now: Micros, endpoint: usize, left: usize) {
+        let (from, end) = self.span();
+        let call = self.call();
+        self.asks.push_back(Ask::Range {
+            call,
+            endpoint,
+            from,
+            end,
+            revision: 0,
+            limit: 1,
+            count_only: true,
+        });
+        self.check(Check::Head { call, endpoint, left: left - 1, until: now + self.settings.patience });
+    }
+
+    /// An endpoint did not say how far the cluster is, or is behind itself: that proves nothing about the watch, and the
+    /// next one is asked at once. Guards against a watch and its check that are both behind, beside a member that is not.
+    fn no_head(&mut self, now: Micros, why: String) {
+        self.health.trouble = Some(why);
+        self.missed += 1;
+        let Phase::Watch { check: Check::Head { endpoint, left, .. }, .. } = &self.phase else { return };
+        let (endpoint, left) = ((endpoint + 1) % self.settings.endpoints.max(1), *left);
+        if left > 0 { self.ask_head(now, endpoint, left) } else { self.check_later(now) }
+    }
+
     fn check_later(&mut self, now: Micros) {
         let spread = self.settings.check / 4;
         let at = now + self.settings.check - spread / 2 + self.rng.u64(..=spread);
@@ -349,6 +371,7 @@
 
     /// Leaves what is under way and pauses; the next call goes to another endpoint.
     fn fail(&mut self, now: Micros, why: String) {
+        self.missed += 1;
         self.health.trouble = Some(why);
         let calls = match &self.phase {
             Phase::Pause { .. } => return,
@@ -368,16 +391,18 @@
         if same && header.revision >= self.highest {
             self.cluster = Some(header.cluster);
             self.highest = header.revision;
-            self.good = Some(now);
+            (self.good, self.missed) = (Some(now), 0);
             return true;
         }
         self.health.refused += 1;
         false
     }
 
-    /// The known cluster has been silent so long that another one is believed.
+    /// The known cluster has been silent so long that another one is believed: every endpoint was asked, and long enough
+    /// ago.
     fn given_up(&self, now: Micros) -> bool {
-        self.good.is_none_or(|good| good + self.settings.believe_after <= now)
+        let all = self.missed >= self.settings.endpoints;
+        all && self.good.is_none_or(|good| good + self.settings.believe_after <= now)
     }
 
     fn refuse(&mut self, now: Micros, header: Header) {
@@ -385,6 +410,7 @@
             // The next view is another registry's, and everything must be read.
             self.epoch += 1;
             (self.cluster, self.highest, self.last, self.good) = (None, 0, None, None);
+            self.missed = 0;
         }
         let (cluster, highest) = (self.cluster.unwrap_or(0), self.highest);
         self.fail(
@@ -440,8 +466,7 @@
                         self.fail(now, why);
                     }
                     Phase::Watch { check: Check::Head { call: under_way, .. }, .. } if *under_way == call => {
-                        self.health.trouble = Some(why);
-                        self.check_later(now);
+                        self.no_head(now, why);
                     }
                     _ => {}
                 }
@@ -458,7 +483,12 @@
     fn head(&mut self, now: Micros, header: Header) {
         if !self.known(now, header) {
             // Only that endpoint may be behind or another's: the watch is left only where nothing else answers.
-            return if self.given_up(now) { self.refuse(now, header) } else { self.check_later(now) };
+            if self.given_up(now) {
+                return self.refuse(now, header);
+            }
+            let why =
+                format!("a check found revision {}, expected {} or more", header.revision, self.highest);
+            return self.no_head(now, why);
         }
         let Phase::Watch { call, .. } = &self.phase else { return };
         let call = *call;
@@ -598,7 +628,7 @@
         // A member that is behind is nobody's proof.
         let reached = if told { newest } else { header.revision };
         if reached >= self.highest {
-            self.good = Some(now);
+            (self.good, self.missed) = (Some(now), 0);
         }
         if let Phase::Watch { check: Check::Reach { revision, .. }, .. } = &self.phase
             && reached >= *revision
--- a/membership/tests/consul.rs
+++ b/membership/tests/consul.rs
@@ -231,6 +231,20 @@
     assert_eq!((world.serving(), world.consul.health().unreadable), (vec!["b".to_owned()], 2));
 }
 
+#[test]
+fn a_server_without_a_leader_is_not_believed_even_where_nothing_is_known() {
+    let mut world = World::new(1, settings());
+    world.old = (20, BTreeMap::from([("a".to_owned(), instance("a", 6, 6, ""))]));
+    world.set("a", Some(instance("a", 6, 60, r#"{"CheckID":"_node_maintenance","Status":"critical"}"#)));
+    world.index = 60;
+    world.servers = [Server::Lost; 3];
+    world.pass(60 * SECOND);
+    assert_eq!((world.members.all().len(), world.calls > 5), (0, true));
+    world.servers[1] = Server::Well;
+    world.pass(20 * SECOND);
+    assert_eq!((world.members.all().len(), world.serving().len()), (1, 0));
+}
+
 #[test]
 fn an_index_that_goes_back_or_is_zero() {
     let mut world = World::new(1, settings());
--- a/membership/tests/hard.rs
+++ b/membership/tests/hard.rs
@@ -116,6 +116,46 @@
     assert_eq!((world.serving(), before), (vec!["b"], after));
 }
 
+#[test]
+fn a_watch_and_its_check_that_are_both_behind() {
+    for well in (0..3).cycle().take(24) {
+        let mut world = with(&["a", "b"], false);
+        let behind = Some(world.store.revision);
+        (0..3).filter(|e| *e != well).for_each(|e| world.fault(e, Fault { behind, ..Fault::default() }));
+        world.store.put(&drain("a"), "", 0);
+        pass(&mut world, DEAF + 7 * SECOND);
+        assert_eq!(world.serving(), ["b"], "only member {well} knows of it");
+    }
+}
+
+#[test]
+fn events_that_are_known_already_change_nothing() {
+    let mut world = with(&["a", "b"], false);
+    world.store.put(&drain("a"), "", 0);
+    pass(&mut world, 10 * MS);
+    world.store.delete(&drain("a"));
+    pass(&mut world, 100 * MS);
+    let revision = world.members.sources().next().and_then(|s| s.2);
+    // A server that tells the past again, as some did after a break.
+    world.repeat(2);
+    pass(&mut world, 100 * MS);
+    assert_eq!(
+        (world.serving(), world.members.sources().next().and_then(|s| s.2)),
+        (vec!["a", "b"], revision)
+    );
+    assert_eq!(world.tellings, 3, "the first list, the drain, its end");
+    // And one that tells it up to the drain only.
+    let behind = Some(world.store.revision - 1);
+    all(&mut world, Fault { behind, ..Fault::default() });
+    world.repeat(2);
+    pass(&mut world, 100 * MS);
+    assert_eq!(world.etcd.applied(), Some(world.store.revision), "nothing goes back");
+    all(&mut world, Fault::default());
+    world.store.put(&key("c"), value("c", SERVING), 0);
+    pass(&mut world, 100 * MS);
+    assert_eq!(world.serving(), ["a", "b", "c"]);
+}
+
 #[test]
 fn a_registry_restored_from_a_backup_takes_no_drain_back() {
     for same_cluster in [false, true] {
