Descriptions: OpenAPI read with places, effects of operations, findings by code

Change: package descriptions/: YAML and JSON as one tree with lines over saphyr-parser (aliases share, height and size are bounded, keys stand once), references within the folder, operations of 3.0 and 3.1 with their routes, keys and extensions, silence means unsafe; seventeen findings with stable codes that can be accepted with a reason where that makes sense; `sloeline operations`. The daemon does not route by descriptions yet.

--- /dev/null
+++ b/descriptions/src/lib.rs
@@ -0,0 +1,12 @@
+//! Descriptions of interfaces: OpenAPI 3.0 and 3.1 in YAML or JSON, read with the place of every value, and what they say of
+//! each operation: its routes, whether a repeat is harmless, how long it takes. Silence means unsafe.
+//!
+//! Nothing here touches a socket; files are read by whoever implements [`refs::Files`].
+
+pub mod check;
+pub mod effect;
+pub mod findings;
+pub mod folder;
+pub mod openapi;
+pub mod refs;
+pub mod tree;
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -10,7 +10,7 @@
 use sloeline_config::problem::Severity;
 use tokio::task::LocalSet;
 
-use crate::{daemon, demo, explain, members, platform};
+use crate::{daemon, demo, descriptions, explain, members, platform};
 
 /// A load balancer for services that call services.
 ///
@@ -59,6 +59,20 @@
         #[arg(long, default_value_t = 5000, value_parser = clap::value_parser!(u64).range(1..=600_000))]
         wait: u64,
     },
+    /// Read an OpenAPI description: what it says of repeats, and what contradicts itself; status 1 if there are errors.
+    Operations {
+        /// The description, 3.0 or 3.1, YAML or JSON.
+        file: PathBuf,
+        /// How long callers wait, such as "4s".
+        #[arg(long, value_parser = descriptions::span)]
+        waits: Option<u64>,
+        /// How long nodes remember a key.
+        #[arg(long, value_parser = descriptions::span)]
+        remembers: Option<u64>,
+        /// Only the findings, as a list of objects.
+        #[arg(long)]
+        json: bool,
+    },
     /// Experiments on an emulated fleet: the arguments are those of `sloeline-lab`, which must stand beside this program.
     #[command(disable_help_flag = true)]
     Lab {
@@ -117,6 +131,13 @@
                 Ok(())
             })
         }),
+        Some(Command::Operations { file, waits, remembers, json }) => {
+            let promises = sloeline_descriptions::check::Promises { remembers, waits };
+            descriptions::operations(&file, promises, json).and_then(|(text, errors)| {
+                print!("{text}");
+                if errors == 0 { Ok(()) } else { Err(format!("{}: {errors} errors", file.display())) }
+            })
+        }
         Some(Command::Lab { arguments }) => lab(&arguments),
         Some(Command::Demo { seconds, seed }) => {
             demo::run(seconds, seed.unwrap_or_else(|| fastrand::u64(..)))
--- /dev/null
+++ b/sloeline/src/descriptions.rs
@@ -0,0 +1,99 @@
+//! `sloeline operations FILE`: what a description of an interface says of repeats, and what contradicts itself in it.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use finchshift::Micros;
+use serde::Serialize;
+use sloeline_descriptions::check::{Promises, check};
+use sloeline_descriptions::effect::{Because, Effect, KeyAt};
+use sloeline_descriptions::findings::Finding;
+use sloeline_descriptions::folder::Folder;
+use sloeline_descriptions::openapi::Operation;
+use sloeline_descriptions::refs::Documents;
+
+/// A finding for tools.
+#[derive(Serialize)]
+struct Told<'a> {
+    code: &'static str,
+    severity: &'static str,
+    file: &'a str,
+    line: usize,
+    pointer: &'a str,
+    message: &'a str,
+    mend: &'static str,
+    accepted: Option<&'a str>,
+}
+
+/// A span such as `250ms`; the error is for the command line.
+pub fn span(text: &str) -> Result<Micros, String> {
+    let expected = || format!("found {text:?}, expected a span such as \"250ms\", \"4s\" or \"2min\"");
+    let at = text.find(|c: char| c.is_ascii_alphabetic()).ok_or_else(expected)?;
+    let (number, unit) = text.split_at(at);
+    let factor = match unit {
+        "ms" => 1e3,
+        "s" => 1e6,
+        "min" => 60e6,
+        _ => return Err(expected()),
+    };
+    let number: f64 = number.parse().map_err(|_| expected())?;
+    let span = number * factor;
+    if span > 0.0 && span < 1e15 { Ok(span as Micros) } else { Err(expected()) }
+}
+
+fn row(operation: &Operation) -> String {
+    let (effect, why) = match (&operation.effect, operation.because) {
+        (Effect::Safe, Because::Method) => ("safe", "by its method".to_owned()),
+        (Effect::Safe, _) => ("safe", "by extension".to_owned()),
+        (Effect::Keyed { key, window }, _) => {
+            let key = match key {
+                KeyAt::Header(name) => format!("header:{name}"),
+                KeyAt::Query(name) => format!("query:{name}"),
+                KeyAt::Path(name) => format!("path:{name}"),
+            };
+            ("keyed", format!("{key} for {} ms, by extension", window / 1000))
+        }
+        (Effect::Unsafe, Because::Extension) => ("unsafe", "by extension".to_owned()),
+        (Effect::Unsafe, _) => ("unsafe", "nothing says otherwise".to_owned()),
+    };
+    let mut rows = String::new();
+    for path in &operation.paths {
+        let _ = writeln!(rows, "{:<7} {path:<28} {effect:<7} {why}", operation.method);
+    }
+    rows
+}
+
+fn json(findings: &[Finding]) -> Result<String, String> {
+    fn told(f: &Finding) -> Told<'_> {
+        Told {
+            code: f.code.number(),
+            severity: f.severity(),
+            file: &f.file,
+            line: f.line,
+            pointer: &f.pointer,
+            message: &f.what,
+            mend: f.code.mend(),
+            accepted: f.accepted.as_deref(),
+        }
+    }
+    let all: Vec<Told<'_>> = findings.iter().map(told).collect();
+    serde_json::to_string_pretty(&all).map(|text| text + "\n").map_err(|e| e.to_string())
+}
+
+/// What a description says, for people or for tools, and how many findings keep it from being used.
+pub fn operations(file: &Path, promises: Promises, as_json: bool) -> Result<(String, usize), String> {
+    let folder = file.parent().filter(|f| !f.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let name = file.file_name().and_then(|n| n.to_str());
+    let name = name.ok_or_else(|| format!("{}: expected the name of a file", file.display()))?;
+    let folder = Folder::new(folder)?;
+    let (operations, findings) = check(&Documents::new(&folder), name, promises);
+    let stops = findings.iter().filter(|f| f.stops()).count();
+    if as_json {
+        return Ok((json(&findings)?, stops));
+    }
+    let mut text: String = operations.iter().map(row).collect();
+    findings.iter().for_each(|finding| {
+        let _ = writeln!(text, "{finding}");
+    });
+    Ok((text, stops))
+}
--- a/sloeline/src/lib.rs
+++ b/sloeline/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod daemon;
 pub mod demo;
+pub mod descriptions;
 pub mod explain;
 pub mod members;
 pub mod net;
--- a/sloeline/tests/cli.rs
+++ b/sloeline/tests/cli.rs
@@ -134,3 +134,35 @@
     assert!(text(&missing.stderr).contains(&format!("{}", beside.display())), "{}", text(&missing.stderr));
     assert_eq!((found.status.code(), text(&found.stdout).trim()), (Some(7), "run --seeds 3 --help"));
 }
+
+#[test]
+fn operations_of_a_description_with_their_findings_for_people_and_tools() {
+    let folder = std::env::temp_dir().join(format!("sloeline-operations-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("api.yaml");
+    let api = "openapi: 3.0.3\npaths:\n  /checks:\n    get: {responses: {default: {}}}\n    post:\n      responses: {default: {}}\n\
+                \x20     x-sloeline-time: 5s\n";
+    std::fs::write(&file, api).expect("a file");
+    let path = file.to_str().expect("a path");
+    let good = sloeline(&["operations", path]);
+    assert!(good.status.success(), "{}", text(&good.stdout));
+    assert!(
+        text(&good.stdout).contains("GET     /checks                      safe    by its method"),
+        "{}",
+        text(&good.stdout)
+    );
+    assert!(text(&good.stdout).contains("unsafe  nothing says otherwise"), "{}", text(&good.stdout));
+    let slow = sloeline(&["operations", path, "--waits", "4s", "--json"]);
+    let found: serde_json::Value = serde_json::from_slice(&slow.stdout).expect("JSON");
+    assert_eq!(
+        (slow.status.code(), &found[0]["code"], &found[0]["line"]),
+        (Some(1), &"D016".into(), &6.into()),
+        "{found}"
+    );
+    assert_eq!(
+        sloeline(&["operations", path, "--waits", "4"]).status.code(),
+        Some(2),
+        "a span without a unit"
+    );
+    let _ = std::fs::remove_dir_all(folder);
+}
