--- a/sloeline/tests/membership.rs
+++ b/sloeline/tests/membership.rs
@@ -8,7 +8,7 @@
 use sloeline::daemon::Daemon;
 use sloeline_standin::client::Client;
 use sloeline_standin::node::Node;
-use sloeline_standin::record::{Record, Told};
+use sloeline_standin::record::Told;
 use sloeline_standin::registry::{Entry, Registry};
 use tokio::time::sleep;
 
@@ -20,28 +20,6 @@
     serving(node).map(|e| Entry { draining: true, ..e })
 }
 
-/// Asks until a request has come to the node, within the test's time.
-async fn until_used(client: &mut Client, record: &Record, node: &str) {
-    let before = record.sends(node);
-    while record.sends(node) == before {
-        client.ask(&look("/files/a")).await;
-        // Lets the lists come.
-        sleep(Duration::from_millis(1)).await;
-    }
-}
-
-/// Asks until no request comes to the node any more, though others are served.
-async fn until_unused(client: &mut Client, record: &Record, node: &str) {
-    let mut quiet = 0;
-    while quiet < 50 {
-        let before = record.sends(node);
-        let told = client.ask(&look("/files/a")).await.0;
-        let unused = record.sends(node) == before && told == Told::Served;
-        quiet = if unused { quiet + 1 } else { 0 };
-        sleep(Duration::from_millis(1)).await;
-    }
-}
-
 async fn ready(daemon: &Daemon) -> bool {
     raw(public(daemon), "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.status == 200
 }
--- a/sloeline/tests/registries.rs
+++ b/sloeline/tests/registries.rs
@@ -17,7 +17,7 @@
 use sloeline_standin::etcd::Etcd;
 use sloeline_standin::keys::{Store, Write};
 use sloeline_standin::node::Node;
-use sloeline_standin::record::{Record, Told};
+use sloeline_standin::record::Told;
 use sloeline_standin::xds::Xds;
 use tokio::time::sleep;
 
@@ -38,28 +38,6 @@
     etcd.change(|store| store.put(&format!("/p/nodes/{}", node.name), entry(node, Standing::Serving), 0));
 }
 
-/// Asks until a request has come to the node, within the test's time.
-async fn until_used(client: &mut Client, record: &Record, node: &str) {
-    let before = record.sends(node);
-    while record.sends(node) == before {
-        client.ask(&look("/files/a")).await;
-        // Lets the lists come.
-        sleep(Duration::from_millis(1)).await;
-    }
-}
-
-/// Asks until no request comes to the node any more, though others are served.
-async fn until_unused(client: &mut Client, record: &Record, node: &str) {
-    let mut quiet = 0;
-    while quiet < 50 {
-        let before = record.sends(node);
-        let told = client.ask(&look("/files/a")).await.0;
-        let unused = record.sends(node) == before && told == Told::Served;
-        quiet = if unused { quiet + 1 } else { 0 };
-        sleep(Duration::from_millis(1)).await;
-    }
-}
-
 async fn until_ready(to: SocketAddr) {
     while raw(to, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").await.status != 200 {
         sleep(Duration::from_millis(1)).await;
--- a/sloeline/tests/rig/mod.rs
+++ b/sloeline/tests/rig/mod.rs
@@ -9,13 +9,13 @@
 use bytes::Bytes;
 use sloeline::daemon::Daemon;
 use sloeline_config::model::Config;
-use sloeline_standin::client::Wording;
+use sloeline_standin::client::{Client, Wording};
 use sloeline_standin::node::Node;
-use sloeline_standin::record::{Kind, Record};
+use sloeline_standin::record::{Kind, Record, Told};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Nothing takes this long.
 pub const LONG: Duration = Duration::from_secs(60);
@@ -128,3 +128,25 @@
     OPEN.with_borrow_mut(|open| open.push(stream));
     Raw { status, head }
 }
+
+/// Asks until a request has come to the node, within the test's time.
+pub async fn until_used(client: &mut Client, record: &Record, node: &str) {
+    let before = record.sends(node);
+    while record.sends(node) == before {
+        client.ask(&look("/files/a")).await;
+        // Lets the lists come.
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Asks until no request comes to the node any more, though others are served.
+pub async fn until_unused(client: &mut Client, record: &Record, node: &str) {
+    let mut quiet = 0;
+    while quiet < 50 {
+        let before = record.sends(node);
+        let told = client.ask(&look("/files/a")).await.0;
+        let unused = record.sends(node) == before && told == Told::Served;
+        quiet = if unused { quiet + 1 } else { 0 };
+        sleep(Duration::from_millis(1)).await;
+    }
+}
