Upgrade test: a closed listener is held by no program that is being started

The test's old listener was closed in the test's process, but a child of another test, between its fork and its program, still held it; with a shared port the kernel gave it connections, which ended with the child.

Programs are started one at a time, and the listener is closed when none is being started. The balancer itself starts no programs; nothing in it is changed.

--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -277,7 +277,7 @@
         if let Some(folder) = &self.folder {
             command.env("TMPDIR", folder);
         }
-        let mut child = command.spawn().expect("it starts");
+        let mut child = forked(|| command.spawn().expect("it starts"));
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
         let mut told = |text: &str| -> SocketAddr {
             loop {
@@ -372,7 +372,8 @@
 
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([name, &id]).status().expect("kill runs");
+        let mut kill = forked(|| Command::new("kill").args([name, &id]).spawn().expect("kill runs"));
+        let sent = kill.wait().expect("kill ends");
         assert!(sent.success());
     }
 
@@ -382,6 +383,14 @@
     }
 }
 
+/// Starts programs one at a time. Until it has become its program, a child holds all that this process has open, also a
+/// listener that is closed here meanwhile: connections to the address would still go to it, and end with the child.
+pub fn forked<T>(start: impl FnOnce() -> T) -> T {
+    static ONE: std::sync::Mutex<()> = std::sync::Mutex::new(());
+    let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    start()
+}
+
 pub fn exchange(stream: &mut TcpStream, request: &str) -> Message {
     stream.write_all(request.as_bytes()).expect("it reads");
     read(stream).expect("an answer")
--- a/sloeline/tests/upgrades.rs
+++ b/sloeline/tests/upgrades.rs
@@ -215,8 +215,9 @@
                 give(&stream, &listener);
                 let _ = (&stream).write_all(&text.as_bytes()[..written]);
             }
-            // The address is free again where it was not given away.
-            drop((listener, stream));
+            // The address is free again where it was not given away: no program that is being started holds it either.
+            forked(|| drop(listener));
+            drop(stream);
         });
         let folder = Some(folder.0.clone());
         let new = operated(Setup { listen: address.to_string(), folder, ..Setup::knowing(&known) }).start();
@@ -228,8 +229,7 @@
     }
 }
 
-/// A listener beside which another may bind, as the program's are. A process that is being started elsewhere in these
-/// tests holds it open until it becomes another program.
+/// A listener beside which another may bind, as the program's are.
 fn shareable(address: std::net::SocketAddr) -> TcpListener {
     use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, listen, socket_with, sockopt};
     let socket =
