Membership: one outbox for all sources, and a pool's most_members reaches etcd's pages

The four machines repeated their queues of calls and news and the accessors to them. source::Outbox holds them, numbers and counts calls; Machine has ask, news, health and problem by default. A machine's own file has only what it decides.

A pool's most_members over 100,000 did not reach etcd's own bound on keys; it is now told on every turn, a reload included (test: 6,000 members at a bound of 2,500, then of 6,000).

--- a/membership/benches/follow.rs
+++ b/membership/benches/follow.rs
@@ -79,7 +79,6 @@
         patience: 1_000_000,
         answer: 15_000_000,
         believe_after: 30_000_000,
-        most_entries: 100_000,
     };
     let told = Rc::new(Told::default());
     let (before, begin) = (memory(), Instant::now());
--- a/membership/src/consul.rs
+++ b/membership/src/consul.rs
@@ -10,7 +10,7 @@
 
 pub mod line;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
 use finchshift::Micros;
@@ -19,8 +19,8 @@
 
 use crate::backoff::Backoff;
 use crate::entry::MOST_IDENTITY;
-use crate::source::Machine;
-use crate::view::{Body, Health, Member, News, Node, Revision, Standing};
+use crate::source::{Machine, Outbox};
+use crate::view::{Body, Member, Node, Revision, Standing};
 
 /// What a source at Consul is told.
 #[derive(Clone, Debug, PartialEq)]
@@ -237,9 +237,7 @@
     settings: Settings,
     phase: Phase,
     endpoint: usize,
-    calls: u64,
-    asks: VecDeque<Ask>,
-    news: VecDeque<News>,
+    out: Outbox<Ask>,
     backoff: Backoff,
     rng: fastrand::Rng,
     epoch: u64,
@@ -251,8 +249,6 @@
     consistent: bool,
     /// What is known of each: its member, and when its registration was made.
     known: HashMap<String, (Member, u64)>,
-    health: Health,
-    problem: Option<String>,
 }
 
 impl Consul {
@@ -263,17 +259,13 @@
             endpoint: rng.usize(..settings.endpoints.max(1)),
             backoff: Backoff::new(settings.instances, settings.rate),
             phase: Phase::Pause { until: now },
-            calls: 0,
-            asks: VecDeque::new(),
-            news: VecDeque::new(),
+            out: Outbox::default(),
             rng,
             epoch: 0,
             index: 0,
             highest: 0,
             consistent: false,
             known: HashMap::new(),
-            health: Health::default(),
-            problem: None,
             settings,
         }
     }
@@ -284,9 +276,7 @@
     }
 
     fn query(&mut self, now: Micros) {
-        self.calls += 1;
-        self.health.calls += 1;
-        let (call, endpoint, index) = (self.calls, self.endpoint, self.index);
+        let (call, endpoint, index) = (self.out.call(), self.endpoint, self.index);
         let mode = match (self.consistent, self.settings.stale) {
             (true, _) => Mode::Consistent,
             (false, true) => Mode::Stale,
@@ -296,11 +286,11 @@
         // Servers add up to a sixteenth to the wait.
         let until = now + wait + wait / 16 + self.settings.answer;
         self.phase = Phase::Query { call, since: now, until, mode };
-        self.asks.push_back(Ask::Query { call, endpoint, index, wait, mode });
+        self.out.ask(Ask::Query { call, endpoint, index, wait, mode });
     }
 
     fn fail(&mut self, now: Micros, why: String) {
-        self.health.trouble = Some(why);
+        self.out.health.trouble = Some(why);
         self.endpoint = (self.endpoint + 1) % self.settings.endpoints.max(1);
         self.phase = Phase::Pause { until: now + self.backoff.pause(&mut self.rng) };
     }
@@ -309,7 +299,7 @@
         let (index, leader, last_contact, entries) = told;
         let index = index.max(1);
         if mode != Mode::Consistent && (!leader || last_contact > self.settings.most_stale) {
-            self.health.refused += 1;
+            self.out.health.refused += 1;
             self.consistent = true;
             self.index = 0;
             return self.fail(
@@ -319,7 +309,7 @@
         }
         if index < self.highest {
             if mode != Mode::Consistent {
-                self.health.refused += 1;
+                self.out.health.refused += 1;
                 (self.consistent, self.index) = (true, 0);
                 return self.fail(now, format!("found index {index}, expected {} or more", self.highest));
             }
@@ -329,8 +319,7 @@
         let unchanged = index == self.index;
         (self.index, self.highest, self.consistent) = (index, index, false);
         self.backoff.reset();
-        self.health.confirmed = Some(now);
-        self.health.trouble = None;
+        self.out.confirmed(now);
         if !unchanged {
             self.take(now, index, &entries);
         }
@@ -356,8 +345,7 @@
                 }
                 Err(why) => {
                     // Garbage is no loss.
-                    self.health.unreadable += 1;
-                    self.problem = Some(format!("{}: {why}", self.settings.service));
+                    self.out.unreadable(format!("{}: {why}", self.settings.service));
                     if let Some(before) = before {
                         known.insert(identity, before.clone());
                     }
@@ -367,7 +355,7 @@
         self.known = known;
         let members = self.known.values().map(|(member, _)| member.clone()).collect();
         let revision = Revision { epoch: self.epoch, number: index };
-        self.news.push_back(News { revision, body: Body::Whole(members) });
+        self.out.tell(revision, Body::Whole(members));
     }
 }
 
@@ -375,20 +363,8 @@
     type Ask = Ask;
     type Told = Told;
 
-    fn ask(&mut self) -> Option<Ask> {
-        self.asks.pop_front()
-    }
-
-    fn news(&mut self) -> Option<News> {
-        self.news.pop_front()
-    }
-
-    fn health(&self) -> &Health {
-        &self.health
-    }
-
-    fn problem(&mut self) -> Option<String> {
-        self.problem.take()
+    fn outbox(&mut self) -> &mut Outbox<Ask> {
+        &mut self.out
     }
 
     fn due(&self) -> Micros {
@@ -404,7 +380,7 @@
         match self.phase {
             Phase::Pause { .. } => self.query(now),
             Phase::Query { call, .. } => {
-                self.asks.push_back(Ask::Leave { call });
+                self.out.ask(Ask::Leave { call });
                 self.fail(now, "no answer in time".to_owned());
             }
         }
--- a/membership/src/dns.rs
+++ b/membership/src/dns.rs
@@ -7,14 +7,14 @@
 
 pub mod line;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
 use finchshift::Micros;
 
 use crate::backoff::Backoff;
-use crate::source::Machine;
-use crate::view::{Body, Health, Member, News, Node, Revision, Standing};
+use crate::source::{Machine, Outbox};
+use crate::view::{Body, Member, Node, Revision, Standing};
 
 /// An answer that misses a member must be followed by one more that does.
 const MISSED: u32 = 2;
@@ -88,15 +88,12 @@
 pub struct Dns {
     settings: Settings,
     phase: Phase,
-    calls: u64,
-    asks: VecDeque<Ask>,
-    news: VecDeque<News>,
+    out: Outbox<Ask>,
     backoff: Backoff,
     rng: fastrand::Rng,
     answers: u64,
     /// Members, and how many answers have missed each in a row.
     known: BTreeMap<String, (Member, u32)>,
-    health: Health,
 }
 
 impl Dns {
@@ -105,13 +102,10 @@
         Dns {
             backoff: Backoff::new(settings.instances, settings.rate),
             phase: Phase::Pause { until: now },
-            calls: 0,
-            asks: VecDeque::new(),
-            news: VecDeque::new(),
+            out: Outbox::default(),
             rng: fastrand::Rng::with_seed(seed),
             answers: 0,
             known: BTreeMap::new(),
-            health: Health::default(),
             settings,
         }
     }
@@ -159,17 +153,16 @@
         self.known = known;
         self.answers += 1;
         self.backoff.reset();
-        self.health.confirmed = Some(now);
-        self.health.trouble = None;
+        self.out.confirmed(now);
         let body = Body::Whole(self.known.values().map(|(member, _)| member.clone()).collect());
-        self.news.push_back(News { revision: Revision { epoch: 0, number: self.answers }, body });
+        self.out.tell(Revision { epoch: 0, number: self.answers }, body);
         let ttl = ttl.clamp(self.settings.least, self.settings.most.max(self.settings.least));
         // A little later, never sooner, so that balancers that began together do not stay together.
         self.phase = Phase::Pause { until: now + ttl + self.rng.u64(..=ttl / 10) };
     }
 
     fn fail(&mut self, now: Micros, why: String) {
-        self.health.trouble = Some(why);
+        self.out.health.trouble = Some(why);
         let pause = self.backoff.pause(&mut self.rng).max(self.settings.least / 2);
         self.phase = Phase::Pause { until: now + pause };
     }
@@ -179,20 +172,8 @@
     type Ask = Ask;
     type Told = Told;
 
-    fn ask(&mut self) -> Option<Ask> {
-        self.asks.pop_front()
-    }
-
-    fn news(&mut self) -> Option<News> {
-        self.news.pop_front()
-    }
-
-    fn health(&self) -> &Health {
-        &self.health
-    }
-
-    fn problem(&mut self) -> Option<String> {
-        None
+    fn outbox(&mut self) -> &mut Outbox<Ask> {
+        &mut self.out
     }
 
     fn due(&self) -> Micros {
@@ -207,13 +188,12 @@
         }
         match self.phase {
             Phase::Pause { .. } => {
-                self.calls += 1;
-                self.health.calls += 1;
-                self.phase = Phase::Asked { call: self.calls, until: now + self.settings.answer };
-                self.asks.push_back(Ask { call: self.calls, name: Some(self.settings.name.clone()) });
+                let call = self.out.call();
+                self.phase = Phase::Asked { call, until: now + self.settings.answer };
+                self.out.ask(Ask { call, name: Some(self.settings.name.clone()) });
             }
             Phase::Asked { call, .. } => {
-                self.asks.push_back(Ask { call, name: None });
+                self.out.ask(Ask { call, name: None });
                 self.fail(now, "no answer in time".to_owned());
             }
         }
--- a/membership/src/etcd.rs
+++ b/membership/src/etcd.rs
@@ -16,14 +16,15 @@
 pub mod line;
 pub mod messages;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 use finchshift::Micros;
 
 use crate::backoff::Backoff;
+use crate::doubt::Rules;
 use crate::entry;
-use crate::source::Machine;
-use crate::view::{Body, Change, Health, Loss, Member, News, Revision, Standing};
+use crate::source::{Machine, Outbox};
+use crate::view::{Body, Change, Loss, Member, Revision, Standing};
 
 /// Entries in a page of a range.
 const PAGE: i64 = 2000;
@@ -55,8 +56,6 @@
     pub answer: Micros,
     /// How long the known cluster must have been silent before an older view or another cluster is believed.
     pub believe_after: Micros,
-    /// More entries than this are not read.
-    pub most_entries: usize,
 }
 
 /// The head of every answer.
@@ -183,9 +182,9 @@
     endpoint: usize,
     /// The endpoint that the last check asked first.
     checker: usize,
-    calls: u64,
-    asks: VecDeque<Ask>,
-    news: VecDeque<News>,
+    out: Outbox<Ask>,
+    /// More members than this are not read.
+    most: usize,
     backoff: Backoff,
     rng: fastrand::Rng,
     cluster: Option<u64>,
@@ -201,13 +200,10 @@
     keys: BTreeMap<String, Keys>,
     /// Leases that are asked about: the members that went with each.
     leases: HashMap<u64, Vec<String>>,
-    health: Health,
     /// Watches in a row that were left because they were deaf.
     deaf: u32,
     /// Names that have gone since those were last forgotten.
     gone: usize,
-    /// The last problem with an entry.
-    problem: Option<String>,
 }
 
 impl Etcd {
@@ -219,9 +215,8 @@
             endpoint: rng.usize(..settings.endpoints.max(1)),
             phase: Phase::Pause { until: now },
             checker: 0,
-            calls: 0,
-            asks: VecDeque::new(),
-            news: VecDeque::new(),
+            out: Outbox::default(),
+            most: Rules::default().most_members,
             backoff,
             rng,
             cluster: None,
@@ -232,10 +227,8 @@
             missed: 0,
             keys: BTreeMap::new(),
             leases: HashMap::new(),
-            health: Health::default(),
             deaf: 0,
             gone: 0,
-            problem: None,
             settings,
         }
     }
@@ -255,12 +248,6 @@
         }
     }
 
-    fn call(&mut self) -> u64 {
-        self.calls += 1;
-        self.health.calls += 1;
-        self.calls
-    }
-
     fn span(&self) -> (Vec<u8>, Vec<u8>) {
         let from = self.settings.prefix.as_bytes().to_vec();
         let mut end = from.clone();
@@ -291,7 +278,7 @@
                 self.ask_head(now, self.checker, self.settings.endpoints.max(1));
             }
             Phase::Watch { check: Check::Head { call, .. }, .. } => {
-                self.asks.push_back(Ask::Leave { call: *call });
+                self.out.ask(Ask::Leave { call: *call });
                 self.no_head(now, "a check was not answered".to_owned());
             }
             Phase::Watch { check: Check::Reach { revision, .. }, .. } => {
@@ -314,23 +301,15 @@
 
     fn ask_head(&mut self, now: Micros, endpoint: usize, left: usize) {
         let (from, end) = self.span();
-        let call = self.call();
-        self.asks.push_back(Ask::Range {
-            call,
-            endpoint,
-            from,
-            end,
-            revision: 0,
-            limit: 1,
-            count_only: true,
-        });
+        let call = self.out.call();
+        self.out.ask(Ask::Range { call, endpoint, from, end, revision: 0, limit: 1, count_only: true });
         self.check(Check::Head { call, endpoint, left: left - 1, until: now + self.settings.patience });
     }
 
     /// An endpoint did not say how far the cluster is, or is behind itself: that proves nothing about the watch, and the
     /// next one is asked at once. Guards against a watch and its check that are both behind, beside a member that is not.
     fn no_head(&mut self, now: Micros, why: String) {
-        self.health.trouble = Some(why);
+        self.out.health.trouble = Some(why);
         self.missed += 1;
         let Phase::Watch { check: Check::Head { endpoint, left, .. }, .. } = &self.phase else { return };
         let (endpoint, left) = ((endpoint + 1) % self.settings.endpoints.max(1), *left);
@@ -346,12 +325,12 @@
     /// Reads everything, or watches where that goes on from what is known.
     fn go_on(&mut self, now: Micros) {
         let (from, end) = self.span();
-        let (call, endpoint) = (self.call(), self.endpoint);
+        let (call, endpoint) = (self.out.call(), self.endpoint);
         match self.last {
             None => {
                 let until = now + self.settings.answer;
                 self.phase = Phase::Range { call, at: 0, pages: Vec::new(), until };
-                self.asks.push_back(Ask::Range {
+                self.out.ask(Ask::Range {
                     call,
                     endpoint,
                     from,
@@ -364,7 +343,7 @@
             Some(last) => {
                 self.phase = Phase::Watch { call, parts: Vec::new(), check: Check::Due(now) };
                 self.check_later(now);
-                self.asks.push_back(Ask::Watch { call, endpoint, from, end, start: last + 1 });
+                self.out.ask(Ask::Watch { call, endpoint, from, end, start: last + 1 });
             }
         }
     }
@@ -372,14 +351,14 @@
     /// Leaves what is under way and pauses; the next call goes to another endpoint.
     fn fail(&mut self, now: Micros, why: String) {
         self.missed += 1;
-        self.health.trouble = Some(why);
+        self.out.health.trouble = Some(why);
         let calls = match &self.phase {
             Phase::Pause { .. } => return,
             Phase::Range { call, .. } => vec![*call],
             Phase::Watch { call, check: Check::Head { call: head, .. }, .. } => vec![*call, *head],
             Phase::Watch { call, .. } => vec![*call],
         };
-        self.asks.extend(calls.into_iter().map(|call| Ask::Leave { call }));
+        calls.into_iter().for_each(|call| self.out.ask(Ask::Leave { call }));
         self.endpoint = self.other();
         self.phase = Phase::Pause { until: now + self.backoff.pause(&mut self.rng) };
     }
@@ -394,7 +373,7 @@
             (self.good, self.missed) = (Some(now), 0);
             return true;
         }
-        self.health.refused += 1;
+        self.out.health.refused += 1;
         false
     }
 
@@ -476,7 +455,7 @@
 
     fn tell(&mut self, number: i64, body: Body) {
         let revision = Revision { epoch: self.epoch, number: number.max(0) as u64 };
-        self.news.push_back(News { revision, body });
+        self.out.tell(revision, body);
     }
 
     /// A check has found how far the cluster is.
@@ -492,7 +471,7 @@
         }
         let Phase::Watch { call, .. } = &self.phase else { return };
         let call = *call;
-        self.asks.push_back(Ask::Progress { call });
+        self.out.ask(Ask::Progress { call });
         let until = now + self.settings.patience;
         self.check(Check::Reach { revision: header.revision, until });
     }
@@ -509,16 +488,21 @@
         let at = *at;
         pages.append(&mut kvs);
         let next = pages.last().map(|kv| [kv.key.as_slice(), &[0]].concat());
-        if pages.len() > 2 * self.settings.most_entries {
-            let found = pages.len();
-            return self.fail(now, format!("found more than {found} keys, expected fewer"));
+        // A member has two keys at most.
+        if pages.len() > 2 * self.most {
+            let why = format!(
+                "found more than {} keys, expected at most two for each of {}",
+                pages.len(),
+                self.most
+            );
+            return self.fail(now, why);
         }
         if more && let Some(from) = next {
-            let (call, endpoint, end) = (self.call(), self.endpoint, self.span().1);
+            let (call, endpoint, end) = (self.out.call(), self.endpoint, self.span().1);
             if let Phase::Range { call: under_way, until, .. } = &mut self.phase {
                 (*under_way, *until) = (call, now + self.settings.answer);
             }
-            self.asks.push_back(Ask::Range {
+            self.out.ask(Ask::Range {
                 call,
                 endpoint,
                 from,
@@ -550,8 +534,7 @@
         let members = self.keys.values().filter_map(Keys::member).collect();
         self.last = Some(at);
         self.backoff.reset();
-        self.health.confirmed = Some(now);
-        self.health.trouble = None;
+        self.out.confirmed(now);
         self.tell(at, Body::Whole(members));
         self.go_on(now);
     }
@@ -580,8 +563,7 @@
                 (keys.member, keys.lease, keys.made) = (Some(member), kv.lease, kv.made);
             }
             Err(why) => {
-                self.health.unreadable += 1;
-                self.problem = Some(format!("{}nodes/{name}: {why}", self.settings.prefix));
+                self.out.unreadable(format!("{}nodes/{name}: {why}", self.settings.prefix));
                 if let Some(known) = known {
                     (keys.member, keys.lease, keys.made) = (known.member.clone(), known.lease, known.made);
                 }
@@ -605,7 +587,7 @@
             return self.fail(now, format!("compacted up to {compacted}: everything is read again"));
         }
         if self.cluster.is_some_and(|known| known != header.cluster) {
-            self.health.refused += 1;
+            self.out.health.refused += 1;
             return self.refuse(now, header);
         }
         if canceled {
@@ -635,8 +617,7 @@
         {
             self.deaf = 0;
             self.backoff.reset();
-            self.health.confirmed = Some(now);
-            self.health.trouble = None;
+            self.out.confirmed(now);
             self.check_later(now);
         }
     }
@@ -699,9 +680,9 @@
             if self.leases.len() >= MOST_LEASES {
                 break;
             }
-            let (call, endpoint) = (self.call(), self.endpoint);
+            let (call, endpoint) = (self.out.call(), self.endpoint);
             self.leases.insert(call, names);
-            self.asks.push_back(Ask::Lease { call, endpoint, lease });
+            self.out.ask(Ask::Lease { call, endpoint, lease });
         }
     }
 
@@ -718,20 +699,12 @@
     type Ask = Ask;
     type Told = Told;
 
-    fn ask(&mut self) -> Option<Ask> {
-        self.asks.pop_front()
-    }
-
-    fn news(&mut self) -> Option<News> {
-        self.news.pop_front()
-    }
-
-    fn health(&self) -> &Health {
-        &self.health
+    fn outbox(&mut self) -> &mut Outbox<Ask> {
+        &mut self.out
     }
 
-    fn problem(&mut self) -> Option<String> {
-        self.problem.take()
+    fn bound(&mut self, most: usize) {
+        self.most = most;
     }
 
     fn due(&self) -> Micros {
--- a/membership/src/follow.rs
+++ b/membership/src/follow.rs
@@ -100,7 +100,12 @@
                 None => eprintln!("membership: pool {}, source {name}: follows again", shared.pool),
             }
         }
-        shared.members.borrow_mut().health(source, health.clone());
+        let most = {
+            let mut members = shared.members.borrow_mut();
+            members.health(source, health.clone());
+            members.rules().most_members
+        };
+        machine.bound(most);
         tokio::select! {
             told = line.next() => machine.told(shared.clock.now(), told),
             () = sleep_until(shared.clock.instant(machine.due())) => machine.tick(shared.clock.now()),
--- a/membership/src/merge.rs
+++ b/membership/src/merge.rs
@@ -43,6 +43,7 @@
 
 /// The members of a pool.
 pub struct Members {
+    rules: Rules,
     sources: Vec<Source>,
     /// What the engine was told last.
     told: BTreeMap<String, Listed>,
@@ -65,6 +66,7 @@
             orders: HashMap::new(),
         };
         Members {
+            rules: rules.clone(),
             sources: names.iter().map(source).collect(),
             told: BTreeMap::new(),
             begun: false,
@@ -74,8 +76,14 @@
         }
     }
 
+    /// The rules it goes by.
+    pub fn rules(&self) -> &Rules {
+        &self.rules
+    }
+
     /// Goes on under other rules.
     pub fn set(&mut self, now: Micros, rules: &Rules) {
+        self.rules = rules.clone();
         self.sources.iter_mut().for_each(|s| s.belief.set(now, rules.clone()));
         self.gather(now);
     }
--- a/membership/src/xds.rs
+++ b/membership/src/xds.rs
@@ -18,8 +18,8 @@
 
 use self::messages::{ClusterLoadAssignment, LbEndpoint, Locality};
 use crate::backoff::Backoff;
-use crate::source::Machine;
-use crate::view::{Body, Health, Member, News, Node, Revision, Standing};
+use crate::source::{Machine, Outbox};
+use crate::view::{Body, Member, Node, Revision, Standing};
 
 /// Versions that are remembered.
 const VERSIONS: usize = 64;
@@ -94,9 +94,7 @@
     settings: Settings,
     phase: Phase,
     endpoint: usize,
-    calls: u64,
-    asks: VecDeque<Ask>,
-    news: VecDeque<News>,
+    out: Outbox<Ask>,
     backoff: Backoff,
     rng: fastrand::Rng,
     epoch: u64,
@@ -105,8 +103,6 @@
     versions: VecDeque<String>,
     /// When the newest version last was told as such.
     good: Option<Micros>,
-    health: Health,
-    problem: Option<String>,
 }
 
 impl Xds {
@@ -117,16 +113,12 @@
             endpoint: rng.usize(..settings.endpoints.max(1)),
             backoff: Backoff::new(settings.instances, settings.rate),
             phase: Phase::Pause { until: now },
-            calls: 0,
-            asks: VecDeque::new(),
-            news: VecDeque::new(),
+            out: Outbox::default(),
             rng,
             epoch: 0,
             number: 0,
             versions: VecDeque::new(),
             good: None,
-            health: Health::default(),
-            problem: None,
             settings,
         }
     }
@@ -136,15 +128,13 @@
     }
 
     fn open(&mut self, now: Micros) {
-        self.calls += 1;
-        self.health.calls += 1;
-        let (call, endpoint) = (self.calls, self.endpoint);
-        self.asks.push_back(Ask::Open { call, endpoint });
+        let (call, endpoint) = (self.out.call(), self.endpoint);
+        self.out.ask(Ask::Open { call, endpoint });
         self.phase = Phase::Stream { call, first: true, until: now + self.settings.answer };
     }
 
     fn fail(&mut self, now: Micros, why: String) {
-        self.health.trouble = Some(why);
+        self.out.health.trouble = Some(why);
         self.endpoint = (self.endpoint + 1) % self.settings.endpoints.max(1);
         self.phase = Phase::Pause { until: now + self.backoff.pause(&mut self.rng) };
     }
@@ -160,19 +150,18 @@
         let members = match read {
             Ok(members) => members,
             Err(why) => {
-                self.health.unreadable += 1;
-                self.problem = Some(format!("{}: version {version:?}: {why}", self.settings.cluster));
+                self.out.unreadable(format!("{}: version {version:?}: {why}", self.settings.cluster));
                 let version = self.version();
-                self.asks.push_back(Ask::Answer { call, version, nonce, refused: Some(why) });
+                self.out.ask(Ask::Answer { call, version, nonce, refused: Some(why) });
                 return;
             }
         };
         let known = self.versions.iter().position(|v| *v == version);
         let newest = known.is_some_and(|at| at + 1 == self.versions.len());
         if first && known.is_some() && !newest {
-            self.health.refused += 1;
+            self.out.health.refused += 1;
             if self.good.is_some_and(|good| now < good + self.settings.believe_after) {
-                self.asks.push_back(Ask::Leave { call });
+                self.out.ask(Ask::Leave { call });
                 let found = format!("found version {version:?}, which {:?} has replaced", self.version());
                 return self.fail(now, found);
             }
@@ -186,11 +175,10 @@
                 self.versions.pop_front();
             }
         }
-        self.asks.push_back(Ask::Answer { call, version, nonce, refused: None });
+        self.out.ask(Ask::Answer { call, version, nonce, refused: None });
         self.backoff.reset();
         self.good = Some(now);
-        self.health.confirmed = Some(now);
-        self.health.trouble = None;
+        self.out.confirmed(now);
         if let Phase::Stream { first, until, .. } = &mut self.phase
             && std::mem::take(first)
         {
@@ -199,7 +187,7 @@
         }
         self.number += 1;
         let revision = Revision { epoch: self.epoch, number: self.number };
-        self.news.push_back(News { revision, body: Body::Whole(members) });
+        self.out.tell(revision, Body::Whole(members));
     }
 }
 
@@ -257,20 +245,8 @@
     type Ask = Ask;
     type Told = Told;
 
-    fn ask(&mut self) -> Option<Ask> {
-        self.asks.pop_front()
-    }
-
-    fn news(&mut self) -> Option<News> {
-        self.news.pop_front()
-    }
-
-    fn health(&self) -> &Health {
-        &self.health
-    }
-
-    fn problem(&mut self) -> Option<String> {
-        self.problem.take()
+    fn outbox(&mut self) -> &mut Outbox<Ask> {
+        &mut self.out
     }
 
     fn due(&self) -> Micros {
@@ -286,12 +262,12 @@
         match self.phase {
             Phase::Pause { .. } => self.open(now),
             Phase::Stream { call, first: true, .. } => {
-                self.asks.push_back(Ask::Leave { call });
+                self.out.ask(Ask::Leave { call });
                 self.fail(now, "no response in time".to_owned());
             }
             Phase::Stream { call, .. } => {
                 // It may be deaf: another server's word, at once, for nothing has failed.
-                self.asks.push_back(Ask::Leave { call });
+                self.out.ask(Ask::Leave { call });
                 self.endpoint = (self.endpoint + 1) % self.settings.endpoints.max(1);
                 self.open(now);
             }
--- a/membership/tests/common/mod.rs
+++ b/membership/tests/common/mod.rs
@@ -34,7 +34,6 @@
         patience: SECOND,
         answer: 3 * SECOND,
         believe_after: 30 * SECOND,
-        most_entries: 100_000,
     }
 }
 
--- a/membership/tests/hard.rs
+++ b/membership/tests/hard.rs
@@ -282,6 +282,23 @@
     assert_eq!(world.told.get("n000001"), Some(&ServerState::Draining));
 }
 
+/// A pool may believe more or fewer than is usual: the bound reaches the pages before any view is told.
+#[test]
+fn a_registry_with_more_than_is_believed_until_more_is() {
+    let mut world = World::with(seed(), settings(), Rules { most_members: 2_500, ..Rules::default() });
+    world.etcd.bound(2_500);
+    (0..6_000).for_each(|n| world.store.put(&key(&format!("n{n:04}")), value("n", SERVING), 0));
+    pass(&mut world, SECOND);
+    let trouble = world.etcd.health().trouble.clone().expect("a reason");
+    assert!(trouble.contains("expected at most two for each of 2500"), "{trouble}");
+    assert_eq!(world.serving(), Vec::<&str>::new());
+    let rules = Rules { most_members: 6_000, ..Rules::default() };
+    world.members.set(world.now, &rules);
+    world.etcd.bound(world.members.rules().most_members);
+    pass(&mut world, 60 * SECOND);
+    assert_eq!((world.serving().len(), world.etcd.health().trouble.clone()), (6_000, None));
+}
+
 #[test]
 fn garbage_is_no_loss_and_no_order() {
     let mut world = with(&["a", "b"], false);
--- a/sloeline/src/origins.rs
+++ b/sloeline/src/origins.rs
@@ -38,7 +38,6 @@
                     patience: *patience,
                     answer,
                     believe_after: *believe_after,
-                    most_entries: Rules::default().most_members,
                 };
                 Origin::Etcd(settings, endpoints.clone())
             }
