--- a/config/src/check.rs
+++ b/config/src/check.rs
@@ -81,7 +81,9 @@
                 "deadline-under-aim",
             );
         }
-        if !config.routes.iter().any(|r| r.classes.contains(name)) {
+        let given =
+            |r: &RouteTo| r.classes.contains(name) || r.operation.as_ref().is_some_and(|o| o.narrow == *name);
+        if !config.routes.iter().any(given) {
             problems.warn(&class.span, &format!("class.{name}"), "no route that gives it", "one");
         }
     }
--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use finchshift::{Class, Micros, Tenant};
-use sloeline_routing::pattern::Route;
+use sloeline_descriptions::behaviour::Declared;
+use sloeline_routing::pattern::{HostPattern, Route};
 
 use crate::problem::Span;
 
@@ -34,7 +35,9 @@
     pub tenants: BTreeMap<String, Tenant>,
     /// Pools of upstreams.
     pub pools: BTreeMap<String, Pool>,
-    /// Routes, in the order of the text.
+    /// Descriptions of interfaces.
+    pub descriptions: BTreeMap<String, Description>,
+    /// Routes, in the order of the text, then those of descriptions.
     pub routes: Vec<RouteTo>,
 }
 
@@ -337,6 +340,52 @@
     pub body_limit: usize,
     /// What is asserted of it.
     pub assert: Vec<String>,
+    /// The operation that it was made for.
+    pub operation: Option<OperationOf>,
+    /// Where it stands.
+    pub span: Span,
+}
+
+/// The operation of a route that was made from a description.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OperationOf {
+    /// `portal POST /v1/checks`
+    pub name: String,
+    /// What is said of its answers.
+    pub declared: Declared,
+    /// The class by which it goes once it is narrowed.
+    pub narrow: String,
+}
+
+/// `[description.NAME]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Description {
+    /// Its name.
+    pub name: String,
+    /// Its file, from the configuration's folder.
+    pub file: String,
+    /// The hosts that it is for.
+    pub hosts: Vec<HostPattern>,
+    /// The listeners that it is for.
+    pub listeners: Vec<String>,
+    /// Pools by weight.
+    pub split: Vec<(String, u32)>,
+    /// The class of safe operations.
+    pub safe: Option<String>,
+    /// The class of keyed ones.
+    pub keyed: Option<String>,
+    /// The class of all others, and of those that are narrowed.
+    pub unsafe_: String,
+    /// Whose requests they are, where an operation does not say.
+    pub tenant: Option<Source>,
+    /// How long callers wait at the longest, if that is less than the class says.
+    pub deadline: Option<Micros>,
+    /// Most bytes of a body, where an operation does not say.
+    pub body_limit: usize,
+    /// The share of answers that are compared with it.
+    pub compared: f64,
+    /// It makes no routes: those that were written by hand are held against it.
+    pub by_hand: bool,
     /// Where it stands.
     pub span: Span,
 }
@@ -352,6 +401,7 @@
         let mut names: Vec<&str> = Vec::new();
         for route in self.routes.iter().filter(|r| r.split.iter().any(|(p, _)| p == pool)) {
             names.extend(route.classes.iter().map(String::as_str));
+            names.extend(route.operation.iter().map(|o| o.narrow.as_str()));
         }
         names.sort_unstable();
         names.dedup();
--- a/config/src/routes.rs
+++ b/config/src/routes.rs
@@ -15,7 +15,7 @@
 }
 
 /// Notes a name that stands for nothing.
-fn known(section: &Section<'_>, at: &At<String>, key: &str, names: &[String], what: &str) {
+pub fn known(section: &Section<'_>, at: &At<String>, key: &str, names: &[String], what: &str) {
     if !names.contains(&at.value) {
         let expected = match names {
             [] => format!("the name of a {what}; there is none"),
@@ -45,6 +45,35 @@
     Some(found.value.0.into_iter().map(|value| At { value, span: found.span.clone() }).collect())
 }
 
+/// The hosts of a section; all where it names none.
+pub fn hosts(section: &Section<'_>) -> Vec<HostPattern> {
+    match texts(section, "host") {
+        None => vec![HostPattern::Any],
+        Some(list) => list
+            .into_iter()
+            .filter_map(|at| {
+                let host = HostPattern::parse(&at.value).ok();
+                if host.is_none() {
+                    let expected = "a host without a port, \"*.example\" or \"*\"";
+                    section.wrong(&at.span, "host", format!("{:?}", at.value), expected);
+                }
+                host
+            })
+            .collect(),
+    }
+}
+
+/// The listeners of a section; all where it names none.
+pub fn listeners(section: &Section<'_>, names: &Names) -> Vec<String> {
+    match texts(section, "listener") {
+        None => names.listeners.clone(),
+        Some(list) => {
+            list.iter().for_each(|at| known(section, at, "listener", &names.listeners, "listener"));
+            list.into_iter().map(|at| at.value).collect()
+        }
+    }
+}
+
 pub fn route(section: Section<'_>, names: &Names) -> Option<RouteTo> {
     let (path, prefix) = (section.get::<String>("path"), section.get::<String>("prefix"));
     let pattern = match (&path, &prefix) {
@@ -64,20 +93,7 @@
         }
     });
     let name = section.need::<String>("name", "a name, for logs and messages").map(|n| n.value);
-    let hosts: Vec<HostPattern> = match texts(&section, "host") {
-        None => vec![HostPattern::Any],
-        Some(list) => list
-            .into_iter()
-            .filter_map(|at| {
-                let host = HostPattern::parse(&at.value).ok();
-                if host.is_none() {
-                    let expected = "a host without a port, \"*.example\" or \"*\"";
-                    section.wrong(&at.span, "host", format!("{:?}", at.value), expected);
-                }
-                host
-            })
-            .collect(),
-    };
+    let hosts = hosts(&section);
     let methods = texts(&section, "method").unwrap_or_default();
     for at in &methods {
         let upper = at.value.bytes().all(|b| b.is_ascii_uppercase() || b == b'-');
@@ -88,13 +104,7 @@
     }
     let mut conditions = conditions(section.section("header"), true);
     conditions.extend(self::conditions(section.section("query"), false));
-    let listeners = match texts(&section, "listener") {
-        None => names.listeners.clone(),
-        Some(list) => {
-            list.iter().for_each(|at| known(&section, at, "listener", &names.listeners, "listener"));
-            list.into_iter().map(|at| at.value).collect()
-        }
-    };
+    let listeners = listeners(&section, names);
     let split = split(&section, names);
     let (class, classes) = (section.get::<String>("class"), texts(&section, "classes"));
     let class_header = header(&section, "class_header");
@@ -152,6 +162,7 @@
         deadline,
         body_limit,
         assert,
+        operation: None,
         span,
     })
 }
@@ -182,7 +193,7 @@
     list
 }
 
-fn split(section: &Section<'_>, names: &Names) -> Option<Vec<(String, u32)>> {
+pub fn split(section: &Section<'_>, names: &Names) -> Option<Vec<(String, u32)>> {
     let (pool, sides) = (section.get::<String>("pool"), section.list("split"));
     match (pool, sides.is_empty()) {
         (Some(pool), true) => {
@@ -213,7 +224,7 @@
     }
 }
 
-fn source(text: &str, path: Option<&PathPattern>) -> Result<Source, String> {
+pub fn source(text: &str, path: Option<&PathPattern>) -> Result<Source, String> {
     let expected = "\"header:NAME\", \"query:NAME\", \"path:PARAMETER\" or \"=TEXT\"";
     match text.split_once(':') {
         Some(("header", name)) if good_header(name) => Ok(Source::Header(name.to_ascii_lowercase())),
--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -9,7 +9,7 @@
 use crate::model::{Config, Declined, Instance, Limits, Listener, NamedClass, Node, Nodes, Pool};
 use crate::problem::Problems;
 use crate::read::{At, Section, Size, Time};
-use crate::{routes, sources};
+use crate::{described, routes, sources};
 
 const MILLISECOND: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -53,13 +53,17 @@
     let names = routes::Names { classes: class_names, listeners: listener_names, pools: named };
     let routes =
         root.list("route").into_iter().filter_map(|section| routes::route(section, &names)).collect();
+    let described = |(name, section): (At<String>, Section<'a>)| {
+        described::section(&name.value, section, &names).map(|d| (name.value, d))
+    };
+    let descriptions = root.named("description").into_iter().filter_map(described).collect();
     for (list, what) in [(&names.listeners, "listener"), (&names.pools, "pool"), (&names.classes, "class")] {
         if list.is_empty() {
             problems.add(&(0..0), what, "nothing", format!("at least one [{what}.NAME]"));
         }
     }
     root.end();
-    Some(Config { instance, limits, announce, listeners, classes, tenants, pools, routes })
+    Some(Config { instance, limits, announce, listeners, classes, tenants, pools, descriptions, routes })
 }
 
 fn instance(section: Option<Section<'_>>) -> Instance {
--- a/descriptions/src/check.rs
+++ b/descriptions/src/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::behaviour::ODDITIES;
 use crate::effect::{Effect, KeyAt, ending, verb};
 use crate::findings::{Code, Finding};
 use crate::openapi::{self, Operation};
@@ -25,6 +26,7 @@
     for operation in &operations {
         let mut own = Vec::new();
         safe(operation, &mut own);
+        neighbours(operation, &operations, &mut own);
         keyed(operation, promises, &mut own);
         parameters(operation, &mut own);
         answers(operation, &mut own);
@@ -38,6 +40,7 @@
         accept(operation, &mut own, &mut findings);
         findings.append(&mut own);
     }
+    calls(&operations, &mut findings);
     overlaps(&operations, &mut findings);
     findings.sort_by(|a, b| (&a.file, a.line, a.code).cmp(&(&b.file, b.line, b.code)));
     (operations, findings)
@@ -59,7 +62,9 @@
         let what = format!("found {} with a body, said to be safe", named(operation));
         findings.push(Finding::at(Code::SafeWithBody, place, what));
     }
-    if let Some(status) = operation.statuses.iter().find(|s| ["201", "202"].contains(&s.as_str())) {
+    if let Some(status) =
+        operation.responses.iter().map(|r| &r.status).find(|s| ["201", "202"].contains(&s.as_str()))
+    {
         let what = format!("found a response {status} of {}, said to be safe", named(operation));
         findings.push(Finding::at(Code::SafeCreates, place, what));
     }
@@ -71,6 +76,53 @@
     }
 }
 
+/// A POST beside things that are asked for one by one makes such things: `POST /checks` beside `GET /checks/{id}`.
+fn neighbours(operation: &Operation, all: &[Operation], findings: &mut Vec<Finding>) {
+    if operation.effect != Effect::Safe || operation.method != "POST" {
+        return;
+    }
+    let below = |path: &str, other: &str| {
+        let rest = other.strip_prefix(path.trim_end_matches('/')).and_then(|rest| rest.strip_prefix('/'));
+        rest.is_some_and(|rest| rest.starts_with('{') && !rest.contains('/'))
+    };
+    let neighbour = all.iter().find(|other| {
+        ["GET", "PUT", "PATCH", "DELETE"].contains(&other.method.as_str())
+            && operation.paths.iter().any(|path| other.paths.iter().any(|other| below(path, other)))
+    });
+    if let Some(neighbour) = neighbour {
+        let what = format!("found {} beside {}, said to be safe", named(operation), named(neighbour));
+        findings.push(Finding::at(Code::SafeByName, &operation.place, what));
+    }
+}
+
+/// What an operation calls, one after the other, fits into its own time.
+fn calls(operations: &[Operation], findings: &mut Vec<Finding>) {
+    let by_id: BTreeMap<&str, &Operation> =
+        operations.iter().filter_map(|o| Some((o.id.as_deref()?, o))).collect();
+    for operation in operations.iter().filter(|o| !o.calls.is_empty()) {
+        let mut sum = 0_u64;
+        for (id, place) in &operation.calls {
+            match by_id.get(id.as_str()) {
+                Some(called) => sum = sum.saturating_add(called.time.unwrap_or(0)),
+                None => {
+                    let what = format!(
+                        "found {id:?} in x-sloeline-calls, expected an operationId of this description"
+                    );
+                    findings.push(Finding::at(Code::Extension, place, what));
+                }
+            }
+        }
+        if let Some(time) = operation.time.filter(|time| sum > *time) {
+            let what = format!(
+                "found {} ms for what it calls, expected at most its own {} ms",
+                sum / 1000,
+                time / 1000
+            );
+            findings.push(Finding::at(Code::CallsLonger, &operation.place, what));
+        }
+    }
+}
+
 /// A key must be there in every request, and be remembered for as long as it is relied on.
 fn keyed(operation: &Operation, promises: Promises, findings: &mut Vec<Finding>) {
     let Effect::Keyed { key, window } = &operation.effect else { return };
@@ -141,7 +193,7 @@
 fn answers(operation: &Operation, findings: &mut Vec<Finding>) {
     let described = |status: &&&str| {
         let range = format!("{}XX", &status[..1]);
-        operation.statuses.iter().any(|s| s == **status || *s == range || s == "default")
+        operation.responses.iter().any(|r| r.status == **status || r.status == range || r.status == "default")
     };
     let missing: Vec<&str> = OWN.iter().filter(|status| !described(status)).copied().collect();
     if !missing.is_empty() {
@@ -158,7 +210,8 @@
             finding.accepted = Some(reason.clone());
             found = true;
         }
-        if !found {
+        // What behaviour may show can be accepted before it does.
+        if !found && !ODDITIES.iter().any(|oddity| oddity.number() == code) {
             let what =
                 format!("found {code:?} accepted, expected the code of a finding here that can be accepted");
             findings.push(Finding::at(Code::Accepted, place, what));
@@ -166,54 +219,59 @@
     }
 }
 
-/// How two templates stand to each other.
-#[derive(PartialEq)]
-enum Stand {
-    /// No path matches both.
-    Apart,
-    /// One is as concrete in every segment, and more in one: it goes first.
-    Ordered,
-    /// Some path matches both, and neither goes first.
-    Unclear,
+/// Templates of one method, segment by segment.
+#[derive(Default)]
+struct Node<'a> {
+    literals: BTreeMap<&'a str, Node<'a>>,
+    parameter: Option<Box<Node<'a>>>,
+    end: Option<&'a str>,
 }
 
-fn stand(a: &str, b: &str) -> Stand {
-    let (a, b): (Vec<&str>, Vec<&str>) = (a.split('/').collect(), b.split('/').collect());
-    if a.len() != b.len() {
-        return Stand::Apart;
-    }
-    let (mut first, mut second) = (false, false);
-    for (x, y) in a.iter().zip(&b) {
-        match (x.starts_with('{'), y.starts_with('{')) {
-            (false, false) if x != y => return Stand::Apart,
-            (false, true) => first = true,
-            (true, false) => second = true,
-            _ => {}
+impl<'a> Node<'a> {
+    fn put(&mut self, path: &'a str) {
+        let mut node = self;
+        for segment in path.split('/') {
+            node = if segment.starts_with('{') {
+                node.parameter.get_or_insert_default()
+            } else {
+                node.literals.entry(segment).or_default()
+            };
         }
+        node.end.get_or_insert(path);
+    }
+
+    /// One that some path matches beside a template, where neither goes first: each is more concrete somewhere, or none
+    /// is anywhere. `ahead` tells where the template has been more concrete, and where the other one has.
+    fn unclear(&self, segments: &[&str], ahead: (bool, bool)) -> Option<&'a str> {
+        let Some((segment, rest)) = segments.split_first() else {
+            return self.end.filter(|_| ahead.0 == ahead.1);
+        };
+        let parameter = self.parameter.as_deref();
+        if segment.starts_with('{') {
+            let same = parameter.and_then(|node| node.unclear(rest, ahead));
+            return same
+                .or_else(|| self.literals.values().find_map(|node| node.unclear(rest, (ahead.0, true))));
+        }
+        let same = self.literals.get(segment).and_then(|node| node.unclear(rest, ahead));
+        same.or_else(|| parameter.and_then(|node| node.unclear(rest, (true, ahead.1))))
     }
-    if first != second { Stand::Ordered } else { Stand::Unclear }
 }
 
 fn overlaps(operations: &[Operation], findings: &mut Vec<Finding>) {
-    // Only templates of one method and length can meet.
-    let mut groups: BTreeMap<(&str, usize), Vec<(&str, &Operation)>> = BTreeMap::new();
+    let mut methods: BTreeMap<&str, Node<'_>> = BTreeMap::new();
     for operation in operations {
         for path in &operation.paths {
-            let key = (operation.method.as_str(), path.split('/').count());
-            groups.entry(key).or_default().push((path, operation));
-        }
-    }
-    for group in groups.values() {
-        for (at, (path, operation)) in group.iter().enumerate() {
+            let known = methods.entry(&operation.method).or_default();
+            let segments: Vec<&str> = path.split('/').collect();
             // One finding for each operation is enough to be told.
-            let meets = group[..at].iter().find(|(other, _)| stand(path, other) == Stand::Unclear);
-            if let Some((other, _)) = meets {
+            if let Some(other) = known.unclear(&segments, (false, false)) {
                 let what = format!(
                     "found {} {path:?} beside {other:?}: some request matches both",
                     operation.method
                 );
                 findings.push(Finding::at(Code::Overlap, &operation.place, what));
             }
+            known.put(path);
         }
     }
 }
--- a/descriptions/src/diff.rs
+++ b/descriptions/src/diff.rs
@@ -248,10 +248,10 @@
             add(Kind::Required, Weight::Breaking, what);
         }
     }
-    let gone: Vec<&str> =
-        was.statuses.iter().filter(|s| !is.statuses.contains(s)).map(String::as_str).collect();
-    let come: Vec<&str> =
-        is.statuses.iter().filter(|s| !was.statuses.contains(s)).map(String::as_str).collect();
+    let statuses = |o: &Operation| o.responses.iter().map(|r| r.status.clone()).collect::<Vec<_>>();
+    let (before, after) = (statuses(was), statuses(is));
+    let gone: Vec<&String> = before.iter().filter(|s| !after.contains(s)).collect();
+    let come: Vec<&String> = after.iter().filter(|s| !before.contains(s)).collect();
     if !gone.is_empty() || !come.is_empty() {
         let what = format!("answers: no more {gone:?}, new {come:?}");
         add(Kind::Statuses, Weight::Note, what);
--- a/descriptions/src/findings.rs
+++ b/descriptions/src/findings.rs
@@ -21,7 +21,7 @@
 pub enum Code {
     /// D001: the text can't be read.
     Unreadable,
-    /// D002: neither OpenAPI 3.0 nor 3.1.
+    /// D002: neither OpenAPI 3.0 or 3.1 nor AsyncAPI 2.6 or 3.0.
     Version,
     /// D003: a reference leads nowhere, in a circle, or out of the folder.
     Reference,
@@ -41,6 +41,8 @@
     WindowTooLong,
     /// D016: it may take longer than callers wait.
     TooSlow,
+    /// D017: the operations that it calls take longer than it does.
+    CallsLonger,
     /// D020: two operations that one request may match.
     Overlap,
     /// D021: the path and its parameters do not fit.
@@ -70,6 +72,7 @@
             Code::KeyWindow => "D014",
             Code::WindowTooLong => "D015",
             Code::TooSlow => "D016",
+            Code::CallsLonger => "D017",
             Code::Overlap => "D020",
             Code::Parameters => "D021",
             Code::Path => "D022",
@@ -79,6 +82,28 @@
         }
     }
 
+    /// All of them, in the order of their numbers.
+    pub const ALL: [Code; 18] = [
+        Code::Unreadable,
+        Code::Version,
+        Code::Reference,
+        Code::Shape,
+        Code::SafeWithBody,
+        Code::SafeCreates,
+        Code::SafeByName,
+        Code::KeyOptional,
+        Code::KeyWindow,
+        Code::WindowTooLong,
+        Code::TooSlow,
+        Code::CallsLonger,
+        Code::Overlap,
+        Code::Parameters,
+        Code::Path,
+        Code::Undescribed,
+        Code::Extension,
+        Code::Accepted,
+    ];
+
     /// How bad it is.
     pub fn severity(self) -> Severity {
         match self {
@@ -96,7 +121,7 @@
     pub fn mend(self) -> &'static str {
         match self {
             Code::Unreadable => "correct the text at that line",
-            Code::Version => "write openapi: 3.0.x or 3.1.x",
+            Code::Version => "write openapi: 3.0.x or 3.1.x, or asyncapi: 2.6.x or 3.0.x",
             Code::Reference => "name something that is there, within the folder",
             Code::Shape => "write what the specification asks for there",
             Code::SafeWithBody | Code::SafeCreates | Code::SafeByName => {
@@ -106,6 +131,7 @@
             Code::KeyWindow => "say how long nodes remember a key in x-sloeline-window",
             Code::WindowTooLong => "shorten x-sloeline-window to what the nodes remember",
             Code::TooSlow => "shorten x-sloeline-time, or let callers wait longer",
+            Code::CallsLonger => "lengthen x-sloeline-time, or shorten that of what it calls",
             Code::Overlap => "make one of the two more concrete, or remove it",
             Code::Parameters => "declare each parameter of the path once, in: path, required: true",
             Code::Path => "let each parameter be a whole segment",
--- a/descriptions/src/openapi.rs
+++ b/descriptions/src/openapi.rs
@@ -1,26 +1,14 @@
-//! Operations of an OpenAPI description, 3.0 and 3.1.
+//! Operations of an OpenAPI description, 3.0 and 3.1. Its `webhooks` and `callbacks` are requests that the described service
+//! sends: none of them is a route to it.
 
-use crate::effect::{Because, Effect, KeyAt, SAFE_METHODS};
+use crate::effect::{Because, Effect};
+use crate::extensions::{KEYS, Reader};
 use crate::findings::{Code, Finding};
 use crate::refs::{Documents, Place};
 use crate::tree::Value;
 
 /// Methods of a path item, as the specification spells them.
 const METHODS: [&str; 8] = ["get", "put", "post", "delete", "options", "head", "patch", "trace"];
-/// The header by which a request is known (draft-ietf-httpapi-idempotency-key-header).
-const IDEMPOTENCY_KEY: &str = "idempotency-key";
-/// Extensions that are known.
-const EXTENSIONS: [&str; 8] = [
-    "x-sloeline-effect",
-    "x-sloeline-key",
-    "x-sloeline-window",
-    "x-sloeline-time",
-    "x-sloeline-body-limit",
-    "x-sloeline-worth",
-    "x-sloeline-tenant",
-    "x-sloeline-accept",
-];
-
 /// A parameter of an operation.
 #[derive(Clone, Debug)]
 pub struct Parameter {
@@ -34,6 +22,15 @@
     pub place: Place,
 }
 
+/// A described answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Response {
+    /// `200`, `4XX` or `default`.
+    pub status: String,
+    /// Content types, as they stand; none where it says nothing of its body.
+    pub types: Vec<String>,
+}
+
 /// An operation.
 #[derive(Clone, Debug)]
 pub struct Operation {
@@ -49,8 +46,8 @@
     pub because: Because,
     /// It carries a body.
     pub has_body: bool,
-    /// Statuses of its responses: `200`, `4XX`, `default`.
-    pub statuses: Vec<String>,
+    /// Its answers, each status once.
+    pub responses: Vec<Response>,
     /// Its parameters, those of the path item among them.
     pub parameters: Vec<Parameter>,
     /// How long it takes, in microseconds.
@@ -61,6 +58,8 @@
     pub worth: Option<f64>,
     /// Whose requests they are.
     pub tenant: Option<String>,
+    /// Operations that it calls while it runs, by their ids.
+    pub calls: Vec<(String, Place)>,
     /// Findings that are accepted, with the reason.
     pub accepted: Vec<(String, String, Place)>,
     /// Where it stands.
@@ -83,49 +82,14 @@
             );
         }
     };
-    let operations = reader.operations(&root);
+    let operations = match root.get("asyncapi") {
+        Some(_) => reader.received(&root),
+        None => reader.operations(&root),
+    };
     (operations, reader.findings)
 }
 
-struct Reader<'a, 'b> {
-    documents: &'a Documents<'b>,
-    findings: Vec<Finding>,
-}
-
-/// A span such as `250ms`, in microseconds.
-fn span(text: &str) -> Option<u64> {
-    let (number, unit) = text.split_at(text.find(|c: char| c.is_ascii_alphabetic())?);
-    let factor = [("ms", 1e3), ("s", 1e6), ("min", 60e6), ("h", 3600e6)].iter().find(|(u, _)| *u == unit)?.1;
-    let plain = !number.is_empty() && number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
-    let span = number.parse::<f64>().ok().filter(|_| plain)? * factor;
-    (span > 0.0 && span < 1e15).then_some(span.round() as u64)
-}
-
-/// A size such as `64KiB`, in bytes.
-fn size(text: &str) -> Option<u64> {
-    let (number, unit) = text.split_at(text.find(|c: char| c.is_ascii_alphabetic())?);
-    let factor = [("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1_u64 << 30)]
-        .iter()
-        .find(|(u, _)| *u == unit)?
-        .1;
-    number.parse::<u64>().ok()?.checked_mul(factor)
-}
-
 impl Reader<'_, '_> {
-    fn find(&mut self, code: Code, place: &Place, what: impl Into<String>) {
-        self.findings.push(Finding::at(code, place, what));
-    }
-
-    fn resolve(&mut self, place: &Place) -> Option<Place> {
-        match self.documents.resolve(place) {
-            Ok(place) => Some(place),
-            Err(why) => {
-                self.find(Code::Reference, place, why);
-                None
-            }
-        }
-    }
-
     fn operations(&mut self, root: &Place) -> Vec<Operation> {
         let version = root.text("openapi").unwrap_or_default();
         if !["3.0.", "3.1."].iter().any(|v| version.starts_with(v)) {
@@ -263,143 +227,45 @@
         }
         let body = place.get("requestBody");
         let has_body = body.is_some_and(|body| self.resolve(&body).is_some());
-        let mut statuses = Vec::new();
-        for (status, response) in place.get("responses").iter().flat_map(|r| r.entries().collect::<Vec<_>>())
-        {
-            if !status.starts_with("x-") && self.resolve(&response).is_some() {
-                statuses.push(status.to_ascii_uppercase().replace("DEFAULT", "default"));
-            }
-        }
-        for (key, extension) in place.entries().filter(|(key, _)| key.starts_with("x-sloeline-")) {
-            if !EXTENSIONS.contains(&key) {
-                let what = format!("found {key}, expected one of {}", EXTENSIONS.join(", "));
-                self.find(Code::Extension, &extension, what);
-            }
-        }
+        let responses = self.responses(&place);
         let method = method.to_ascii_uppercase();
-        let window = self.extension(&place, "x-sloeline-window", "a span such as \"10s\"", span);
-        let (effect, because) = self.effect(&method, has_body, window, &place, &parameters);
-        Operation {
+        let (effect, because) = self.effect(&method, has_body, &place, &parameters, &KEYS[..1]);
+        self.finish(Operation {
             id: place.text("operationId").map(str::to_owned),
             paths,
             effect,
             because,
             has_body,
-            statuses,
+            responses,
             parameters,
-            time: self.extension(&place, "x-sloeline-time", "a span such as \"250ms\"", span),
-            body_limit: self.extension(&place, "x-sloeline-body-limit", "a size such as \"64KiB\"", size),
-            worth: self.worth(&place),
-            tenant: self.extension(&place, "x-sloeline-tenant", "a text", |t| Some(t.to_owned())),
-            accepted: self.accepted(&place),
+            time: None,
+            body_limit: None,
+            worth: None,
+            tenant: None,
+            calls: Vec::new(),
+            accepted: Vec::new(),
             method,
             place,
-        }
-    }
-
-    fn extension<T>(
-        &mut self,
-        of: &Place,
-        key: &str,
-        expected: &str,
-        read: fn(&str) -> Option<T>,
-    ) -> Option<T> {
-        let place = of.get(key)?;
-        let value = place.node.text().and_then(read);
-        if value.is_none() {
-            let what = format!("found {key} {}, expected {expected}", place.node.shown());
-            self.find(Code::Extension, &place, what);
-        }
-        value
+        })
     }
 
-    fn worth(&mut self, of: &Place) -> Option<f64> {
-        let place = of.get("x-sloeline-worth")?;
-        match place.node.value {
-            Value::Number(worth) if worth >= 0.0 => Some(worth),
-            _ => {
-                let what = format!("found x-sloeline-worth {}, expected a number from 0", place.node.shown());
-                self.find(Code::Extension, &place, what);
-                None
-            }
-        }
-    }
-
-    fn accepted(&mut self, of: &Place) -> Vec<(String, String, Place)> {
-        let mut accepted = Vec::new();
-        for place in of.get("x-sloeline-accept").iter().flat_map(|list| list.items().collect::<Vec<_>>()) {
-            match (place.text("code"), place.text("reason").filter(|r| !r.trim().is_empty())) {
-                (Some(code), Some(reason)) => {
-                    accepted.push((code.to_owned(), reason.to_owned(), place.clone()))
-                }
-                _ => self.find(Code::Accepted, &place, "found no code or no reason, expected both"),
-            }
-        }
-        accepted
-    }
-
-    /// Where the key stands: as the extension says, or in the header that is made for it, if that is declared.
-    fn key(&mut self, place: &Place, parameters: &[Parameter]) -> Option<KeyAt> {
-        if let Some(place) = place.get("x-sloeline-key") {
-            let text = place.node.text().unwrap_or_default();
-            let key = match text.split_once(':') {
-                Some(("header", name)) if !name.is_empty() => Some(KeyAt::Header(name.to_lowercase())),
-                Some(("query", name)) if !name.is_empty() => Some(KeyAt::Query(name.to_owned())),
-                Some(("path", name)) if !name.is_empty() => Some(KeyAt::Path(name.to_owned())),
-                _ => None,
-            };
-            if key.is_none() {
-                let what = format!(
-                    "found x-sloeline-key {}, expected header:, query: or path:NAME",
-                    place.node.shown()
-                );
-                self.find(Code::Extension, &place, what);
-            }
-            return key;
-        }
-        let declared = parameters.iter().any(|p| p.within == "header" && p.name == IDEMPOTENCY_KEY);
-        declared.then(|| KeyAt::Header(IDEMPOTENCY_KEY.to_owned()))
-    }
-
-    fn effect(
-        &mut self,
-        method: &str,
-        has_body: bool,
-        window: Option<u64>,
-        place: &Place,
-        parameters: &[Parameter],
-    ) -> (Effect, Because) {
-        let key = self.key(place, parameters);
-        let Some(said) = place.get("x-sloeline-effect") else {
-            return match (key, window) {
-                _ if SAFE_METHODS.contains(&method) && !has_body => (Effect::Safe, Because::Method),
-                // A declared key alone does not say for how long it is remembered.
-                (Some(key), Some(window)) => (Effect::Keyed { key, window }, Because::Extension),
-                _ => (Effect::Unsafe, Because::Silence),
-            };
-        };
-        match (said.node.text(), key, window) {
-            (Some("safe"), ..) => (Effect::Safe, Because::Extension),
-            (Some("unsafe"), ..) => (Effect::Unsafe, Because::Extension),
-            (Some("keyed"), Some(key), Some(window)) => (Effect::Keyed { key, window }, Because::Extension),
-            (Some("keyed"), None, _) => {
-                self.find(
-                    Code::KeyOptional,
-                    &said,
-                    "found keyed without a key, expected x-sloeline-key or Idempotency-Key",
-                );
-                (Effect::Unsafe, Because::Extension)
-            }
-            (Some("keyed"), _, None) => {
-                self.find(Code::KeyWindow, &said, "found keyed without x-sloeline-window, expected a span");
-                (Effect::Unsafe, Because::Extension)
-            }
-            _ => {
-                let what =
-                    format!("found x-sloeline-effect {}, expected safe, keyed or unsafe", said.node.shown());
-                self.find(Code::Extension, &said, what);
-                (Effect::Unsafe, Because::Silence)
+    fn responses(&mut self, place: &Place) -> Vec<Response> {
+        let mut responses = Vec::new();
+        for (status, response) in place.get("responses").iter().flat_map(|r| r.entries().collect::<Vec<_>>())
+        {
+            if status.starts_with("x-") {
+                continue;
             }
+            let Some(found) = self.resolve(&response) else { continue };
+            let status = status.to_ascii_uppercase().replace("DEFAULT", "default");
+            let types = found
+                .get("content")
+                .iter()
+                .flat_map(|c| c.entries().collect::<Vec<_>>())
+                .map(|(name, _)| name.to_owned())
+                .collect();
+            responses.push(Response { status, types });
         }
+        responses
     }
 }
--- a/descriptions/src/tree.rs
+++ b/descriptions/src/tree.rs
@@ -12,6 +12,8 @@
 pub const MOST_BYTES: usize = 32 << 20;
 /// Most values in a document.
 const MOST_NODES: usize = 4_000_000;
+/// Stands for the entries of another table.
+const MERGE: &str = "<<";
 /// Most values within one another.
 const MOST_HEIGHT: usize = 128;
 
@@ -205,11 +207,45 @@
         Ok(())
     }
 
+    /// Puts in what a merge key stands for: entries that the table does not have itself, those of the first first
+    /// (yaml.org/type/merge.html; no part of YAML 1.2, and in wide use).
+    fn merge(
+        &mut self,
+        entries: &mut Vec<(String, Rc<Node>)>,
+        mut known: HashMap<String, usize>,
+    ) -> Result<(), Unreadable> {
+        let Some(at) = entries.iter().position(|(key, _)| key == MERGE) else { return Ok(()) };
+        let merged = entries.remove(at).1;
+        let tables = match &merged.value {
+            Value::List(tables) => tables.as_slice(),
+            _ => std::slice::from_ref(&merged),
+        };
+        for table in tables {
+            let Value::Map(more) = &table.value else {
+                let what = format!("found {} under <<, expected a table or a list of tables", table.shown());
+                return Err(unreadable(merged.line, what));
+            };
+            // Guards against tables that merge each other's merges.
+            self.nodes += more.len();
+            for (key, node) in more {
+                if known.insert(key.clone(), node.line).is_none() {
+                    entries.push((key.clone(), node.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn close(&mut self) -> Result<(), Unreadable> {
         let Some(Frame { open, anchor, line, height }) = self.frames.pop() else { return Ok(()) };
         let value = match open {
             Open::List(items) => Value::List(items),
-            Open::Map { entries, .. } => Value::Map(entries),
+            Open::Map { mut entries, known, .. } => {
+                if known.contains_key(MERGE) {
+                    self.merge(&mut entries, known)?;
+                }
+                Value::Map(entries)
+            }
         };
         self.add(Rc::new(Node { value, line, height }), anchor)
     }
--- a/descriptions/tests/corpus.rs
+++ b/descriptions/tests/corpus.rs
@@ -1,43 +1,14 @@
 //! Descriptions that are right and descriptions that are wrong, each with what is found.
 
-use std::collections::HashMap;
+mod common;
 
+use common::found;
 use proptest::prelude::*;
-use sloeline_descriptions::check::{Promises, check};
 use sloeline_descriptions::effect::{Effect, KeyAt};
-use sloeline_descriptions::findings::Severity;
-use sloeline_descriptions::openapi::Operation;
-use sloeline_descriptions::refs::{Documents, Files};
+use sloeline_descriptions::extensions::EXTENSIONS;
+use sloeline_descriptions::refs::Files;
 use sloeline_descriptions::tree;
 
-struct Memory(HashMap<String, String>);
-
-impl Files for Memory {
-    fn read(&self, path: &str) -> Result<String, String> {
-        self.0.get(path).cloned().ok_or_else(|| format!("{path}: no such file"))
-    }
-}
-
-fn found(files: &[(&str, &str)]) -> (Vec<Operation>, Vec<String>) {
-    let memory = Memory(files.iter().map(|(n, t)| ((*n).to_owned(), (*t).to_owned())).collect());
-    let promises = Promises { remembers: Some(60_000_000), waits: Some(4_000_000) };
-    let (operations, findings) = check(&Documents::new(&memory), "api.yaml", promises);
-    for finding in &findings {
-        assert!(finding.line > 0 && finding.to_string().contains(finding.code.number()), "{finding}");
-    }
-    let told =
-        |f: &&sloeline_descriptions::findings::Finding| f.stops() || f.code.severity() == Severity::Warning;
-    (
-        operations,
-        findings
-            .iter()
-            .filter(told)
-            .filter(|f| f.accepted.is_none())
-            .map(|f| format!("{}:{}", f.code.number(), f.line))
-            .collect(),
-    )
-}
-
 /// A description with these paths; every answer is described unless a response says otherwise.
 fn api(paths: &str) -> String {
     format!("openapi: 3.0.3\ninfo: {{title: t, version: '1'}}\npaths:\n{paths}")
@@ -103,6 +74,60 @@
         ),
         (format!("  x-note: any\n  /a:\n    summary: s\n    get: {{x-other: 1, {ANY}}}"), Effect::Safe),
         (format!("  /a: &item\n    get: {{{ANY}}}\n  /b: *item"), Effect::Safe),
+        (format!("  /a:\n    options: {{{ANY}}}"), Effect::Safe),
+        (format!("  /a:\n    patch: {{{ANY}}}"), Effect::Unsafe),
+        (format!("  /payments:\n    get: {{operationId: paymentList, {ANY}}}"), Effect::Safe),
+        (format!("  /cancellations/{{id}}:\n    get: {{parameters: [{ID}], {ANY}}}"), Effect::Safe),
+        (format!("  /a/cancel:\n    get: {{{ANY}}}"), Effect::Safe),
+        (format!("  /a/{{id}}/cancel:\n    post: {{parameters: [{ID}], {ANY}}}"), Effect::Unsafe),
+        (format!("  /a:\n    post: {{operationId: chargeCard, {ANY}}}"), Effect::Unsafe),
+        ("  /a:\n    post: {responses: {'201': {}, default: {}}}".to_owned(), Effect::Unsafe),
+        (
+            "  /a:\n    get: {responses: {'200': {}, '429': {}, '502': {}, '503': {}, '504': {}}}".to_owned(),
+            Effect::Safe,
+        ),
+        (format!("  /a:\n    get: {{x-sloeline-time: 4s, {ANY}}}"), Effect::Safe),
+        (
+            format!("  /a:\n    post: {{parameters: [{KEY}], x-sloeline-window: 60s, {ANY}}}"),
+            Effect::Keyed { key: KeyAt::Header("idempotency-key".to_owned()), window: 60_000_000 },
+        ),
+        (
+            format!(
+                "  /a:\n    post: {{parameters: [{{name: k, in: query, required: true}}], x-sloeline-key: 'query:k', x-sloeline-window: 1s, {ANY}}}"
+            ),
+            Effect::Keyed { key: KeyAt::Query("k".to_owned()), window: 1_000_000 },
+        ),
+        (
+            format!(
+                "  /a/{{id}}:\n    get: {{parameters: [{ID}], {ANY}}}\n  /a/{{id}}/b:\n    get: {{parameters: [{ID}], {ANY}}}"
+            ),
+            Effect::Safe,
+        ),
+        (
+            format!(
+                "  /a/{{id}}:\n    get: {{parameters: [{ID}], {ANY}}}\n    delete: {{parameters: [{ID}], {ANY}}}"
+            ),
+            Effect::Safe,
+        ),
+        (
+            format!(
+                "  /search:\n    post: {{x-sloeline-effect: safe, {ANY}}}\n  /search/help:\n    get: {{{ANY}}}"
+            ),
+            Effect::Safe,
+        ),
+        (
+            format!(
+                "  /a:\n    get: {{operationId: o, x-sloeline-time: 2s, x-sloeline-calls: [i, i], {ANY}}}\n  /b:\n    get: {{operationId: i, x-sloeline-time: 1s, {ANY}}}"
+            ),
+            Effect::Safe,
+        ),
+        (
+            format!(
+                "  /a:\n    get: {{callbacks: {{done: {{'{{$request.body#/url}}': {{post: {{{ANY}}}}}}}}}, {ANY}}}"
+            ),
+            Effect::Safe,
+        ),
+        (format!("  /a:\n    get: {{x-sloeline-prefix: true, {ANY}}}"), Effect::Safe),
     ];
     for (paths, effect) in &cases {
         let (operations, findings) = found(&[("api.yaml", &api(paths))]);
@@ -120,6 +145,12 @@
         ("openapi: 3.0.0\nopenapi: 3.0.1".to_owned(), &["D001:2"]),
         ("openapi: 3.0.0\n---\nopenapi: 3.0.0".to_owned(), &["D001:2"]),
         ("openapi: &a [*a]".to_owned(), &["D001:1"]),
+        ("openapi: 3.0.0\npaths:\n  <<: 7".to_owned(), &["D001:3"]),
+        // What a merge key brings counts.
+        (
+            "openapi: 3.0.0\nx-a: &a {responses: {'201': {}, default: {}}}\nx-b: &b {operationId: b}\npaths:\n  /a:\n    get: {<<: [*b, *a], operationId: o}".to_owned(),
+            &["D011:6"],
+        ),
         ("swagger: '2.0'\npaths: {}".to_owned(), &["D002:1"]),
         ("openapi: 3.2.0\npaths: {}".to_owned(), &["D002:1"]),
         ("openapi: 3.0\npaths: {}".to_owned(), &["D002:1"]),
@@ -139,6 +170,20 @@
         (api("  /a: {$ref: 'a%zz.yaml'}"), &["D003:4"]),
         (api("  /a: {$ref: 7}"), &["D003:4"]),
         (api(&get(&format!("parameters: [{{$ref: '#/x'}}], {ANY}"))), &["D003:5"]),
+        (
+            api(&format!(
+                "  /a:\n    post: {{x-sloeline-effect: safe, {ANY}}}\n  /a/{{id}}:\n    get: {{parameters: [{ID}], {ANY}}}"
+            )),
+            &["D012:5"],
+        ),
+        (
+            api(&format!(
+                "  /a:\n    get: {{operationId: o, x-sloeline-time: 1s, x-sloeline-calls: [i, i], {ANY}}}\n  /b:\n    get: {{operationId: i, x-sloeline-time: 501ms, {ANY}}}"
+            )),
+            &["D017:5"],
+        ),
+        (api(&get(&format!("x-sloeline-calls: [i], {ANY}"))), &["D040:5"]),
+        (api(&get(&format!("x-sloeline-calls: [7], {ANY}"))), &["D040:5"]),
         (api("  /a:\n    get: {responses: {default: {$ref: '#/x'}}}"), &["D003:5", "D030:5"]),
         (
             api(&format!(
@@ -301,6 +346,20 @@
     let _ = std::fs::remove_dir_all(base);
 }
 
+/// The schema for editors knows the extensions that the reader knows, and no others.
+#[test]
+fn the_schema_of_the_extensions_is_theirs() {
+    let text =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/x-sloeline.schema.json"));
+    let schema = tree::read(&text.expect("a schema")).expect("JSON");
+    let mut said: Vec<&str> =
+        schema.get("properties").expect("properties").entries().iter().map(|(k, _)| k.as_str()).collect();
+    let mut known = EXTENSIONS.to_vec();
+    said.sort_unstable();
+    known.sort_unstable();
+    assert_eq!(said, known);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
     /// Whatever stands there, reading ends, and says where.
--- a/emulator/src/run.rs
+++ b/emulator/src/run.rs
@@ -500,6 +500,7 @@
             work: None,
             retry: call.tries > 1,
             coming: false,
+            operation: None,
         };
         call.at = At::Balancer;
         let (key_asked, local) = (call.key, balancer.local(now));
--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -5,7 +5,7 @@
 //! `R` is what an upstream answers; the core only passes it on.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use finchshift as fs;
@@ -95,6 +95,9 @@
 /// A request that is not answered or has attempts out.
 struct Open {
     class: fs::ClassId,
+    operation: Option<u64>,
+    /// An attempt may have run.
+    doubt: bool,
     /// Its caller waits for the final answer.
     waits: bool,
     /// Its body still comes from the caller: its time counts from the last byte.
@@ -123,6 +126,8 @@
     pub retry: bool,
     /// Its body still comes; [`Core::has_come`] tells its last byte.
     pub coming: bool,
+    /// The operation that it runs, where that is known.
+    pub operation: Option<u64>,
 }
 
 /// How an attempt ended, as its connection tells.
@@ -156,6 +161,8 @@
     most_timers: usize,
     registry: Registry,
     listed: bool,
+    /// Operations that are not as harmless to repeat as their class says.
+    narrowed: HashSet<u64>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     outputs: VecDeque<Output<R>>,
@@ -176,6 +183,7 @@
             most_timers: LEAST_TIMERS,
             registry: Registry::new(zones),
             listed: false,
+            narrowed: HashSet::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
             outputs: VecDeque::new(),
@@ -236,11 +244,23 @@
 
     /// Takes a request; its number. Its one final answer comes as an [`Output::Answer`].
     pub fn ask(&mut self, now: Micros, arrival: Arrival) -> RequestId {
-        let Arrival { class, time_left, tenant, work, retry, coming } = arrival;
+        let Arrival { class, time_left, tenant, work, retry, coming, operation } = arrival;
         let (id, deadline) = (self.next, now + time_left);
         self.next += 1;
         let (out, limits, failure) = (Vec::new(), Vec::new(), Failure::Time);
-        let open = Open { class, waits: true, coming, deadline, time_left, sent: 0, out, limits, failure };
+        let open = Open {
+            class,
+            operation,
+            doubt: false,
+            waits: true,
+            coming,
+            deadline,
+            time_left,
+            sent: 0,
+            out,
+            limits,
+            failure,
+        };
         self.open.insert(id, open);
         self.set_timer(deadline.saturating_sub(LAST_RESORT), Due::LastResort(id));
         let time_left = time_left.saturating_sub(MARGIN);
@@ -248,6 +268,26 @@
         id
     }
 
+    /// From now on no request of an operation gets a further attempt once one of its own may have run, whatever its class
+    /// says. Those that are between two attempts have no other answer than that they failed; an attempt that is out is the
+    /// request's last.
+    pub fn narrow(&mut self, now: Micros, operation: u64) {
+        self.narrowed.insert(operation);
+        let between = |o: &Open| o.operation == Some(operation) && o.doubt && o.waits && o.out.is_empty();
+        let mut given_up: Vec<RequestId> =
+            self.open.iter().filter(|(_, o)| between(o)).map(|(id, _)| *id).collect();
+        // In the same order whatever the map's: runs can be repeated.
+        given_up.sort_unstable();
+        for id in given_up {
+            self.answer(id, Answer::Failed);
+            self.feed(now, Event::Gone { request: id });
+        }
+    }
+
+    fn no_repeat(&self, open: &Open) -> bool {
+        open.doubt && open.operation.is_some_and(|operation| self.narrowed.contains(&operation))
+    }
+
     /// The client left, or has its answer.
     pub fn gone(&mut self, now: Micros, id: RequestId) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -298,10 +338,13 @@
         let Some(at) = open.out.iter().position(|o| o.attempt == attempt) else { return };
         let out = open.out.swap_remove(at);
         open.limits.retain(|(a, _)| *a != attempt);
+        open.doubt |= outcome != Outcome::Ok && !outcome.never_ran();
         let timed_out = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
         open.failure = if timed_out { Failure::Time } else { Failure::Upstream };
+        let no_repeat = open.doubt && open.operation.is_some_and(|o| self.narrowed.contains(&o));
         let answer = match (outcome, reply) {
             (Outcome::Ok, Some(reply)) => Some(Answer::Served(reply)),
+            (outcome, _) if outcome != Outcome::Ok && no_repeat => Some(Answer::Failed(open.failure)),
             // What is left of its body is no request: no other attempt can follow. Each before it never ran, or it would
             // have been the last.
             (outcome, _) if spent && outcome != Outcome::Ok => Some(match outcome.never_ran() {
@@ -535,7 +578,12 @@
             Action::Send { request, server, limit } => self.send(now, request, server, limit),
             Action::Refuse { request, retry_after } => {
                 let retry_after = if self.limits.retry_after { retry_after } else { 0 };
-                self.answer(request, |_| Answer::Refused { retry_after });
+                // Whoever is refused repeats.
+                let no_repeat = self.open.get(&request).is_some_and(|open| self.no_repeat(open));
+                self.answer(request, |failure| match no_repeat {
+                    true => Answer::Failed(failure),
+                    false => Answer::Refused { retry_after },
+                });
             }
             Action::Fail { request } => self.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => self.call_off(request, attempt, Outcome::Cancelled),
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -251,10 +251,10 @@
 
     /// Takes a request; the answer comes through what is returned.
     pub fn ask(self: &Rc<Self>, asked: Asked<W::Call>) -> Asking<W> {
-        let Asked { class, time_left, tenant, work, retry, call } = asked;
+        let Asked { class, time_left, tenant, work, retry, operation, call } = asked;
         let (sender, answer) = oneshot::channel();
         let coming = self.wire.coming(&call);
-        let arrival = Arrival { class, time_left, tenant, work, retry, coming };
+        let arrival = Arrival { class, time_left, tenant, work, retry, coming, operation };
         let request = self.core.borrow_mut().ask(self.clock.now(), arrival);
         let held = Held { call: Rc::new(call), answer: Some(sender), out: Vec::new() };
         self.held.borrow_mut().insert(request, held);
@@ -365,6 +365,11 @@
         self.core.borrow_mut().take_returned(returned);
     }
 
+    /// See [`Core::narrow`].
+    pub fn narrow(self: &Rc<Self>, operation: u64) {
+        self.with(|core, now| core.narrow(now, operation));
+    }
+
     /// See [`Core::learned`].
     pub fn learned(&self) -> (fs::Learned, Vec<(String, Vec<f64>)>) {
         self.core.borrow().learned()
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -46,9 +46,13 @@
 }
 
 fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
+    engine_of(fake, fs::Effect::Unsafe)
+}
+
+fn engine_of(fake: &Fake, effect: fs::Effect) -> Rc<Engine<Fake>> {
     let second = 1_000_000;
     let class = fs::Class {
-        effect: fs::Effect::Unsafe,
+        effect,
         aim: 4 * second,
         aim_stretch: 0.0,
         deadline: 4 * second,
@@ -74,7 +78,7 @@
 }
 
 fn asked(time_left: Micros) -> Asked<()> {
-    Asked { class: 0, time_left, tenant: None, work: None, retry: false, call: () }
+    Asked { class: 0, time_left, tenant: None, work: None, retry: false, operation: None, call: () }
 }
 
 /// On a paused clock, with the timers running.
@@ -262,6 +266,53 @@
     });
 }
 
+/// Safe, by its class: each row is when its operation is narrowed, how its attempts end, and what becomes of it.
+#[test]
+fn an_operation_that_is_narrowed_gets_no_attempt_after_one_that_may_have_run() {
+    use Outcome::{ConnectFailed, Ok, Reset};
+    #[derive(Debug, PartialEq)]
+    enum Narrowed {
+        Never,
+        Out,
+        Between,
+        Another,
+    }
+    let rows = [
+        (Narrowed::Never, &[Reset, Ok][..], Answer::Served(7)),
+        (Narrowed::Another, &[Reset, Ok], Answer::Served(7)),
+        (Narrowed::Out, &[Reset], Answer::Failed(Failure::Upstream)),
+        (Narrowed::Out, &[ConnectFailed, Ok], Answer::Served(7)),
+        (Narrowed::Out, &[ConnectFailed, Reset], Answer::Failed(Failure::Upstream)),
+        (Narrowed::Between, &[Reset], Answer::Failed(Failure::Upstream)),
+    ];
+    for (narrowed, outcomes, answer) in rows {
+        with(async |fake, _| {
+            let engine = engine_of(&fake, fs::Effect::Safe);
+            spawn_local(engine.clone().run());
+            let asking = engine.ask(Asked { operation: Some(3), ..asked(4_000_000) });
+            match narrowed {
+                Narrowed::Out => engine.narrow(3),
+                Narrowed::Another => engine.narrow(4),
+                _ => {}
+            }
+            for outcome in outcomes {
+                while fake.sent.borrow().is_empty() {
+                    // A pause before the next attempt.
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                fake.take().end(*outcome, None, (*outcome == Ok).then_some(7));
+                if narrowed == Narrowed::Between {
+                    assert!(fake.sent.borrow().is_empty(), "it is out again at once");
+                    engine.narrow(3);
+                }
+            }
+            assert_eq!(asking.answer().await, answer, "{narrowed:?}, {outcomes:?}");
+            tokio::time::sleep(Duration::from_secs(10)).await;
+            assert_eq!((fake.sent.borrow().len(), engine.open()), (0, 0), "{narrowed:?}, {outcomes:?}");
+        });
+    }
+}
+
 #[test]
 fn a_caller_that_leaves_within_its_body_ends_the_attempt() {
     with(async |fake, engine| {
--- a/engine/src/types.rs
+++ b/engine/src/types.rs
@@ -70,6 +70,8 @@
     pub work: Option<Micros>,
     /// Its client marks it as a repeat.
     pub retry: bool,
+    /// The operation that it runs, where that is known.
+    pub operation: Option<u64>,
     /// What goes on to upstreams.
     pub call: C,
 }
--- a/http/src/callers.rs
+++ b/http/src/callers.rs
@@ -392,7 +392,8 @@
             }
             Err((status, why)) => return plain(status, why),
         };
-        let Admission { engine, class, tenant, work, retry, method, uri, headers, id, held, .. } = admission;
+        let Admission { engine, class, tenant, work, retry, method, uri, headers, id, held, witness, .. } =
+            admission;
         // Guards against a second request under an id that is open: upstreams could not tell them apart.
         let _id = match id.map(|id| Id::take(&self.ids, &id)) {
             Some(None) => return plain(StatusCode::BAD_REQUEST, "this Req-Id is open"),
@@ -407,7 +408,9 @@
         let time_left = admission.time_left.min(until_kill);
         let head_only = method == Method::HEAD;
         let call = Call { method, uri, headers, body };
-        let asking = engine.ask(Asked { class, time_left, tenant, work, retry, call });
+        let operation = witness.as_ref().map(|witness| witness.operation());
+        let asked = Instant::now();
+        let asking = engine.ask(Asked { class, time_left, tenant, work, retry, operation, call });
         // Guards against the kill too: what is still open by then fails, and its caller hears so.
         let answer = tokio::select! {
             biased;
@@ -416,6 +419,9 @@
         };
         match answer {
             Answer::Served(mut reply) => {
+                if let Some(witness) = witness {
+                    witness.answered(reply.status, &reply.headers, asked.elapsed().as_micros() as Micros);
+                }
                 // The request's body is kept as long as its attempt, which ends with the answer.
                 if let Payload::Passing(passing) = &mut reply.body {
                     passing.at_end(move |_| drop(room));
--- a/http/src/front.rs
+++ b/http/src/front.rs
@@ -38,6 +38,15 @@
     fn retry_after(&self, wish: Micros) -> Option<HeaderValue>;
 }
 
+/// Looks at the answer to a request of an operation that is described.
+pub trait Witness {
+    /// The operation's number.
+    fn operation(&self) -> u64;
+
+    /// An upstream's answer has begun, so long after the request was taken.
+    fn answered(self: Box<Self>, status: StatusCode, headers: &HeaderMap, took: Micros);
+}
+
 /// A request that is taken if its body comes.
 pub struct Admission<W: Wire> {
     /// The engine that it goes to.
@@ -68,6 +77,8 @@
     pub id: Option<HeaderValue>,
     /// The bytes that bodies of its pool may take.
     pub bodies: Rc<Share>,
+    /// The operation that it runs, and who looks at its answer.
+    pub witness: Option<Box<dyn Witness>>,
     /// What it holds until it is answered.
     pub held: Option<Box<dyn Any>>,
 }
--- a/http/src/platform.rs
+++ b/http/src/platform.rs
@@ -116,6 +116,7 @@
             bodiless: class.effect == Effect::Safe,
             id: Some(request_id.clone()),
             bodies: self.bodies.clone(),
+            witness: None,
             held: Some(Box::new(self.admitted.hold(*id))),
         })
     }
--- a/http/src/routed.rs
+++ b/http/src/routed.rs
@@ -12,13 +12,13 @@
 use hyper::{Method, StatusCode, Uri, Version};
 use sloeline_engine::engine::{Engine, Wire};
 use sloeline_limits::{Share, Taken};
-use sloeline_routing::pattern::{Place, Request, Seen};
+use sloeline_routing::pattern::{self, Place, Request};
 use sloeline_routing::split::{Split, hash};
 use sloeline_routing::table::{Miss, Table};
 use sloeline_routing::target::{BadTarget, Target, decoded};
 use tokio::sync::oneshot;
 
-use crate::front::{Admission, Admitted, Answered, Front, Holding, end_to_end, number, plain};
+use crate::front::{Admission, Admitted, Answered, Front, Holding, Witness, end_to_end, number, plain};
 use crate::upstream::{Call, Reply};
 
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
@@ -101,6 +101,57 @@
     pub classes: Vec<Option<fs::ClassId>>,
 }
 
+/// An answer, as an operation looks at it.
+pub struct Seen<'a> {
+    /// The key of the request.
+    pub key: Option<&'a str>,
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: &'a HeaderMap,
+    /// How long it took, in microseconds.
+    pub took: Micros,
+}
+
+/// An operation that is described: its answers are looked at, and it may turn out less harmless than its class says.
+pub trait Operation {
+    /// The same for as long as its requests are the same.
+    fn number(&self) -> u64;
+    /// It is not as harmless to repeat as described.
+    fn narrowed(&self) -> bool;
+    /// Looks at an answer; true where it is narrowed by this one.
+    fn answered(&self, seen: &Seen<'_>) -> bool;
+}
+
+/// A route's operation.
+pub struct Described {
+    /// The operation.
+    pub operation: Rc<dyn Operation>,
+    /// The class by which its requests go once it is narrowed.
+    pub narrow: usize,
+}
+
+/// Looks at the answer to one request.
+struct Watching<W: Wire> {
+    service: Rc<Service<W>>,
+    operation: Rc<dyn Operation>,
+    key: Option<String>,
+}
+
+impl<W: Wire> Witness for Watching<W> {
+    fn operation(&self) -> u64 {
+        self.operation.number()
+    }
+
+    fn answered(self: Box<Self>, status: StatusCode, headers: &HeaderMap, took: Micros) {
+        let seen = Seen { key: self.key.as_deref(), status, headers, took };
+        if self.operation.answered(&seen) {
+            // Those that are open in any of its pools, before their next attempt.
+            self.service.sides.iter().for_each(|side| side.pool.engine.narrow(self.operation.number()));
+        }
+    }
+}
+
 /// What becomes of the requests of a route.
 pub struct Service<W: Wire> {
     /// The pools.
@@ -117,6 +168,8 @@
     pub key: Option<Source>,
     /// Most bytes of a body.
     pub most_body: usize,
+    /// The operation, where it is described.
+    pub described: Option<Described>,
 }
 
 /// The routes of a listener as of one configuration.
@@ -124,11 +177,13 @@
     /// Finds the route.
     pub table: Table,
     /// What each of the table's routes leads to.
-    pub services: Vec<Service<W>>,
+    pub services: Vec<Rc<Service<W>>>,
     /// All pools: requests can be served when each has a list.
     pub pools: Vec<Rc<Pool<W>>>,
     /// The header in which callers say how long they wait, in milliseconds.
     pub deadline_header: Option<HeaderName>,
+    /// Requests that no route was found for.
+    pub strangers: Rc<Cell<u64>>,
 }
 
 /// A front whose routes can be replaced; requests that were admitted keep theirs.
@@ -149,21 +204,23 @@
 }
 
 /// What stands in a header.
-pub fn seen(headers: &HeaderMap, name: &str) -> Seen {
+pub fn seen(headers: &HeaderMap, name: &str) -> pattern::Seen {
     let mut values = headers.get_all(name).iter();
     match (values.next(), values.next()) {
-        (None, _) => Seen::Nothing,
-        (Some(value), None) => value.to_str().map_or(Seen::Unclear, |v| Seen::One(v.to_owned())),
-        (Some(_), Some(_)) => Seen::Unclear,
+        (None, _) => pattern::Seen::Nothing,
+        (Some(value), None) => {
+            value.to_str().map_or(pattern::Seen::Unclear, |v| pattern::Seen::One(v.to_owned()))
+        }
+        (Some(_), Some(_)) => pattern::Seen::Unclear,
     }
 }
 
 /// The target of a request in normal form.
 pub fn target(head: &Parts) -> Result<Target, BadTarget> {
     let host = match seen(&head.headers, HOST.as_str()) {
-        Seen::One(host) => Some(host),
+        pattern::Seen::One(host) => Some(host),
         // RFC 9112 section 3.2: whoever is newer than HTTP/1.0 names one.
-        Seen::Nothing if head.version == Version::HTTP_10 => None,
+        pattern::Seen::Nothing if head.version == Version::HTTP_10 => None,
         _ => return Err(BadTarget::Host),
     };
     let path = head.uri.path_and_query().map_or("", |p| p.as_str());
@@ -201,9 +258,9 @@
         }
     };
     match seen {
-        (Seen::Nothing, _) => Ok(None),
-        (Seen::One(value), _) => Ok(Some(value).filter(|v| !v.is_empty())),
-        (Seen::Unclear, what) => Err(twice(&what)),
+        (pattern::Seen::Nothing, _) => Ok(None),
+        (pattern::Seen::One(value), _) => Ok(Some(value).filter(|v| !v.is_empty())),
+        (pattern::Seen::Unclear, what) => Err(twice(&what)),
     }
 }
 
@@ -220,9 +277,13 @@
                 let found = routes.table.routes().get(at).zip(routes.services.get(at));
                 found.ok_or_else(|| plain(StatusCode::NOT_FOUND, "no such route"))?
             }
-            Err(Miss::Nothing) => return Err(plain(StatusCode::NOT_FOUND, "no such route")),
+            Err(Miss::Nothing) => {
+                routes.strangers.set(routes.strangers.get() + 1);
+                return Err(plain(StatusCode::NOT_FOUND, "no such route"));
+            }
             Err(Miss::Unclear(place)) => return Err(bad(format!("{place} stands twice or is no text"))),
             Err(Miss::Method(methods)) => {
+                routes.strangers.set(routes.strangers.get() + 1);
                 let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "no route for this method");
                 if let Ok(methods) = HeaderValue::from_str(&methods.join(", ")) {
                     answer.headers_mut().insert(ALLOW, methods);
@@ -230,9 +291,11 @@
                 return Err(answer);
             }
         };
-        let number_of_class = match &service.class_header {
-            None => 0,
-            Some(name) => {
+        let number_of_class = match (&service.class_header, &service.described) {
+            // As evidence has it, not as it was described.
+            (_, Some(described)) if described.operation.narrowed() => described.narrow,
+            (None, _) => 0,
+            (Some(name), _) => {
                 let named = told(&Source::Header(name.clone()), &request, &head.headers)?;
                 let at = named.and_then(|n| service.classes.iter().position(|c| c.name == n));
                 at.ok_or_else(|| bad(format!("{name} names no class of this route")))?
@@ -304,6 +367,10 @@
         if let Ok(peer) = HeaderValue::from_str(&peer.ip().to_string()) {
             headers.append(FORWARDED_FOR, peer);
         }
+        let witness = service.described.as_ref().map(|described| {
+            let (service, operation) = (service.clone(), described.operation.clone());
+            Box::new(Watching { service, operation, key }) as Box<dyn Witness>
+        });
         Ok(Admission {
             engine: pool.engine.clone(),
             class,
@@ -319,6 +386,7 @@
             bodiless: [Method::GET, Method::HEAD].contains(&head.method),
             id: None,
             bodies: pool.bodies.clone(),
+            witness,
             held: Some(Box::new(InHand::new(pool, class, place))),
         })
     }
--- a/http/tests/admission.rs
+++ b/http/tests/admission.rs
@@ -102,16 +102,18 @@
         tenant: Some(Source::Header("x-tenant".parse().expect("a name"))),
         key: Some(Source::Header("idempotency-key".parse().expect("a name"))),
         most_body: 2048,
+        described: None,
     }
 }
 
 fn front(services: Vec<(Route, Service<Deaf>)>) -> Routed<Deaf> {
-    let (routes, services): (Vec<_>, Vec<_>) = services.into_iter().unzip();
+    let (routes, services): (Vec<_>, Vec<_>) = services.into_iter().map(|(r, s)| (r, Rc::new(s))).unzip();
     Routed::new(Routes {
         table: Table::new(routes),
         services,
         pools: Vec::new(),
         deadline_header: Some("x-wait".parse().expect("a name")),
+        strangers: Rc::default(),
     })
 }
 
--- a/sloeline/benches/cost.rs
+++ b/sloeline/benches/cost.rs
@@ -1,6 +1,7 @@
 //! What the daemon costs beside the platform's program and beside no balancer: processor time for a request, memory
-//! for an idle pool, time of a reload. Run by hand: `cargo bench -p sloeline --bench cost`. Loopback only, with as
-//! many connections and seconds as the constants say.
+//! for an idle pool, time of a reload. Run by hand: `cargo bench -p sloeline --bench cost`, or with `-- described` for
+//! 5,000 operations by hand, described, and compared with what they do. Loopback only, with as many connections and
+//! seconds as the constants say.
 
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -208,7 +209,77 @@
     text
 }
 
+/// Operations that are described.
+const OPERATIONS: usize = 5_000;
+
+/// Routes of a description beside the one that is asked for; `compared` is the share of answers, none for routes by hand.
+fn described(upstreams: &[SocketAddr], compared: Option<f64>) -> (String, PathBuf) {
+    let file = std::env::temp_dir().join(format!("sloeline-cost-{}-api.yaml", std::process::id()));
+    let mut api =
+        "openapi: 3.1.0\npaths:\n  /api: {get: {responses: {'200': {description: d}, default: {}}}}\n"
+            .to_owned();
+    for n in 0..OPERATIONS - 1 {
+        let _ = writeln!(
+            api,
+            "  /services/{n}/{{id}}: {{get: {{parameters: [{{name: id, in: path, required: true}}], responses: {{default: {{}}}}}}}}"
+        );
+    }
+    std::fs::write(&file, api).expect("a file");
+    let hand = daemon(upstreams, 0, OPERATIONS - 1, 3000);
+    let text = match compared {
+        None => hand,
+        Some(compared) => {
+            let head = hand.split("[[route]]").next().unwrap_or_default();
+            let name = file.file_name().and_then(|n| n.to_str()).expect("a name");
+            format!(
+                "{head}[class.pay]\neffect = \"unsafe\"\naim = \"3s\"\ndeadline = \"6s\"\n[description.d]\nfile = \"{name}\"\npool = \"p\"\nsafe = \"look\"\nunsafe = \"pay\"\ncompared = {compared}\n"
+            )
+        }
+    };
+    (text, file)
+}
+
+/// Plays the three in turn; processor time for a request, the median of the rounds.
+fn descriptions(upstreams: &[SocketAddr]) {
+    let plays = [
+        ("by hand", None),
+        ("described", Some(0.0)),
+        ("compared", Some(1.0 / 16.0)),
+        ("all compared", Some(1.0)),
+    ];
+    let mut costs = [const { Vec::new() }; 4];
+    for round in 1..=ROUNDS {
+        for (at, (name, compared)) in plays.iter().enumerate() {
+            let (text, file) = described(upstreams, *compared);
+            let start = Instant::now();
+            let (program, address) = Program::start(&text, false);
+            let started = start.elapsed();
+            let before = program.cpu();
+            let (ok, other, p50, p99) = load(address);
+            let cost = (program.cpu() - before) * 1e6 / (ok + other) as f64;
+            println!(
+                "{round} {name:<13}{ok:>7} served {other} other  p50 {p50:.3} ms  p99 {p99:.3} ms  {cost:.1} us  {} KiB  up in {} ms",
+                program.memory(),
+                started.as_millis()
+            );
+            costs[at].push(cost);
+            if round == ROUNDS {
+                println!("  {}", program.reload(&text.replace("6s", "5s")));
+            }
+            let _ = std::fs::remove_file(file);
+        }
+    }
+    for ((name, _), costs) in plays.iter().zip(&mut costs) {
+        costs.sort_by(f64::total_cmp);
+        println!("{name}: {:.2} us (median of {ROUNDS})", costs[ROUNDS / 2]);
+    }
+}
+
 fn main() {
+    if std::env::args().any(|a| a == "described") {
+        let upstreams: Vec<SocketAddr> = (0..UPSTREAMS).map(|_| upstream()).collect();
+        return descriptions(&upstreams);
+    }
     let upstreams: Vec<SocketAddr> = (0..UPSTREAMS).map(|_| upstream()).collect();
     println!(
         "{UPSTREAMS} upstreams that answer at once, {CONNECTIONS} connections, a request on each every {PACE:?}, {SPAN:?} a play, {ROUNDS} rounds"
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -10,7 +10,7 @@
 use sloeline_config::problem::Severity;
 use tokio::task::LocalSet;
 
-use crate::{daemon, demo, descriptions, explain, members, platform};
+use crate::{daemon, demo, describe, descriptions, explain, members, platform};
 
 /// A load balancer for services that call services.
 ///
@@ -59,9 +59,9 @@
         #[arg(long, default_value_t = 5000, value_parser = clap::value_parser!(u64).range(1..=600_000))]
         wait: u64,
     },
-    /// Read an OpenAPI description: what it says of repeats, and what contradicts itself; status 1 if there are errors.
+    /// Read an OpenAPI or AsyncAPI description: what it says of repeats, and what contradicts itself; status 1 if there are errors.
     Operations {
-        /// The description, 3.0 or 3.1, YAML or JSON.
+        /// The description, OpenAPI 3.0 or 3.1 or AsyncAPI 2.6 or 3.0, YAML or JSON.
         file: PathBuf,
         /// How long callers wait, such as "4s".
         #[arg(long, value_parser = descriptions::span)]
@@ -69,10 +69,21 @@
         /// How long nodes remember a key.
         #[arg(long, value_parser = descriptions::span)]
         remembers: Option<u64>,
-        /// Only the findings, as a list of objects.
-        #[arg(long)]
+        /// How they are written.
+        #[arg(long, value_enum, default_value = "text")]
+        form: descriptions::Form,
+        /// The same as `--form json`.
+        #[arg(long, conflicts_with = "form")]
         json: bool,
     },
+    /// Write the OpenAPI 3.1 description of what the balancer serves, its own refusals included.
+    Describe {
+        /// The configuration.
+        file: PathBuf,
+        /// The listener; the only one where there is one.
+        #[arg(long)]
+        listener: Option<String>,
+    },
     /// What changes for clients and for repeats between two versions of an OpenAPI description; status 1 if something is
     /// dangerous.
     Diff {
@@ -139,9 +150,13 @@
                 Ok(())
             })
         }),
-        Some(Command::Operations { file, waits, remembers, json }) => {
+        Some(Command::Describe { file, listener }) => load(&file)
+            .and_then(|config| describe::describe(&config, listener.as_deref()))
+            .map(|text| print!("{text}")),
+        Some(Command::Operations { file, waits, remembers, form, json }) => {
+            let form = if json { descriptions::Form::Json } else { form };
             let promises = sloeline_descriptions::check::Promises { remembers, waits };
-            descriptions::operations(&file, promises, json).and_then(|(text, errors)| {
+            descriptions::operations(&file, promises, form).and_then(|(text, errors)| {
                 print!("{text}");
                 if errors == 0 { Ok(()) } else { Err(format!("{}: {errors} errors", file.display())) }
             })
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -16,7 +16,7 @@
 use sloeline_config::problem::Problem;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
-use sloeline_http::routed::{ClassOf, Routed, Routes, Service, Side, Source};
+use sloeline_http::routed::{ClassOf, Described, Routed, Routes, Service, Side, Source};
 use sloeline_limits::Reserve;
 use sloeline_membership::announce::Wanted;
 use sloeline_membership::announce::line::Announcement;
@@ -30,6 +30,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::net::Net;
+use crate::observed::{Beside, Operations};
 use crate::origins;
 use crate::platform::listen;
 use pools::{Parts, Plan, Reserves, Running, Seen};
@@ -54,7 +55,8 @@
         return Err(named(format!("found {size} bytes, expected at most {MOST_TEXT}")));
     }
     let text = std::fs::read_to_string(file).map_err(|e| named(e.to_string()))?;
-    Ok(match sloeline_config::load(&text, descriptors()) {
+    let folder = file.parent().unwrap_or(Path::new("")).to_owned();
+    Ok(match sloeline_config::load_with(&text, descriptors(), &Beside(folder)) {
         Ok((config, warnings)) => (Some(config), warnings),
         Err(problems) => (None, problems),
     })
@@ -98,6 +100,9 @@
     closing: Vec<oneshot::Receiver<()>>,
     reserves: Reserves,
     zones: Names,
+    operations: Operations,
+    /// Since when the configuration is in force, its descriptions with it.
+    since: Instant,
     rng: fastrand::Rng,
     /// Where this instance is announced, and by what words.
     announced: Option<(Announce, Announcement)>,
@@ -163,9 +168,10 @@
     tenant: Option<Source>,
     key: Option<Source>,
     most_body: usize,
+    described: Option<Described>,
 }
 
-fn leads(config: &Config, route: &RouteTo) -> Result<Leads, String> {
+fn leads(config: &Config, route: &RouteTo, operations: &Operations) -> Result<Leads, String> {
     let class = |name: &String| {
         let class = &config.classes.get(name).ok_or_else(|| format!("no class {name:?}"))?.class;
         let deadline = route.deadline.map_or(class.deadline, |d| d.min(class.deadline));
@@ -173,16 +179,22 @@
     };
     let source = |s: &Option<ToldBy>| s.as_ref().map(told_by).transpose();
     let sides = route.split.iter().map(|(pool, weight)| (pool.as_str(), *weight));
+    let narrow = route.operation.as_ref().map(|o| &o.narrow);
+    let described = route.operation.as_ref().and_then(|o| {
+        let operation = operations.get(&o.name)?;
+        Some(Described { operation, narrow: route.classes.len() })
+    });
     Ok(Leads {
         split: (route.split.len() > 1)
             .then(|| Ok::<_, String>((Split::new(sides), source(&route.sticky)?)))
             .transpose()?,
         pools: route.split.iter().map(|(pool, _)| pool.clone()).collect(),
-        classes: route.classes.iter().map(class).collect::<Result<_, _>>()?,
+        classes: route.classes.iter().chain(narrow).map(class).collect::<Result<_, _>>()?,
         class_header: route.class_header.as_deref().map(header).transpose()?,
         tenant: source(&route.tenant)?,
         key: source(&route.key)?,
         most_body: route.body_limit,
+        described,
     })
 }
 
@@ -210,6 +222,8 @@
             closing: Vec::new(),
             reserves: Reserves { upstreams: reserve(), open: reserve(), bodies: reserve() },
             zones: Names::default(),
+            operations: Operations::default(),
+            since: Instant::now(),
             rng: fastrand::Rng::with_seed(seed),
             announced: None,
             started: unix(),
@@ -243,9 +257,10 @@
         };
         let plans: Vec<(String, Plan)> = config.pools.keys().map(plan).collect::<Result<_, _>>()?;
         let numbers: Numbers = plans.iter().map(|(name, plan)| (name.clone(), plan.numbers())).collect();
+        let operations = self.operations.plan(&config, self.rng.u64(..));
         let heard = config.listeners.iter().zip(&division.listeners);
         let listeners: Vec<ListenerPlan> = heard
-            .map(|((name, l), places)| self.plan_listener(&config, name, l, *places))
+            .map(|((name, l), places)| self.plan_listener(&config, &operations, name, l, *places))
             .collect::<Result<_, _>>()?;
         self.zones = zones;
         let mut known = Seen::new();
@@ -289,6 +304,8 @@
             spawn_local(running.retire());
         }
         self.config = config;
+        self.operations = operations;
+        self.since = Instant::now();
         self.announce();
         Ok(())
     }
@@ -333,6 +350,7 @@
     fn plan_listener(
         &self,
         config: &Config,
+        operations: &Operations,
         name: &str,
         wanted: &Listener,
         places: usize,
@@ -341,7 +359,8 @@
             config.routes.iter().filter(|r| r.listeners.iter().any(|l| l == name)).collect();
         let table = Table::new(on.iter().map(|r| r.route.clone()).collect());
         let named = |why: String| format!("listener.{name}: {why}");
-        let leads = on.iter().map(|r| leads(config, r)).collect::<Result<_, _>>().map_err(named)?;
+        let leads =
+            on.iter().map(|r| leads(config, r, operations)).collect::<Result<_, _>>().map_err(named)?;
         let deadline_header = wanted.deadline_header.as_deref().map(header).transpose().map_err(named)?;
         let known = self.listeners.contains_key(&identity(name, wanted.address));
         let socket = if known { None } else { Some(listen(wanted.address, false).map_err(named)?) };
@@ -376,11 +395,14 @@
             tenant: leads.tenant,
             key: leads.key,
             most_body: leads.most_body,
+            described: leads.described,
         };
-        let services: Vec<Service<Net>> = leads.into_iter().map(service).collect();
+        let services: Vec<Rc<Service<Net>>> = leads.into_iter().map(service).map(Rc::new).collect();
         let pools = services.iter().flat_map(|s| &s.sides).map(|s| (s.pool.name.clone(), s.pool.clone()));
         let pools: BTreeMap<_, _> = pools.collect();
-        Routes { table, services, pools: pools.into_values().collect(), deadline_header: deadline }
+        let pools = pools.into_values().collect();
+        let strangers = self.operations.strangers.clone();
+        Routes { table, services, pools, deadline_header: deadline, strangers }
     }
 
     /// Changes the listeners that stay, starts those that are new, and closes those that are gone.
@@ -419,6 +441,11 @@
         }
     }
 
+    /// For how long the configuration has been in force, and what its operations were found to do.
+    pub fn standing(&self) -> (Duration, Vec<String>) {
+        (self.since.elapsed(), self.operations.summary())
+    }
+
     /// Where a listener is.
     pub fn address(&self, listener: &str) -> Option<SocketAddr> {
         self.listeners.values().find(|h| h.name == listener).map(|h| h.address)
@@ -467,18 +494,28 @@
             _ = interrupt.recv() => break,
             _ = hangup.recv() => {
                 let start = Instant::now();
-                let reloaded = match load_logged(&file) {
-                    Ok(config) => daemon.reload(config).await,
-                    Err(why) => Err(why),
+                // Beside the requests: descriptions may be large.
+                let file = file.clone();
+                let loaded = tokio::task::spawn_blocking(move || load_logged(&file)).await;
+                let (age, summary) = daemon.standing();
+                summary.iter().for_each(|line| eprintln!("{line}"));
+                let reloaded = match loaded {
+                    Ok(Ok(config)) => daemon.reload(config).await,
+                    Ok(Err(why)) => Err(why),
+                    Err(why) => Err(why.to_string()),
                 };
                 match reloaded {
                     Ok(()) => eprintln!("sloeline: configuration read again in {} ms", start.elapsed().as_millis()),
-                    Err(why) => eprintln!("sloeline: the running configuration is kept: {why}"),
+                    Err(why) => {
+                        eprintln!("sloeline: the running configuration is kept: {why}");
+                        eprintln!("sloeline: it has been in force for {} s", age.as_secs());
+                    }
                 }
             }
         }
     }
     eprintln!("sloeline: told to stop");
+    daemon.standing().1.iter().for_each(|line| eprintln!("{line}"));
     let stopped = daemon.stop();
     tokio::pin!(stopped);
     loop {
--- a/sloeline/src/descriptions.rs
+++ b/sloeline/src/descriptions.rs
@@ -5,10 +5,11 @@
 
 use finchshift::Micros;
 use serde::Serialize;
+use serde_json::json;
 use sloeline_descriptions::check::{Promises, check};
 use sloeline_descriptions::diff::{Weight, diff};
 use sloeline_descriptions::effect::{Because, Effect, KeyAt};
-use sloeline_descriptions::findings::Finding;
+use sloeline_descriptions::findings::{Code, Finding, Severity};
 use sloeline_descriptions::folder::Folder;
 use sloeline_descriptions::openapi::Operation;
 use sloeline_descriptions::refs::Documents;
@@ -26,6 +27,17 @@
     accepted: Option<&'a str>,
 }
 
+/// How findings are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    /// What each operation is, then the findings, a line each.
+    Text,
+    /// The findings as a list of objects.
+    Json,
+    /// The findings as SARIF 2.1.0 (OASIS), for code hosts and editors.
+    Sarif,
+}
+
 /// A span such as `250ms`; the error is for the command line.
 pub fn span(text: &str) -> Result<Micros, String> {
     let expected = || format!("found {text:?}, expected a span such as \"250ms\", \"4s\" or \"2min\"");
@@ -64,7 +76,7 @@
     rows
 }
 
-fn json(findings: &[Finding]) -> Result<String, String> {
+fn as_json(findings: &[Finding]) -> Result<String, String> {
     fn told(f: &Finding) -> Told<'_> {
         Told {
             code: f.code.number(),
@@ -81,6 +93,41 @@
     serde_json::to_string_pretty(&all).map(|text| text + "\n").map_err(|e| e.to_string())
 }
 
+/// SARIF 2.1.0: sections 3.19 (driver), 3.27 (result), 3.35 (suppression).
+fn sarif(findings: &[Finding]) -> Result<String, String> {
+    let rule = |code: &Code| json!({"id": code.number(), "help": {"text": code.mend()}});
+    let result = |f: &Finding| {
+        let level = if f.code.severity() == Severity::Error { "error" } else { "warning" };
+        let mut result = json!({
+            "ruleId": f.code.number(),
+            "level": level,
+            "message": {"text": f.what},
+            "locations": [{
+                "physicalLocation": {
+                    "artifactLocation": {"uri": f.file},
+                    "region": {"startLine": f.line},
+                },
+                "logicalLocations": [{"fullyQualifiedName": f.pointer}],
+            }],
+        });
+        if let Some(reason) = &f.accepted {
+            result["suppressions"] = json!([{"kind": "inSource", "justification": reason}]);
+        }
+        result
+    };
+    let driver = json!({
+        "name": "sloeline",
+        "version": env!("CARGO_PKG_VERSION"),
+        "rules": Code::ALL.iter().map(rule).collect::<Vec<_>>(),
+    });
+    let all = json!({
+        "version": "2.1.0",
+        "$schema": "https://json.schemastore.org/sarif-2.1.0.json",
+        "runs": [{"tool": {"driver": driver}, "results": findings.iter().map(result).collect::<Vec<_>>()}],
+    });
+    serde_json::to_string_pretty(&all).map(|text| text + "\n").map_err(|e| e.to_string())
+}
+
 fn read(file: &Path, promises: Promises) -> Result<(Vec<Operation>, Vec<Finding>), String> {
     let folder = file.parent().filter(|f| !f.as_os_str().is_empty()).unwrap_or(Path::new("."));
     let name = file.file_name().and_then(|n| n.to_str());
@@ -105,11 +152,13 @@
 }
 
 /// What a description says, for people or for tools, and how many findings keep it from being used.
-pub fn operations(file: &Path, promises: Promises, as_json: bool) -> Result<(String, usize), String> {
+pub fn operations(file: &Path, promises: Promises, form: Form) -> Result<(String, usize), String> {
     let (operations, findings) = read(file, promises)?;
     let stops = findings.iter().filter(|f| f.stops()).count();
-    if as_json {
-        return Ok((json(&findings)?, stops));
+    match form {
+        Form::Json => return Ok((as_json(&findings)?, stops)),
+        Form::Sarif => return Ok((sarif(&findings)?, stops)),
+        Form::Text => {}
     }
     let mut text: String = operations.iter().map(row).collect();
     findings.iter().for_each(|finding| {
--- a/sloeline/src/lib.rs
+++ b/sloeline/src/lib.rs
@@ -3,10 +3,12 @@
 pub mod cli;
 pub mod daemon;
 pub mod demo;
+pub mod describe;
 pub mod descriptions;
 pub mod explain;
 pub mod members;
 pub mod net;
+pub mod observed;
 pub mod origins;
 pub mod platform;
 mod slots;
--- a/sloeline/tests/cli.rs
+++ b/sloeline/tests/cli.rs
@@ -166,3 +166,41 @@
     );
     let _ = std::fs::remove_dir_all(folder);
 }
+
+/// The example folder: checked, explained, written back, and told to tools.
+#[test]
+fn an_example_is_routed_by_its_descriptions() {
+    let config = root("deploy/described/sloeline.toml");
+    let config = config.to_str().expect("a path");
+    let said = |arguments: &[&str]| {
+        let output = sloeline(arguments);
+        assert!(output.status.success(), "{arguments:?}: {}", String::from_utf8_lossy(&output.stderr));
+        String::from_utf8(output.stdout).expect("text")
+    };
+    assert!(said(&["check", config]).contains("no errors"));
+    for (method, url, route) in [
+        ("GET", "/v1/checks/7", "portal GET /v1/checks/{id}"),
+        ("GET", "/v1/checks/latest", "portal GET /v1/checks/latest"),
+        ("GET", "/v1/checks/latest/", "portal GET /v1/checks/latest"),
+        ("POST", "/hooks/paid", "events POST /hooks/paid"),
+    ] {
+        let text = said(&["route", config, method, url, "-H", "webhook-id: 7"]);
+        assert!(text.contains(route), "{method} {url}: {text}");
+    }
+    let described: serde_json::Value = serde_json::from_str(&said(&["describe", config])).expect("JSON");
+    let order = &described["paths"]["/v1/checks"]["post"];
+    assert_eq!(
+        (&order["x-sloeline-effect"], &order["x-sloeline-window"]),
+        (&"keyed".into(), &"30000ms".into())
+    );
+    assert!(order["responses"]["503"]["headers"]["Retry-After"].is_object(), "{order}");
+    let portal = root("deploy/described/portal.yaml");
+    let portal = portal.to_str().expect("a path");
+    let sarif: serde_json::Value =
+        serde_json::from_str(&said(&["operations", portal, "--form", "sarif"])).expect("JSON");
+    let run = &sarif["runs"][0];
+    assert_eq!((&sarif["version"], &run["tool"]["driver"]["name"]), (&"2.1.0".into(), &"sloeline".into()));
+    let result = &run["results"][0];
+    assert_eq!((&result["ruleId"], &result["suppressions"][0]["kind"]), (&"D010".into(), &"inSource".into()));
+    assert!(result["locations"][0]["physicalLocation"]["region"]["startLine"].is_u64(), "{result}");
+}
--- a/standin/src/node.rs
+++ b/standin/src/node.rs
@@ -36,6 +36,8 @@
     Decline,
     /// Runs it and answers with this status and no body.
     Say(StatusCode),
+    /// Runs it and answers 201, each time with another place.
+    Make,
 }
 
 struct Shared {
@@ -209,6 +211,15 @@
             response.headers_mut().insert("location", hyper::header::HeaderValue::from_static("/elsewhere"));
             Ok(response)
         }
+        Does::Make => {
+            ran();
+            let mut response = answer(StatusCode::CREATED, String::new());
+            let place = format!("/made/{}", *shared.arrivals.borrow());
+            if let Ok(place) = place.parse() {
+                response.headers_mut().insert("location", place);
+            }
+            Ok(response)
+        }
         Does::Decline => {
             let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, "full".to_owned());
             response.headers_mut().insert("srv-declined", hyper::header::HeaderValue::from_static("1"));
