--- a/descriptions/benches/size.rs
+++ b/descriptions/benches/size.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use sloeline_descriptions::behaviour::{Behaviour, Declared, Seen};
 use sloeline_descriptions::check::{Promises, check};
 use sloeline_descriptions::diff::diff;
 use sloeline_descriptions::refs::{Documents, Files};
@@ -82,6 +83,34 @@
     println!("{operations} that all meet: {findings} findings in {} ms", start.elapsed().as_millis());
 }
 
+/// What it costs to look at an answer.
+fn behaviour() {
+    let text = text(2, 0);
+    let files = Memory(HashMap::from([("api.yaml".to_owned(), text)]));
+    let (operations, _) = check(&Documents::new(&files), "api.yaml", Promises::default());
+    for (operation, status) in operations.iter().zip([200, 201]) {
+        for compared in [0.0, 1.0 / 16.0, 1.0] {
+            let mut behaviour = Behaviour::new(Declared::of(operation, compared), 1);
+            let keys: Vec<String> = (0..10_000).map(|n| format!("key-{n}")).collect();
+            let start = Instant::now();
+            let calls = 2_000_000_u64;
+            for n in 0..calls {
+                let key = &keys[n as usize % keys.len()];
+                let seen = Seen {
+                    key: Some(key),
+                    status,
+                    content_type: Some("application/json; charset=utf-8"),
+                    location: Some("/things/7"),
+                    took: 1,
+                };
+                std::hint::black_box(behaviour.answered(n, &seen));
+            }
+            let each = start.elapsed().as_nanos() as f64 / calls as f64;
+            println!("an answer {status} to {}, {compared} compared: {each:.0} ns", operation.method);
+        }
+    }
+}
+
 /// Spoils a description at random, line by line and byte by byte.
 fn spoil(rng: &mut fastrand::Rng, text: &str) -> String {
     let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
@@ -134,6 +163,9 @@
             let number = |at: usize| arguments.get(at).and_then(|a| a.parse().ok());
             fuzz(number(at + 1).unwrap_or(10), number(at + 2).unwrap_or_else(|| fastrand::u64(..)));
         }
-        None => sizes(),
+        None => {
+            sizes();
+            behaviour();
+        }
     }
 }
--- a/descriptions/tests/corpus.rs
+++ b/descriptions/tests/corpus.rs
@@ -360,6 +360,34 @@
     assert_eq!(said, known);
 }
 
+/// A file that is replaced while it is read is the one or the other.
+#[test]
+fn a_file_that_is_replaced_is_read_as_one_of_its_versions() {
+    use sloeline_descriptions::folder::Folder;
+    let base = std::env::temp_dir().join(format!("sloeline-replaced-{}", std::process::id()));
+    std::fs::create_dir_all(&base).expect("a folder");
+    let versions: Vec<String> = (1..3).map(|n| format!("a: {n}\n").repeat(20_000 * n)).collect();
+    let put = |version: &String| {
+        std::fs::write(base.join("next"), version).expect("a file");
+        std::fs::rename(base.join("next"), base.join("api.yaml")).expect("a place");
+    };
+    put(&versions[0]);
+    let folder = Folder::new(&base).expect("a folder");
+    std::thread::scope(|scope| {
+        let reader =
+            scope.spawn(|| (0..300).map(|_| folder.read("api.yaml").expect("a text")).collect::<Vec<_>>());
+        let mut round = 0;
+        while !reader.is_finished() {
+            round += 1;
+            put(&versions[round % 2]);
+        }
+        for text in reader.join().expect("it ends") {
+            assert!(versions.contains(&text), "{} bytes", text.len());
+        }
+    });
+    let _ = std::fs::remove_dir_all(base);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
     /// Whatever stands there, reading ends, and says where.
--- a/sloeline/tests/described.rs
+++ b/sloeline/tests/described.rs
@@ -107,6 +107,9 @@
         assert_eq!(ask(&pay("/checks")).await.0, Told::Served);
         assert_eq!(ask(&look("/checks")).await.1, Some(StatusCode::METHOD_NOT_ALLOWED));
         assert_eq!(ask(&look("/files/7/more")).await.1, Some(StatusCode::NOT_FOUND));
+        assert_eq!(ask(&look("/files/7/")).await.0, Told::Served);
+        // Two servers may take it for different operations.
+        assert_eq!(ask(&look("/files/7%2Fmore")).await.1, Some(StatusCode::BAD_REQUEST));
         assert_eq!(ask(&post("/files/7", Kind::Unsafe)).await.1, Some(StatusCode::METHOD_NOT_ALLOWED));
         let keyless = Wording { kind: Kind::Unsafe, ..pull("/files/7") };
         assert_eq!(ask(&keyless).await.1, Some(StatusCode::BAD_REQUEST));
