--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -1,6 +1,6 @@
 //! What a configuration says, once it is read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use finchshift::{Class, Micros, Tenant};
@@ -25,6 +25,8 @@
     pub instance: Instance,
     /// What the process may take up.
     pub limits: Limits,
+    /// What background work may take up.
+    pub work: Work,
     /// Where this instance is announced, if anywhere.
     pub announce: Option<Announce>,
     /// Where callers connect.
@@ -67,6 +69,15 @@
     pub span: Span,
 }
 
+/// `[work]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// The part of a core that background work may use while it holds up no request.
+    pub processor: f64,
+    /// How long a turn of it should last.
+    pub slice: Micros,
+}
+
 /// `[listener.NAME]`
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listener {
@@ -396,15 +407,16 @@
         self.classes.values().map(|c| c.class.deadline).max().unwrap_or(0)
     }
 
-    /// The names of the classes that routes send to a pool, each once, in order.
-    pub fn classes_of(&self, pool: &str) -> Vec<&str> {
-        let mut names: Vec<&str> = Vec::new();
-        for route in self.routes.iter().filter(|r| r.split.iter().any(|(p, _)| p == pool)) {
-            names.extend(route.classes.iter().map(String::as_str));
-            names.extend(route.operation.iter().map(|o| o.narrow.as_str()));
+    /// The names of the classes that routes send to each pool, each once, in order.
+    pub fn classes_by_pool(&self) -> BTreeMap<&str, BTreeSet<&str>> {
+        let mut classes: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        for route in &self.routes {
+            for (pool, _) in &route.split {
+                let names = classes.entry(pool).or_default();
+                names.extend(route.classes.iter().map(String::as_str));
+                names.extend(route.operation.iter().map(|o| o.narrow.as_str()));
+            }
         }
-        names.sort_unstable();
-        names.dedup();
-        names
+        classes
     }
 }
--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -6,7 +6,7 @@
 use toml::Spanned;
 use toml::de::DeTable;
 
-use crate::model::{Config, Declined, Instance, Limits, Listener, NamedClass, Node, Nodes, Pool};
+use crate::model::{Config, Declined, Instance, Limits, Listener, NamedClass, Node, Nodes, Pool, Work};
 use crate::problem::Problems;
 use crate::read::{At, Section, Size, Time};
 use crate::{described, routes, sources};
@@ -23,6 +23,7 @@
     let root = Section::new(table, "", problems);
     let instance = instance(root.section("instance"));
     let limits = limits(root.section("limits"), descriptors);
+    let work = work(root.section("work"));
     let announce = root.section("announce").and_then(|section| sources::announce(section, &instance));
     // What is named but wrong is known by name all the same: it would be noted twice.
     let (mut named, mut classes) = (Vec::new(), BTreeMap::new());
@@ -63,7 +64,18 @@
         }
     }
     root.end();
-    Some(Config { instance, limits, announce, listeners, classes, tenants, pools, descriptions, routes })
+    Some(Config {
+        instance,
+        limits,
+        work,
+        announce,
+        listeners,
+        classes,
+        tenants,
+        pools,
+        descriptions,
+        routes,
+    })
 }
 
 fn instance(section: Option<Section<'_>>) -> Instance {
@@ -228,6 +240,22 @@
     Some(NamedClass { class, assert, span })
 }
 
+fn work(section: Option<Section<'_>>) -> Work {
+    let mut work = Work { processor: 0.2, slice: 2_000 };
+    let Some(section) = section else { return work };
+    if let Some(processor) = section.get::<f64>("processor") {
+        if processor.value > 0.0 && processor.value <= 1.0 {
+            work.processor = processor.value;
+        } else {
+            let expected = "a part of a core, more than 0 and up to 1";
+            section.wrong(&processor.span, "processor", processor.value.to_string(), expected);
+        }
+    }
+    work.slice = positive(&section, "slice", work.slice);
+    section.end();
+    work
+}
+
 fn tenant(section: Section<'_>) -> Tenant {
     let tenant = Tenant { share: section.or("share", 0.0), quota: section.or("quota", 0.0) };
     section.end();
--- a/config/tests/dangerous.rs
+++ b/config/tests/dangerous.rs
@@ -327,3 +327,17 @@
     assert!(announce(etcd).iter().any(|p| p.contains("announce.address: found nothing")));
     assert!(announce(&(whole + "\nlease = \"1s\"")).iter().any(|p| p.contains("expected 2 s to 1 h")));
 }
+
+#[test]
+fn background_work_has_a_part_of_a_core_and_slices() {
+    let with = |work: &str| config(CLASS, ROUTE, &format!("[work]\n{work}"));
+    found(&with("processor = 0.5\nslice = \"5ms\""), &[]);
+    for (work, wanted) in [
+        ("processor = 0", "found 0, expected a part of a core, more than 0 and up to 1"),
+        ("processor = 1.5", "found 1.5, expected a part of a core"),
+        ("slice = \"0ms\"", "work.slice"),
+        ("slices = \"1ms\"", "found an unknown key, expected \"slice\""),
+    ] {
+        found(&with(work), &[wanted]);
+    }
+}
--- a/http/src/routed.rs
+++ b/http/src/routed.rs
@@ -197,9 +197,11 @@
         Routed { now: RefCell::new(Rc::new(routes)) }
     }
 
-    /// Takes the next request by other routes.
-    pub fn replace(&self, routes: Routes<W>) {
-        *self.now.borrow_mut() = Rc::new(routes);
+    /// Takes the next request by other routes; those before come back, where no request is being admitted by them: to
+    /// take them apart is work.
+    #[must_use]
+    pub fn replace(&self, routes: Routes<W>) -> Option<Routes<W>> {
+        Rc::into_inner(self.now.replace(Rc::new(routes)))
     }
 }
 
--- a/sloeline/benches/cost.rs
+++ b/sloeline/benches/cost.rs
@@ -1,6 +1,7 @@
 //! What the daemon costs beside the platform's program and beside no balancer: processor time for a request, memory
 //! for an idle pool, time of a reload. Run by hand: `cargo bench -p sloeline --bench cost`, or with `-- described` for
-//! 5,000 operations by hand, described, and compared with what they do. Loopback only, with as many connections and
+//! 5,000 operations by hand, described, and compared with what they do, or with `-- reloads` for requests while it reads a large configuration
+//! again. Loopback only, with as many connections and
 //! seconds as the constants say.
 
 use std::fmt::Write as _;
@@ -275,7 +276,68 @@
     }
 }
 
+/// Requests on a daemon with 1,000 pools and 10,000 routes, while nothing else happens and while it reads another
+/// configuration again and again.
+fn reloads(upstreams: &[SocketAddr]) {
+    let (program, address) = Program::start(&daemon(upstreams, 1000, 10_000, 3000), false);
+    std::thread::sleep(Duration::from_secs(2));
+    let on = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let threads: Vec<_> = (0..CONNECTIONS)
+        .map(|n| {
+            let on = on.clone();
+            std::thread::spawn(move || {
+                let mut stream = BufReader::new(TcpStream::connect(address).expect("it listens"));
+                let mut took = Vec::new();
+                while on.load(std::sync::atomic::Ordering::Relaxed) {
+                    std::thread::sleep(PACE);
+                    let at = Instant::now();
+                    let request =
+                        format!("GET /api HTTP/1.1\r\nHost: b\r\nReq-Id: {n}-{}\r\n\r\n", took.len());
+                    stream.get_mut().write_all(request.as_bytes()).expect("it reads");
+                    let first = message(&mut stream).expect("an answer");
+                    assert!(first.contains(" 200 "), "{first}");
+                    took.push((at, at.elapsed()));
+                }
+                took
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(3));
+    let mut spans = Vec::new();
+    for n in 1..=5 {
+        let start = Instant::now();
+        let line = program.reload(&daemon(upstreams, 1000, 10_000, 3000 + n));
+        spans.push((start, Instant::now()));
+        println!("  {line}");
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    on.store(false, std::sync::atomic::Ordering::Relaxed);
+    let took: Vec<(Instant, Duration)> =
+        threads.into_iter().flat_map(|t| t.join().expect("a thread")).collect();
+    let figures = |what: &str, within: &dyn Fn(Instant, Duration) -> bool| {
+        let mut list: Vec<f64> =
+            took.iter().filter(|(at, d)| within(*at, *d)).map(|(_, d)| d.as_secs_f64() * 1e3).collect();
+        list.sort_by(f64::total_cmp);
+        let at = |part: f64| list[((list.len() - 1) as f64 * part) as usize];
+        println!(
+            "{what}: {} requests, p50 {:.2} ms, p99 {:.2} ms, p99.9 {:.2} ms, longest {:.2} ms",
+            list.len(),
+            at(0.5),
+            at(0.99),
+            at(0.999),
+            at(1.0)
+        );
+    };
+    let first = spans[0].0;
+    figures("quiet", &|at, took| at + took < first);
+    figures("while it reads", &|at, took| spans.iter().any(|(from, to)| at < *to && at + took > *from));
+}
+
 fn main() {
+    if std::env::args().any(|a| a == "reloads") {
+        let upstreams: Vec<SocketAddr> = (0..UPSTREAMS).map(|_| upstream()).collect();
+        return reloads(&upstreams);
+    }
     if std::env::args().any(|a| a == "described") {
         let upstreams: Vec<SocketAddr> = (0..UPSTREAMS).map(|_| upstream()).collect();
         return descriptions(&upstreams);
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -1,28 +1,30 @@
 //! The daemon: listeners, routes and pools from one configuration, replaced as a whole on SIGHUP.
 
 mod pools;
+mod routes;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use finchshift as fs;
 use finchshift::Micros;
 use hyper::header::HeaderName;
 use sloeline_config::check::{Division, division};
-use sloeline_config::model::{Announce, Config, Listener, RouteTo, Source as ToldBy};
+use sloeline_config::model::{Announce, Config, Listener};
 use sloeline_config::problem::Problem;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
-use sloeline_http::routed::{ClassOf, Described, Routed, Routes, Service, Side, Source};
+use sloeline_http::routed::Routed;
 use sloeline_limits::Reserve;
 use sloeline_membership::announce::Wanted;
 use sloeline_membership::announce::line::Announcement;
-use sloeline_routing::split::Split;
 use sloeline_routing::table::Table;
 use sloeline_settings::setup::Names;
+use sloeline_work::budget::Budget;
+use sloeline_work::schedule::{Job, Priority, Schedule};
+use sloeline_work::shell::Worker;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
@@ -34,6 +36,7 @@
 use crate::origins;
 use crate::platform::listen;
 use pools::{Parts, Plan, Reserves, Running, Seen};
+use routes::{BATCH, Led, Numbers, header, leads};
 
 /// Most bytes of a configuration.
 const MOST_TEXT: u64 = 64 << 20;
@@ -70,12 +73,30 @@
 }
 
 /// Reads a file for a daemon that runs: every problem is logged.
-fn load_logged(file: &Path) -> Result<Config, String> {
+fn load_logged(file: &Path) -> Result<Loaded, String> {
     let (config, problems) = load(file)?;
     for problem in &problems {
         eprintln!("{}:{problem}", file.display());
     }
-    config.ok_or_else(|| format!("{}: errors", file.display()))
+    config.map(Loaded::from).ok_or_else(|| format!("{}: errors", file.display()))
+}
+
+/// A configuration and what can be made of it beside the requests, on another thread.
+pub struct Loaded {
+    config: Config,
+    /// The routes of each listener, ready for look-ups.
+    tables: BTreeMap<String, Table>,
+}
+
+impl From<Config> for Loaded {
+    fn from(config: Config) -> Loaded {
+        let table = |name: &String| {
+            let on = config.routes.iter().filter(|r| r.listeners.iter().any(|l| l == name));
+            (name.clone(), Table::new(on.map(|r| r.route.clone()).collect()))
+        };
+        let tables = config.listeners.keys().map(table).collect();
+        Loaded { config, tables }
+    }
 }
 
 /// A listener under way.
@@ -108,6 +129,7 @@
     announced: Option<(Announce, Announcement)>,
     /// When this instance started, in Unix time.
     started: Micros,
+    work: Rc<Worker>,
 }
 
 /// What a listener is known by from one configuration to the next.
@@ -144,60 +166,6 @@
     }
 }
 
-fn told_by(source: &ToldBy) -> Result<Source, String> {
-    Ok(match source {
-        ToldBy::Header(name) => Source::Header(header(name)?),
-        ToldBy::Query(name) => Source::Query(name.clone()),
-        ToldBy::Segment(at) => Source::Segment(*at),
-        ToldBy::Fixed(value) => Source::Fixed(value.clone()),
-    })
-}
-
-fn header(name: &str) -> Result<HeaderName, String> {
-    HeaderName::try_from(name).map_err(|e| format!("{name:?}: {e}"))
-}
-
-type Numbers = BTreeMap<String, HashMap<String, fs::ClassId>>;
-
-/// What a route leads to, but for the pools, which may not run yet.
-struct Leads {
-    split: Option<(Split, Option<Source>)>,
-    pools: Vec<String>,
-    classes: Vec<ClassOf>,
-    class_header: Option<HeaderName>,
-    tenant: Option<Source>,
-    key: Option<Source>,
-    most_body: usize,
-    described: Option<Described>,
-}
-
-fn leads(config: &Config, route: &RouteTo, operations: &Operations) -> Result<Leads, String> {
-    let class = |name: &String| {
-        let class = &config.classes.get(name).ok_or_else(|| format!("no class {name:?}"))?.class;
-        let deadline = route.deadline.map_or(class.deadline, |d| d.min(class.deadline));
-        Ok::<_, String>(ClassOf { name: name.clone(), effect: class.effect, deadline })
-    };
-    let source = |s: &Option<ToldBy>| s.as_ref().map(told_by).transpose();
-    let sides = route.split.iter().map(|(pool, weight)| (pool.as_str(), *weight));
-    let narrow = route.operation.as_ref().map(|o| &o.narrow);
-    let described = route.operation.as_ref().and_then(|o| {
-        let operation = operations.get(&o.name)?;
-        Some(Described { operation, narrow: route.classes.len() })
-    });
-    Ok(Leads {
-        split: (route.split.len() > 1)
-            .then(|| Ok::<_, String>((Split::new(sides), source(&route.sticky)?)))
-            .transpose()?,
-        pools: route.split.iter().map(|(pool, _)| pool.clone()).collect(),
-        classes: route.classes.iter().chain(narrow).map(class).collect::<Result<_, _>>()?,
-        class_header: route.class_header.as_deref().map(header).transpose()?,
-        tenant: source(&route.tenant)?,
-        key: source(&route.key)?,
-        most_body: route.body_limit,
-        described,
-    })
-}
-
 /// What a listener is to be.
 struct ListenerPlan {
     name: String,
@@ -206,13 +174,27 @@
     /// Taken where the listener is new.
     socket: Option<TcpListener>,
     table: Table,
-    leads: Vec<Leads>,
+    led: Vec<Led>,
     deadline_header: Option<HeaderName>,
 }
 
+/// Most jobs of background work at once.
+const MOST_WORK: usize = 10_000;
+/// The budget of a configuration's background work: microseconds a second, and as many as gather in a quarter of one.
+fn budget(config: &Config) -> (f64, f64) {
+    let rate = config.work.processor * 1e6;
+    (rate, rate / 4.0)
+}
+
 impl Daemon {
     /// Starts everything; paths in the configuration are seen from the folder.
-    pub async fn start(config: Config, folder: &Path, seed: u64) -> Result<Daemon, String> {
+    pub async fn start(config: impl Into<Loaded>, folder: &Path, seed: u64) -> Result<Daemon, String> {
+        let loaded = config.into();
+        let config = &loaded.config;
+        let (rate, most) = budget(config);
+        let schedule = Schedule::new(MOST_WORK, vec![Budget::new(rate, most)], seed);
+        let work = Worker::new(schedule, time(config.work.slice));
+        spawn_local(work.clone().run());
         let reserve = || Reserve::new(0);
         let mut daemon = Daemon {
             folder: folder.to_owned(),
@@ -227,41 +209,85 @@
             rng: fastrand::Rng::with_seed(seed),
             announced: None,
             started: unix(),
+            work,
         };
-        daemon.take(config, None).await?;
+        daemon.take(loaded, None).await?;
         Ok(daemon)
     }
 
     /// Goes on under another configuration, or under the old one if there is an error: then nothing has changed.
-    pub async fn reload(&mut self, config: Config) -> Result<(), String> {
+    ///
+    /// It is made ready in turns beside the requests and then taken at once, which took as long as is told. Dropped
+    /// meanwhile, nothing has changed.
+    pub async fn reload(&mut self, config: impl Into<Loaded>) -> Result<Duration, String> {
+        let loaded = config.into();
+        let config = &loaded.config;
         if config.instance.zone != self.config.instance.zone {
             let (found, expected) = (&config.instance.zone, &self.config.instance.zone);
             return Err(format!(
                 "instance.zone: found {found:?}, expected {expected:?}: it changes with a restart"
             ));
         }
-        self.take(config, Some(unix())).await
+        self.take(loaded, Some(unix())).await
     }
 
     /// All that can fail comes first and changes nothing; what comes after cannot fail and does not wait, so that
     /// no request sees one half of each. Nodes that are new count as started at `now`, if it is told.
-    async fn take(&mut self, config: Config, now: Option<Micros>) -> Result<(), String> {
+    async fn take(&mut self, loaded: Loaded, now: Option<Micros>) -> Result<Duration, String> {
+        let Loaded { config, mut tables } = loaded;
         for free in self.closing.drain(..) {
             let _ = free.await;
         }
         let division = division(&config)?;
         let mut zones = Names::default();
-        let plan = |name: &String| {
-            Plan::new(name, &config, &self.folder, &mut zones, self.pools.get(name))
-                .map(|p| (name.clone(), p))
-        };
-        let plans: Vec<(String, Plan)> = config.pools.keys().map(plan).collect::<Result<_, _>>()?;
-        let numbers: Numbers = plans.iter().map(|(name, plan)| (name.clone(), plan.numbers())).collect();
+        let mut turn = self.work.turn(Job::new("reload", 0, Priority::Soon)).await;
+        let turn = turn.as_mut().map_err(|why| format!("no turn to make it ready in: {why:?}"))?;
+        let classes = config.classes_by_pool();
+        let mut plans: Vec<(String, Plan)> = Vec::new();
+        for name in config.pools.keys() {
+            let (classes, before) = (classes.get(name.as_str()), self.pools.get(name));
+            plans.push((name.clone(), Plan::new(name, &config, classes, &self.folder, &mut zones, before)?));
+            turn.rest().await;
+        }
+        let mut numbers: Numbers = plans.iter().map(|(name, plan)| (name.clone(), plan.numbers())).collect();
         let operations = self.operations.plan(&config, self.rng.u64(..));
         let heard = config.listeners.iter().zip(&division.listeners);
-        let listeners: Vec<ListenerPlan> = heard
-            .map(|((name, l), places)| self.plan_listener(&config, &operations, name, l, *places))
-            .collect::<Result<_, _>>()?;
+        let mut listeners: Vec<ListenerPlan> = Vec::new();
+        for ((name, l), places) in heard {
+            let table = tables.remove(name).unwrap_or_else(|| Table::new(Vec::new()));
+            listeners.push(self.plan_listener(&config, name, l, *places, table)?);
+            turn.rest().await;
+        }
+        for listener in &mut listeners {
+            let on = config.routes.iter().filter(|r| r.listeners.contains(&listener.name));
+            for (at, route) in on.enumerate() {
+                let leads = leads(&config, route, &operations);
+                let leads = leads.map_err(|why| format!("listener.{}: {why}", listener.name))?;
+                listener.led.push(self.led(leads, &numbers));
+                if at % BATCH == 0 {
+                    turn.rest().await;
+                }
+            }
+        }
+        let at_once = Instant::now();
+        // From here on nothing waits. Requests that came meanwhile may have numbers that were given away.
+        for (name, plan) in &mut plans {
+            if let Some(running) = self.pools.get(name).filter(|running| !plan.holds(running)) {
+                *plan = Plan::new(
+                    name,
+                    &config,
+                    classes.get(name.as_str()),
+                    &self.folder,
+                    &mut zones,
+                    Some(running),
+                )?;
+                let given = plan.numbers();
+                if numbers.insert(name.clone(), given.clone()) != Some(given) {
+                    self.unmake(&config, &operations, name, &mut listeners)?;
+                }
+            }
+        }
+        drop(classes);
         self.zones = zones;
         let mut known = Seen::new();
         for (node, since) in self.pools.values().flat_map(Running::seen) {
@@ -303,11 +329,14 @@
         for running in gone.iter().filter_map(|name| self.pools.remove(name)) {
             spawn_local(running.retire());
         }
-        self.config = config;
+        let (rate, most) = budget(&config);
+        self.work.with(|schedule, _| schedule.allow(0, rate, most));
+        let before = std::mem::replace(&mut self.config, config);
+        tokio::task::spawn_blocking(move || drop(before));
         self.operations = operations;
         self.since = Instant::now();
         self.announce();
-        Ok(())
+        Ok(at_once.elapsed())
     }
 
     /// Announces this instance as the configuration says, once every pool has a list. An announcement that goes on in the
@@ -350,70 +379,31 @@
     fn plan_listener(
         &self,
         config: &Config,
-        operations: &Operations,
         name: &str,
         wanted: &Listener,
         places: usize,
+        table: Table,
     ) -> Result<ListenerPlan, String> {
-        let on: Vec<&RouteTo> =
-            config.routes.iter().filter(|r| r.listeners.iter().any(|l| l == name)).collect();
-        let table = Table::new(on.iter().map(|r| r.route.clone()).collect());
         let named = |why: String| format!("listener.{name}: {why}");
-        let leads =
-            on.iter().map(|r| leads(config, r, operations)).collect::<Result<_, _>>().map_err(named)?;
         let deadline_header = wanted.deadline_header.as_deref().map(header).transpose().map_err(named)?;
         let known = self.listeners.contains_key(&identity(name, wanted.address));
         let socket = if known { None } else { Some(listen(wanted.address, false).map_err(named)?) };
         let room = room(config, wanted, places);
-        Ok(ListenerPlan {
-            name: name.to_owned(),
-            wanted: wanted.clone(),
-            room,
-            socket,
-            table,
-            leads,
-            deadline_header,
-        })
-    }
-
-    fn routes(
-        &self,
-        table: Table,
-        leads: Vec<Leads>,
-        deadline: Option<HeaderName>,
-        numbers: &Numbers,
-    ) -> Routes<Net> {
-        let side = |pool: &String, classes: &[ClassOf]| {
-            let number = |class: &ClassOf| numbers.get(pool).and_then(|n| n.get(&class.name)).copied();
-            Side { pool: self.pools[pool].pool.clone(), classes: classes.iter().map(number).collect() }
-        };
-        let service = |leads: Leads| Service {
-            sides: leads.pools.iter().map(|pool| side(pool, &leads.classes)).collect(),
-            split: leads.split,
-            classes: leads.classes,
-            class_header: leads.class_header,
-            tenant: leads.tenant,
-            key: leads.key,
-            most_body: leads.most_body,
-            described: leads.described,
-        };
-        let services: Vec<Rc<Service<Net>>> = leads.into_iter().map(service).map(Rc::new).collect();
-        let pools = services.iter().flat_map(|s| &s.sides).map(|s| (s.pool.name.clone(), s.pool.clone()));
-        let pools: BTreeMap<_, _> = pools.collect();
-        let pools = pools.into_values().collect();
-        let strangers = self.operations.strangers.clone();
-        Routes { table, services, pools, deadline_header: deadline, strangers }
+        let (name, wanted, led) = (name.to_owned(), wanted.clone(), Vec::new());
+        Ok(ListenerPlan { name, wanted, room, socket, table, led, deadline_header })
     }
 
     /// Changes the listeners that stay, starts those that are new, and closes those that are gone.
     fn hear(&mut self, plans: Vec<ListenerPlan>, numbers: &Numbers) {
         let mut gone = std::mem::take(&mut self.listeners);
         for plan in plans {
-            let ListenerPlan { name, wanted, room, socket, table, leads, deadline_header } = plan;
+            let ListenerPlan { name, wanted, room, socket, table, led, deadline_header } = plan;
             let identity = identity(&name, wanted.address);
-            let routes = self.routes(table, leads, deadline_header, numbers);
+            let routes = self.routes(table, led, deadline_header, numbers);
             if let Some(mut heard) = gone.remove(&identity) {
-                heard.callers.front().replace(routes);
+                if let Some(before) = heard.callers.front().replace(routes) {
+                    self.take_apart(before);
+                }
                 heard.callers.resize(room);
                 heard.name = name;
                 self.listeners.insert(identity, heard);
@@ -441,6 +431,11 @@
         }
     }
 
+    /// What gives turns to its background work.
+    pub fn work(&self) -> Rc<Worker> {
+        self.work.clone()
+    }
+
     /// For how long the configuration has been in force, and what its operations were found to do.
     pub fn standing(&self) -> (Duration, Vec<String>) {
         (self.since.elapsed(), self.operations.summary())
@@ -500,12 +495,22 @@
                 let (age, summary) = daemon.standing();
                 summary.iter().for_each(|line| eprintln!("{line}"));
                 let reloaded = match loaded {
-                    Ok(Ok(config)) => daemon.reload(config).await,
+                    // Nothing has changed where it is left for an order to stop.
+                    Ok(Ok(loaded)) => tokio::select! {
+                        biased;
+                        _ = terminate.recv() => break,
+                        _ = interrupt.recv() => break,
+                        reloaded = daemon.reload(loaded) => reloaded,
+                    },
                     Ok(Err(why)) => Err(why),
                     Err(why) => Err(why.to_string()),
                 };
                 match reloaded {
-                    Ok(()) => eprintln!("sloeline: configuration read again in {} ms", start.elapsed().as_millis()),
+                    Ok(at_once) => eprintln!(
+                        "sloeline: configuration read again in {} ms, {:.1} ms of them at once",
+                        start.elapsed().as_millis(),
+                        at_once.as_secs_f64() * 1e3
+                    ),
                     Err(why) => {
                         eprintln!("sloeline: the running configuration is kept: {why}");
                         eprintln!("sloeline: it has been in force for {} s", age.as_secs());
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -1,7 +1,7 @@
 //! A pool that runs: its engine, its connections, its tasks and where its list comes from.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -79,6 +79,7 @@
 
 /// What a pool needs to be made or changed, found out before anything is.
 pub struct Plan {
+    wanted: Vec<Slot>,
     assigned: Assigned,
     settings: fs::Settings,
     dialect: Dialect,
@@ -140,19 +141,16 @@
     pub fn new(
         name: &str,
         config: &Config,
+        classes: Option<&BTreeSet<&str>>,
         folder: &Path,
         zones: &mut Names,
         before: Option<&Running>,
     ) -> Result<Plan, String> {
         let named = |why: String| format!("pool.{name}: {why}");
         let pool = config.pools.get(name).ok_or_else(|| named("not configured".to_owned()))?;
-        let mut wanted: Vec<Slot> = config
-            .classes_of(name)
-            .into_iter()
-            .filter_map(|n| {
-                config.classes.get(n).map(|c| Slot { name: n.to_owned(), class: c.class.clone() })
-            })
-            .collect();
+        let slot =
+            |n: &&str| config.classes.get(*n).map(|c| Slot { name: (*n).to_owned(), class: c.class.clone() });
+        let mut wanted: Vec<Slot> = classes.into_iter().flatten().filter_map(slot).collect();
         if wanted.is_empty() {
             // No route leads here yet; the module wants a class all the same.
             let class = fs::Class {
@@ -185,6 +183,7 @@
         let tenants = config.tenants.keys().cloned().zip(0..).collect();
         let dialect = dialect(pool).map_err(named)?;
         Ok(Plan {
+            wanted,
             assigned,
             settings,
             dialect,
@@ -197,6 +196,11 @@
         })
     }
 
+    /// Whether the classes still have the numbers that were given: requests may have taken some since.
+    pub fn holds(&self, running: &Running) -> bool {
+        assign(&running.slots, &self.wanted, |at| running.pool.uses(at)) == self.assigned
+    }
+
     /// The numbers of the pool's classes, by name.
     pub fn numbers(&self) -> HashMap<String, fs::ClassId> {
         self.assigned.numbers.iter().map(|&at| (self.assigned.slots[at].name.clone(), at)).collect()
--- a/sloeline/tests/reloads.rs
+++ b/sloeline/tests/reloads.rs
@@ -9,6 +9,7 @@
 use sloeline_standin::client::Client;
 use sloeline_standin::node::{Does, Node};
 use sloeline_standin::record::Told;
+use sloeline_work::schedule::{Job, Priority};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -77,6 +78,55 @@
     });
 }
 
+/// It comes when its class has a new definition already, under a number that was free, and nothing of it is in force.
+#[test]
+fn a_request_that_comes_while_a_configuration_is_made_ready_keeps_its_class() {
+    with(async |record| {
+        let node = Node::start("n", "g", &record);
+        let text = |effect: &str| {
+            let class = format!("[class.look]\neffect = \"{effect}\"");
+            let head = HEAD.replace("[class.look]\neffect = \"safe\"", &class);
+            head + "[work]\nslice = \"1us\"\n" + &pool("p", &[&node]) + &routes("p")
+        };
+        let mut daemon = start(&text("safe")).await;
+        let (to, work) = (public(&daemon), daemon.work());
+        node.now(Does::Hang);
+        let turns = || work.with(|schedule, _| schedule.kinds().get("reload").map_or(0, |kind| kind.turns));
+        let before = turns();
+        let mut asked = None;
+        let meanwhile = async {
+            // Its first turns, in which its only pool is planned.
+            let hold = loop {
+                let turn = work.turn(Job::new("test", 1, Priority::Soon)).await.expect("a place");
+                if turns() >= before + 2 {
+                    break turn;
+                }
+                drop(turn);
+                tokio::task::yield_now().await;
+            };
+            asked = Some(ask(to, &record, look("/files/7")));
+            node.arrivals(1).await;
+            drop(hold);
+        };
+        let (reloaded, ()) = tokio::join!(daemon.reload(load(&text("unsafe"))), meanwhile);
+        reloaded.expect("a good configuration");
+        node.now(Does::Serve(Duration::ZERO));
+        let asked = asked.expect("it was asked meanwhile");
+        assert_eq!(asked.await.expect("a client").0, Told::Served);
+        assert_eq!(record.sends("n"), 2);
+        // One that is left in a turn has changed nothing: what comes now is unsafe still.
+        let hold = work.turn(Job::new("test", 1, Priority::Soon)).await.expect("a place");
+        let turns_before = turns();
+        let left = tokio::time::timeout(Duration::from_millis(20), daemon.reload(load(&text("safe")))).await;
+        assert!(left.is_err());
+        drop(hold);
+        node.now(Does::Break);
+        assert_eq!(ask(to, &record, look("/files/7")).await.expect("a client").0, Told::Failed);
+        assert_eq!((record.sends("n"), turns()), (3, turns_before));
+        daemon.stop().await;
+    });
+}
+
 #[test]
 fn a_request_whose_body_is_on_its_way_keeps_its_class_too() {
     with(async |record| {
