sloeline ctl: nine verbs over a Unix socket of the daemon

[control] socket names a socket of mode 0600, made under a mask, whose callers must be the daemon's user or root; one call on each connection, a line of JSON each way, versioned and bounded. status, pools, members (why a node is out), work, operations, explain, out, back, changes (what a reload would change, compared on another thread).

Tests: every verb on a daemon that runs; 40 silent, spoilt and foreign-version callers while five calls are answered; a second daemon at the same path, a file left by one that was killed, a file that is no socket; calls cut off at every byte and spoilt at random.

--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -27,6 +27,8 @@
     pub limits: Limits,
     /// What background work may take up.
     pub work: Work,
+    /// The operators' socket, from the configuration's folder; none for no such calls.
+    pub control: Option<String>,
     /// Where this instance is announced, if anywhere.
     pub announce: Option<Announce>,
     /// Where callers connect.
--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -24,6 +24,11 @@
     let instance = instance(root.section("instance"));
     let limits = limits(root.section("limits"), descriptors);
     let work = work(root.section("work"));
+    let control = root.section("control").and_then(|section| {
+        let socket = section.need::<String>("socket", "the path of the operators' socket").map(|at| at.value);
+        section.end();
+        socket
+    });
     let announce = root.section("announce").and_then(|section| sources::announce(section, &instance));
     // What is named but wrong is known by name all the same: it would be noted twice.
     let (mut named, mut classes) = (Vec::new(), BTreeMap::new());
@@ -68,6 +73,7 @@
         instance,
         limits,
         work,
+        control,
         announce,
         listeners,
         classes,
--- a/config/tests/dangerous.rs
+++ b/config/tests/dangerous.rs
@@ -328,6 +328,14 @@
     assert!(announce(&(whole + "\nlease = \"1s\"")).iter().any(|p| p.contains("expected 2 s to 1 h")));
 }
 
+#[test]
+fn the_control_socket_needs_its_path() {
+    let with = |control: &str| config(CLASS, ROUTE, &format!("[control]\n{control}"));
+    found(&with("socket = \"control\""), &[]);
+    found(&with(""), &["control.socket: found nothing, expected the path of the operators' socket"]);
+    found(&with("socket = \"a\"\nmode = 7"), &["control.mode: found an unknown key"]);
+}
+
 #[test]
 fn background_work_has_a_part_of_a_core_and_slices() {
     let with = |work: &str| config(CLASS, ROUTE, &format!("[work]\n{work}"));
--- a/operations/src/lib.rs
+++ b/operations/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod link;
 pub mod orders;
 pub mod presence;
+pub mod socket;
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -10,7 +10,7 @@
 use sloeline_config::problem::Severity;
 use tokio::task::LocalSet;
 
-use crate::{daemon, demo, describe, descriptions, explain, members, platform};
+use crate::{ctl, daemon, demo, describe, descriptions, explain, members, platform};
 
 /// A load balancer for services that call services.
 ///
@@ -59,6 +59,8 @@
         #[arg(long, default_value_t = 5000, value_parser = clap::value_parser!(u64).range(1..=600_000))]
         wait: u64,
     },
+    /// Ask a daemon that runs, or give it an order, over its control socket.
+    Ctl(ctl::Ctl),
     /// Read an OpenAPI or AsyncAPI description: what it says of repeats, and what contradicts itself; status 1 if there are errors.
     Operations {
         /// The description, OpenAPI 3.0 or 3.1 or AsyncAPI 2.6 or 3.0, YAML or JSON.
@@ -150,6 +152,10 @@
                 Ok(())
             })
         }),
+        Some(Command::Ctl(ctl)) => block_on(async move {
+            print!("{}", ctl::run(ctl).await?);
+            Ok(())
+        }),
         Some(Command::Describe { file, listener }) => load(&file)
             .and_then(|config| describe::describe(&config, listener.as_deref()))
             .map(|text| print!("{text}")),
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The daemon: listeners, routes and pools from one configuration, replaced as a whole on SIGHUP.
 
+mod control;
 mod pools;
 mod routes;
 
@@ -27,7 +28,7 @@
 use sloeline_work::shell::Worker;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, timeout};
 
@@ -38,6 +39,8 @@
 use pools::{Parts, Plan, Reserves, Running, Seen};
 use routes::{BATCH, Led, Numbers, header, leads};
 
+/// Operators' calls that wait for an answer.
+const MOST_ASKED: usize = 16;
 /// Most bytes of a configuration.
 const MOST_TEXT: u64 = 64 << 20;
 /// From the last deadline to the last answer.
@@ -482,11 +485,15 @@
     let config = load_logged(&file)?;
     let folder = file.parent().unwrap_or(Path::new("")).to_owned();
     let mut daemon = Daemon::start(config, &folder, fastrand::u64(..)).await?;
+    let (asks, mut asked) = mpsc::channel(MOST_ASKED);
+    let mut socket = None;
+    daemon.control(&mut socket, &asks);
     loop {
         tokio::select! {
             biased;
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
+            Some((verb, answer)) = asked.recv() => daemon.answer_to(&file, verb, answer),
             _ = hangup.recv() => {
                 let start = Instant::now();
                 // Beside the requests: descriptions may be large.
@@ -505,6 +512,7 @@
                     Ok(Err(why)) => Err(why),
                     Err(why) => Err(why.to_string()),
                 };
+                daemon.control(&mut socket, &asks);
                 match reloaded {
                     Ok(at_once) => eprintln!(
                         "sloeline: configuration read again in {} ms, {:.1} ms of them at once",
@@ -520,6 +528,7 @@
         }
     }
     eprintln!("sloeline: told to stop");
+    drop(socket);
     daemon.standing().1.iter().for_each(|line| eprintln!("{line}"));
     let stopped = daemon.stop();
     tokio::pin!(stopped);
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -10,6 +10,7 @@
 use finchshift::{ListKind, Micros, ServerState};
 use hyper::StatusCode;
 use hyper::header::{HeaderName, HeaderValue};
+use serde_json::{Value, json};
 use sloeline_config::model::{Config, Instance, Nodes, Pool as Wanted};
 use sloeline_engine::engine::Engine;
 use sloeline_engine::types::Listed;
@@ -23,6 +24,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 
+use crate::members;
 use crate::net::Net;
 use crate::origins;
 use crate::slots::{Assigned, Slot, assign};
@@ -367,6 +369,38 @@
         };
     }
 
+    /// How it stands, for operators.
+    pub fn told(&self, name: &str) -> Value {
+        let engine = &self.pool.engine;
+        let source = match &self.source {
+            Source::Static => "nodes",
+            Source::File { .. } => "file",
+            Source::Registry(_) => "registry",
+            Source::Sources(_) => "sources",
+        };
+        let classes: Vec<&str> = self.slots.iter().map(|slot| slot.name.as_str()).collect();
+        json!({
+            "pool": name,
+            "source": source,
+            "listed": engine.listed(),
+            "taking_requests": engine.upstreams(),
+            "open_requests": engine.open(),
+            "classes": classes.join(" "),
+        })
+    }
+
+    /// Its members, and why each is in or out.
+    pub fn members(&self) -> Value {
+        if let Source::Sources(following) = &self.source {
+            return following.look(members::told);
+        }
+        let source = if matches!(self.source, Source::Static) { "nodes" } else { "list" };
+        let listed = self.pool.engine.list_held().unwrap_or_default();
+        let why = |l: &Listed| if l.state == fs::ServerState::Ready { "serves" } else { "drains by order" };
+        let rows: Vec<Value> = listed.iter().map(|l| members::member(l, source, why(l), None)).collect();
+        json!({"sources": [], "members": rows})
+    }
+
     /// Ends when no request needs it any more; nothing new comes, since no route leads to it.
     pub fn retire(self) -> impl Future<Output = ()> {
         let Running { pool, source, tasks, let_go, .. } = self;
--- a/sloeline/src/lib.rs
+++ b/sloeline/src/lib.rs
@@ -1,6 +1,7 @@
 //! The balancer as a program: the platform's, and the daemon with listeners, routes and pools.
 
 pub mod cli;
+pub mod ctl;
 pub mod daemon;
 pub mod demo;
 pub mod describe;
--- a/sloeline/src/members.rs
+++ b/sloeline/src/members.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use finchshift::{Micros, ServerState};
+use serde_json::{Value, json};
 use sloeline_config::model::{Config, Instance, Nodes};
 use sloeline_engine::types::Listed;
 use sloeline_membership::doubt::{Reason, Rules};
@@ -75,6 +76,42 @@
     }
 }
 
+/// A pool's members, why each is in or out, and how its sources stand, for tools.
+pub fn told(now: Micros, members: &Members) -> Value {
+    let sources: Vec<Value> = members
+        .sources()
+        .map(|(name, health, revision, held)| {
+            json!({
+                "source": name,
+                "revision": revision.map(|r| json!({"epoch": r.epoch, "number": r.number})),
+                "confirmed_ms_ago": health.confirmed.map(|at| now.saturating_sub(at) / 1000),
+                "held": held,
+                "refused": health.refused,
+                "unreadable": health.unreadable,
+                "trouble": health.trouble,
+            })
+        })
+        .collect();
+    let of = |verdict: &sloeline_membership::merge::Verdict| {
+        let why = reason(now, verdict.reason);
+        member(&verdict.listed, &verdict.source, &why, verdict.by.as_deref())
+    };
+    json!({"sources": sources, "members": members.all().iter().map(of).collect::<Vec<_>>()})
+}
+
+/// One member, for tools.
+pub fn member(listed: &Listed, source: &str, why: &str, by: Option<&str>) -> Value {
+    json!({
+        "node": listed.instance,
+        "address": listed.address.to_string(),
+        "zone": listed.zone,
+        "state": state(listed.state),
+        "source": source,
+        "why": why,
+        "by": by,
+    })
+}
+
 /// Asks every source once and says what came; the error is one line where a source told nothing in time.
 pub async fn members(
     config: &Config,
--- /dev/null
+++ b/sloeline/tests/ctl.rs
@@ -0,0 +1,200 @@
+//! A daemon that runs is asked, and ordered, over its control socket.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// A daemon in a folder of its own.
+struct Daemon {
+    child: Child,
+    log: Receiver<String>,
+    folder: PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+const TEXT: &str = r#"[control]
+socket = "control"
+[listener.public]
+address = "127.0.0.1:0"
+[class.look]
+effect = "safe"
+aim = "1s"
+deadline = "2s"
+[pool.p]
+nodes = [{ name = "n", address = "127.0.0.1:9" }, { name = "m", address = "127.0.0.1:9" }]
+[pool.q]
+nodes = [{ name = "n", address = "127.0.0.1:9" }]
+[[route]]
+name = "looks"
+method = "GET"
+prefix = "/"
+class = "look"
+pool = "p"
+[[route]]
+name = "others"
+method = "GET"
+path = "/other"
+class = "look"
+pool = "q"
+"#;
+
+fn start(folder: &Path) -> (Child, Receiver<String>) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sloeline"));
+    command.env_remove("EDGE_CONFIG").args(["run", "--config"]).arg(folder.join("sloeline.toml"));
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
+    let lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
+    let (sender, log) = channel();
+    std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| drop(sender.send(l))));
+    (child, log)
+}
+
+impl Daemon {
+    fn new(name: &str) -> Daemon {
+        let folder = std::env::temp_dir().join(format!("sloeline-ctl-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(folder.join("sloeline.toml"), TEXT).expect("a file");
+        let (child, log) = start(&folder);
+        let daemon = Daemon { child, log, folder };
+        daemon.logged("operators' calls on");
+        daemon
+    }
+
+    fn logged(&self, text: &str) {
+        while !self.log.recv_timeout(LONG).expect("a line").contains(text) {}
+    }
+
+    fn socket(&self) -> PathBuf {
+        self.folder.join("control")
+    }
+
+    fn ctl(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sloeline"));
+        command.env_remove("EDGE_CONFIG").arg("ctl").arg("--socket").arg(self.socket());
+        command.args(arguments).output().expect("it runs")
+    }
+
+    fn json(&self, arguments: &[&str]) -> Value {
+        let arguments = [&["--json"], arguments].concat();
+        let output = self.ctl(&arguments);
+        assert!(output.status.success(), "{arguments:?}: {}", String::from_utf8_lossy(&output.stderr));
+        serde_json::from_slice(&output.stdout).expect("JSON")
+    }
+
+    fn refused(&self, arguments: &[&str]) -> String {
+        let output = self.ctl(arguments);
+        assert!(!output.status.success(), "{arguments:?}");
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    }
+}
+
+#[test]
+fn every_verb_is_answered_by_a_daemon_that_runs() {
+    let daemon = Daemon::new("verbs");
+    let status = daemon.json(&["status"]);
+    assert_eq!((&status["pools"], &status["routes"], &status["ready"]), (&2.into(), &2.into(), &true.into()));
+    let pools = daemon.json(&["pools"]);
+    assert_eq!((&pools[0]["pool"], &pools[0]["taking_requests"]), (&"p".into(), &2.into()));
+    let members = daemon.json(&["members", "--pool", "p"]);
+    assert_eq!(members["p"]["members"].as_array().map(Vec::len), Some(2));
+    assert!(members.get("q").is_none());
+    assert!(daemon.refused(&["members", "--pool", "x"]).contains("found pool \"x\", expected one of p, q"));
+    assert!(daemon.json(&["work"])["kinds"]["reload"]["done"].is_u64());
+    assert_eq!(daemon.json(&["operations"]), Value::Array(Vec::new()));
+    let explained = daemon.json(&["explain", "GET", "/other"]);
+    assert!(explained.as_str().is_some_and(|text| text.contains("others")), "{explained}");
+    assert!(daemon.refused(&["explain", "GET", "/a", "-H", "no colon"]).contains("is no \"Name: value\""));
+
+    let taking = |pool: usize| daemon.json(&["pools"])[pool]["taking_requests"].clone();
+    assert_eq!(daemon.json(&["out", "n", "--pool", "p"])["pools"], serde_json::json!(["p"]));
+    daemon.logged("ordered: n out in p");
+    assert_eq!((taking(0), taking(1)), (1.into(), 1.into()));
+    assert_eq!(daemon.json(&["out", "n"])["pools"], serde_json::json!(["p", "q"]));
+    assert_eq!((taking(0), taking(1)), (1.into(), 0.into()));
+    assert_eq!(daemon.json(&["back", "n"])["pools"], serde_json::json!(["p", "q"]));
+    assert_eq!((taking(0), taking(1)), (2.into(), 1.into()));
+    assert!(daemon.refused(&["out", "x"]).contains("found node \"x\""));
+
+    let none = daemon.json(&["changes"]);
+    let nothing = serde_json::json!({"new": [], "gone": [], "changed": []});
+    assert!(["listeners", "classes", "pools", "routes"].iter().all(|of| none[of] == nothing), "{none}");
+    let file = daemon.folder.join("sloeline.toml");
+    let changed = TEXT
+        .replace("aim = \"1s\"", "aim = \"500ms\"")
+        .replace("[pool.q]", "\n\n[pool.r]")
+        .replace("pool = \"q\"", "pool = \"r\"");
+    std::fs::write(&file, changed).expect("a file");
+    let changes = daemon.json(&["changes"]);
+    assert_eq!(changes["pools"], serde_json::json!({"new": ["r"], "gone": ["q"], "changed": []}));
+    assert_eq!(
+        (&changes["classes"]["changed"], &changes["routes"]["changed"]),
+        (&serde_json::json!(["look"]), &serde_json::json!(["others"]))
+    );
+    std::fs::write(&file, &TEXT[..TEXT.len() - 10]).expect("a file");
+    assert!(daemon.refused(&["changes"]).contains("sloeline.toml:"));
+    // Nothing of that is in force.
+    assert_eq!(daemon.json(&["pools"])[1]["pool"], "q");
+    let table = daemon.ctl(&["pools"]);
+    let table = String::from_utf8(table.stdout).expect("text");
+    assert!(table.lines().count() == 3 && table.contains("taking_requests"), "{table}");
+}
+
+#[test]
+fn the_socket_is_its_owners_and_silent_or_broken_callers_hold_up_nobody() {
+    let mut daemon = Daemon::new("socket");
+    let mode = std::fs::metadata(daemon.socket()).expect("a socket").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    let mut silent: Vec<UnixStream> = (0..40)
+        .map(|n| {
+            let mut stream = UnixStream::connect(daemon.socket()).expect("it listens");
+            let text: &[u8] = [&b""[..], b"{\"version\":1,", b"\x00\xff\n", b"{\"version\":9}\n"][n % 4];
+            // Those that came first may have made room already.
+            let _ = stream.write_all(text);
+            stream
+        })
+        .collect();
+    let begun = Instant::now();
+    for _ in 0..5 {
+        daemon.json(&["status"]);
+    }
+    assert!(begun.elapsed() < Duration::from_secs(5), "{:?} for five calls", begun.elapsed());
+    let mut answer = String::new();
+    let last = silent.last_mut().expect("one");
+    last.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.contains("found a call of version 9, expected 1"), "{answer}");
+    // Another daemon at the same socket runs without, and takes nothing away.
+    let (mut other, log) = start(&daemon.folder);
+    while !log.recv_timeout(LONG).expect("a line").contains("no operators' calls") {}
+    let _ = other.kill();
+    let _ = other.wait();
+    daemon.json(&["status"]);
+    // One that was killed leaves its file, and the next takes its place.
+    let _ = daemon.child.kill();
+    let _ = daemon.child.wait();
+    assert!(daemon.socket().exists());
+    (daemon.child, daemon.log) = start(&daemon.folder);
+    daemon.logged("operators' calls on");
+    daemon.json(&["status"]);
+    // A file that is no socket is left alone.
+    let own = daemon.folder.join("sloeline.toml");
+    std::fs::write(&own, TEXT.replace("\"control\"", "\"sloeline.toml\"")).expect("a file");
+    let _ = daemon.child.kill();
+    let _ = daemon.child.wait();
+    (daemon.child, daemon.log) = start(&daemon.folder);
+    daemon.logged("found something else than a socket");
+    assert!(own.is_file());
+}
