--- a/descriptions/src/behaviour.rs
+++ b/descriptions/src/behaviour.rs
@@ -196,11 +196,6 @@
         &self.declared
     }
 
-    /// Goes on with another description of the same operation; what was counted stays.
-    pub fn redeclare(&mut self, declared: Declared) {
-        self.declared = declared;
-    }
-
     /// Answers seen, answers compared, and how often each oddity was found, in the order of [`ODDITIES`].
     pub fn counts(&self) -> (u64, u64, [u64; ODDITIES.len()]) {
         (self.answers, self.compared, self.counts)
--- a/sloeline/src/daemon/control.rs
+++ b/sloeline/src/daemon/control.rs
@@ -60,8 +60,8 @@
 }
 
 impl Daemon {
-    /// Answers a call of an operator.
-    pub fn answer(&self, file: &Path, verb: Verb) -> Answer {
+    /// Answers a call at once; none for those that take long.
+    fn answer(&self, verb: Verb) -> Option<Answer> {
         let answer = match verb {
             Verb::Status => Ok(self.status()),
             Verb::Pools => Ok(self.pools.iter().map(|(name, running)| running.told(name)).collect()),
@@ -71,27 +71,31 @@
             }),
             Verb::Work => Ok(self.work_told()),
             Verb::Operations => Ok(json!(self.operations.summary())),
-            Verb::Explain { method, url, headers } => {
-                explain(&self.config, &method, &url, &headers).map(Value::String)
-            }
             Verb::Out { node, pool } => self.order(&node, pool.as_deref(), true),
             Verb::Back { node, pool } => self.order(&node, pool.as_deref(), false),
-            Verb::Changes => compare(&self.config, file),
+            Verb::Changes | Verb::Explain { .. } => return None,
         };
-        answer.map_or_else(Answer::Refused, Answer::Done)
+        Some(answer.map_or_else(Answer::Refused, Answer::Done))
     }
 
     /// Answers a call; what takes long is done beside the requests.
     pub fn answer_to(&self, file: &Path, verb: Verb, to: oneshot::Sender<Answer>) {
-        if verb == Verb::Changes {
-            let (config, file) = (self.config.clone(), file.to_owned());
-            tokio::task::spawn_blocking(move || {
-                let _ = to.send(compare(&config, &file).map_or_else(Answer::Refused, Answer::Done));
-            });
+        if let Some(answer) = self.answer(verb.clone()) {
+            // Whoever asked may have left.
+            let _ = to.send(answer);
             return;
         }
-        // Whoever asked may have left.
-        let _ = to.send(self.answer(file, verb));
+        let (config, file) = (self.config.clone(), file.to_owned());
+        tokio::task::spawn_blocking(move || {
+            let answer = match verb {
+                // Makes a table of all routes.
+                Verb::Explain { method, url, headers } => {
+                    explain(&config, &method, &url, &headers).map(Value::String)
+                }
+                _ => compare(&config, &file),
+            };
+            let _ = to.send(answer.map_or_else(Answer::Refused, Answer::Done));
+        });
     }
 
     /// Opens the socket that the configuration names, where it is not open; closes the one before.
