Descriptions: what stands beside the $ref of a path item comes first

Found in the second reading: a path item with a $ref was read as what the $ref leads to alone, though the comment said otherwise. An operation there, or its x-sloeline-effect: unsafe, counted for nothing, and the other item's safe one was routed and repeated.

Methods, servers and parameters of the item itself now come before those that it refers to.

--- a/descriptions/src/openapi.rs
+++ b/descriptions/src/openapi.rs
@@ -119,11 +119,20 @@
                 continue;
             }
             let Some(resolved) = self.resolve(&item) else { continue };
-            // A path item may have a $ref and siblings: those of the item itself come first.
-            let bases = self.bases(&resolved).unwrap_or_else(|| bases.clone());
-            let common = self.parameters(&resolved);
+            // A path item may stand beside its $ref: what it says itself comes first, or an effect that is denied there would
+            // be read as the other item has it.
+            let sides = if item.node.get("$ref").is_some() { vec![item, resolved] } else { vec![resolved] };
+            let bases = sides.iter().find_map(|side| self.bases(side)).unwrap_or_else(|| bases.clone());
+            let mut common: Vec<Parameter> = Vec::new();
+            for side in &sides {
+                for parameter in self.parameters(side) {
+                    if !common.iter().any(|p| p.name == parameter.name && p.within == parameter.within) {
+                        common.push(parameter);
+                    }
+                }
+            }
             for method in METHODS {
-                let Some(place) = resolved.get(method) else { continue };
+                let Some(place) = sides.iter().find_map(|side| side.get(method)) else { continue };
                 if !matches!(place.node.value, Value::Map(_)) {
                     let found = place.node.shown();
                     self.find(Code::Shape, &place, format!("found {found}, expected an operation"));
--- a/descriptions/tests/corpus.rs
+++ b/descriptions/tests/corpus.rs
@@ -75,6 +75,17 @@
         (format!("  x-note: any\n  /a:\n    summary: s\n    get: {{x-other: 1, {ANY}}}"), Effect::Safe),
         (format!("  /a: &item\n    get: {{{ANY}}}\n  /b: *item"), Effect::Safe),
         (format!("  /a:\n    options: {{{ANY}}}"), Effect::Safe),
+        // What stands beside a $ref comes first.
+        (
+            format!(
+                "  /a: {{$ref: '#/x-b', get: {{x-sloeline-effect: unsafe, {ANY}}}}}\nx-b: {{get: {{{ANY}}}}}"
+            ),
+            Effect::Unsafe,
+        ),
+        (
+            format!("  /a/{{id}}: {{$ref: '#/x-b', parameters: [{ID}]}}\nx-b: {{get: {{{ANY}}}}}"),
+            Effect::Safe,
+        ),
         (format!("  /a:\n    patch: {{{ANY}}}"), Effect::Unsafe),
         (format!("  /payments:\n    get: {{operationId: paymentList, {ANY}}}"), Effect::Safe),
         (format!("  /cancellations/{{id}}:\n    get: {{parameters: [{ID}], {ANY}}}"), Effect::Safe),
