--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -27,8 +27,10 @@
     pub limits: Limits,
     /// What background work may take up.
     pub work: Work,
-    /// The operators' socket, from the configuration's folder; none for no such calls.
-    pub control: Option<String>,
+    /// Operators' calls.
+    pub control: Control,
+    /// What is told of what happens.
+    pub log: Log,
     /// Where this instance is announced, if anywhere.
     pub announce: Option<Announce>,
     /// Where callers connect.
@@ -45,6 +47,49 @@
     pub routes: Vec<RouteTo>,
 }
 
+/// `[log]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Log {
+    /// An object a line, not text.
+    pub json: bool,
+    /// What is told: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// The same by area.
+    pub levels: BTreeMap<String, String>,
+    /// Of one event about one thing, so many at once.
+    pub burst: f64,
+    /// And so many a second.
+    pub rate: f64,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { json: false, level: "info".to_owned(), levels: BTreeMap::new(), burst: 20.0, rate: 1.0 }
+    }
+}
+
+/// `[control]`; nothing of it for no operators' calls.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Control {
+    /// The path of the Unix socket, from the configuration's folder.
+    pub socket: Option<String>,
+    /// The file of orders, from the same folder; without one they end with the process.
+    pub orders: Option<String>,
+    /// An address for signed calls.
+    pub address: Option<SocketAddr>,
+    /// Those who may call there.
+    pub keys: BTreeMap<String, ControlKey>,
+}
+
+/// `[control.key.NAME]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct ControlKey {
+    /// The file in which it stands, from the configuration's folder.
+    pub file: String,
+    /// It is for orders too, not for asking only.
+    pub orders: bool,
+}
+
 /// `[instance]`
 #[derive(Clone, Debug, PartialEq)]
 pub struct Instance {
--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -1,12 +1,16 @@
 //! Reads all sections but the routes.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use finchshift::{Class, Effect, Group, Micros, Tenant};
 use toml::Spanned;
 use toml::de::DeTable;
 
-use crate::model::{Config, Declined, Instance, Limits, Listener, NamedClass, Node, Nodes, Pool, Work};
+use crate::model::{
+    Config, Control, ControlKey, Declined, Instance, Limits, Listener, Log, NamedClass, Node, Nodes, Pool,
+    Work,
+};
 use crate::problem::Problems;
 use crate::read::{At, Section, Size, Time};
 use crate::{described, routes, sources};
@@ -24,11 +28,8 @@
     let instance = instance(root.section("instance"));
     let limits = limits(root.section("limits"), descriptors);
     let work = work(root.section("work"));
-    let control = root.section("control").and_then(|section| {
-        let socket = section.need::<String>("socket", "the path of the operators' socket").map(|at| at.value);
-        section.end();
-        socket
-    });
+    let control = root.section("control").map(control).unwrap_or_default();
+    let log = root.section("log").map(log).unwrap_or_default();
     let announce = root.section("announce").and_then(|section| sources::announce(section, &instance));
     // What is named but wrong is known by name all the same: it would be noted twice.
     let (mut named, mut classes) = (Vec::new(), BTreeMap::new());
@@ -74,6 +75,7 @@
         limits,
         work,
         control,
+        log,
         announce,
         listeners,
         classes,
@@ -84,6 +86,80 @@
     })
 }
 
+/// What is told.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+fn log(section: Section<'_>) -> Log {
+    let mut log = Log::default();
+    let expected = || format!("one of {}", LEVELS.join(", "));
+    if let Some(form) = section.get::<String>("form") {
+        log.json = form.value == "json";
+        if !["text", "json"].contains(&form.value.as_str()) {
+            section.wrong(&form.span, "form", format!("{:?}", form.value), "\"text\" or \"json\"");
+        }
+    }
+    if let Some(level) = section.get::<String>("level") {
+        if !LEVELS.contains(&level.value.as_str()) {
+            section.wrong(&level.span, "level", format!("{:?}", level.value), expected());
+        }
+        log.level = level.value;
+    }
+    if let Some(levels) = section.section("levels") {
+        for (area, level) in levels.pairs() {
+            match level.as_str().filter(|word| LEVELS.contains(word)) {
+                Some(word) => _ = log.levels.insert(area.value, word.to_owned()),
+                None => levels.wrong(&area.span, &area.value, "another value", expected()),
+            }
+        }
+    }
+    if let Some(burst) = section.get::<f64>("burst") {
+        if burst.value < 1.0 {
+            section.wrong(&burst.span, "burst", burst.value.to_string(), "1 or more");
+        }
+        log.burst = burst.value;
+    }
+    log.rate = section.or("rate", log.rate);
+    section.end();
+    log
+}
+
+fn control(section: Section<'_>) -> Control {
+    let path = |key| section.get::<String>(key).map(|at| at.value);
+    let (socket, orders) = (path("socket"), path("orders"));
+    let address = section.get::<SocketAddr>("address");
+    let mut keys = BTreeMap::new();
+    for (name, key) in section.named("key") {
+        let file = key.need::<String>("file", "the path of a file with its hex digits");
+        let may = key.get::<String>("may");
+        if let Some(may) = may.as_ref().filter(|may| !["ask", "order"].contains(&may.value.as_str())) {
+            key.wrong(&may.span, "may", format!("{:?}", may.value), "\"ask\" or \"order\"");
+        }
+        let orders = may.is_some_and(|may| may.value == "order");
+        key.end();
+        if let Some(file) = file {
+            keys.insert(name.value, ControlKey { file: file.value, orders });
+        }
+    }
+    match &address {
+        Some(at) if keys.is_empty() => {
+            section.wrong(
+                &at.span,
+                "address",
+                "no key",
+                "at least one [control.key.NAME]: calls there are signed",
+            );
+        }
+        None if socket.is_none() => {
+            let expected = "the path of the operators' socket, or an address";
+            section.wrong(&section.span, "socket", "nothing", expected);
+        }
+        _ => {}
+    }
+    let address = address.map(|at| at.value);
+    section.end();
+    Control { socket, orders, address, keys }
+}
+
 fn instance(section: Option<Section<'_>>) -> Instance {
     let mut instance =
         Instance { name: "sloeline".to_owned(), zone: "default".to_owned(), number: 0, count: 1 };
--- a/config/tests/dangerous.rs
+++ b/config/tests/dangerous.rs
@@ -331,9 +331,24 @@
 #[test]
 fn the_control_socket_needs_its_path() {
     let with = |control: &str| config(CLASS, ROUTE, &format!("[control]\n{control}"));
-    found(&with("socket = \"control\""), &[]);
-    found(&with(""), &["control.socket: found nothing, expected the path of the operators' socket"]);
+    let key = "[control.key.night]\nfile = \"night.key\"\n";
+    found(&with("socket = \"control\"\norders = \"orders\""), &[]);
+    found(&with(&format!("address = \"127.0.0.1:0\"\n{key}may = \"order\"")), &[]);
+    let neither = "control.socket: found nothing, expected the path of the operators' socket, or an address";
+    found(&with(""), &[neither]);
     found(&with("socket = \"a\"\nmode = 7"), &["control.mode: found an unknown key"]);
+    found(
+        &with("address = \"127.0.0.1:0\""),
+        &["control.address: found no key, expected at least one [control.key.NAME]"],
+    );
+    found(
+        &with(&format!("address = \"127.0.0.1:0\"\n{key}may = \"all\"")),
+        &["control.key.night.may: found \"all\", expected \"ask\" or \"order\""],
+    );
+    found(
+        &with("address = \"127.0.0.1:0\"\n[control.key.night]"),
+        &["control.address: found no key", "control.key.night.file: found nothing"],
+    );
 }
 
 #[test]
--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -5,11 +5,12 @@
 //! `R` is what an upstream answers; the core only passes it on.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use finchshift as fs;
 use finchshift::{Action, Event, ListKind, Micros, Outcome, RequestId, ServerId};
+use sloeline_events::tell;
 use sloeline_settings::setup::Names;
 
 use crate::registry::Registry;
@@ -130,6 +131,40 @@
     pub operation: Option<u64>,
 }
 
+/// An open request, as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    /// Its number, in the order of arrival.
+    pub request: RequestId,
+    /// Its class.
+    pub class: fs::ClassId,
+    /// How far it is.
+    pub stage: Stage,
+    /// Since it came, or since its last byte did.
+    pub age: Micros,
+    /// What is left of its client's time.
+    pub left: Micros,
+    /// Attempts so far.
+    pub sent: u32,
+    /// An attempt may have run.
+    pub doubt: bool,
+    /// Where it is out, and for how long.
+    pub out: Vec<(String, Micros)>,
+}
+
+/// How far an open request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Nothing is out for it.
+    Held,
+    /// An attempt is out.
+    Out,
+    /// An attempt is out, and the body still comes from the client.
+    Coming,
+    /// Its client has its answer, or has left; an attempt is still to end.
+    Answered,
+}
+
 /// How an attempt ended, as its connection tells.
 #[derive(Debug)]
 pub struct Ended<R> {
@@ -227,6 +262,54 @@
         self.listed.then(|| self.registry.listed())
     }
 
+    /// How many open requests are at each stage, and the oldest of them.
+    pub fn requests(&self, now: Micros, most: usize) -> (BTreeMap<Stage, usize>, Vec<Standing>) {
+        let stage = |open: &Open| match (open.waits, open.out.is_empty(), open.coming) {
+            (false, ..) => Stage::Answered,
+            (true, true, _) => Stage::Held,
+            (true, false, true) => Stage::Coming,
+            (true, false, false) => Stage::Out,
+        };
+        let mut stages = BTreeMap::new();
+        self.open.values().for_each(|open| *stages.entry(stage(open)).or_default() += 1);
+        let mut oldest: Vec<RequestId> = self.open.keys().copied().collect();
+        if oldest.len() > most {
+            oldest.select_nth_unstable(most);
+            oldest.truncate(most);
+        }
+        oldest.sort_unstable();
+        let name = |server| self.registry.name(server).unwrap_or_default().to_owned();
+        let told = |id: RequestId| {
+            let open = self.open.get(&id)?;
+            Some(Standing {
+                request: id,
+                class: open.class,
+                stage: stage(open),
+                age: (now + open.time_left).saturating_sub(open.deadline),
+                left: open.deadline.saturating_sub(now),
+                sent: open.sent,
+                doubt: open.doubt,
+                out: open.out.iter().map(|o| (name(o.server), now.saturating_sub(o.at))).collect(),
+            })
+        };
+        (stages, oldest.into_iter().filter_map(told).collect())
+    }
+
+    /// Whether an upstream is or was listed.
+    pub fn met(&self, instance: &str) -> bool {
+        self.registry.has_met(instance)
+    }
+
+    /// The number of an upstream that is listed. It outlives the list's next word.
+    pub fn number(&self, instance: &str) -> Option<ServerId> {
+        self.registry.known(instance)
+    }
+
+    /// Attempts that are out to an upstream.
+    pub fn carries(&self, server: ServerId) -> usize {
+        self.open.values().flat_map(|open| &open.out).filter(|out| out.server == server).count()
+    }
+
     /// Goes on under other settings, with what was learned: see [`fs::Balancer::reconfigure`]. The zone keeps its
     /// number, and a class that [`uses`](Core::uses) must keep number and effect.
     pub fn reconfigure(
@@ -381,7 +464,7 @@
         if early || !std::mem::replace(&mut open.waits, false) {
             return;
         }
-        eprintln!("defect: the module left request {id} unanswered; failed just before its time");
+        tell!(DEFECT, what = %"unanswered"; "defect: the module left request {id} unanswered; failed just before its time");
         self.outputs.push_back(Output::Answer { request: id, answer: Answer::Failed(Failure::Time) });
         self.feed(now, Event::Gone { request: id });
         self.settle(id);
@@ -564,7 +647,7 @@
             let handled = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, &mut actions)));
             // Guards the other requests: the last resort answers those that a broken module leaves.
             if handled.is_err() {
-                eprintln!("defect: the module panicked");
+                tell!(DEFECT, what = %"panicked"; "defect: the module panicked");
             }
             for action in actions.drain(..) {
                 self.act(now, action);
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -2,17 +2,18 @@
 //! made of is the business of the wire.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use finchshift as fs;
 use finchshift::{ListKind, Micros, Outcome, RequestId, ServerId};
+use sloeline_events::tell;
 use sloeline_settings::setup::Names;
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::Clock;
-use crate::core::{Arrival, Core, Ended, Output};
+use crate::core::{Arrival, Core, Ended, Output, Stage, Standing};
 use crate::types::{Answer, Asked, Failure, Listed, Target};
 
 /// The sockets, as the engine sees them. No method calls the engine back before it returns.
@@ -64,6 +65,8 @@
     armed: Cell<Micros>,
     earlier: Notify,
     settled: Notify,
+    /// An attempt has ended.
+    ended: Notify,
 }
 
 /// Where an attempt's end is told, once. Dropped untold, as when its task died, it counts as a reset.
@@ -142,7 +145,8 @@
     /// The final answer.
     pub async fn answer(mut self) -> Answer<W::Reply> {
         (&mut self.answer).await.unwrap_or_else(|_| {
-            eprintln!("defect: request {} was dropped without an answer", self.request);
+            let request = self.request;
+            tell!(DEFECT, what = %"dropped"; "defect: request {request} was dropped without an answer");
             Answer::Failed(Failure::Upstream)
         })
     }
@@ -166,6 +170,7 @@
             armed: Cell::new(Micros::MAX),
             earlier: Notify::new(),
             settled: Notify::new(),
+            ended: Notify::new(),
         }))
     }
 
@@ -232,6 +237,8 @@
         let mut held = self.held.borrow_mut();
         let out = &mut held.get_mut(&request)?.out;
         let at = out.iter().position(|(a, _)| *a == attempt)?;
+        // Whoever waits looks when this step is over.
+        self.ended.notify_waiters();
         Some(out.swap_remove(at).1)
     }
 
@@ -315,6 +322,39 @@
         self.core.borrow().open()
     }
 
+    /// The present time, as it counts.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// See [`Core::met`].
+    pub fn met(&self, instance: &str) -> bool {
+        self.core.borrow().met(instance)
+    }
+
+    /// See [`Core::requests`].
+    pub fn requests(&self, most: usize) -> (BTreeMap<Stage, usize>, Vec<Standing>) {
+        self.core.borrow().requests(self.clock.now(), most)
+    }
+
+    /// Waits until an upstream carries nothing, for one that is listed; tells how much it carries, first and whenever that
+    /// is another number.
+    pub async fn carried(self: Rc<Self>, instance: &str, mut tell: impl FnMut(usize)) {
+        let Some(server) = self.core.borrow().number(instance) else { return };
+        let mut last = None;
+        loop {
+            let ended = self.ended.notified();
+            let carries = self.core.borrow().carries(server);
+            if last.replace(carries) != Some(carries) {
+                tell(carries);
+            }
+            if carries == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// See [`Core::uses`].
     pub fn uses(&self, class: fs::ClassId) -> bool {
         self.core.borrow().uses(class)
--- a/engine/src/registry.rs
+++ b/engine/src/registry.rs
@@ -111,7 +111,7 @@
     }
 
     /// It is or was in a list.
-    fn has_met(&self, instance: &str) -> bool {
+    pub fn has_met(&self, instance: &str) -> bool {
         self.out.contains_key(instance) || self.met.contains(&ring(instance))
     }
 
@@ -177,6 +177,16 @@
         self.places.get(&server).map(|p| Target { server, address: p.listed.address })
     }
 
+    /// The number of an upstream that is listed.
+    pub fn known(&self, instance: &str) -> Option<ServerId> {
+        self.servers.get(instance).copied()
+    }
+
+    /// The identity of an upstream that is listed.
+    pub fn name(&self, server: ServerId) -> Option<&str> {
+        self.places.get(&server).map(|p| p.listed.instance.as_str())
+    }
+
     /// The name of a zone.
     pub fn zone_name(&self, zone: u32) -> Option<&str> {
         self.zones.by_name.iter().find(|(_, number)| **number == zone).map(|(name, _)| name.as_str())
--- /dev/null
+++ b/events/src/filter.rs
@@ -0,0 +1,116 @@
+//! Which events are heard: levels by area, and what one who follows wants.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use tracing::Level;
+
+use crate::hub::Record;
+
+/// Reads a level.
+pub fn level(word: &str) -> Option<Level> {
+    ["error", "warn", "info", "debug", "trace"].contains(&word).then(|| word.parse().ok()).flatten()
+}
+
+/// Levels by area.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Levels {
+    /// Of all others.
+    pub base: Level,
+    /// Of an area and those within it, `membership` for `membership.etcd` too.
+    pub areas: BTreeMap<String, Level>,
+}
+
+impl Default for Levels {
+    fn default() -> Levels {
+        Levels { base: Level::INFO, areas: BTreeMap::new() }
+    }
+}
+
+impl Levels {
+    /// The level of an area: of the longest name that it lies in.
+    pub fn of(&self, area: &str) -> Level {
+        let mut within = area;
+        loop {
+            if let Some(level) = self.areas.get(within) {
+                return *level;
+            }
+            match within.rfind('.') {
+                Some(end) => within = &within[..end],
+                None => return self.base,
+            }
+        }
+    }
+
+    /// Whether an event of a level in an area is heard.
+    pub fn hear(&self, area: &str, level: Level) -> bool {
+        level <= self.of(area)
+    }
+}
+
+/// What one who follows wants to hear; all of it must be so.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Wanted {
+    /// This level or a graver one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub level: Option<String>,
+    /// In this area, or one within it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub area: Option<String>,
+    /// Its name begins so.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub event: Option<String>,
+    /// Its text or one of its fields has this in it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub text: Option<String>,
+}
+
+impl Wanted {
+    /// What is wrong with it, if anything.
+    pub fn check(&self) -> Result<(), String> {
+        match &self.level {
+            Some(word) if level(word).is_none() => {
+                Err(format!("level: found {word:?}, expected error, warn, info, debug or trace"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Whether that is so of an event.
+    pub fn hears(&self, record: &Record) -> bool {
+        let within = |area: &str| {
+            let rest = record.area.strip_prefix(area);
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+        };
+        self.level.as_deref().and_then(level).is_none_or(|level| record.level <= level)
+            && self.area.as_deref().is_none_or(within)
+            && self.event.as_deref().is_none_or(|event| record.event.starts_with(event))
+            && self.text.as_deref().is_none_or(|text| {
+                record.text.contains(text) || record.fields.iter().any(|(_, value)| value.contains(text))
+            })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_longest_area_that_one_lies_in_says_its_level() {
+        let areas = [("membership", Level::ERROR), ("membership.etcd", Level::DEBUG)];
+        let areas = areas.into_iter().map(|(area, level)| (area.to_owned(), level)).collect();
+        let levels = Levels { base: Level::INFO, areas };
+        for (area, expected) in [
+            ("membership", Level::ERROR),
+            ("membership.dns", Level::ERROR),
+            ("membership.etcd.watch", Level::DEBUG),
+            ("members", Level::INFO),
+            ("", Level::INFO),
+        ] {
+            assert_eq!(levels.of(area), expected, "{area}");
+        }
+        assert!(levels.hear("membership", Level::ERROR) && !levels.hear("membership", Level::WARN));
+        assert_eq!((level("warn"), level("WARN"), level("3")), (Some(Level::WARN), None, None));
+    }
+}
--- a/http/src/routed.rs
+++ b/http/src/routed.rs
@@ -11,6 +11,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri, Version};
 use sloeline_engine::engine::{Engine, Wire};
+use sloeline_limits::bound::Bound;
 use sloeline_limits::{Share, Taken};
 use sloeline_routing::pattern::{self, Place, Request};
 use sloeline_routing::split::{Split, hash};
@@ -52,6 +53,8 @@
     pub tenants: RefCell<HashMap<String, fs::TenantId>>,
     /// How many requests it may have open.
     pub open: Rc<Share>,
+    /// What operators let it take for a time.
+    pub bound: Bound,
     /// Bytes that bodies and answers may take.
     pub bodies: Rc<Share>,
     /// Most bytes of an answer.
@@ -339,6 +342,9 @@
         if pool.engine.upstreams() == 0 {
             return Err(self.refused("no upstream"));
         }
+        if let Err(wait) = pool.bound.admit(pool.engine.now(), pool.open.used()) {
+            return Err(self.refused_for("limited by an operator", wait));
+        }
         // Guards the other pools: one whose upstreams hang holds no more than its part.
         let place = pool.open.take(1).ok_or_else(|| self.refused("the pool is full"))?;
         let deadline = class.deadline;
@@ -405,8 +411,12 @@
 
 impl<W: Wire<Call = Call, Reply = Reply>> Routed<W> {
     fn refused(&self, why: &'static str) -> Answered {
+        self.refused_for(why, 0)
+    }
+
+    fn refused_for(&self, why: &'static str, wait: Micros) -> Answered {
         let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, why);
-        if let Some(seconds) = self.retry_after(0) {
+        if let Some(seconds) = self.retry_after(wait) {
             answer.headers_mut().insert(hyper::header::RETRY_AFTER, seconds);
         }
         answer
--- a/limits/src/lib.rs
+++ b/limits/src/lib.rs
@@ -5,6 +5,8 @@
 //! half of the reserve, two leave a third, and so on: dynamic thresholds with a factor of one (A. Choudhury, E.
 //! Hahne, "Dynamic Queue Length Thresholds for Shared-Memory Packet Switches", 1998).
 
+pub mod bound;
+
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -54,6 +56,11 @@
         Share::new(own, &Reserve::new(0))
     }
 
+    /// What nobody else can take.
+    pub fn own(&self) -> usize {
+        self.own.get()
+    }
+
     /// What is taken.
     pub fn used(&self) -> usize {
         self.used.get()
--- a/membership/src/file.rs
+++ b/membership/src/file.rs
@@ -7,6 +7,7 @@
 use finchshift::ListKind;
 use notify::{RecommendedWatcher, RecursiveMode, Watcher};
 use sloeline_engine::types::Listed;
+use sloeline_events::tell;
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 
@@ -65,7 +66,7 @@
             changed.notified().await;
             match read(&path) {
                 Ok(list) => tell(ListKind::Complete, list),
-                Err(why) => eprintln!("membership: the last list holds: {why}"),
+                Err(why) => tell!(LIST_HELD, why = %why; "membership: the last list holds: {why}"),
             }
         }
     });
--- a/membership/src/follow.rs
+++ b/membership/src/follow.rs
@@ -8,6 +8,7 @@
 use finchshift::{ListKind, Micros};
 use sloeline_engine::clock::Clock;
 use sloeline_engine::types::Listed;
+use sloeline_events::tell;
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep_until;
@@ -66,7 +67,8 @@
     fn take(&self, source: usize, name: &str, news: News) {
         let taken = self.members.borrow_mut().take(self.clock.now(), source, news);
         if let Err(why) = taken {
-            eprintln!("membership: pool {}, source {name}: not taken: {why}", self.pool);
+            let pool = &self.pool;
+            tell!(SOURCE_REFUSED, pool = %pool, source = %name; "membership: pool {pool}, source {name}: not taken: {why}");
         }
         self.changed.notify_one();
         self.came.notify_waiters();
@@ -88,16 +90,21 @@
             shared.take(source, &name, news);
         }
         if let Some(why) = machine.problem() {
-            eprintln!("membership: pool {}, source {name}: what was known of it holds: {why}", shared.pool);
+            let pool = &shared.pool;
+            tell!(SOURCE_REFUSED, pool = %pool, source = %name; "membership: pool {pool}, source {name}: what was known of it holds: {why}");
         }
         let health = machine.health();
         if health.trouble != trouble {
             trouble.clone_from(&health.trouble);
             match &trouble {
                 Some(why) => {
-                    eprintln!("membership: pool {}, source {name}: the last view holds: {why}", shared.pool);
+                    let pool = &shared.pool;
+                    tell!(SOURCE_TROUBLE, pool = %pool, source = %name; "membership: pool {pool}, source {name}: the last view holds: {why}");
+                }
+                None => {
+                    let pool = &shared.pool;
+                    tell!(SOURCE_FOLLOWS, pool = %pool, source = %name; "membership: pool {pool}, source {name}: follows again");
                 }
-                None => eprintln!("membership: pool {}, source {name}: follows again", shared.pool),
             }
         }
         let most = {
@@ -160,7 +167,7 @@
             Following { shared: shared.clone(), tasks: Vec::new(), files: Vec::new(), lists: Vec::new() };
         for (at, (name, origin)) in origins.iter().enumerate() {
             if let Err(why) = following.begin(at, name, origin, seed.wrapping_add(at as u64)) {
-                eprintln!("membership: pool {pool}, source {name}: not followed: {why}");
+                tell!(SOURCE_TROUBLE, pool = %pool, source = %name; "membership: pool {pool}, source {name}: not followed: {why}");
                 let trouble = Some(why);
                 shared.members.borrow_mut().health(at, Health { trouble, ..Health::default() });
             }
--- a/membership/src/platform.rs
+++ b/membership/src/platform.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use sloeline_engine::types::Listed;
+use sloeline_events::tell;
 use sloeline_settings::setup::{micros, millis, one};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
@@ -96,7 +97,8 @@
     pub fn entries(self) -> Vec<Listed> {
         let entry = |i: Instance| {
             let Ok(address) = i.host_port.parse() else {
-                eprintln!("discovery: {} has no readable address: {:?}", i.instance_id, i.host_port);
+                let (node, found) = (&i.instance_id, &i.host_port);
+                tell!(DISCOVERY_ADDRESS, node = %node; "discovery: {node} has no readable address: {found:?}");
                 return None;
             };
             Some(Listed {
@@ -211,13 +213,15 @@
                         tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
                     }
                     Err(why) if again > 0 => {
-                        eprintln!("discovery: {} does not answer yet: {why}", this.address.get());
+                        let address = this.address.get();
+                        tell!(DISCOVERY_TROUBLE, address = %address; "discovery: {address} does not answer yet: {why}");
                         again -= 1;
                         sleep(pause).await;
                         pause *= 2;
                     }
                     Err(why) if follow.is_some() => {
-                        eprintln!("discovery: {}: {why}; asked again", this.address.get());
+                        let address = this.address.get();
+                        tell!(DISCOVERY_TROUBLE, address = %address; "discovery: {address}: {why}; asked again");
                         let drawn = follow.as_mut().map_or(1.0, fastrand::Rng::f64);
                         sleep(pause.mul_f64(0.5 + drawn)).await;
                         // What came in between may be told nowhere else.
@@ -225,7 +229,7 @@
                         pause = (pause * 2).min(LONGEST_PAUSE);
                     }
                     Err(why) => {
-                        eprintln!("discovery: the watch ended: {why}");
+                        tell!(DISCOVERY_TROUBLE, address = %this.address.get(); "discovery: the watch ended: {why}");
                         return tell(ListKind::Failed, Vec::new());
                     }
                 }
@@ -256,7 +260,7 @@
                     tell(ListKind::Complete, list.entries());
                 }
                 Err(why) => {
-                    eprintln!("discovery: the list did not come: {why}");
+                    tell!(DISCOVERY_TROUBLE, address = %this.address.get(); "discovery: the list did not come: {why}");
                     tell(ListKind::Failed, Vec::new());
                 }
             }
--- a/operations/src/control.rs
+++ b/operations/src/control.rs
@@ -1,7 +1,5 @@
 //! The operators' listener: HTTP/1.1, one call on each connection.
 
-use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -16,17 +14,15 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
 use crate::call::{Call, NoCall, parse};
+use crate::crowd::{Crowd, PAUSE};
 
-/// Connections at once; the one that came first makes room. Guards the descriptors against callers that say nothing.
+/// Connections at once.
 const MOST: usize = 12;
 /// How long a connection may last.
 const PATIENCE: Duration = Duration::from_secs(6);
-/// Pause after a connection could not be taken.
-const PAUSE: Duration = Duration::from_millis(20);
 /// Most of a head, in bytes.
 const MOST_HEAD: usize = 16 * 1024;
 
@@ -38,24 +34,16 @@
 
 /// Answers calls; never returns. Each connection has a task, so that one that says nothing holds up no other.
 pub async fn serve(listener: TcpListener, operated: Rc<impl Operated>) {
-    let open: RefCell<VecDeque<AbortHandle>> = RefCell::default();
+    let crowd = Crowd::new(MOST);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(PAUSE).await;
             continue;
         };
-        let mut open = open.borrow_mut();
-        open.retain(|task| !task.is_finished());
-        if open.len() >= MOST
-            && let Some(first) = open.pop_front()
-        {
-            first.abort();
-        }
         let operated = operated.clone();
-        let task = spawn_local(async move {
+        crowd.take(async move {
             let _ = timeout(PATIENCE, connection(stream, operated)).await;
         });
-        open.push_back(task.abort_handle());
     }
 }
 
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -61,6 +61,16 @@
     },
     /// Ask a daemon that runs, or give it an order, over its control socket.
     Ctl(ctl::Ctl),
+    /// Look at what `ctl snapshot` has kept.
+    Snapshot {
+        #[command(subcommand)]
+        what: Kept,
+    },
+    /// Make a key for signed calls, in a new file that only its owner may read.
+    Key {
+        /// The file.
+        file: PathBuf,
+    },
     /// Read an OpenAPI or AsyncAPI description: what it says of repeats, and what contradicts itself; status 1 if there are errors.
     Operations {
         /// The description, OpenAPI 3.0 or 3.1 or AsyncAPI 2.6 or 3.0, YAML or JSON.
@@ -113,6 +123,27 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Kept {
+    /// All of it, or a part.
+    Show {
+        /// The snapshot.
+        file: PathBuf,
+        /// Such as `orders.standing`.
+        part: Option<String>,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// What differs between two.
+    Diff {
+        /// The earlier one.
+        was: PathBuf,
+        /// The later one.
+        is: PathBuf,
+    },
+}
+
 /// Where the laboratory's program is: beside this one, so that what balances does not carry it.
 const LAB: &str = "sloeline-lab";
 
@@ -128,12 +159,18 @@
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let done = match arguments.command {
-        None if std::env::var_os("EDGE_CONFIG").is_some() => block_on(platform::run()),
+        None if std::env::var_os("EDGE_CONFIG").is_some() => {
+            sloeline_events::hub::install(Default::default());
+            block_on(platform::run())
+        }
         None => {
             let _ = Arguments::command().print_long_help();
             return ExitCode::from(2);
         }
-        Some(Command::Run { config }) => block_on(daemon::run(config)),
+        Some(Command::Run { config }) => {
+            sloeline_events::hub::install(Default::default());
+            block_on(daemon::run(config))
+        }
         Some(Command::Check { file }) => match load(&file) {
             Ok(_) => {
                 println!("{}: no errors", file.display());
@@ -156,6 +193,13 @@
             print!("{}", ctl::run(ctl).await?);
             Ok(())
         }),
+        Some(Command::Snapshot { what: Kept::Show { file, part, json } }) => {
+            ctl::show_kept(&file, part.as_deref(), json).map(|text| print!("{text}"))
+        }
+        Some(Command::Snapshot { what: Kept::Diff { was, is } }) => {
+            ctl::compare_kept(&was, &is).map(|text| print!("{text}"))
+        }
+        Some(Command::Key { file }) => ctl::make_key(&file).map(|text| print!("{text}")),
         Some(Command::Describe { file, listener }) => load(&file)
             .and_then(|config| describe::describe(&config, listener.as_deref()))
             .map(|text| print!("{text}")),
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -1,9 +1,11 @@
 //! The daemon: listeners, routes and pools from one configuration, replaced as a whole on SIGHUP.
 
 mod control;
+mod orders;
 mod pools;
 mod routes;
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -15,6 +17,8 @@
 use sloeline_config::check::{Division, division};
 use sloeline_config::model::{Announce, Config, Listener};
 use sloeline_config::problem::Problem;
+use sloeline_events::hub::hub;
+use sloeline_events::tell;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
 use sloeline_http::routed::Routed;
@@ -36,6 +40,9 @@
 use crate::observed::{Beside, Operations};
 use crate::origins;
 use crate::platform::listen;
+pub use control::Doors;
+use control::Watcher;
+use orders::Orders;
 use pools::{Parts, Plan, Reserves, Running, Seen};
 use routes::{BATCH, Led, Numbers, header, leads};
 
@@ -79,7 +86,7 @@
 fn load_logged(file: &Path) -> Result<Loaded, String> {
     let (config, problems) = load(file)?;
     for problem in &problems {
-        eprintln!("{}:{problem}", file.display());
+        tell!(CONFIG_PROBLEM, file = %file.display(); "{}:{problem}", file.display());
     }
     config.map(Loaded::from).ok_or_else(|| format!("{}: errors", file.display()))
 }
@@ -102,6 +109,17 @@
     }
 }
 
+/// A configuration that is ready to be taken.
+pub struct Prepared {
+    config: Config,
+    division: Division,
+    zones: Names,
+    plans: Vec<(String, Plan)>,
+    numbers: Numbers,
+    operations: Operations,
+    listeners: Vec<ListenerPlan>,
+}
+
 /// A listener under way.
 struct Heard {
     name: String,
@@ -121,18 +139,20 @@
     /// By their addresses, those without a port by their names.
     listeners: BTreeMap<String, Heard>,
     /// Listeners that are removed, until their addresses are free.
-    closing: Vec<oneshot::Receiver<()>>,
+    closing: RefCell<Vec<oneshot::Receiver<()>>>,
     reserves: Reserves,
     zones: Names,
     operations: Operations,
     /// Since when the configuration is in force, its descriptions with it.
     since: Instant,
-    rng: fastrand::Rng,
+    rng: RefCell<fastrand::Rng>,
     /// Where this instance is announced, and by what words.
     announced: Option<(Announce, Announcement)>,
     /// When this instance started, in Unix time.
     started: Micros,
     work: Rc<Worker>,
+    orders: orders::Shared,
+    watchers: RefCell<Vec<Watcher>>,
 }
 
 /// What a listener is known by from one configuration to the next.
@@ -199,22 +219,26 @@
         let work = Worker::new(schedule, time(config.work.slice));
         spawn_local(work.clone().run());
         let reserve = || Reserve::new(0);
+        let ledger = config.control.orders.as_ref().map(|path| folder.join(path));
         let mut daemon = Daemon {
             folder: folder.to_owned(),
             config: config.clone(),
             pools: BTreeMap::new(),
             listeners: BTreeMap::new(),
-            closing: Vec::new(),
+            closing: RefCell::default(),
             reserves: Reserves { upstreams: reserve(), open: reserve(), bodies: reserve() },
             zones: Names::default(),
             operations: Operations::default(),
             since: Instant::now(),
-            rng: fastrand::Rng::with_seed(seed),
+            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             announced: None,
             started: unix(),
             work,
+            orders: Rc::new(RefCell::new(Orders::open(ledger.as_deref())?)),
+            watchers: RefCell::default(),
         };
-        daemon.take(loaded, None).await?;
+        let prepared = daemon.prepare(loaded).await?;
+        daemon.commit(prepared, None)?;
         Ok(daemon)
     }
 
@@ -223,22 +247,26 @@
     /// It is made ready in turns beside the requests and then taken at once, which took as long as is told. Dropped
     /// meanwhile, nothing has changed.
     pub async fn reload(&mut self, config: impl Into<Loaded>) -> Result<Duration, String> {
-        let loaded = config.into();
-        let config = &loaded.config;
-        if config.instance.zone != self.config.instance.zone {
-            let (found, expected) = (&config.instance.zone, &self.config.instance.zone);
-            return Err(format!(
-                "instance.zone: found {found:?}, expected {expected:?}: it changes with a restart"
-            ));
-        }
-        self.take(loaded, Some(unix())).await
+        let prepared = self.prepare(config).await?;
+        self.commit(prepared, Some(unix()))
     }
 
-    /// All that can fail comes first and changes nothing; what comes after cannot fail and does not wait, so that
-    /// no request sees one half of each. Nodes that are new count as started at `now`, if it is told.
-    async fn take(&mut self, loaded: Loaded, now: Option<Micros>) -> Result<Duration, String> {
-        let Loaded { config, mut tables } = loaded;
-        for free in self.closing.drain(..) {
+    /// Makes ready all that can fail or takes long; changes nothing.
+    pub async fn prepare(&self, config: impl Into<Loaded>) -> Result<Prepared, String> {
+        let Loaded { config, mut tables } = config.into();
+        let only_at_start = [
+            ("instance.zone", Some(&config.instance.zone), Some(&self.config.instance.zone)),
+            ("control.orders", config.control.orders.as_ref(), self.config.control.orders.as_ref()),
+        ];
+        for (key, found, expected) in only_at_start {
+            if found != expected {
+                let word = |text: Option<&String>| text.map_or("nothing".to_owned(), |t| format!("{t:?}"));
+                let (found, expected) = (word(found), word(expected));
+                return Err(format!("{key}: found {found}, expected {expected}: it changes with a restart"));
+            }
+        }
+        let closing = self.closing.take();
+        for free in closing {
             let _ = free.await;
         }
         let division = division(&config)?;
@@ -252,8 +280,8 @@
             plans.push((name.clone(), Plan::new(name, &config, classes, &self.folder, &mut zones, before)?));
             turn.rest().await;
         }
-        let mut numbers: Numbers = plans.iter().map(|(name, plan)| (name.clone(), plan.numbers())).collect();
-        let operations = self.operations.plan(&config, self.rng.u64(..));
+        let numbers: Numbers = plans.iter().map(|(name, plan)| (name.clone(), plan.numbers())).collect();
+        let operations = self.operations.plan(&config, self.rng.borrow_mut().u64(..));
         let heard = config.listeners.iter().zip(&division.listeners);
         let mut listeners: Vec<ListenerPlan> = Vec::new();
         for ((name, l), places) in heard {
@@ -272,10 +300,20 @@
                 }
             }
         }
+        Ok(Prepared { config, division, zones, plans, numbers, operations, listeners })
+    }
+
+    /// Takes at once what was made ready: nothing here waits, and but for a defect nothing fails, so that no request sees
+    /// one half of each. Nodes that are new count as started at `now`, if it is told.
+    pub fn commit(&mut self, prepared: Prepared, now: Option<Micros>) -> Result<Duration, String> {
+        let Prepared { config, division, mut zones, mut plans, mut numbers, operations, mut listeners } =
+            prepared;
         let at_once = Instant::now();
-        // From here on nothing waits. Requests that came meanwhile may have numbers that were given away.
+        // Requests that came meanwhile may have numbers that were given away.
+        let mut classes = None;
         for (name, plan) in &mut plans {
             if let Some(running) = self.pools.get(name).filter(|running| !plan.holds(running)) {
+                let classes = classes.get_or_insert_with(|| config.classes_by_pool());
                 *plan = Plan::new(
                     name,
                     &config,
@@ -311,7 +349,7 @@
             if self.pools.contains_key(&name) {
                 changes.push((name, plan, parts));
             } else {
-                let seed = self.rng.u64(..);
+                let seed = self.rng.borrow_mut().u64(..);
                 fresh.push((
                     name.clone(),
                     Running::start(&name, plan, &self.reserves, parts, &self.zones, since, seed)?,
@@ -319,16 +357,19 @@
             }
         }
         for (name, plan, parts) in changes {
-            let seed = self.rng.u64(..);
+            let seed = self.rng.borrow_mut().u64(..);
             if let Some(running) = self.pools.get_mut(&name) {
                 running.change(plan, parts, since, seed);
             }
         }
+        let gone: Vec<String> =
+            self.pools.keys().filter(|n| !config.pools.contains_key(*n)).cloned().collect();
+        let mut orders = self.orders.borrow_mut();
+        fresh.iter().map(|(name, _)| name).chain(&gone).for_each(|name| orders.forget(name));
+        drop(orders);
         self.pools.extend(fresh);
         self.hear(listeners, &numbers);
         // Last: by now no route leads there.
-        let gone: Vec<String> =
-            self.pools.keys().filter(|n| !config.pools.contains_key(*n)).cloned().collect();
         for running in gone.iter().filter_map(|name| self.pools.remove(name)) {
             spawn_local(running.retire());
         }
@@ -338,7 +379,12 @@
         tokio::task::spawn_blocking(move || drop(before));
         self.operations = operations;
         self.since = Instant::now();
+        if let Some(hub) = hub() {
+            hub.set(control::logs(&self.config.log));
+        }
         self.announce();
+        self.carry_out();
+        self.let_return();
         Ok(at_once.elapsed())
     }
 
@@ -358,7 +404,7 @@
         }
         let Some(words) = wanted.cloned() else { return };
         let settings = origins::announce(&self.config, &words, self.started);
-        match Announcement::start(settings, &words.endpoints, self.rng.u64(..)) {
+        match Announcement::start(settings, &words.endpoints, self.rng.borrow_mut().u64(..)) {
             Ok(announcement) => {
                 let pools: Vec<_> = self.pools.values().map(Running::listed).collect();
                 let ready = async move {
@@ -369,7 +415,7 @@
                 announcement.want_after(ready, Wanted::Serving);
                 self.announced = Some((words, announcement));
             }
-            Err(why) => eprintln!("announce: {why}"),
+            Err(why) => tell!(ANNOUNCE_TROUBLE, why = %why; "announce: {why}"),
         }
     }
 
@@ -412,7 +458,8 @@
                 self.listeners.insert(identity, heard);
             } else if let Some(socket) = socket {
                 let address = socket.local_addr().unwrap_or(wanted.address);
-                eprintln!("sloeline {}: {name} listens on {address}", self.config.instance.name);
+                let instance = &self.config.instance.name;
+                tell!(LISTENING, listener = %name, address = %address; "sloeline {instance}: {name} listens on {address}");
                 let (phases, phase) = watch::channel(Phase::Running);
                 let callers = Callers::new(Routed::new(routes), room, phase);
                 let (freed, free) = oneshot::channel();
@@ -428,9 +475,10 @@
             }
         }
         for heard in gone.into_values() {
-            eprintln!("sloeline: {} no longer listens on {}", heard.name, heard.address);
+            let (name, address) = (&heard.name, heard.address);
+            tell!(LISTENING_ENDED, listener = %name, address = %address; "sloeline: {name} no longer listens on {address}");
             let _ = heard.phases.send(Phase::Closing);
-            self.closing.push(heard.free);
+            self.closing.borrow_mut().push(heard.free);
         }
     }
 
@@ -465,7 +513,8 @@
         for heard in self.listeners.into_values() {
             let left = deadline.saturating_duration_since(Instant::now());
             if timeout(left, heard.task).await.is_err() {
-                eprintln!("sloeline: {} has connections that do not end; they are left", heard.name);
+                let name = &heard.name;
+                tell!(CONNECTIONS_LEFT, listener = %name; "sloeline: {name} has connections that do not end; they are left");
             }
         }
         if let Some((_, announcement)) = &self.announced {
@@ -475,6 +524,14 @@
     }
 }
 
+/// Resolves at a time; never without one.
+async fn at(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Runs until the order to stop; the error is one plain line.
 pub async fn run(file: PathBuf) -> Result<(), String> {
     // The signals before all else: until it is handled, SIGHUP ends the process.
@@ -486,56 +543,74 @@
     let folder = file.parent().unwrap_or(Path::new("")).to_owned();
     let mut daemon = Daemon::start(config, &folder, fastrand::u64(..)).await?;
     let (asks, mut asked) = mpsc::channel(MOST_ASKED);
-    let mut socket = None;
-    daemon.control(&mut socket, &asks);
-    loop {
-        tokio::select! {
+    let mut doors = Doors::default();
+    daemon.open_doors(&mut doors, &asks).await;
+    'serving: loop {
+        let reloads = tokio::select! {
             biased;
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            Some((verb, answer)) = asked.recv() => daemon.answer_to(&file, verb, answer),
-            _ = hangup.recv() => {
-                let start = Instant::now();
-                // Beside the requests: descriptions may be large.
-                let file = file.clone();
-                let loaded = tokio::task::spawn_blocking(move || load_logged(&file)).await;
-                let (age, summary) = daemon.standing();
-                summary.iter().for_each(|line| eprintln!("{line}"));
-                let reloaded = match loaded {
+            Some(call) = asked.recv() => {
+                daemon.answer_to(&file, call);
+                false
+            }
+            () = at(daemon.due()) => {
+                daemon.ring();
+                false
+            }
+            _ = hangup.recv() => true,
+        };
+        if !reloads {
+            continue;
+        }
+        let start = Instant::now();
+        let (age, summary) = daemon.standing();
+        summary.iter().for_each(|line| tell!(OPERATION_SUMMARY; "{line}"));
+        // Beside the requests: descriptions may be large.
+        let from = file.clone();
+        let prepared = {
+            let preparing = async {
+                let loaded = tokio::task::spawn_blocking(move || load_logged(&from)).await;
+                daemon.prepare(loaded.map_err(|e| e.to_string())??).await
+            };
+            tokio::pin!(preparing);
+            loop {
+                tokio::select! {
+                    biased;
                     // Nothing has changed where it is left for an order to stop.
-                    Ok(Ok(loaded)) => tokio::select! {
-                        biased;
-                        _ = terminate.recv() => break,
-                        _ = interrupt.recv() => break,
-                        reloaded = daemon.reload(loaded) => reloaded,
-                    },
-                    Ok(Err(why)) => Err(why),
-                    Err(why) => Err(why.to_string()),
-                };
-                daemon.control(&mut socket, &asks);
-                match reloaded {
-                    Ok(at_once) => eprintln!(
-                        "sloeline: configuration read again in {} ms, {:.1} ms of them at once",
-                        start.elapsed().as_millis(),
-                        at_once.as_secs_f64() * 1e3
-                    ),
-                    Err(why) => {
-                        eprintln!("sloeline: the running configuration is kept: {why}");
-                        eprintln!("sloeline: it has been in force for {} s", age.as_secs());
-                    }
+                    _ = terminate.recv() => break 'serving,
+                    _ = interrupt.recv() => break 'serving,
+                    Some(call) = asked.recv() => daemon.answer_to(&file, call),
+                    () = at(daemon.due()) => daemon.ring(),
+                    prepared = &mut preparing => break prepared,
                 }
             }
+        };
+        match prepared.and_then(|prepared| daemon.commit(prepared, Some(unix()))) {
+            Ok(at_once) => tell!(
+                CONFIG_READ;
+                "sloeline: configuration read again in {} ms, {:.1} ms of them at once",
+                start.elapsed().as_millis(),
+                at_once.as_secs_f64() * 1e3
+            ),
+            Err(why) => {
+                tell!(CONFIG_KEPT, why = %why; "sloeline: the running configuration is kept: {why}");
+                tell!(CONFIG_KEPT, why = %why; "sloeline: it has been in force for {} s", age.as_secs());
+            }
         }
+        daemon.open_doors(&mut doors, &asks).await;
     }
-    eprintln!("sloeline: told to stop");
-    drop(socket);
-    daemon.standing().1.iter().for_each(|line| eprintln!("{line}"));
+    tell!(STOPPING; "sloeline: told to stop");
+    drop(doors);
+    daemon.standing().1.iter().for_each(|line| tell!(OPERATION_SUMMARY; "{line}"));
     let stopped = daemon.stop();
     tokio::pin!(stopped);
     loop {
         tokio::select! {
             () = &mut stopped => return Ok(()),
-            _ = hangup.recv() => eprintln!("sloeline: the running configuration is kept: it is stopping"),
+            _ = hangup.recv() => {
+                tell!(CONFIG_KEPT, why = %"stopping"; "sloeline: the running configuration is kept: it is stopping");
+            }
         }
     }
 }
--- a/sloeline/src/daemon/control.rs
+++ b/sloeline/src/daemon/control.rs
@@ -1,16 +1,48 @@
 //! What the control socket is answered: the daemon as it runs.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
+use std::time::Duration;
 
 use serde_json::{Value, json};
-use sloeline_config::model::Config;
-use sloeline_operations::socket::{Answer, Asked, Socket, Verb};
-use tokio::sync::{mpsc, oneshot};
+use sloeline_config::model::{Config, Control, ControlKey, Log, RouteTo};
+use sloeline_events::filter::{Levels, Wanted, level};
+use sloeline_events::hub::{Form, Settings, hub};
+use sloeline_events::limit::Rate;
+use sloeline_events::tell;
+use sloeline_limits::Share;
+use sloeline_operations::address::Address;
+use sloeline_operations::auth::{Key, May, Secret};
+use sloeline_operations::book::{On, Order};
+use sloeline_operations::socket::Socket;
+use sloeline_operations::verbs::{Asked, Replies, Verb};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
 
-use super::Daemon;
+use super::pools::Running;
+use super::{Daemon, unix};
 use crate::explain::explain;
 
+/// Longest file of a key, in bytes.
+const MOST_KEY: u64 = 4096;
+/// Open requests of each pool that a snapshot holds.
+const SNAPSHOT_REQUESTS: usize = 64;
+
+/// Where a route leads, in a row.
+fn route(route: &RouteTo) -> Value {
+    let pools: Vec<String> = route.split.iter().map(|(pool, weight)| format!("{pool}:{weight}")).collect();
+    json!({
+        "route": route.route.name,
+        "listeners": route.listeners.join(" "),
+        "pools": pools.join(" "),
+        "classes": route.classes.join(" "),
+        "operation": route.operation.as_ref().map(|o| o.name.clone()),
+    })
+}
+
 /// Names in the one that are missing in the other, and those that are in both but differ.
 fn differ<T: PartialEq>(old: &BTreeMap<String, T>, new: &BTreeMap<String, T>) -> Value {
     let gone: Vec<&String> = old.keys().filter(|name| !new.contains_key(*name)).collect();
@@ -59,62 +91,267 @@
     config.map(|config| changes(old, &config)).ok_or_else(told)
 }
 
+/// Where operators call.
+#[derive(Default)]
+pub struct Doors {
+    socket: Option<Socket>,
+    /// With what the configuration says of it.
+    address: Option<(SocketAddr, Address)>,
+}
+
+/// Reads the keys that a configuration names.
+fn keys(control: &Control, folder: &Path) -> Result<BTreeMap<String, Key>, String> {
+    let read = |(name, key): (&String, &ControlKey)| {
+        let path = folder.join(&key.file);
+        let named = |why: String| format!("control.key.{name}: {}: {why}", path.display());
+        let found = std::fs::metadata(&path).map_err(|e| named(e.to_string()))?;
+        if found.permissions().mode() & 0o077 != 0 {
+            return Err(named("found one that others may read or write, expected mode 0600".to_owned()));
+        }
+        if found.len() > MOST_KEY {
+            return Err(named(format!("found {} bytes, expected at most {MOST_KEY}", found.len())));
+        }
+        let text = std::fs::read_to_string(&path).map_err(|e| named(e.to_string()))?;
+        let may = if key.orders { May::Order } else { May::Ask };
+        Ok((name.clone(), Key { secret: Secret::read(&text).map_err(named)?, may }))
+    };
+    control.keys.iter().map(read).collect()
+}
+
+/// Watches between two of which there is at least and at most this, in milliseconds.
+const EVERY: std::ops::RangeInclusive<u64> = 100..=3_600_000;
+
+/// Someone who is told again and again how it stands.
+pub(super) struct Watcher {
+    to: Replies,
+    every: Duration,
+    next: Instant,
+}
+
+/// Tells events as they come, after the latest of them.
+fn tail(wanted: Wanted, backlog: usize, to: Replies) {
+    let Some(hub) = hub() else { return to.end(Err("this process keeps no events".to_owned())) };
+    if let Err(why) = wanted.check() {
+        return to.end(Err(why));
+    }
+    let mut follows = hub.follow(wanted.clone());
+    for record in hub.latest(&wanted, backlog) {
+        to.more(record.json());
+    }
+    spawn_local(async move {
+        loop {
+            let next = tokio::select! {
+                next = follows.recv() => next,
+                () = to.left() => return,
+            };
+            // Others who follow have taken this one's place, or it takes nothing.
+            if !next.is_some_and(|record| to.more(record.json())) {
+                return;
+            }
+        }
+    });
+}
+
+/// What a configuration says of logs.
+pub(super) fn logs(log: &Log) -> Settings {
+    let word = |word: &String| level(word).unwrap_or(Levels::default().base);
+    let areas = log.levels.iter().map(|(area, level)| (area.clone(), word(level))).collect();
+    Settings {
+        form: if log.json { Form::Json } else { Form::Text },
+        levels: Levels { base: word(&log.level), areas },
+        rate: Rate { burst: log.burst, each_second: log.rate },
+    }
+}
+
 impl Daemon {
-    /// Answers a call at once; none for those that take long.
-    fn answer(&self, verb: Verb) -> Option<Answer> {
-        let answer = match verb {
-            Verb::Status => Ok(self.status()),
-            Verb::Pools => Ok(self.pools.iter().map(|(name, running)| running.told(name)).collect()),
-            Verb::Members { pool } => self.only(pool.as_deref()).map(|pools| {
-                let told = |name: &&String| (name.to_string(), self.pools[*name].members());
+    /// Answers a call that asks how things stand, at once.
+    fn asked(&self, verb: &Verb) -> Result<Value, String> {
+        let each = |pool: Option<&str>, of: &dyn Fn(&Running) -> Value| {
+            self.only(pool).map(|pools| {
+                let told = |name: &&String| (name.to_string(), of(&self.pools[*name]));
                 Value::Object(pools.iter().map(told).collect())
-            }),
+            })
+        };
+        match verb {
+            Verb::Pools => Ok(self.pools.iter().map(|(name, running)| running.told(name)).collect()),
+            Verb::Members { pool } => each(pool.as_deref(), &Running::members),
+            Verb::Requests { pool, most } => each(pool.as_deref(), &|running| running.requests(*most)),
+            Verb::Budgets => Ok(self.budgets()),
+            Verb::Routes => Ok(self.config.routes.iter().map(route).collect()),
             Verb::Work => Ok(self.work_told()),
             Verb::Operations => Ok(json!(self.operations.summary())),
-            Verb::Out { node, pool } => self.order(&node, pool.as_deref(), true),
-            Verb::Back { node, pool } => self.order(&node, pool.as_deref(), false),
-            Verb::Changes | Verb::Explain { .. } => return None,
-        };
-        Some(answer.map_or_else(Answer::Refused, Answer::Done))
+            Verb::Orders => Ok(self.orders.borrow().told()),
+            Verb::Snapshot => Ok(self.snapshot()),
+            _ => Ok(self.status()),
+        }
+    }
+
+    /// Answers a call, or sees to it that it is answered.
+    pub fn answer_to(&self, file: &Path, asked: Asked) {
+        let Asked { verb, who, to } = asked;
+        match verb {
+            Verb::Out { node, pool, because } => {
+                self.ordered(self.give(Order::Out { node, pool }, who, because), to);
+            }
+            Verb::Drain { node, pool, because } => {
+                let order = Order::Out { node: node.clone(), pool };
+                self.drain(node, self.give(order, who, because), to);
+            }
+            Verb::Back { node, pool, because } => {
+                self.ordered(self.take_back(&On::Node(node, pool), who, because), to);
+            }
+            Verb::Standby { because } => self.ordered(self.give(Order::Standby, who, because), to),
+            Verb::Active { because } => self.ordered(self.take_back(&On::Instance, who, because), to),
+            Verb::Limit { pool, open, rate, because } => {
+                self.ordered(self.give(Order::Limit { pool, open, rate }, who, because), to);
+            }
+            Verb::Unlimit { pool, because } => {
+                self.ordered(self.take_back(&On::Pool(pool), who, because), to);
+            }
+            Verb::Tail { wanted, backlog } => tail(wanted, backlog, to),
+            Verb::Watch { every_ms } if EVERY.contains(&every_ms) => {
+                let every = Duration::from_millis(every_ms);
+                self.watchers.borrow_mut().push(Watcher { to, every, next: Instant::now() });
+            }
+            Verb::Watch { every_ms } => {
+                let (least, most) = (EVERY.start(), EVERY.end());
+                to.end(Err(format!("every_ms: found {every_ms}, expected {least} to {most}")));
+            }
+            // Both take long: a table of all routes, a whole configuration.
+            Verb::Explain { method, url, headers } => {
+                let config = self.config.clone();
+                tokio::task::spawn_blocking(move || {
+                    to.end(explain(&config, &method, &url, &headers).map(Value::String));
+                });
+            }
+            Verb::Changes => {
+                let (config, file) = (self.config.clone(), file.to_owned());
+                tokio::task::spawn_blocking(move || to.end(compare(&config, &file)));
+            }
+            asks => to.end(self.asked(&asks)),
+        }
+    }
+
+    /// When something of the operators' is to be done by itself.
+    pub fn due(&self) -> Option<Instant> {
+        let watchers = self.watchers.borrow().iter().map(|w| w.next).min();
+        self.orders.borrow().due().into_iter().chain(watchers).min()
     }
 
-    /// Answers a call; what takes long is done beside the requests.
-    pub fn answer_to(&self, file: &Path, verb: Verb, to: oneshot::Sender<Answer>) {
-        if let Some(answer) = self.answer(verb.clone()) {
-            // Whoever asked may have left.
-            let _ = to.send(answer);
-            return;
+    /// Does it.
+    pub fn ring(&self) {
+        if let Some(hub) = hub() {
+            hub.sweep();
         }
-        let (config, file) = (self.config.clone(), file.to_owned());
-        tokio::task::spawn_blocking(move || {
-            let answer = match verb {
-                // Makes a table of all routes.
-                Verb::Explain { method, url, headers } => {
-                    explain(&config, &method, &url, &headers).map(Value::String)
-                }
-                _ => compare(&config, &file),
-            };
-            let _ = to.send(answer.map_or_else(Answer::Refused, Answer::Done));
+        self.pass();
+        let now = Instant::now();
+        let mut watchers = self.watchers.take();
+        // Whoever has left, or takes nothing, is told no more.
+        watchers.retain_mut(|watcher| {
+            if watcher.next > now {
+                return true;
+            }
+            watcher.next = now + watcher.every;
+            watcher.to.more(self.status())
         });
+        *self.watchers.borrow_mut() = watchers;
     }
 
-    /// Opens the socket that the configuration names, where it is not open; closes the one before.
-    pub fn control(&self, socket: &mut Option<Socket>, asks: &mpsc::Sender<Asked>) {
-        let wanted = self.config.control.as_ref().map(|path| self.folder.join(path));
-        if socket.as_ref().map(Socket::path) == wanted.as_deref() {
-            return;
+    /// Opens what the configuration names and is not open; closes what it names no more.
+    pub async fn open_doors(&self, doors: &mut Doors, asks: &mpsc::Sender<Asked>) {
+        let control = &self.config.control;
+        let wanted = control.socket.as_ref().map(|path| self.folder.join(path));
+        if doors.socket.as_ref().map(Socket::path) != wanted.as_deref() {
+            doors.socket = None;
+            match wanted.map(|path| Socket::open(&path, asks.clone())) {
+                Some(Ok(open)) => {
+                    let at = open.path().display();
+                    tell!(CALLS_OPEN, at = %at; "sloeline: operators' calls on {at}");
+                    doors.socket = Some(open);
+                }
+                Some(Err(why)) => tell!(CALLS_CLOSED, why = %why; "sloeline: no operators' calls: {why}"),
+                None => {}
+            }
+        }
+        if doors.address.as_ref().map(|(wanted, _)| *wanted) != control.address {
+            doors.address = None;
         }
-        *socket = None;
-        let Some(path) = wanted else { return };
-        match Socket::open(&path, asks.clone()) {
-            Ok(open) => {
-                eprintln!("sloeline: operators' calls on {}", path.display());
-                *socket = Some(open);
+        let Some(wanted) = control.address else { return };
+        let (control, folder) = (control.clone(), self.folder.clone());
+        let read = tokio::task::spawn_blocking(move || keys(&control, &folder)).await;
+        let keys = match read.unwrap_or_else(|e| Err(e.to_string())) {
+            Ok(keys) => keys,
+            // A key that can't be read must not end what the others are for.
+            Err(why) => {
+                return tell!(CALLS_CLOSED, why = %why; "sloeline: no other keys for operators' calls: {why}");
+            }
+        };
+        match &doors.address {
+            Some((_, open)) => open.set_keys(keys),
+            None => {
+                let open = crate::platform::listen(wanted, false)
+                    .and_then(|at| Address::open(at, keys, asks.clone()).map_err(|e| e.to_string()));
+                match open {
+                    Ok(open) => {
+                        let at = open.at();
+                        tell!(CALLS_OPEN, at = %at; "sloeline: signed operators' calls on {at}");
+                        doors.address = Some((wanted, open));
+                    }
+                    Err(why) => {
+                        tell!(CALLS_CLOSED, why = %why; "sloeline: no signed operators' calls: {why}")
+                    }
+                }
             }
-            Err(why) => eprintln!("sloeline: no operators' calls: {why}"),
         }
     }
 
+    /// All that can be told, for later.
+    fn snapshot(&self) -> Value {
+        let asked = |verb: Verb| self.asked(&verb).unwrap_or_default();
+        json!({
+            "at": unix(),
+            "status": self.status(),
+            "pools": asked(Verb::Pools),
+            "members": asked(Verb::Members { pool: None }),
+            "requests": asked(Verb::Requests { pool: None, most: SNAPSHOT_REQUESTS }),
+            "budgets": self.budgets(),
+            "routes": asked(Verb::Routes),
+            "work": self.work_told(),
+            "operations": asked(Verb::Operations),
+            "orders": asked(Verb::Orders),
+        })
+    }
+
+    /// What each pool may take up, and what it does.
+    fn budgets(&self) -> Value {
+        let share = |share: &Share| json!([share.used(), share.own(), share.borrowed()]);
+        let pools: Vec<Value> = self
+            .pools
+            .iter()
+            .map(|(name, running)| {
+                let pool = &running.pool;
+                let (open, rate) = pool.bound.bounds();
+                json!({
+                    "pool": name,
+                    "open_used_own_borrowed": share(&pool.open),
+                    "connections_used_own_borrowed": share(running.connections()),
+                    "bytes_used_own_borrowed": share(&pool.bodies),
+                    "limit_open": open,
+                    "limit_rate": rate,
+                    "refused_by_limit": pool.bound.refused(),
+                })
+            })
+            .collect();
+        json!({
+            "pools": pools,
+            "reserves_free": {
+                "open": self.reserves.open.free(),
+                "connections": self.reserves.upstreams.free(),
+                "bytes": self.reserves.bodies.free(),
+            },
+        })
+    }
+
     fn status(&self) -> Value {
         let listeners: Vec<Value> = self
             .listeners
@@ -131,6 +368,7 @@
             "pools": self.pools.len(),
             "routes": self.config.routes.len(),
             "ready": engines().all(|engine| engine.listed()),
+            "orders": self.orders.borrow().standing(),
             "open_requests": engines().map(|engine| engine.open()).sum::<usize>(),
         })
     }
@@ -164,7 +402,7 @@
     }
 
     /// One pool by its name, or all.
-    fn only(&self, pool: Option<&str>) -> Result<Vec<&String>, String> {
+    pub(super) fn only(&self, pool: Option<&str>) -> Result<Vec<&String>, String> {
         let named: Vec<&String> = self.pools.keys().filter(|name| pool.is_none_or(|p| p == *name)).collect();
         if named.is_empty() {
             let pools: Vec<&str> = self.pools.keys().map(String::as_str).collect();
@@ -172,24 +410,4 @@
         }
         Ok(named)
     }
-
-    /// Takes a node out, or puts it back, in one pool or wherever it is listed.
-    fn order(&self, node: &str, pool: Option<&str>, out: bool) -> Result<Value, String> {
-        let mut in_pools = Vec::new();
-        for name in self.only(pool)? {
-            let engine = &self.pools[name].pool.engine;
-            if if out { engine.take_out(node) } else { engine.put_back(node) } {
-                in_pools.push(name.as_str());
-            }
-        }
-        if in_pools.is_empty() {
-            return Err(format!("found node {node:?}, expected the name of one that is listed"));
-        }
-        eprintln!(
-            "sloeline: ordered: {node} {} in {}",
-            if out { "out" } else { "back" },
-            in_pools.join(", ")
-        );
-        Ok(json!({"node": node, "pools": in_pools}))
-    }
 }
--- /dev/null
+++ b/sloeline/src/daemon/orders.rs
@@ -0,0 +1,395 @@
+//! Operators' orders, carried out: what the book comes to is held against what was carried out before, after every change
+//! and every reload.
+
+use std::cell::RefCell;
+use std::fs::File;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+
+use finchshift::Micros;
+use serde_json::{Value, json};
+use sloeline_events::tell;
+use sloeline_membership::announce::Wanted;
+use sloeline_operations::book::{Book, Bound, Effect, Given, On, Order, Past, Standing, Step};
+use sloeline_operations::ledger::Ledger;
+use sloeline_operations::presence::Presence;
+use sloeline_operations::verbs::{Because, Replies};
+use sloeline_work::schedule::{Job, Priority};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+use super::{Daemon, time, unix};
+
+/// Longest time that an order may be given for, in seconds. Guards the arithmetic.
+const LONGEST: f64 = 10.0 * 365.0 * 86_400.0;
+
+/// The file of orders, and how far it has come.
+struct Keeper {
+    ledger: Ledger,
+    /// Held for as long as this process runs; none where another one has it.
+    lock: Option<File>,
+    /// The revision that stands there.
+    written: Option<u64>,
+}
+
+/// The orders of a daemon.
+pub(super) struct Orders {
+    book: Book,
+    carried: Effect,
+    presence: Presence,
+    keeper: Option<Arc<Mutex<Keeper>>>,
+    /// Nodes whose order has ended while no process ran: they return as soon as they are listed.
+    returning: Vec<(Option<String>, String)>,
+    /// When this process began, in Unix time and by a clock that never goes back.
+    began: (Micros, Instant),
+}
+
+impl Orders {
+    /// As they stand in a file, if there is one.
+    pub(super) fn open(path: Option<&Path>) -> Result<Orders, String> {
+        let began = (unix(), Instant::now());
+        let mut orders = Orders {
+            book: Book::default(),
+            carried: Effect::default(),
+            presence: Presence::default(),
+            keeper: None,
+            returning: Vec::new(),
+            began,
+        };
+        let Some(path) = path else { return Ok(orders) };
+        let ledger = Ledger::new(path.to_owned());
+        let found =
+            ledger.read().map_err(|why| format!("orders: {why}: move it away to start without orders"))?;
+        if let Some(why) = &found.spoilt {
+            tell!(ORDERS_SPOILT, why = %why; "sloeline: orders: {why}: those before it hold");
+        }
+        let revision = found.written.revision;
+        let (book, over) = Book::read(found.written, began.0);
+        for order in &over {
+            let (id, who) = (order.id, &order.who);
+            tell!(ORDER_OVER, id = %id, who = %who; "sloeline: order {id} of {who} came to its end while nothing ran");
+        }
+        for order in book.standing() {
+            let (id, who) = (order.id, &order.who);
+            tell!(ORDER_STANDS, id = %id, who = %who; "sloeline: order {id} of {who} stands");
+        }
+        orders.returning = over
+            .into_iter()
+            .filter_map(|order| match order.order {
+                Order::Out { node, pool } => Some((pool, node)),
+                _ => None,
+            })
+            .collect();
+        orders.book = book;
+        let lock = lock(path);
+        if let Err(why) = &lock {
+            tell!(ORDERS_NOT_KEPT, why = %why; "sloeline: orders are obeyed, and not kept: {why}");
+        }
+        let keeper = Keeper { ledger, lock: lock.ok(), written: Some(revision) };
+        orders.keeper = Some(Arc::new(Mutex::new(keeper)));
+        Ok(orders)
+    }
+
+    /// The present time in Unix time, as this process counts it: a clock that is set ends no order early or late.
+    fn now(&self) -> Micros {
+        self.began.0 + self.began.1.elapsed().as_micros() as Micros
+    }
+
+    /// When something happens by itself.
+    pub(super) fn due(&self) -> Option<Instant> {
+        let ends = self.book.due().map(|at| self.began.1 + time(at.saturating_sub(self.began.0)));
+        let steps = self.presence.next_change(Instant::now().into_std()).map(Instant::from_std);
+        ends.into_iter().chain(steps).min()
+    }
+
+    /// The pools that are no more, or are others under the same name, have been told nothing.
+    pub(super) fn forget(&mut self, pool: &str) {
+        self.carried.out.retain(|(of, _)| of != pool);
+        self.carried.bounds.remove(pool);
+    }
+
+    /// How many stand.
+    pub(super) fn standing(&self) -> usize {
+        self.book.standing().count()
+    }
+
+    pub(super) fn told(&self) -> Value {
+        let of = |order: &Standing| serde_json::to_value(order).unwrap_or_default();
+        let past = |past: &Past| {
+            let mut told = serde_json::to_value(past).unwrap_or_default();
+            if let (Some(told), Ok(end)) = (told.as_object_mut(), serde_json::to_value(&past.end)) {
+                told.insert("end".to_owned(), end);
+            }
+            told
+        };
+        json!({
+            "revision": self.book.revision(),
+            "standing": self.book.standing().map(of).collect::<Vec<_>>(),
+            "past": self.book.past().map(past).collect::<Vec<_>>(),
+        })
+    }
+}
+
+/// Makes this process the one that writes beside a path.
+fn lock(path: &Path) -> Result<File, String> {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".lock");
+    let named = |why: String| format!("{}: {why}", Path::new(&name).display());
+    let file = File::options().create(true).truncate(false).write(true).open(&name);
+    let file = file.map_err(|e| named(e.to_string()))?;
+    // A crash frees it.
+    rustix::fs::flock(&file, rustix::fs::FlockOperation::NonBlockingLockExclusive)
+        .map_err(|_| named("another process has it".to_owned()))?;
+    Ok(file)
+}
+
+impl Keeper {
+    fn write(&mut self, book: &Book) -> Result<(), String> {
+        if self.lock.is_none() {
+            return Err("another process keeps this file".to_owned());
+        }
+        // Another change was written while this one waited: this one is in it.
+        if self.written.is_some_and(|written| written >= book.revision()) {
+            return Ok(());
+        }
+        self.ledger.write(&book.written())?;
+        self.written = Some(book.revision());
+        Ok(())
+    }
+}
+
+impl Daemon {
+    /// Carries out what the book comes to now.
+    pub(super) fn carry_out(&self) {
+        let mut orders = self.orders.borrow_mut();
+        let to = orders.book.effect(self.pools.keys().map(String::as_str));
+        for step in orders.carried.towards(&to) {
+            match step {
+                Step::Out(pool, node) => self.pools[&pool].pool.engine.order_out(&node),
+                Step::Back(pool, node) => _ = self.pools[&pool].pool.engine.put_back(&node),
+                Step::Bound(pool, bound) => {
+                    let pool = &self.pools[&pool].pool;
+                    let Bound { open, rate } = bound.unwrap_or_default();
+                    pool.bound.set(pool.engine.now(), open, rate);
+                }
+                Step::Standby(on) => {
+                    orders.presence.standby(Instant::now().into_std(), on);
+                    // Readers of the registry send their callers elsewhere too.
+                    if let Some((_, announcement)) = &self.announced {
+                        announcement.want(if on { Wanted::Draining } else { Wanted::Serving });
+                    }
+                }
+            }
+        }
+        orders.carried = to;
+        let posture = orders.presence.posture(Instant::now().into_std());
+        drop(orders);
+        self.listeners.values().for_each(|heard| heard.callers.pose(posture));
+    }
+
+    /// Nodes whose order has ended while nothing ran return when they are listed, as ones that have just started.
+    pub(super) fn let_return(&self) {
+        let returning = std::mem::take(&mut self.orders.borrow_mut().returning);
+        for (only, node) in returning {
+            for (name, running) in &self.pools {
+                let key = (name.clone(), node.clone());
+                let out = self.orders.borrow().carried.out.contains(&key);
+                if out || only.as_ref().is_some_and(|only| only != name) {
+                    continue;
+                }
+                let (engine, listed) = (running.pool.engine.clone(), running.listed());
+                engine.order_out(&node);
+                let (orders, node) = (Rc::clone(&self.orders), node.clone());
+                spawn_local(async move {
+                    listed.await;
+                    // Ordered out again meanwhile?
+                    if !orders.borrow().carried.out.contains(&key) {
+                        engine.put_back(&node);
+                    }
+                });
+            }
+        }
+    }
+
+    /// Ends what has come to its end.
+    pub(super) fn pass(&self) {
+        let over = {
+            let mut orders = self.orders.borrow_mut();
+            let now = orders.now();
+            orders.book.pass(now)
+        };
+        for order in &over {
+            let (id, who) = (order.id, &order.who);
+            tell!(ORDER_OVER, id = %id, who = %who; "sloeline: order {id} of {who} came to its end");
+        }
+        self.carry_out();
+        if !over.is_empty() {
+            self.keep(|kept| {
+                if let Err(why) = kept {
+                    tell!(ORDERS_NOT_KEPT, why = %why; "sloeline: orders are not kept: {why}");
+                }
+            });
+        }
+    }
+
+    /// Writes the book down beside the requests, and says how that went. Whoever waits for a rule goes first.
+    fn keep(&self, then: impl FnOnce(Result<(), String>) + 'static) {
+        let orders = self.orders.borrow();
+        let Some(keeper) = orders.keeper.clone() else {
+            return then(Err("there is no [control] orders file".to_owned()));
+        };
+        let (book, work) = (orders.book.clone(), self.work.clone());
+        spawn_local(async move {
+            // Without a place it is written all the same.
+            let turn = work.turn(Job::new("orders", 0, Priority::Guard)).await;
+            drop(turn);
+            let write = move || keeper.lock().map_err(|e| e.to_string())?.write(&book);
+            then(tokio::task::spawn_blocking(write).await.unwrap_or_else(|e| Err(e.to_string())));
+        });
+    }
+
+    /// Answers when it is written down; that it could not be is told, and the order holds all the same.
+    fn kept(&self, to: Replies, mut told: Value) {
+        self.keep(move |kept| {
+            told["kept"] = match kept {
+                Ok(()) => json!(true),
+                Err(why) => {
+                    tell!(ORDERS_NOT_KEPT, why = %why; "sloeline: orders are not kept: {why}");
+                    json!(format!("no: {why}"))
+                }
+            };
+            to.end(Ok(told));
+        });
+    }
+
+    fn given(&self, who: String, because: Because) -> Result<Given, String> {
+        let Because { why, for_s, revision } = because;
+        let until = match for_s {
+            None => None,
+            Some(span) if span > 0.0 && span <= LONGEST => {
+                Some(self.orders.borrow().now() + (span * 1e6) as Micros)
+            }
+            Some(span) => {
+                return Err(format!("for_s: found {span}, expected more than 0 and at most {LONGEST}"));
+            }
+        };
+        Ok(Given { who, why, until, revision })
+    }
+
+    /// Gives an order; what is to be told of it.
+    pub(super) fn give(&self, order: Order, who: String, because: Because) -> Result<Value, String> {
+        let pools = match &order {
+            Order::Out { node, pool } => self.meets(node, pool.as_deref())?,
+            Order::Limit { pool, .. } => self.only(Some(pool))?.into_iter().cloned().collect(),
+            Order::Standby => Vec::new(),
+        };
+        let given = self.given(who, because)?;
+        let told = {
+            let mut orders = self.orders.borrow_mut();
+            let now = orders.now();
+            let (id, replaced) = orders.book.give(now, order.clone(), &given).map_err(|e| e.to_string())?;
+            let mut told = serde_json::to_value(&order).map_err(|e| e.to_string())?;
+            told["id"] = json!(id);
+            told["revision"] = json!(orders.book.revision());
+            told["pools"] = json!(pools);
+            told["until"] = json!(given.until);
+            told["replaced"] = replaced
+                .map_or(Value::Null, |order| json!({"id": order.id, "who": order.who, "why": order.why}));
+            told
+        };
+        self.carry_out();
+        let why = given.why.as_deref().unwrap_or("no reason given");
+        let (who, thing) = (&given.who, said(&order, &pools));
+        tell!(ORDER_GIVEN, who = %who, thing = %thing; "sloeline: ordered by {who}: {thing} ({why})");
+        Ok(told)
+    }
+
+    /// Takes back what stands on something; what is to be told of it.
+    pub(super) fn take_back(&self, on: &On, who: String, because: Because) -> Result<Value, String> {
+        let (thing, pools) = match on {
+            On::Node(node, pool) => (node.clone(), self.meets(node, pool.as_deref())?),
+            On::Pool(pool) => (pool.clone(), self.only(Some(pool))?.into_iter().cloned().collect()),
+            On::Instance => ("standby".to_owned(), Vec::new()),
+        };
+        let given = self.given(who, because)?;
+        let (ended, revision) = {
+            let mut orders = self.orders.borrow_mut();
+            let now = orders.now();
+            let ended = orders.book.take_back(now, on, &given).map_err(|e| e.to_string())?;
+            (ended, orders.book.revision())
+        };
+        self.carry_out();
+        let ids: Vec<u64> = ended.iter().map(|order| order.id).collect();
+        let why = given.why.as_deref().unwrap_or("no reason given");
+        let who = &given.who;
+        tell!(ORDER_BACK, who = %who, thing = %thing; "sloeline: taken back by {who}: {thing}, orders {ids:?} ({why})");
+        let name = if matches!(on, On::Node(..)) { "node" } else { "on" };
+        Ok(json!({name: thing, "pools": pools, "ended": ids, "revision": revision}))
+    }
+
+    /// The pools, of one or of all, whose lists have named a node.
+    fn meets(&self, node: &str, pool: Option<&str>) -> Result<Vec<String>, String> {
+        let in_pools = self.only(pool)?.into_iter().filter(|name| self.pools[*name].pool.engine.met(node));
+        let in_pools: Vec<String> = in_pools.cloned().collect();
+        if in_pools.is_empty() {
+            return Err(format!("found node {node:?}, expected the name of one that is listed"));
+        }
+        Ok(in_pools)
+    }
+
+    /// Gives or takes back an order, and answers when it is kept.
+    pub(super) fn ordered(&self, told: Result<Value, String>, to: Replies) {
+        match told {
+            Ok(told) => self.kept(to, told),
+            Err(why) => to.end(Err(why)),
+        }
+    }
+
+    /// Orders a node out, and goes on telling what it carries until that is nothing.
+    pub(super) fn drain(&self, node: String, told: Result<Value, String>, to: Replies) {
+        let told = match told {
+            Ok(told) => told,
+            Err(why) => return to.end(Err(why)),
+        };
+        let pools: Vec<String> = serde_json::from_value(told["pools"].clone()).unwrap_or_default();
+        let engines = pools.into_iter().filter_map(|name| {
+            let engine = self.pools.get(&name)?.pool.engine.clone();
+            Some((name, engine))
+        });
+        let engines: Vec<_> = engines.collect();
+        let (answer, mut waiting) = (to.clone(), Some(told));
+        self.keep(move |kept| {
+            spawn_local(async move {
+                let mut told = waiting.take().unwrap_or_default();
+                told["kept"] = kept.map_or_else(|why| json!(format!("no: {why}")), |()| json!(true));
+                let empty = async {
+                    for (pool, engine) in engines {
+                        let tell = |carries| _ = to.more(json!({"pool": pool, "carries": carries}));
+                        engine.carried(&node, tell).await;
+                    }
+                };
+                // Whoever asked may leave; the order stands.
+                tokio::select! {
+                    () = empty => answer.end(Ok(told)),
+                    () = answer.left() => {}
+                }
+            });
+        });
+    }
+}
+
+fn said(order: &Order, pools: &[String]) -> String {
+    match order {
+        Order::Out { node, .. } => format!("{node} out in {}", pools.join(", ")),
+        Order::Standby => "standby".to_owned(),
+        Order::Limit { pool, open, rate } => {
+            let open = open.map(|n| format!(" to {n} open"));
+            let rate = rate.map(|r| format!(" to {r} a second"));
+            format!("{pool} limited{}{}", open.unwrap_or_default(), rate.unwrap_or_default())
+        }
+    }
+}
+
+/// The orders of a daemon, which outlive a change of it.
+pub(super) type Shared = Rc<RefCell<Orders>>;
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -12,10 +12,13 @@
 use hyper::header::{HeaderName, HeaderValue};
 use serde_json::{Value, json};
 use sloeline_config::model::{Config, Instance, Nodes, Pool as Wanted};
+use sloeline_engine::core::{Stage, Standing};
 use sloeline_engine::engine::Engine;
 use sloeline_engine::types::Listed;
+use sloeline_events::tell;
 use sloeline_http::routed::Pool;
 use sloeline_http::upstream::{Dialect, Upstreams};
+use sloeline_limits::bound::Bound;
 use sloeline_limits::{Reserve, Share};
 use sloeline_membership::file::{self, Watched};
 use sloeline_membership::follow::Following;
@@ -231,6 +234,7 @@
             engine: engine.clone(),
             tenants: RefCell::new(plan.tenants.clone()),
             open: Share::new(parts.open, &reserves.open),
+            bound: Bound::default(),
             bodies: Share::new(parts.bodies, &reserves.bodies),
             most_answer: Cell::new(plan.config.held()),
             admitted: Rc::default(),
@@ -263,7 +267,8 @@
         upstreams.set(&plan.settings.limits, plan.dialect.clone());
         if let Err(why) = engine.reconfigure(plan.settings.clone(), &plan.assigned.learned) {
             // The plan was checked by the same rules before anything was changed.
-            eprintln!("defect: pool {}: {why}", self.pool.name);
+            let name = &self.pool.name;
+            tell!(DEFECT, what = %why; "defect: pool {name}: {why}");
             return;
         }
         self.slots.clone_from(&plan.assigned.slots);
@@ -345,7 +350,8 @@
                 let watched = watched.and_then(|watched| match watched {
                     Ok(watched) => Some(watched),
                     Err(why) => {
-                        eprintln!(
+                        tell!(
+                            LIST_HELD, why = %why;
                             "membership: pool {} follows its file on SIGHUP only: {why}",
                             self.pool.name
                         );
@@ -389,6 +395,40 @@
         })
     }
 
+    /// Its part of the connections to upstreams.
+    pub fn connections(&self) -> &Share {
+        &self.connections
+    }
+
+    /// Its open requests: how many at each stage, and the oldest.
+    pub fn requests(&self, most: usize) -> Value {
+        let (stages, oldest) = self.pool.engine.requests(most);
+        let name = |stage| match stage {
+            Stage::Held => "held",
+            Stage::Out => "out",
+            Stage::Coming => "coming",
+            Stage::Answered => "answered",
+        };
+        let stages: serde_json::Map<String, Value> =
+            stages.into_iter().map(|(stage, n)| (name(stage).to_owned(), n.into())).collect();
+        let row = |request: Standing| {
+            let class = self.slots.get(request.class).map(|slot| slot.name.as_str());
+            let at: Vec<String> =
+                request.out.iter().map(|(node, span)| format!("{node} {} ms", span / 1000)).collect();
+            json!({
+                "request": request.request,
+                "class": class,
+                "stage": name(request.stage),
+                "age_ms": request.age / 1000,
+                "left_ms": request.left / 1000,
+                "attempts": request.sent,
+                "may_have_run": request.doubt,
+                "at": at.join(", "),
+            })
+        };
+        json!({"stages": stages, "oldest": oldest.into_iter().map(row).collect::<Vec<_>>()})
+    }
+
     /// Its members, and why each is in or out.
     pub fn members(&self) -> Value {
         if let Source::Sources(following) = &self.source {
@@ -416,7 +456,7 @@
             tasks.iter().for_each(AbortHandle::abort);
             // The tasks hold the engine, and the engine the connections.
             tokio::task::yield_now().await;
-            eprintln!("sloeline: pool {name} has ended");
+            tell!(POOL_ENDED, pool = %name; "sloeline: pool {name} has ended");
         }
     }
 }
--- a/sloeline/src/platform.rs
+++ b/sloeline/src/platform.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use finchshift::ListKind;
+use sloeline_events::tell;
 use sloeline_operations::control;
 use sloeline_operations::keep::Keep;
 use sloeline_operations::link::{find, meeting_place};
@@ -52,11 +53,13 @@
     // Where another process of this balancer may be met; only where operators run it.
     let folder = operated.then(|| variable("TMPDIR")).flatten().map(std::path::PathBuf::from);
     let place = folder.as_ref().and_then(|folder| {
-        meeting_place(folder, &config.name).inspect_err(|why| eprintln!("link: {why}")).ok()
+        meeting_place(folder, &config.name)
+            .inspect_err(|why| tell!(LINK_TROUBLE, why = %why; "link: {why}"))
+            .ok()
     });
     let inherited = match &place {
         Some(place) => find::<Handed>(place).await.unwrap_or_else(|why| {
-            eprintln!("link: the process that serves gave nothing: {why}");
+            tell!(LINK_TROUBLE, why = %why; "link: the process that serves gave nothing: {why}");
             None
         }),
         None => None,
@@ -103,7 +106,8 @@
         Some(hello) => (hello.orders, hello.list),
         None => {
             let kept = keep.as_ref().map(Keep::read).transpose();
-            let kept = kept.inspect_err(|why| eprintln!("sloeline: no orders are known: {why}"));
+            let kept = kept
+                .inspect_err(|why| tell!(ORDERS_SPOILT, why = %why; "sloeline: no orders are known: {why}"));
             (kept.ok().flatten().unwrap_or_default(), None)
         }
     };
@@ -127,21 +131,23 @@
             while hangup.recv().await.is_some() {
                 match Config::read_again(variable, &service.file()).and_then(|c| service.retune(c)) {
                     Ok(discovery) => {
-                        eprintln!("sloeline: configuration read again; discovery is {discovery}");
+                        tell!(CONFIG_READ; "sloeline: configuration read again; discovery is {discovery}");
                     }
                     // Guards against a file that is half written or wrong.
-                    Err(why) => eprintln!("sloeline: the running configuration is kept: {why}"),
+                    Err(why) => {
+                        tell!(CONFIG_KEPT, why = %why; "sloeline: the running configuration is kept: {why}");
+                    }
                 }
             }
         }
     });
 
     let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
-    eprintln!("sloeline {name} listens on {address}");
+    tell!(LISTENING, listener = %name, address = %address; "sloeline {name} listens on {address}");
     spawn_local(operator.clone().pose());
     if let Some(control) = control {
         let address = control.local_addr().map_err(|e| e.to_string())?;
-        eprintln!("sloeline {name} takes operators' calls on {address}");
+        tell!(CALLS_OPEN, at = %address; "sloeline {name} takes operators' calls on {address}");
         spawn_local(control::serve(control, operator.clone()));
     }
     if let Some(place) = place {
@@ -155,7 +161,7 @@
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
             }
-            eprintln!("sloeline: told to stop");
+            tell!(STOPPING; "sloeline: told to stop");
             operator.stop();
             let _ = stop.send(Phase::Stopping);
         }
--- a/sloeline/src/platform/operator.rs
+++ b/sloeline/src/platform/operator.rs
@@ -9,6 +9,7 @@
 
 use finchshift::Micros;
 use serde::{Deserialize, Serialize};
+use sloeline_events::tell;
 use sloeline_membership::platform::List;
 use sloeline_operations::call::Call;
 use sloeline_operations::control::Operated;
@@ -160,7 +161,7 @@
                 Order::Standby => self.turn(|p| p.standby(Instant::now(), true)),
                 Order::Active => self.turn(|p| p.standby(Instant::now(), false)),
             }
-            eprintln!("sloeline: taken over from the other process: {order:?}");
+            tell!(TAKEN_OVER, order = %format!("{order:?}"); "sloeline: taken over from the other process: {order:?}");
         }
         orders.clone_into(&mut self.orders.borrow_mut());
     }
@@ -205,10 +206,10 @@
             Order::TakeOut(_) | Order::PutBack(_) => {}
         }
         if changed {
-            eprintln!("sloeline: ordered: {order:?}");
+            tell!(ORDER_GIVEN, who = %"a call", thing = %format!("{order:?}"); "sloeline: ordered: {order:?}");
             if let Some(Err(why)) = self.keep.as_ref().map(|keep| keep.write(&after)) {
                 // It holds in this process all the same, and passes over the link.
-                eprintln!("sloeline: orders would be lost with this process: {why}");
+                tell!(ORDERS_NOT_KEPT, why = %why; "sloeline: orders would be lost with this process: {why}");
             }
             for side in [Side::Before, Side::After] {
                 self.say(side, Note::Orders(after.clone()));
@@ -230,7 +231,7 @@
         let before = async {
             if let Some(line) = before {
                 self.talk(line, Side::Before).await;
-                eprintln!("sloeline: the process before has gone");
+                tell!(PROCESS_GONE, which = %"before"; "sloeline: the process before has gone");
             }
         };
         tokio::join!(before, self.guests(&place));
@@ -242,16 +243,16 @@
             // The place is the newest's: where another holds it, that came later and is the one to be followed.
             let other = mine.is_some() && Mark::of(place).is_some_and(|there| Some(there) != mine);
             if other && occupied(place).await {
-                return eprintln!("link: a later process is met from now on");
+                return tell!(LINK_LATER; "link: a later process is met from now on");
             }
             match self.next_guest(place, &mut mine).await {
                 Ok(line) => {
-                    eprintln!("sloeline: another process has come");
+                    tell!(PROCESS_CAME; "sloeline: another process has come");
                     self.talk(line, Side::After).await;
-                    eprintln!("sloeline: the other process has gone");
+                    tell!(PROCESS_GONE, which = %"after"; "sloeline: the other process has gone");
                 }
                 Err(why) => {
-                    eprintln!("link: {why}");
+                    tell!(LINK_TROUBLE, why = %why; "link: {why}");
                     sleep(PAUSE).await;
                 }
             }
--- a/sloeline/tests/ctl.rs
+++ b/sloeline/tests/ctl.rs
@@ -1,107 +1,15 @@
 //! A daemon that runs is asked, and ordered, over its control socket.
 
-use std::io::{BufRead, BufReader, Read, Write};
+mod commanded;
+
+use std::io::{Read, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixStream;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
+use commanded::{Daemon, LONG, TEXT, start};
 use serde_json::Value;
 
-const LONG: Duration = Duration::from_secs(60);
-
-/// A daemon in a folder of its own.
-struct Daemon {
-    child: Child,
-    log: Receiver<String>,
-    folder: PathBuf,
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-const TEXT: &str = r#"[control]
-socket = "control"
-[listener.public]
-address = "127.0.0.1:0"
-[class.look]
-effect = "safe"
-aim = "1s"
-deadline = "2s"
-[pool.p]
-nodes = [{ name = "n", address = "127.0.0.1:9" }, { name = "m", address = "127.0.0.1:9" }]
-[pool.q]
-nodes = [{ name = "n", address = "127.0.0.1:9" }]
-[[route]]
-name = "looks"
-method = "GET"
-prefix = "/"
-class = "look"
-pool = "p"
-[[route]]
-name = "others"
-method = "GET"
-path = "/other"
-class = "look"
-pool = "q"
-"#;
-
-fn start(folder: &Path) -> (Child, Receiver<String>) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sloeline"));
-    command.env_remove("EDGE_CONFIG").args(["run", "--config"]).arg(folder.join("sloeline.toml"));
-    let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
-    let lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
-    let (sender, log) = channel();
-    std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| drop(sender.send(l))));
-    (child, log)
-}
-
-impl Daemon {
-    fn new(name: &str) -> Daemon {
-        let folder = std::env::temp_dir().join(format!("sloeline-ctl-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        std::fs::write(folder.join("sloeline.toml"), TEXT).expect("a file");
-        let (child, log) = start(&folder);
-        let daemon = Daemon { child, log, folder };
-        daemon.logged("operators' calls on");
-        daemon
-    }
-
-    fn logged(&self, text: &str) {
-        while !self.log.recv_timeout(LONG).expect("a line").contains(text) {}
-    }
-
-    fn socket(&self) -> PathBuf {
-        self.folder.join("control")
-    }
-
-    fn ctl(&self, arguments: &[&str]) -> Output {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sloeline"));
-        command.env_remove("EDGE_CONFIG").arg("ctl").arg("--socket").arg(self.socket());
-        command.args(arguments).output().expect("it runs")
-    }
-
-    fn json(&self, arguments: &[&str]) -> Value {
-        let arguments = [&["--json"], arguments].concat();
-        let output = self.ctl(&arguments);
-        assert!(output.status.success(), "{arguments:?}: {}", String::from_utf8_lossy(&output.stderr));
-        serde_json::from_slice(&output.stdout).expect("JSON")
-    }
-
-    fn refused(&self, arguments: &[&str]) -> String {
-        let output = self.ctl(arguments);
-        assert!(!output.status.success(), "{arguments:?}");
-        String::from_utf8_lossy(&output.stderr).into_owned()
-    }
-}
-
 #[test]
 fn every_verb_is_answered_by_a_daemon_that_runs() {
     let daemon = Daemon::new("verbs");
@@ -121,7 +29,7 @@
 
     let taking = |pool: usize| daemon.json(&["pools"])[pool]["taking_requests"].clone();
     assert_eq!(daemon.json(&["out", "n", "--pool", "p"])["pools"], serde_json::json!(["p"]));
-    daemon.logged("ordered: n out in p");
+    daemon.logged("n out in p (no reason given)");
     assert_eq!((taking(0), taking(1)), (1.into(), 1.into()));
     assert_eq!(daemon.json(&["out", "n"])["pools"], serde_json::json!(["p", "q"]));
     assert_eq!((taking(0), taking(1)), (1.into(), 0.into()));
