A fleet that knows itself: who is alive by gossip, and one limit shared by grants that expire

The count of instances in all pools is the told one or those that may be sending, whichever is more.

Off without [fleet], and on the platform.

--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -31,6 +31,8 @@
     pub control: Control,
     /// What is told of what happens.
     pub log: Log,
+    /// The other instances; none for each by itself.
+    pub fleet: Option<Fleet>,
     /// Where this instance is announced, if anywhere.
     pub announce: Option<Announce>,
     /// Where callers connect.
@@ -47,6 +49,27 @@
     pub routes: Vec<RouteTo>,
 }
 
+/// `[fleet]`
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// Where it listens, on UDP.
+    pub address: SocketAddr,
+    /// Where others reach it, if not there.
+    pub announced: Option<SocketAddr>,
+    /// Some of the others.
+    pub seeds: Vec<SocketAddr>,
+    /// As many instances as there may be.
+    pub most: u32,
+    /// From one question to the next.
+    pub period: Micros,
+    /// Bytes that may be sent each second.
+    pub bytes: usize,
+    /// The key that is signed with.
+    pub key: String,
+    /// All keys that are heard, and the files in which they stand, from the configuration's folder.
+    pub keys: BTreeMap<String, String>,
+}
+
 /// `[log]`
 #[derive(Clone, Debug, PartialEq)]
 pub struct Log {
@@ -328,6 +351,8 @@
 /// `[pool.NAME]`
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
+    /// Requests a second that all instances together take; none for no such limit.
+    pub fleet_rate: Option<u64>,
     /// Where its upstreams are listed.
     pub nodes: Nodes,
     /// Its part of descriptors, open requests and memory beside other pools'.
--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -8,8 +8,8 @@
 use toml::de::DeTable;
 
 use crate::model::{
-    Config, Control, ControlKey, Declined, Instance, Limits, Listener, Log, NamedClass, Node, Nodes, Pool,
-    Work,
+    Config, Control, ControlKey, Declined, Fleet, Instance, Limits, Listener, Log, NamedClass, Node, Nodes,
+    Pool, Work,
 };
 use crate::problem::Problems;
 use crate::read::{At, Section, Size, Time};
@@ -30,6 +30,7 @@
     let work = work(root.section("work"));
     let control = root.section("control").map(control).unwrap_or_default();
     let log = root.section("log").map(log).unwrap_or_default();
+    let fleet = root.section("fleet").and_then(fleet);
     let announce = root.section("announce").and_then(|section| sources::announce(section, &instance));
     // What is named but wrong is known by name all the same: it would be noted twice.
     let (mut named, mut classes) = (Vec::new(), BTreeMap::new());
@@ -51,7 +52,7 @@
     let mut pools = BTreeMap::new();
     for (name, section) in root.named("pool") {
         named.push(name.value.clone());
-        if let Some(pool) = pool(section, &instance) {
+        if let Some(pool) = pool(section, &instance, fleet.is_some()) {
             pools.insert(name.value, pool);
         }
     }
@@ -76,6 +77,7 @@
         work,
         control,
         log,
+        fleet,
         announce,
         listeners,
         classes,
@@ -86,6 +88,39 @@
     })
 }
 
+fn fleet(section: Section<'_>) -> Option<Fleet> {
+    let address = section.need::<SocketAddr>("address", "the address on which it hears the others, on UDP");
+    let most = section.need::<u64>("most", "as many instances as there may be");
+    if let Some(most) = most.as_ref().filter(|most| !(1..=4096).contains(&most.value)) {
+        section.wrong(&most.span, "most", most.value.to_string(), "1 to 4096");
+    }
+    let mut keys = BTreeMap::new();
+    for (name, key) in section.named("key") {
+        if let Some(file) = key.need::<String>("file", "the path of a file with its hex digits") {
+            keys.insert(name.value, file.value);
+        }
+        key.end();
+    }
+    let key = section.need::<String>("key_used", "the name of the key that is signed with");
+    if let Some(key) = key.as_ref().filter(|key| !keys.contains_key(&key.value)) {
+        let known: Vec<&str> = keys.keys().map(String::as_str).collect();
+        let expected = format!("the name of a [fleet.key.NAME], one of {}", known.join(", "));
+        section.wrong(&key.span, "key_used", format!("{:?}", key.value), expected);
+    }
+    let fleet = Fleet {
+        address: address?.value,
+        announced: section.get::<SocketAddr>("announced").map(|at| at.value),
+        seeds: section.or("seeds", Vec::new()),
+        most: most?.value as u32,
+        period: positive(&section, "period", SECOND),
+        bytes: section.or("bytes", Size(20_000)).0,
+        key: key?.value,
+        keys,
+    };
+    section.end();
+    Some(fleet)
+}
+
 /// What is told.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
@@ -344,7 +379,7 @@
     tenant
 }
 
-fn pool(section: Section<'_>, instance: &Instance) -> Option<Pool> {
+fn pool(section: Section<'_>, instance: &Instance, in_fleet: bool) -> Option<Pool> {
     let nodes = nodes(&section, instance);
     let weight = section.get::<f64>("weight");
     if let Some(none) = weight.as_ref().filter(|w| w.value == 0.0) {
@@ -371,7 +406,12 @@
     if let Some(none) = zones.as_ref().filter(|z| z.value == 0) {
         section.wrong(&none.span, "zones", "0", "at least 1");
     }
+    let fleet_rate = section.get::<u64>("fleet_rate");
+    if let Some(rate) = fleet_rate.as_ref().filter(|_| !in_fleet) {
+        section.wrong(&rate.span, "fleet_rate", "no fleet", "a [fleet] that shares it");
+    }
     let pool = Pool {
+        fleet_rate: fleet_rate.map(|rate| rate.value),
         weight: weight.map_or(1.0, |w| w.value),
         zones: zones.map_or(1, |z| z.value as u32),
         attempts: attempts.map_or(4, |a| a.value as u32),
--- a/events/src/events.rs
+++ b/events/src/events.rs
@@ -140,6 +140,24 @@
     ANNOUNCE_TROUBLE: WARN, "announce", "announce.trouble", ["why"],
         "this instance could not be announced; it is tried again",
         "look at the registry";
+    FLEET_CAME: INFO, "fleet", "fleet.came", ["instance"],
+        "another instance is there, for the first time or again",
+        "nothing";
+    FLEET_SUSPECTED: WARN, "fleet", "fleet.suspected", ["instance"],
+        "another instance does not answer",
+        "nothing at once: it is asked through others, and answers or is held for dead";
+    FLEET_DIED: WARN, "fleet", "fleet.died", ["instance"],
+        "another instance is held for dead; it may only be out of reach",
+        "look whether it runs, and at the network between them";
+    FLEET_LEFT: INFO, "fleet", "fleet.left", ["instance"],
+        "another instance has said that it leaves",
+        "nothing";
+    FLEET_TWIN: ERROR, "fleet", "fleet.twin", ["at"],
+        "another instance has this one's name; the one with the higher address falls silent",
+        "give one of them another name";
+    FLEET_REFUSED: WARN, "fleet", "fleet.refused", ["from", "why"],
+        "a datagram was not heard: another key, another version, or none of ours",
+        "look at the keys on both sides";
     OPERATION_ODD: WARN, "operations", "operation.odd", ["operation", "code"],
         "an operation does not do as it is described",
         "see DESCRIPTIONS.md";
--- a/http/src/routed.rs
+++ b/http/src/routed.rs
@@ -55,6 +55,8 @@
     pub open: Rc<Share>,
     /// What operators let it take for a time.
     pub bound: Bound,
+    /// What the fleet lets this instance take of what all may.
+    pub fleet: Bound,
     /// Bytes that bodies and answers may take.
     pub bodies: Rc<Share>,
     /// Most bytes of an answer.
@@ -345,6 +347,9 @@
         if let Err(wait) = pool.bound.admit(pool.engine.now(), pool.open.used()) {
             return Err(self.refused_for("limited by an operator", wait));
         }
+        if let Err(wait) = pool.fleet.admit(pool.engine.now(), 0) {
+            return Err(self.refused_for("the fleet's limit", wait));
+        }
         // Guards the other pools: one whose upstreams hang holds no more than its part.
         let place = pool.open.take(1).ok_or_else(|| self.refused("the pool is full"))?;
         let deadline = class.deadline;
--- a/http/tests/admission.rs
+++ b/http/tests/admission.rs
@@ -75,6 +75,7 @@
         tenants: RefCell::new(HashMap::from([("gold".to_owned(), 0), ("tin".to_owned(), 1)])),
         open: Share::alone(open),
         bound: Default::default(),
+        fleet: Default::default(),
         bodies: Share::alone(1 << 20),
         most_answer: Cell::new(4096),
         admitted: Rc::default(),
--- a/limits/src/bound.rs
+++ b/limits/src/bound.rs
@@ -23,16 +23,21 @@
     told: Cell<f64>,
     at: Cell<u64>,
     refused: Cell<u64>,
+    asked: Cell<u64>,
 }
 
 impl Bound {
     /// Other bounds from now on; none for no bound. A bucket begins full.
     pub fn set(&self, now: u64, open: Option<u64>, rate: Option<f64>) {
         self.open.set(open);
-        if self.rate.replace(rate) != rate {
-            self.left.set(rate.map_or(0.0, most));
-            self.told.set(0.0);
-            self.at.set(now);
+        match (self.rate.replace(rate), rate) {
+            // Another rate is no reason to begin with a full bucket: rates that change often would be none.
+            (Some(_), Some(rate)) => self.left.set(self.left.get().min(most(rate))),
+            (_, rate) => {
+                self.left.set(rate.map_or(0.0, most));
+                self.told.set(0.0);
+                self.at.set(now);
+            }
         }
     }
 
@@ -41,6 +46,11 @@
         (self.open.get(), self.rate.get())
     }
 
+    /// Requests that asked so far.
+    pub fn asked(&self) -> u64 {
+        self.asked.get()
+    }
+
     /// Requests that were refused by it so far.
     pub fn refused(&self) -> u64 {
         self.refused.get()
@@ -50,6 +60,7 @@
     /// where nothing can be said.
     pub fn admit(&self, now: u64, open: usize) -> Result<(), u64> {
         let admitted = self.look(now, open);
+        self.asked.set(self.asked.get() + 1);
         if admitted.is_err() {
             self.refused.set(self.refused.get() + 1);
         }
@@ -104,6 +115,17 @@
         }
     }
 
+    #[test]
+    fn a_rate_that_changes_often_lets_no_more_through() {
+        let bound = Bound::default();
+        let admitted = (0..10_000_u64).filter(|n| {
+            bound.set(n * 1_000, None, Some(100.0 + (n % 2) as f64));
+            bound.admit(n * 1_000, 0).is_ok()
+        });
+        let admitted = admitted.count();
+        assert!((990..=1_020).contains(&admitted), "{admitted}");
+    }
+
     #[test]
     fn those_that_are_refused_return_in_line_and_find_room() {
         let bound = Bound::default();
--- a/operations/src/auth.rs
+++ b/operations/src/auth.rs
@@ -72,6 +72,11 @@
         Ok(Secret(bytes))
     }
 
+    /// Its bytes, for whoever signs with it elsewhere.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     fn mac(&self) -> Hmac<Sha256> {
         // HMAC takes keys of any length.
         Hmac::new_from_slice(&self.0).unwrap_or_else(|_| unreachable!("a key of any length"))
--- a/operations/src/verbs.rs
+++ b/operations/src/verbs.rs
@@ -145,6 +145,8 @@
         #[serde(flatten)]
         because: Because,
     },
+    /// The other instances, and what all share.
+    Fleet,
     /// What reading the configuration again would change.
     Changes,
     /// All that can be told, for later.
--- a/sloeline/src/ctl.rs
+++ b/sloeline/src/ctl.rs
@@ -183,6 +183,8 @@
         #[command(flatten)]
         back: TakenBack,
     },
+    /// The other instances as this one sees them, and what all share.
+    Fleet,
     /// What reading its configuration again would change; status 1 if it can't be read.
     Changes,
     /// Write all that it can tell into a file, for later (`sloeline snapshot show|diff`).
@@ -237,6 +239,7 @@
         What::Active { back } => Verb::Active { because: back.into() },
         What::Limit { pool, open, rate, reason } => Verb::Limit { pool, open, rate, because: reason.into() },
         What::Unlimit { pool, back } => Verb::Unlimit { pool, because: back.into() },
+        What::Fleet => Verb::Fleet,
         What::Changes => Verb::Changes,
         What::Snapshot { .. } => Verb::Snapshot,
         What::Tail { level, area, event, text, backlog } => {
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The daemon: listeners, routes and pools from one configuration, replaced as a whole on SIGHUP.
 
 mod control;
+mod fleet;
 mod orders;
 mod pools;
 mod routes;
@@ -19,6 +20,7 @@
 use sloeline_config::problem::Problem;
 use sloeline_events::hub::hub;
 use sloeline_events::tell;
+use sloeline_fleet::shell::Fleet;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
 use sloeline_http::routed::Routed;
@@ -153,6 +155,8 @@
     work: Rc<Worker>,
     orders: orders::Shared,
     watchers: RefCell<Vec<Watcher>>,
+    /// Its part in a fleet, if there is one.
+    part: RefCell<Option<fleet::Part>>,
 }
 
 /// What a listener is known by from one configuration to the next.
@@ -236,9 +240,11 @@
             work,
             orders: Rc::new(RefCell::new(Orders::open(ledger.as_deref())?)),
             watchers: RefCell::default(),
+            part: RefCell::default(),
         };
         let prepared = daemon.prepare(loaded).await?;
         daemon.commit(prepared, None)?;
+        daemon.join().await?;
         Ok(daemon)
     }
 
@@ -265,6 +271,7 @@
                 return Err(format!("{key}: found {found}, expected {expected}: it changes with a restart"));
             }
         }
+        fleet::same(&config, &self.config)?;
         let closing = self.closing.take();
         for free in closing {
             let _ = free.await;
@@ -277,7 +284,8 @@
         let mut plans: Vec<(String, Plan)> = Vec::new();
         for name in config.pools.keys() {
             let (classes, before) = (classes.get(name.as_str()), self.pools.get(name));
-            plans.push((name.clone(), Plan::new(name, &config, classes, &self.folder, &mut zones, before)?));
+            let plan = Plan::new(name, &config, classes, &self.folder, &mut zones, before, self.count())?;
+            plans.push((name.clone(), plan));
             turn.rest().await;
         }
         let numbers: Numbers = plans.iter().map(|(name, plan)| (name.clone(), plan.numbers())).collect();
@@ -321,6 +329,7 @@
                     &self.folder,
                     &mut zones,
                     Some(running),
+                    self.count(),
                 )?;
                 let given = plan.numbers();
                 if numbers.insert(name.clone(), given.clone()) != Some(given) {
@@ -382,6 +391,7 @@
         if let Some(hub) = hub() {
             hub.set(control::logs(&self.config.log));
         }
+        self.fleet_keys();
         self.announce();
         self.carry_out();
         self.let_return();
@@ -517,6 +527,9 @@
                 tell!(CONNECTIONS_LEFT, listener = %name; "sloeline: {name} has connections that do not end; they are left");
             }
         }
+        if let Some(part) = self.part.into_inner() {
+            part.leave();
+        }
         if let Some((_, announcement)) = &self.announced {
             announcement.want(Wanted::Gone);
             let _ = timeout(WITHDRAWN_WITHIN, announcement.stands()).await;
@@ -524,6 +537,14 @@
     }
 }
 
+/// Resolves when something of the fleet is different; never without one.
+async fn shared(fleet: Option<Rc<Fleet>>) {
+    match fleet {
+        Some(fleet) => fleet.changed().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Resolves at a time; never without one.
 async fn at(time: Option<Instant>) {
     match time {
@@ -558,6 +579,10 @@
                 daemon.ring();
                 false
             }
+            () = shared(daemon.fleet()) => {
+                daemon.share();
+                false
+            }
             _ = hangup.recv() => true,
         };
         if !reloads {
@@ -582,6 +607,7 @@
                     _ = interrupt.recv() => break 'serving,
                     Some(call) = asked.recv() => daemon.answer_to(&file, call),
                     () = at(daemon.due()) => daemon.ring(),
+                    () = shared(daemon.fleet()) => daemon.share(),
                     prepared = &mut preparing => break prepared,
                 }
             }
--- a/sloeline/src/daemon/control.rs
+++ b/sloeline/src/daemon/control.rs
@@ -99,19 +99,24 @@
     address: Option<(SocketAddr, Address)>,
 }
 
+/// What stands in a file that only its owner may read.
+pub(super) fn secret_text(path: &Path) -> Result<String, String> {
+    let named = |why: String| format!("{}: {why}", path.display());
+    let found = std::fs::metadata(path).map_err(|e| named(e.to_string()))?;
+    if found.permissions().mode() & 0o077 != 0 {
+        return Err(named("found one that others may read or write, expected mode 0600".to_owned()));
+    }
+    if found.len() > MOST_KEY {
+        return Err(named(format!("found {} bytes, expected at most {MOST_KEY}", found.len())));
+    }
+    std::fs::read_to_string(path).map_err(|e| named(e.to_string()))
+}
+
 /// Reads the keys that a configuration names.
 fn keys(control: &Control, folder: &Path) -> Result<BTreeMap<String, Key>, String> {
     let read = |(name, key): (&String, &ControlKey)| {
-        let path = folder.join(&key.file);
-        let named = |why: String| format!("control.key.{name}: {}: {why}", path.display());
-        let found = std::fs::metadata(&path).map_err(|e| named(e.to_string()))?;
-        if found.permissions().mode() & 0o077 != 0 {
-            return Err(named("found one that others may read or write, expected mode 0600".to_owned()));
-        }
-        if found.len() > MOST_KEY {
-            return Err(named(format!("found {} bytes, expected at most {MOST_KEY}", found.len())));
-        }
-        let text = std::fs::read_to_string(&path).map_err(|e| named(e.to_string()))?;
+        let named = |why: String| format!("control.key.{name}: {why}");
+        let text = secret_text(&folder.join(&key.file)).map_err(named)?;
         let may = if key.orders { May::Order } else { May::Ask };
         Ok((name.clone(), Key { secret: Secret::read(&text).map_err(named)?, may }))
     };
@@ -181,6 +186,7 @@
             Verb::Work => Ok(self.work_told()),
             Verb::Operations => Ok(json!(self.operations.summary())),
             Verb::Orders => Ok(self.orders.borrow().told()),
+            Verb::Fleet => self.fleet_told(),
             Verb::Snapshot => Ok(self.snapshot()),
             _ => Ok(self.status()),
         }
@@ -319,6 +325,7 @@
             "work": self.work_told(),
             "operations": asked(Verb::Operations),
             "orders": asked(Verb::Orders),
+            "fleet": asked(Verb::Fleet),
         })
     }
 
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -77,6 +77,7 @@
     /// A list came.
     heard: Rc<Notify>,
     seen: Seen,
+    settings: RefCell<fs::Settings>,
     tasks: Vec<AbortHandle>,
     /// Resolves when neither routes nor requests hold the pool any more.
     let_go: oneshot::Receiver<()>,
@@ -150,6 +151,7 @@
         folder: &Path,
         zones: &mut Names,
         before: Option<&Running>,
+        count: u32,
     ) -> Result<Plan, String> {
         let named = |why: String| format!("pool.{name}: {why}");
         let pool = config.pools.get(name).ok_or_else(|| named("not configured".to_owned()))?;
@@ -175,6 +177,7 @@
         };
         let settings =
             settings(config, pool, assigned.slots.iter().map(|s| s.class.clone()).collect(), zones);
+        let settings = fs::Settings { balancers: count, ..settings };
         settings.check().map_err(|e| named(e.to_string()))?;
         let same_source = before.is_some_and(|running| running.config.nodes == pool.nodes);
         let file = match &pool.nodes {
@@ -235,6 +238,7 @@
             tenants: RefCell::new(plan.tenants.clone()),
             open: Share::new(parts.open, &reserves.open),
             bound: Bound::default(),
+            fleet: Bound::default(),
             bodies: Share::new(parts.bodies, &reserves.bodies),
             most_answer: Cell::new(plan.config.held()),
             admitted: Rc::default(),
@@ -250,6 +254,7 @@
             source: Source::Static,
             heard: Rc::default(),
             seen: HashMap::new(),
+            settings: RefCell::new(plan.settings.clone()),
             tasks,
             let_go,
         };
@@ -272,6 +277,7 @@
             return;
         }
         self.slots.clone_from(&plan.assigned.slots);
+        self.settings.borrow_mut().clone_from(&plan.settings);
         self.pool.tenants.borrow_mut().clone_from(&plan.tenants);
         self.pool.most_answer.set(plan.config.held());
         let before = std::mem::replace(&mut self.config, plan.config.clone());
@@ -285,6 +291,19 @@
         }
     }
 
+    /// As many instances share its upstreams from now on.
+    pub fn recount(&self, count: u32) {
+        let settings = fs::Settings { balancers: count, ..self.settings.borrow().clone() };
+        let learned: Vec<Option<fs::ClassId>> = (0..settings.classes.len()).map(Some).collect();
+        match self.pool.engine.reconfigure(settings.clone(), &learned) {
+            Ok(()) => *self.settings.borrow_mut() = settings,
+            Err(why) => {
+                let name = &self.pool.name;
+                tell!(DEFECT, what = %why; "defect: pool {name}: {why}");
+            }
+        }
+    }
+
     /// Resolves when its first list is there.
     pub fn listed(&self) -> impl Future<Output = ()> + 'static {
         let (engine, heard) = (self.pool.engine.clone(), self.heard.clone());
--- /dev/null
+++ b/sloeline/tests/fleet.rs
@@ -0,0 +1,185 @@
+//! Daemons that know each other: real processes on loopback, that die, leave, come back, and share a limit.
+
+mod commanded;
+
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use commanded::{Daemon, LONG, TEXT, start};
+
+const SIZE: usize = 8;
+const RATE: usize = 400;
+
+/// Answers everything at once.
+fn upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut stream = BufReader::new(stream);
+                let mut line = String::new();
+                while stream.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    let end = line == "\r\n";
+                    line.clear();
+                    if end
+                        && stream
+                            .get_mut()
+                            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                            .is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+fn text(of: usize, seeds: &str, upstream: SocketAddr) -> String {
+    let fleet = format!(
+        "[instance]\nname = \"edge-{of}\"\n[fleet]\naddress = \"127.0.0.1:0\"\nseeds = [{seeds}]\nmost = {SIZE}\n\
+         period = \"100ms\"\nkey_used = \"k\"\n[fleet.key.k]\nfile = \"fleet.key\"\n"
+    );
+    let pools = TEXT
+        .replace("127.0.0.1:9", &upstream.to_string())
+        .replace("[pool.p]", &format!("[pool.p]\nfleet_rate = {RATE}"));
+    fleet + &pools
+}
+
+fn daemon(of: usize, seeds: &str, upstream: SocketAddr, key: &str) -> Daemon {
+    use std::os::unix::fs::OpenOptionsExt;
+    let name = format!("fleet-{of}");
+    let folder = std::env::temp_dir().join(format!("sloeline-ctl-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = std::fs::File::options()
+        .write(true)
+        .create(true)
+        .truncate(true)
+        .mode(0o600)
+        .open(folder.join("fleet.key"));
+    file.and_then(|mut file| file.write_all(key.repeat(32).as_bytes())).expect("a key");
+    Daemon::with(&name, &text(of, seeds, upstream))
+}
+
+/// Waits until a daemon has logged a line for each of these.
+fn told(daemon: &Daemon, of: &[usize], what: &str) {
+    let mut left: BTreeSet<String> = of.iter().map(|of| format!("fleet: edge-{of} {what}")).collect();
+    while !left.is_empty() {
+        let line = daemon.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("{left:?} were never told"));
+        assert!(!line.contains("defect:"), "{line}");
+        left.retain(|wanted| !line.contains(wanted));
+    }
+}
+
+/// How many requests are served, in as long, by one daemon that is asked as fast as it answers.
+fn load(at: SocketAddr, on: Arc<AtomicBool>) -> std::thread::JoinHandle<usize> {
+    std::thread::spawn(move || {
+        let mut stream = BufReader::new(TcpStream::connect(at).expect("it listens"));
+        let mut served = 0;
+        while on.load(Ordering::Relaxed) {
+            stream.get_mut().write_all(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n").expect("it reads");
+            let (mut first, mut line, mut length) = (String::new(), String::new(), 0);
+            loop {
+                line.clear();
+                assert!(stream.read_line(&mut line).expect("an answer") > 0);
+                if first.is_empty() {
+                    first.clone_from(&line);
+                }
+                if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+                    length = value.trim().parse().expect("a number");
+                }
+                if line == "\r\n" {
+                    break;
+                }
+            }
+            stream.read_exact(&mut vec![0; length]).expect("a body");
+            if first.contains(" 200 ") {
+                served += 1;
+            } else {
+                assert!(first.contains(" 503 "), "{first}");
+                // Comes back sooner than it was told to.
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        }
+        served
+    })
+}
+
+#[test]
+fn daemons_know_who_is_there_and_share_a_limit() {
+    let upstream = upstream();
+    let mut all = vec![daemon(0, "", upstream, "ab")];
+    let seed = all[0].json(&["fleet"])["address"].as_str().expect("an address").to_owned();
+    all.extend((1..SIZE).map(|of| daemon(of, &format!("\"{seed}\""), upstream, "ab")));
+    for (of, daemon) in all.iter().enumerate() {
+        let others: Vec<usize> = (0..SIZE).filter(|other| *other != of).collect();
+        told(daemon, &others, "is there");
+        let fleet = daemon.json(&["fleet"]);
+        assert_eq!((&fleet["alive"], &fleet["counted"]), (&SIZE.into(), &SIZE.into()), "edge-{of}");
+    }
+
+    // What all may take together, by two that are asked for more than that.
+    let on = Arc::new(AtomicBool::new(true));
+    let loads = |all: &[Daemon]| -> Vec<_> {
+        all[..2].iter().flat_map(|d| (0..2).map(|_| load(d.public(), on.clone()))).collect()
+    };
+    let threads = loads(&all);
+    // Until they have learned what they want, and the keeper has handed it out.
+    let begun = Instant::now();
+    let may = |daemon: &Daemon| daemon.json(&["fleet"])["limits"][0]["may"].as_u64().expect("a number");
+    while may(&all[0]) + may(&all[1]) < RATE as u64 / 2 {
+        assert!(begun.elapsed() < LONG, "nothing is granted");
+    }
+    on.store(false, Ordering::Relaxed);
+    threads.into_iter().for_each(|t| _ = t.join().expect("a load"));
+    on.store(true, Ordering::Relaxed);
+    let begun = Instant::now();
+    let threads = loads(&all);
+    std::thread::sleep(Duration::from_secs(3));
+    on.store(false, Ordering::Relaxed);
+    let served: usize = threads.into_iter().map(|t| t.join().expect("a load")).sum();
+    let span = begun.elapsed().as_secs_f64();
+    println!("{served} served in {span:.2} s, by two of {SIZE} that share {RATE} a second");
+    // And what gathers in a bucket of each.
+    assert!((served as f64) <= RATE as f64 * (span + 0.2), "{served} in {span}");
+    // Without grants each has a sixteenth.
+    assert!(served as f64 > RATE as f64 * span / 3.0, "{served} in {span}");
+
+    // One dies, one leaves: told apart, and only the second makes room.
+    let _ = all[7].child.kill();
+    let _ = all[7].child.wait();
+    let id = rustix::process::Pid::from_child(&all[6].child);
+    rustix::process::kill_process(id, rustix::process::Signal::TERM).expect("it runs");
+    let _ = all[6].child.wait();
+    for (of, daemon) in all[..6].iter().enumerate() {
+        // In either order.
+        let mut left = BTreeSet::from(["edge-7 is held for dead", "edge-6 has left"]);
+        while !left.is_empty() {
+            let line =
+                all[of].log.recv_timeout(LONG).unwrap_or_else(|_| panic!("{left:?} was never told to {of}"));
+            left.retain(|wanted| !line.contains(wanted));
+        }
+        let fleet = daemon.json(&["fleet"]);
+        assert_eq!((&fleet["alive"], &fleet["may_be_sending"]), (&6.into(), &7.into()), "edge-{of}");
+    }
+    let folder = all[7].folder.clone();
+    (all[7].child, all[7].log) = start(&folder);
+    told(&all[0], &[7], "is there");
+
+    // What nobody of the fleet has signed is not heard.
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    for bytes in [&b""[..], b"\x01", &[1; 200], &[0; 1400]] {
+        stranger.send_to(bytes, &seed).expect("it is sent");
+    }
+    all[0].logged("found a key that is not known");
+    let other = daemon(9, &format!("\"{seed}\""), upstream, "cd");
+    all[0].logged("found a signature by another key");
+    assert_eq!(other.json(&["fleet"])["alive"], 1);
+    assert_eq!(all[0].json(&["fleet"])["alive"], 7);
+}
