Fleet: what is known of drains is told to those who come, before their first request

Forty real daemons in a test found it: thirteen that were killed and came back took a drained node in, for the word had been said as often as it is and nobody said it again. An answer to who joins now holds facts too; a start waits three periods at most for somebody to answer; and a source that has told nothing yet counts as behind everything, so no node slips through with its first list. With the old answer the test waits for ever.

--- a/events/src/events.rs
+++ b/events/src/events.rs
@@ -143,6 +143,9 @@
     FLEET_CAME: INFO, "fleet", "fleet.came", ["instance"],
         "another instance is there, for the first time or again",
         "nothing";
+    FLEET_ALONE: WARN, "fleet", "fleet.alone", [],
+        "no other instance answered at the start; this one goes on by itself until one does",
+        "nothing for the first of all; else look at the seeds and the network";
     FLEET_SUSPECTED: WARN, "fleet", "fleet.suspected", ["instance"],
         "another instance does not answer",
         "nothing at once: it is asked through others, and answers or is held for dead";
--- a/fleet/src/facts.rs
+++ b/fleet/src/facts.rs
@@ -58,6 +58,20 @@
         self.seen.iter().filter_map(of).filter(|node| self.drains(pool, node, revision)).collect()
     }
 
+    /// As much of it as goes into so many bytes, beginning at random.
+    pub fn some(&self, rng: &mut fastrand::Rng, mut bytes: usize) -> Vec<Fact> {
+        let start = if self.seen.is_empty() { 0 } else { rng.usize(..self.seen.len()) };
+        let all = self.seen.iter().skip(start).chain(self.seen.iter().take(start));
+        let mut some = Vec::new();
+        for ((pool, node), seen) in all {
+            let fact = Fact { pool: pool.clone(), node: node.clone(), seen: *seen };
+            let Some(left) = bytes.checked_sub(size(&fact)) else { break };
+            bytes = left;
+            some.push(fact);
+        }
+        some
+    }
+
     /// Forgets what a source has come past so far that nobody can be behind it any more.
     pub fn settle(&mut self, pool: &Name, revision: u64) {
         self.seen.retain(|(of, _), Seen::Drain { revision: told, .. }| of != pool || *told > revision);
--- a/fleet/src/shell.rs
+++ b/fleet/src/shell.rs
@@ -127,6 +127,16 @@
         self.at
     }
 
+    /// Waits until somebody has answered, for as long at the most; whether somebody has.
+    pub async fn joined(&self, within: Duration) -> bool {
+        let joined = async {
+            while !self.inner.borrow().swim.joined() {
+                self.changed().await;
+            }
+        };
+        tokio::time::timeout(within, joined).await.is_ok()
+    }
+
     /// Waits until who is there, or what is granted, may be different.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/fleet/src/swim.rs
+++ b/fleet/src/swim.rs
@@ -247,6 +247,11 @@
         1 + self.members.values().filter(|m| m.update.state != State::Left).count()
     }
 
+    /// Whether somebody has answered, or there is nobody to ask.
+    pub fn joined(&self) -> bool {
+        self.join.is_none() || self.seeds.is_empty()
+    }
+
     /// Whether another has this one's name and this one has given way.
     pub fn silent(&self) -> bool {
         self.silent
@@ -450,13 +455,15 @@
         let mut all: Vec<Update> = self.members.values().map(|m| m.update.clone()).collect();
         self.rng.shuffle(&mut all);
         let mut updates = vec![self.me.clone()];
-        let mut bytes = MOST_PACKET - 200;
+        // Whoever has just come has missed what was said of nodes.
+        let facts = self.known.some(&mut self.rng, BESIDE);
+        let mut bytes = MOST_PACKET - 200 - facts.iter().map(size).sum::<usize>();
         for update in all {
             let Some(left) = bytes.checked_sub(size(&update)) else { break };
             bytes = left;
             updates.push(update);
         }
-        let message = Message { from: self.me.name.clone(), kind: Kind::Members, updates, facts: Vec::new() };
+        let message = Message { from: self.me.name.clone(), kind: Kind::Members, updates, facts };
         self.left -= (size(&message) + AROUND) as f64;
         self.outputs.push_back(Output::Send(to, message));
     }
--- a/fleet/tests/swim.rs
+++ b/fleet/tests/swim.rs
@@ -134,4 +134,9 @@
     let all = all.expect("it is known");
     println!("a drain known by all after {} ms", all / 1000);
     assert!(all < 2 * SECOND, "{all}: later than the grace");
+    // One that comes long after learns it as it joins.
+    world.until(world.now + 60 * SECOND);
+    world.kill(30);
+    world.start(30, name(30), 2);
+    world.until_so(10 * SECOND, |w| knows(w, 30)).expect("it is told");
 }
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -247,9 +247,10 @@
             watchers: RefCell::default(),
             part: RefCell::default(),
         };
+        daemon.join().await?;
         let prepared = daemon.prepare(loaded).await?;
         daemon.commit(prepared, None)?;
-        daemon.join().await?;
+        daemon.share();
         Ok(daemon)
     }
 
@@ -398,6 +399,7 @@
         }
         self.fleet_keys();
         self.announce();
+        self.hear_drains();
         self.carry_out();
         self.let_return();
         Ok(at_once.elapsed())
--- a/sloeline/src/daemon/fleet.rs
+++ b/sloeline/src/daemon/fleet.rs
@@ -8,6 +8,7 @@
 use finchshift::Micros;
 use serde_json::{Value, json};
 use sloeline_config::model::{Config, Fleet as Wanted};
+use sloeline_events::tell;
 use sloeline_fleet::grants;
 use sloeline_fleet::message::{Fact, Keys, MOST_NAME, Name, Seen, State};
 use sloeline_fleet::shell::{Fleet, Start};
@@ -16,13 +17,15 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::Daemon;
 use super::control::secret_text;
 use super::pools::Running;
+use super::{Daemon, time};
 
 /// How long a node is kept out by the word of others, while the own source is behind it. A source that is behind for longer
 /// has its own rules for doubt; guards against a registry that was put back, whose numbers never come so far again.
 const BEHIND: Duration = Duration::from_secs(60);
+/// Periods that a start waits for somebody to answer.
+const JOINED: Micros = 3;
 /// A vote is lent for so many periods, a grant lasts so many.
 const TERM: Micros = 10;
 const GRANT: Micros = 2;
@@ -82,9 +85,12 @@
                 }
             }
         }
-        for ((pool, source), said) in &self.said {
-            let Some(key) = key(pool, source).filter(|_| pools.contains_key(pool)) else { continue };
-            for node in self.fleet.draining(&key, said.revision) {
+        let sources = pools.iter().flat_map(|(pool, running)| running.registries().map(move |s| (pool, s)));
+        for (pool, source) in sources {
+            // One that has told nothing yet is behind everything: nobody may slip through with its first list.
+            let revision = self.said.get(&(pool.clone(), source.to_owned())).map_or(0, |said| said.revision);
+            let Some(key) = key(pool, source) else { continue };
+            for node in self.fleet.draining(&key, revision) {
                 let of = (pool.clone(), node.to_string());
                 let since = self.kept_out.get(&of).copied().unwrap_or(now);
                 kept_out.insert(of, since);
@@ -192,8 +198,11 @@
             kept_out: BTreeMap::new(),
             told_out: BTreeSet::new(),
         };
+        // What others know of drains comes before the first request, if anybody is there to tell it.
+        if !part.fleet.joined(time(JOINED * wanted.period)).await {
+            tell!(FLEET_ALONE; "fleet: nobody has answered yet; it goes on alone");
+        }
         *self.part.borrow_mut() = Some(part);
-        self.share();
         Ok(())
     }
 
@@ -204,7 +213,7 @@
         match keys(wanted, &self.folder) {
             Ok(keys) => part.fleet.set_keys(keys),
             Err(why) => {
-                sloeline_events::tell!(CONFIG_KEPT, why = %why; "sloeline: the fleet's keys are kept: {why}");
+                tell!(CONFIG_KEPT, why = %why; "sloeline: the fleet's keys are kept: {why}");
             }
         }
     }
@@ -238,6 +247,13 @@
         self.part.borrow().as_ref().map(|part| part.kept_out().collect()).unwrap_or_default()
     }
 
+    /// Hears what there is to hear before pools take requests.
+    pub(super) fn hear_drains(&self) {
+        if let Some(part) = self.part.borrow_mut().as_mut() {
+            part.drains(&self.pools);
+        }
+    }
+
     /// Takes over how many there are, what is granted, and what others have seen.
     pub(super) fn share(&self) {
         let drains = self.part.borrow_mut().as_mut().is_some_and(|part| part.drains(&self.pools));
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderName, HeaderValue};
 use serde_json::{Value, json};
-use sloeline_config::model::{Config, Instance, Nodes, Place, Pool as Wanted};
+use sloeline_config::model::{Config, Instance, Nodes, Origin, Place, Pool as Wanted};
 use sloeline_engine::core::{Stage, Standing};
 use sloeline_engine::engine::Engine;
 use sloeline_engine::types::Listed;
@@ -419,16 +419,21 @@
         })
     }
 
+    /// The names of its sources whose revisions are the same to all that read them.
+    pub fn registries(&self) -> impl Iterator<Item = &str> {
+        let list = match &self.config.nodes {
+            Nodes::Sources(list, _) => &list[..],
+            _ => &[],
+        };
+        let registry = |origin: &&Origin| matches!(origin.place, Place::Etcd { .. } | Place::Consul { .. });
+        list.iter().filter(registry).map(|origin| origin.name.as_str())
+    }
+
     /// What its sources say of drains, for those whose revisions are the same to all that read them and that have come
     /// past the one that is known: the source, its revision, and the nodes that it has ordered out.
     pub fn drains(&self, known: impl Fn(&str) -> Option<u64>) -> Vec<(String, u64, BTreeSet<String>)> {
-        let (Nodes::Sources(list, _), Source::Sources(following)) = (&self.config.nodes, &self.source) else {
-            return Vec::new();
-        };
-        let registry = |name: &str| {
-            let place = list.iter().find(|origin| origin.name == name).map(|origin| &origin.place);
-            matches!(place, Some(Place::Etcd { .. } | Place::Consul { .. }))
-        };
+        let Source::Sources(following) = &self.source else { return Vec::new() };
+        let registry = |name: &str| self.registries().any(|registry| registry == name);
         following.look(|_, members| {
             let news = members.sources().filter_map(|(name, _, revision, _)| {
                 // Another epoch is another registry, or one that was put back: its numbers say nothing to others.
--- a/sloeline/tests/commanded/mod.rs
+++ b/sloeline/tests/commanded/mod.rs
@@ -17,6 +17,8 @@
     pub child: Child,
     pub log: Receiver<String>,
     pub folder: PathBuf,
+    /// What was logged until it could be called.
+    pub begun: Vec<String>,
 }
 
 impl Drop for Daemon {
@@ -74,8 +76,8 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         std::fs::write(folder.join("sloeline.toml"), text).expect("a file");
         let (child, log) = start(&folder);
-        let daemon = Daemon { child, log, folder };
-        daemon.logged("operators' calls on");
+        let mut daemon = Daemon { child, log, folder, begun: Vec::new() };
+        daemon.begun = daemon.logged("operators' calls on");
         daemon
     }
 
@@ -105,6 +107,17 @@
         serde_json::from_slice(&output.stdout).expect("JSON")
     }
 
+    /// A call without a program of its own for it: forty at once would be busy with those alone.
+    pub fn call(&self, verb: &str) -> Value {
+        let mut stream = std::os::unix::net::UnixStream::connect(self.socket()).expect("it listens");
+        stream.set_read_timeout(Some(LONG)).expect("a socket");
+        writeln!(stream, "{{\"version\":1,\"verb\":\"{verb}\"}}").expect("it reads");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        let answer: Value = serde_json::from_str(&answer).expect("JSON");
+        answer["done"].clone()
+    }
+
     pub fn refused(&self, arguments: &[&str]) -> String {
         let output = self.ctl(arguments);
         assert!(!output.status.success(), "{arguments:?}");
--- a/sloeline/tests/fleet.rs
+++ b/sloeline/tests/fleet.rs
@@ -79,6 +79,7 @@
 /// Waits until a daemon has logged a line for each of these.
 fn told(daemon: &Daemon, of: &[usize], what: &str) {
     let mut left: BTreeSet<String> = of.iter().map(|of| format!("fleet: edge-{of} {what}")).collect();
+    left.retain(|wanted| !daemon.begun.iter().any(|line| line.contains(wanted)));
     while !left.is_empty() {
         let line = daemon.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("{left:?} were never told"));
         assert!(!line.contains("defect:"), "{line}");
@@ -120,52 +121,75 @@
     store.put(&format!("/p/nodes/{name}"), text, 0);
 }
 
+/// Forty of them: one whose registry is ahead, and the others.
+const FORTY: usize = 40;
+
 #[test]
-fn a_drain_that_one_has_heard_of_is_obeyed_by_one_whose_registry_is_behind() {
+fn a_drain_that_one_of_forty_has_heard_of_is_obeyed_by_those_whose_registry_is_behind() {
     let (at, change) = registries();
     let both = |what: fn(&mut Store)| (0..2).for_each(|of| change.send((of, what)).expect("it runs"));
     both(|store| node(store, "a"));
     both(|store| node(store, "b"));
     let daemon = |of: usize, seeds: &str| {
         let source =
-            format!("source = [{{ etcd = [\"{}\"], prefix = \"/p/\", check = \"200ms\" }}]\n", at[of]);
+            format!("source = [{{ etcd = [\"{}\"], prefix = \"/p/\", check = \"200ms\" }}]\n", at[of.min(1)]);
         let nodes = "nodes = [{ name = \"n\", address = \"127.0.0.1:9\" }, { name = \"m\", address = \"127.0.0.1:9\" }]\n";
         let text = text(20 + of, seeds, "127.0.0.1:9".parse().expect("an address"));
-        let text = text.replacen(nodes, &source, 1);
-        assert!(text.contains("source"));
+        let text =
+            text.replacen(nodes, &source, 1).replace(&format!("most = {SIZE}"), &format!("most = {FORTY}"));
+        assert!(text.contains("source") && text.contains("most = 40"));
         with_key(20 + of, &text, "ab")
     };
     let ahead = daemon(0, "");
     let seed = ahead.json(&["fleet"])["address"].as_str().expect("an address").to_owned();
-    let behind = daemon(1, &format!("\"{seed}\""));
-    told(&behind, &[20], "is there");
-    let taking = |daemon: &Daemon| daemon.json(&["pools"])[0]["taking_requests"].as_u64().expect("a number");
+    let mut behind: Vec<Daemon> = (1..FORTY).map(|of| daemon(of, &format!("\"{seed}\""))).collect();
+    let everybody: Vec<usize> = (21..20 + FORTY).collect();
+    told(&ahead, &everybody, "is there");
+    let taking = |daemon: &Daemon| daemon.call("pools")[0]["taking_requests"].as_u64().expect("a number");
     let until = |daemon: &Daemon, expected: u64| {
         let begun = Instant::now();
         while taking(daemon) != expected {
             assert!(begun.elapsed() < LONG, "{} take requests, expected {expected}", taking(daemon));
         }
     };
+    let all_until = |daemons: &[Daemon], expected| daemons.iter().for_each(|d| until(d, expected));
     until(&ahead, 2);
-    until(&behind, 2);
+    all_until(&behind, 2);
     // One registry has the order, the other does not yet.
+    let begun = Instant::now();
     change.send((0, |store| store.put("/p/drains/b", "", 0))).expect("it runs");
     until(&ahead, 1);
-    until(&behind, 1);
-    assert_eq!(behind.json(&["fleet"])["kept_out"], serde_json::json!(["b in p"]));
-    assert_eq!(ahead.json(&["fleet"])["kept_out"], serde_json::json!([]));
+    all_until(&behind, 1);
+    println!("obeyed by {FORTY} after {:?}, by all but one against their own registry", begun.elapsed());
+    assert_eq!(behind[0].call("fleet")["kept_out"], serde_json::json!(["b in p"]));
+    assert_eq!(ahead.call("fleet")["kept_out"], serde_json::json!([]));
+    // A third is killed at once and comes back, as cold to this as on the first day: told by the others all the same.
+    for daemon in behind.iter_mut().step_by(3) {
+        let _ = daemon.child.kill();
+        let _ = daemon.child.wait();
+    }
+    for daemon in behind.iter_mut().step_by(3) {
+        let folder = daemon.folder.clone();
+        (daemon.child, daemon.log) = start(&folder);
+    }
+    for daemon in behind.iter().step_by(3) {
+        daemon.logged("operators' calls on");
+        until(daemon, 1);
+    }
     // It comes there too, and is taken back there last: each goes by its own from then on.
     change.send((1, |store| store.put("/p/drains/b", "", 0))).expect("it runs");
-    let begun = Instant::now();
-    while behind.json(&["fleet"])["kept_out"] != serde_json::json!([]) {
-        assert!(begun.elapsed() < LONG, "its own registry has come as far");
+    for daemon in &behind {
+        let begun = Instant::now();
+        while daemon.call("fleet")["kept_out"] != serde_json::json!([]) {
+            assert!(begun.elapsed() < LONG, "its own registry has come as far");
+        }
+        assert_eq!(taking(daemon), 1);
     }
-    assert_eq!(taking(&behind), 1);
     change.send((0, |store| store.delete("/p/drains/b"))).expect("it runs");
     until(&ahead, 2);
-    assert_eq!(taking(&behind), 1, "nothing is put in by the word of others");
+    assert_eq!(taking(&behind[0]), 1, "nothing is put in by the word of others");
     change.send((1, |store| store.delete("/p/drains/b"))).expect("it runs");
-    until(&behind, 2);
+    all_until(&behind, 2);
 }
 
 /// How many requests are served, in as long, by one daemon that is asked as fast as it answers.
@@ -261,7 +285,7 @@
     }
     let folder = all[7].folder.clone();
     (all[7].child, all[7].log) = start(&folder);
-    told(&all[0], &[7], "is there");
+    all[0].logged("fleet: edge-7 is there");
 
     // What nobody of the fleet has signed is not heard.
     let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
