Orders' test: a limit that takes another's place goes on with what is left of its bucket

A rate that changes no longer begins with a full bucket (rates of a fleet change often, and would be none), so after a rate of 0 the first request of the next limit is refused. The test took the old way for granted; it ends the first limit now. Fleet, orders, ctl, reloads and registries three times each on two cores beside two busy loops: all pass.

--- a/sloeline/tests/orders.rs
+++ b/sloeline/tests/orders.rs
@@ -121,6 +121,8 @@
     assert_eq!(header(&answer), Some(1));
     assert!(!daemon.get("/other").contains("limited"), "it is of another pool");
     // One in ten seconds: whoever comes second is told to wait for it, whoever comes third for the next.
+    // Another limit in its place would go on with what is left in the bucket: nothing.
+    daemon.json(&["unlimit", "p"]);
     daemon.json(&["limit", "p", "--rate", "0.1"]);
     assert!(!daemon.get("/a").contains("limited"));
     let waits: Vec<u64> = (0..2).filter_map(|_| header(&daemon.get("/a"))).collect();
