--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -66,6 +66,16 @@
         #[command(subcommand)]
         what: Kept,
     },
+    /// Write completions of these commands for a shell.
+    Completions {
+        /// Which.
+        shell: clap_complete::Shell,
+    },
+    /// Write the manual pages, one for each command, into a folder.
+    Man {
+        /// The folder.
+        folder: PathBuf,
+    },
     /// Make a key for signed calls, in a new file that only its owner may read.
     Key {
         /// The file.
@@ -199,6 +209,14 @@
         Some(Command::Snapshot { what: Kept::Diff { was, is } }) => {
             ctl::compare_kept(&was, &is).map(|text| print!("{text}"))
         }
+        Some(Command::Completions { shell }) => {
+            let mut command = Arguments::command();
+            let name = command.get_name().to_owned();
+            clap_complete::generate(shell, &mut command, name, &mut std::io::stdout());
+            Ok(())
+        }
+        Some(Command::Man { folder }) => clap_mangen::generate_to(Arguments::command(), &folder)
+            .map_err(|e| format!("{}: {e}", folder.display())),
         Some(Command::Key { file }) => ctl::make_key(&file).map(|text| print!("{text}")),
         Some(Command::Describe { file, listener }) => load(&file)
             .and_then(|config| describe::describe(&config, listener.as_deref()))
--- a/sloeline/tests/cli.rs
+++ b/sloeline/tests/cli.rs
@@ -204,3 +204,20 @@
     assert_eq!((&result["ruleId"], &result["suppressions"][0]["kind"]), (&"D010".into(), &"inSource".into()));
     assert!(result["locations"][0]["physicalLocation"]["region"]["startLine"].is_u64(), "{result}");
 }
+
+#[test]
+fn completions_and_manual_pages_know_every_command() {
+    let run = |arguments: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_sloeline"));
+        command.env_remove("EDGE_CONFIG").args(arguments).output().expect("it runs")
+    };
+    let bash = String::from_utf8(run(&["completions", "bash"]).stdout).expect("text");
+    assert!(["ctl", "drain", "unlimit", "snapshot"].iter().all(|word| bash.contains(word)));
+    let folder = std::env::temp_dir().join(format!("sloeline-man-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    assert!(run(&["man", folder.to_str().expect("text")]).status.success());
+    let page = std::fs::read_to_string(folder.join("sloeline-ctl-limit.1")).expect("a page");
+    assert!(page.contains("rate"), "{page}");
+    std::fs::remove_dir_all(&folder).expect("it goes");
+    assert!(!run(&["man", "/nowhere/at/all"]).status.success());
+}
--- a/sloeline/tests/commanded/mod.rs
+++ b/sloeline/tests/commanded/mod.rs
@@ -2,9 +2,11 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
@@ -169,3 +171,64 @@
         answer
     }
 }
+
+/// Answers everything at once.
+pub fn upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut stream = BufReader::new(stream);
+                let mut line = String::new();
+                while stream.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    let end = line == "\r\n";
+                    line.clear();
+                    if end
+                        && stream
+                            .get_mut()
+                            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                            .is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    at
+}
+
+/// How many requests are served, in as long, by one daemon that is asked as fast as it answers.
+pub fn load(at: SocketAddr, on: Arc<AtomicBool>) -> std::thread::JoinHandle<usize> {
+    std::thread::spawn(move || {
+        let mut stream = BufReader::new(TcpStream::connect(at).expect("it listens"));
+        let mut served = 0;
+        while on.load(Ordering::Relaxed) {
+            stream.get_mut().write_all(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n").expect("it reads");
+            let (mut first, mut line, mut length) = (String::new(), String::new(), 0);
+            loop {
+                line.clear();
+                assert!(stream.read_line(&mut line).expect("an answer") > 0);
+                if first.is_empty() {
+                    first.clone_from(&line);
+                }
+                if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+                    length = value.trim().parse().expect("a number");
+                }
+                if line == "\r\n" {
+                    break;
+                }
+            }
+            stream.read_exact(&mut vec![0; length]).expect("a body");
+            if first.contains(" 200 ") {
+                served += 1;
+            } else {
+                assert!(first.contains(" 503 "), "{first}");
+                // Comes back sooner than it was told to.
+                std::thread::sleep(Duration::from_millis(1));
+            }
+        }
+        served
+    })
+}
--- a/sloeline/tests/ctl.rs
+++ b/sloeline/tests/ctl.rs
@@ -5,9 +5,11 @@
 use std::io::{Read, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use commanded::{Daemon, LONG, TEXT, start};
+use commanded::{Daemon, LONG, TEXT, load, start, upstream};
 use serde_json::Value;
 
 #[test]
@@ -106,3 +108,26 @@
     daemon.logged("found something else than a socket");
     assert!(own.is_file());
 }
+
+#[test]
+fn calls_are_answered_within_a_second_at_full_load_and_beside_silent_callers() {
+    let text = TEXT.replace("127.0.0.1:9", &upstream().to_string());
+    let daemon = Daemon::with("load", &text);
+    let on = Arc::new(AtomicBool::new(true));
+    let threads: Vec<_> = (0..8).map(|_| load(daemon.public(), on.clone())).collect();
+    let silent: Vec<UnixStream> =
+        (0..15).map(|_| UnixStream::connect(daemon.socket()).expect("it listens")).collect();
+    let mut longest = Duration::ZERO;
+    for _ in 0..200 {
+        for verb in ["status", "pools", "budgets", "orders", "snapshot"] {
+            let begun = Instant::now();
+            assert!(!daemon.call(verb).is_null());
+            longest = longest.max(begun.elapsed());
+        }
+    }
+    on.store(false, Ordering::Relaxed);
+    let served: usize = threads.into_iter().map(|t| t.join().expect("a load")).sum();
+    println!("1,000 calls beside {served} requests and 15 who say nothing: the longest took {longest:?}");
+    assert!(longest < Duration::from_secs(1) && served > 100, "{longest:?} beside {served} requests");
+    drop(silent);
+}
--- a/sloeline/tests/fleet.rs
+++ b/sloeline/tests/fleet.rs
@@ -3,13 +3,13 @@
 mod commanded;
 
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::io::Write;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use commanded::{Daemon, LONG, TEXT, start};
+use commanded::{Daemon, LONG, TEXT, load, start, upstream};
 use sloeline_membership::view::{Node as Entry, Standing};
 use sloeline_standin::etcd::Etcd;
 use sloeline_standin::keys::Store;
@@ -19,33 +19,6 @@
 const SIZE: usize = 8;
 const RATE: usize = 400;
 
-/// Answers everything at once.
-fn upstream() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let at = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || {
-                let mut stream = BufReader::new(stream);
-                let mut line = String::new();
-                while stream.read_line(&mut line).is_ok_and(|n| n > 0) {
-                    let end = line == "\r\n";
-                    line.clear();
-                    if end
-                        && stream
-                            .get_mut()
-                            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-                            .is_err()
-                    {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    at
-}
-
 fn text(of: usize, seeds: &str, upstream: SocketAddr) -> String {
     let fleet = format!(
         "[instance]\nname = \"edge-{of}\"\n[fleet]\naddress = \"127.0.0.1:0\"\nseeds = [{seeds}]\nmost = {SIZE}\n\
@@ -192,40 +165,6 @@
     all_until(&behind, 2);
 }
 
-/// How many requests are served, in as long, by one daemon that is asked as fast as it answers.
-fn load(at: SocketAddr, on: Arc<AtomicBool>) -> std::thread::JoinHandle<usize> {
-    std::thread::spawn(move || {
-        let mut stream = BufReader::new(TcpStream::connect(at).expect("it listens"));
-        let mut served = 0;
-        while on.load(Ordering::Relaxed) {
-            stream.get_mut().write_all(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n").expect("it reads");
-            let (mut first, mut line, mut length) = (String::new(), String::new(), 0);
-            loop {
-                line.clear();
-                assert!(stream.read_line(&mut line).expect("an answer") > 0);
-                if first.is_empty() {
-                    first.clone_from(&line);
-                }
-                if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
-                    length = value.trim().parse().expect("a number");
-                }
-                if line == "\r\n" {
-                    break;
-                }
-            }
-            stream.read_exact(&mut vec![0; length]).expect("a body");
-            if first.contains(" 200 ") {
-                served += 1;
-            } else {
-                assert!(first.contains(" 503 "), "{first}");
-                // Comes back sooner than it was told to.
-                std::thread::sleep(Duration::from_millis(1));
-            }
-        }
-        served
-    })
-}
-
 #[test]
 fn daemons_know_who_is_there_and_share_a_limit() {
     let upstream = upstream();
