A told count that changes with a reload holds again; a limit for all leaves something for each

With the fleet the count of instances was taken from the configuration in force and not from the one that is read, so a reload that changed instance.count changed nothing until the next one: cold nodes would have been given their old part. The test reads the count that each pool goes by (ctl pools, shared_by) before and after a reload; it fails without the mend. And fleet_rate below twice fleet.most left nothing to an instance that is cut off: now an error of the configuration.

--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -52,7 +52,7 @@
     let mut pools = BTreeMap::new();
     for (name, section) in root.named("pool") {
         named.push(name.value.clone());
-        if let Some(pool) = pool(section, &instance, fleet.is_some()) {
+        if let Some(pool) = pool(section, &instance, fleet.as_ref().map(|f| f.most)) {
             pools.insert(name.value, pool);
         }
     }
@@ -379,7 +379,7 @@
     tenant
 }
 
-fn pool(section: Section<'_>, instance: &Instance, in_fleet: bool) -> Option<Pool> {
+fn pool(section: Section<'_>, instance: &Instance, most: Option<u32>) -> Option<Pool> {
     let nodes = nodes(&section, instance);
     let weight = section.get::<f64>("weight");
     if let Some(none) = weight.as_ref().filter(|w| w.value == 0.0) {
@@ -407,8 +407,16 @@
         section.wrong(&none.span, "zones", "0", "at least 1");
     }
     let fleet_rate = section.get::<u64>("fleet_rate");
-    if let Some(rate) = fleet_rate.as_ref().filter(|_| !in_fleet) {
-        section.wrong(&rate.span, "fleet_rate", "no fleet", "a [fleet] that shares it");
+    if let Some(rate) = &fleet_rate {
+        match most {
+            None => section.wrong(&rate.span, "fleet_rate", "no fleet", "a [fleet] that shares it"),
+            // Half of it is everybody's: an instance that is cut off must have something.
+            Some(most) if rate.value < 2 * u64::from(most) => {
+                let expected = format!("at least {}, twice fleet.most", 2 * u64::from(most));
+                section.wrong(&rate.span, "fleet_rate", rate.value.to_string(), expected);
+            }
+            Some(_) => {}
+        }
     }
     let pool = Pool {
         fleet_rate: fleet_rate.map(|rate| rate.value),
--- a/config/tests/dangerous.rs
+++ b/config/tests/dangerous.rs
@@ -364,3 +364,21 @@
         found(&with(work), &[wanted]);
     }
 }
+
+#[test]
+fn a_limit_for_all_needs_a_fleet_and_something_for_each() {
+    let fleet =
+        "[fleet]\naddress = \"127.0.0.1:0\"\nmost = 40\nkey_used = \"k\"\n[fleet.key.k]\nfile = \"k\"\n";
+    let with = |rate: u32, fleet: &str| {
+        config(CLASS, ROUTE, fleet).replacen("[pool.loket]", &format!("[pool.loket]\nfleet_rate = {rate}"), 1)
+    };
+    assert!(with(80, fleet).contains("fleet_rate"));
+    found(&with(80, fleet), &[]);
+    found(&with(79, fleet), &["pool.loket.fleet_rate: found 79, expected at least 80, twice fleet.most"]);
+    found(&with(80, ""), &["pool.loket.fleet_rate: found no fleet, expected a [fleet] that shares it"]);
+    found(
+        &config(CLASS, ROUTE, &fleet.replace("\"k\"\n[", "\"x\"\n[")),
+        &["fleet.key_used: found \"x\", expected the name of a [fleet.key.NAME], one of k"],
+    );
+    found(&config(CLASS, ROUTE, &fleet.replace("40", "0")), &["fleet.most: found 0, expected 1 to 4096"]);
+}
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -290,7 +290,8 @@
         let mut plans: Vec<(String, Plan)> = Vec::new();
         for name in config.pools.keys() {
             let (classes, before) = (classes.get(name.as_str()), self.pools.get(name));
-            let plan = Plan::new(name, &config, classes, &self.folder, &mut zones, before, self.count())?;
+            let plan =
+                Plan::new(name, &config, classes, &self.folder, &mut zones, before, self.count(&config))?;
             plans.push((name.clone(), plan));
             turn.rest().await;
         }
@@ -335,7 +336,7 @@
                     &self.folder,
                     &mut zones,
                     Some(running),
-                    self.count(),
+                    self.count(&config),
                 )?;
                 let given = plan.numbers();
                 if numbers.insert(name.clone(), given.clone()) != Some(given) {
--- a/sloeline/src/daemon/fleet.rs
+++ b/sloeline/src/daemon/fleet.rs
@@ -238,8 +238,9 @@
 
     /// How many share each upstream: as many as are told, or as there were ever heard of and have not left, whichever is
     /// more. Guards cold upstreams: a count that is too high costs some of what they could take, one that is too low all.
-    pub(super) fn count(&self) -> u32 {
-        self.part.borrow().as_ref().map_or(self.config.instance.count, |part| part.count)
+    pub(super) fn count(&self, config: &Config) -> u32 {
+        let sending = self.part.borrow().as_ref().map_or(0, |part| part.fleet.count().1);
+        config.instance.count.max(sending as u32)
     }
 
     /// Nodes that are kept out by the word of other instances, by pool.
@@ -260,10 +261,9 @@
         if drains {
             self.carry_out();
         }
+        let count = self.count(&self.config);
         let mut part = self.part.borrow_mut();
         let Some(part) = part.as_mut() else { return };
-        let (_, sending) = part.fleet.count();
-        let count = self.config.instance.count.max(sending as u32);
         if std::mem::replace(&mut part.count, count) != count {
             self.pools.values().for_each(|running| running.recount(count));
         }
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -415,6 +415,7 @@
             "listed": engine.listed(),
             "taking_requests": engine.upstreams(),
             "open_requests": engine.open(),
+            "shared_by": self.settings.borrow().balancers,
             "classes": classes.join(" "),
         })
     }
--- a/sloeline/tests/ctl.rs
+++ b/sloeline/tests/ctl.rs
@@ -58,6 +58,12 @@
     assert!(daemon.refused(&["changes"]).contains("sloeline.toml:"));
     // Nothing of that is in force.
     assert_eq!(daemon.json(&["pools"])[1]["pool"], "q");
+    // As many as are told to share each upstream, also with a reload.
+    let shared = |daemon: &Daemon| daemon.json(&["pools"])[0]["shared_by"].clone();
+    assert_eq!(shared(&daemon), 1);
+    daemon.change(&format!("[instance]\ncount = 3\n{TEXT}"));
+    assert!(daemon.hangup().contains("read again"));
+    assert_eq!(shared(&daemon), 3);
     let table = daemon.ctl(&["pools"]);
     let table = String::from_utf8(table.stdout).expect("text");
     assert!(table.lines().count() == 3 && table.contains("taking_requests"), "{table}");
