Trace of sends to cold servers: which, how old, which attempt, on what news

The logs did not tell what each process sent to a server that fell, nor when it was told.

Events cold.listed and cold.sent at level trace, limited by nothing, off by default; SLOELINE_LOG=cold=trace turns them on in the platform's program (levels as the daemon's log has them). Nothing is decided by it.

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -10,7 +10,7 @@
 
 use finchshift as fs;
 use finchshift::{Action, Event, ListKind, Micros, Outcome, RequestId, ServerId};
-use sloeline_events::tell;
+use sloeline_events::{tell, trace};
 use sloeline_settings::setup::Names;
 
 use crate::registry::Registry;
@@ -201,12 +201,26 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     outputs: VecDeque<Output<R>>,
+    /// What the module was told last.
+    cause: &'static str,
+    warm_after: Micros,
+}
+
+/// What an event is called where it is the cause of something.
+fn cause(event: &Event) -> &'static str {
+    match event {
+        Event::Servers { .. } => "list",
+        Event::Request { .. } => "request",
+        Event::Outcome { .. } => "outcome",
+        Event::Timer { .. } => "timer",
+        _ => "other",
+    }
 }
 
 impl<R> Core<R> {
     /// A balancer with the given settings; `zones` holds the numbers that the settings use.
     pub fn new(settings: fs::Settings, zones: &Names, seed: u64) -> Result<Core<R>, String> {
-        let limits = settings.limits.clone();
+        let (limits, warm_after) = (settings.limits.clone(), settings.rules.warm_after);
         let balancer = fs::Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         Ok(Core {
             balancer,
@@ -222,6 +236,8 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             outputs: VecDeque::new(),
+            cause: "",
+            warm_after,
         })
     }
 
@@ -317,9 +333,9 @@
         settings: fs::Settings,
         learned: &[Option<fs::ClassId>],
     ) -> Result<(), String> {
-        let limits = settings.limits.clone();
+        let (limits, warm_after) = (settings.limits.clone(), settings.rules.warm_after);
         self.balancer.reconfigure(settings, learned).map_err(|e| e.to_string())?;
-        self.limits = limits;
+        (self.limits, self.warm_after) = (limits, warm_after);
         Ok(())
     }
 
@@ -500,6 +516,12 @@
         let (entries, stale) = self.registry.take(kind, listed);
         self.outputs.extend(stale.into_iter().map(|server| Output::CloseIdle { server }));
         self.listed |= kind != ListKind::Failed;
+        for e in &entries {
+            if let Some(age) = self.cold_age(now, e.id) {
+                let name = self.registry.name(e.id).unwrap_or_default();
+                trace!(COLD_LISTED, upstream = %name, age = %age / 1000; "cold: listed {name}, {} ms old", age / 1000);
+            }
+        }
         self.feed(now, Event::Servers { kind, entries });
     }
 
@@ -531,6 +553,12 @@
         self.registry.take_returned(returned);
     }
 
+    /// How long ago an upstream started that is still cold.
+    fn cold_age(&self, now: Micros, server: ServerId) -> Option<Micros> {
+        let age = now.saturating_sub(self.registry.started(server)?);
+        (age < self.warm_after).then_some(age)
+    }
+
     fn ordered(&mut self, now: Micros, entries: Option<Vec<fs::ServerEntry>>) -> bool {
         let Some(entries) = entries else { return false };
         if !entries.is_empty() {
@@ -643,6 +671,7 @@
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
+            self.cause = cause(&event);
             let balancer = &mut self.balancer;
             let handled = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, &mut actions)));
             // Guards the other requests: the last resort answers those that a broken module leaves.
@@ -692,6 +721,13 @@
     /// Starts an attempt. What the rules forbid whatever the module says is not sent, and told so.
     pub(crate) fn send(&mut self, now: Micros, id: RequestId, server: ServerId, limit: Micros) {
         let to = self.registry.target(server);
+        if let Some(age) = self.cold_age(now, server) {
+            let name = self.registry.name(server).unwrap_or_default();
+            let attempt = self.open.get(&id).map_or(0, |open| open.sent);
+            let cause = self.cause;
+            trace!(COLD_SENT, upstream = %name, age = %age / 1000, request = %id, attempt = %attempt, cause = %cause;
+                "cold: sent to {name}, {} ms old, request {id}, attempt {attempt}, on {cause}", age / 1000);
+        }
         let not_sent = |attempt, closed| Event::Outcome {
             request: id,
             attempt,
--- a/events/src/events.rs
+++ b/events/src/events.rs
@@ -28,7 +28,7 @@
 impl Event {
     /// Whether it is limited. What comes from outside, as often as it likes, is.
     pub fn limited(&self) -> bool {
-        !DEEDS.contains(&self.area)
+        !DEEDS.contains(&self.area) && self.level != Level::TRACE
     }
 }
 
@@ -161,6 +161,12 @@
     FLEET_REFUSED: WARN, "fleet", "fleet.refused", ["from", "why"],
         "a datagram was not heard: another key, another version, or none of ours",
         "look at the keys on both sides";
+    COLD_LISTED: TRACE, "cold", "cold.listed", ["upstream", "age"],
+        "a list names a cold upstream; `age` in milliseconds since its start",
+        "nothing; to follow one case, with the level of the area `cold` at trace";
+    COLD_SENT: TRACE, "cold", "cold.sent", ["upstream", "age", "request", "attempt", "cause"],
+        "an attempt goes to a cold upstream; `cause` is what the module was told when it let it go",
+        "nothing; to follow one case, with the level of the area `cold` at trace";
     OPERATION_ODD: WARN, "operations", "operation.odd", ["operation", "code"],
         "an operation does not do as it is described",
         "see DESCRIPTIONS.md";
@@ -176,7 +182,7 @@
          Made from the code (`events/src/events.rs`); a test says so where it is not. Each line of the log is one event; with\n\
          `[log] form = \"json\"` it is an object with `time` (microseconds of Unix time), `level`, `area`, `event`, `text`, the fields\n\
          below, and `dropped` where some like it were not told. Events of the areas config, process, orders, control and link are told\n\
-         each time; others are limited by their first field.\n\n\
+         each time, and so is what is at the level trace; others are limited by their first field.\n\n\
          | event | level | fields | means | do |\n| --- | --- | --- | --- | --- |\n",
     );
     for event in ALL {
@@ -219,6 +225,7 @@
         for (event, constant) in ALL.iter().zip(CONSTANTS) {
             let calls: Vec<&str> = code
                 .split("tell!(")
+                .flat_map(|part| part.split("trace!("))
                 .skip(1)
                 .filter(|call| {
                     call.trim_start().strip_prefix(constant).is_some_and(|c| c.starts_with([',', ';']))
--- a/events/src/filter.rs
+++ b/events/src/filter.rs
@@ -28,6 +28,23 @@
 }
 
 impl Levels {
+    /// Reads `warn`, or `info,cold=trace,membership.etcd=debug`: the level of all others, then those of areas. The error
+    /// names the part that can't be read.
+    pub fn read(text: &str) -> Result<Levels, String> {
+        let mut levels = Levels::default();
+        for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+            let (area, word) = part.split_once('=').map_or((None, part), |(area, word)| (Some(area), word));
+            let found = level(word).ok_or_else(|| {
+                format!("found {part:?}, expected a level (error, warn, info, debug, trace) or AREA=LEVEL")
+            })?;
+            match area {
+                Some(area) => _ = levels.areas.insert(area.to_owned(), found),
+                None => levels.base = found,
+            }
+        }
+        Ok(levels)
+    }
+
     /// The level of an area: of the longest name that it lies in.
     pub fn of(&self, area: &str) -> Level {
         let mut within = area;
--- a/events/src/lib.rs
+++ b/events/src/lib.rs
@@ -28,3 +28,17 @@
         }
     };
 }
+
+/// Tells an event that only those who ask for its level hear: nothing is said where nothing listens.
+#[macro_export]
+macro_rules! trace {
+    ($event:ident $(, $field:ident = %$value:expr)* ; $($message:tt)+) => {
+        $crate::tracing::event!(
+            target: $crate::events::$event.area,
+            $crate::events::$event.level,
+            event = $crate::events::$event.name,
+            $($field = %$value,)*
+            $($message)+
+        )
+    };
+}
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -170,7 +170,13 @@
     let arguments = Arguments::parse();
     let done = match arguments.command {
         None if std::env::var_os("EDGE_CONFIG").is_some() => {
-            sloeline_events::hub::install(Default::default());
+            // The platform's settings say nothing of logs.
+            let text = std::env::var("SLOELINE_LOG").unwrap_or_default();
+            let levels = sloeline_events::filter::Levels::read(&text).unwrap_or_else(|why| {
+                eprintln!("sloeline: SLOELINE_LOG: {why}; the usual levels hold");
+                Default::default()
+            });
+            sloeline_events::hub::install(sloeline_events::hub::Settings { levels, ..Default::default() });
             block_on(platform::run())
         }
         None => {
