Operators see which upstreams are cold: events, and ctl pools

Events cold.told and cold.over (info) say which upstreams a list names as just started and, once they are warm or gone, how often picks went past them; ctl pools has each with the share of its capacity that it has. Test: put back by an operator a node shows as cold in both pools (sloeline/tests/ctl.rs).

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -10,7 +10,7 @@
 
 use finchshift as fs;
 use finchshift::{Action, Event, ListKind, Micros, Outcome, RequestId, ServerId};
-use sloeline_events::{tell, trace};
+use sloeline_events::{note, tell};
 use sloeline_settings::setup::Names;
 
 use crate::registry::Registry;
@@ -204,6 +204,23 @@
     /// What the module was told last.
     cause: &'static str,
     warm_after: Micros,
+    /// Upstreams told as cold: which start, and how often they were passed over when it was looked last.
+    cold: HashMap<ServerId, (Option<Micros>, u64)>,
+    cold_looked: Micros,
+}
+
+/// Names that an event lists; the others are a count.
+const MOST_NAMED: usize = 8;
+/// How often it is looked who is still cold: what operators read need be no more exact.
+const COLD_LOOK: Micros = 1_000_000;
+
+/// The first few of some names.
+fn some(names: &[&str]) -> String {
+    let first = names.iter().take(MOST_NAMED).copied().collect::<Vec<_>>().join(" ");
+    match names.len().saturating_sub(MOST_NAMED) {
+        0 => first,
+        more => format!("{first} and {more} more"),
+    }
 }
 
 /// What an event is called where it is the cause of something.
@@ -238,6 +255,8 @@
             outputs: VecDeque::new(),
             cause: "",
             warm_after,
+            cold: HashMap::new(),
+            cold_looked: 0,
         })
     }
 
@@ -516,10 +535,11 @@
         let (entries, stale) = self.registry.take(kind, listed);
         self.outputs.extend(stale.into_iter().map(|server| Output::CloseIdle { server }));
         self.listed |= kind != ListKind::Failed;
+        self.tell_cold(now, &entries);
         for e in &entries {
             if let Some(age) = self.cold_age(now, e.id) {
                 let name = self.registry.name(e.id).unwrap_or_default();
-                trace!(COLD_LISTED, upstream = %name, age = %age / 1000; "cold: listed {name}, {} ms old", age / 1000);
+                note!(COLD_LISTED, upstream = %name, age = %age / 1000; "cold: listed {name}, {} ms old", age / 1000);
             }
         }
         self.feed(now, Event::Servers { kind, entries });
@@ -553,6 +573,58 @@
         self.registry.take_returned(returned);
     }
 
+    /// Upstreams that are cold, the share of its capacity that each has, and how often picks passed it over.
+    pub fn cold(&self, now: Micros) -> Vec<(String, f64, u64)> {
+        let named = |(id, share, passed): (ServerId, f64, u64)| {
+            Some((self.registry.name(id)?.to_owned(), share, passed))
+        };
+        self.balancer.cold(now).into_iter().filter_map(named).collect()
+    }
+
+    /// Tells of those that a list newly names as cold.
+    fn tell_cold(&mut self, now: Micros, entries: &[fs::ServerEntry]) {
+        let mut names = Vec::new();
+        for e in entries.iter().filter(|e| e.state == fs::ServerState::Ready) {
+            let cold = self.cold_age(now, e.id).is_some();
+            if cold && self.cold.insert(e.id, (e.started, 0)).is_none_or(|(before, _)| before != e.started) {
+                names.push(self.registry.name(e.id).unwrap_or_default());
+            }
+        }
+        if !names.is_empty() {
+            let (count, some) = (names.len(), some(&names));
+            note!(COLD_TOLD, upstreams = %some, count = %count; "cold: just started: {some}");
+        }
+    }
+
+    /// Tells of those that were cold and are no more.
+    fn tell_warm(&mut self, now: Micros) {
+        if self.cold.is_empty() || now < self.cold_looked.saturating_add(COLD_LOOK) {
+            return;
+        }
+        self.cold_looked = now;
+        let still: HashMap<ServerId, u64> =
+            self.balancer.cold(now).into_iter().map(|(id, _, passed)| (id, passed)).collect();
+        let (mut names, mut passed) = (Vec::new(), 0);
+        let registry = &self.registry;
+        self.cold.retain(|id, (_, seen)| match still.get(id) {
+            Some(now_passed) => {
+                *seen = *now_passed;
+                true
+            }
+            None => {
+                names.push(registry.name(*id).unwrap_or("one that is gone"));
+                passed += *seen;
+                false
+            }
+        });
+        if !names.is_empty() {
+            names.sort_unstable();
+            let (count, some) = (names.len(), some(&names));
+            note!(COLD_OVER, upstreams = %some, count = %count, passed_over = %passed;
+                "cold: warm or gone, passed over {passed} times: {some}");
+        }
+    }
+
     /// How long ago an upstream started that is still cold.
     fn cold_age(&self, now: Micros, server: ServerId) -> Option<Micros> {
         let age = now.saturating_sub(self.registry.started(server)?);
@@ -564,6 +636,7 @@
         if !entries.is_empty() {
             let out = entries.iter().filter(|e| e.state != fs::ServerState::Ready);
             self.outputs.extend(out.map(|e| Output::CloseIdle { server: e.id }));
+            self.tell_cold(now, &entries);
             self.feed(now, Event::Servers { kind: ListKind::Changes, entries });
         }
         true
@@ -629,7 +702,10 @@
             return false;
         }
         match self.timers.pop() {
-            Some(Reverse((.., Due::Token(token)))) => self.feed(now, Event::Timer { token }),
+            Some(Reverse((.., Due::Token(token)))) => {
+                self.feed(now, Event::Timer { token });
+                self.tell_warm(now);
+            }
             Some(Reverse((.., Due::Limit(id, attempt)))) => self.call_off(id, attempt, Outcome::TimedOut),
             Some(Reverse((.., Due::LastResort(id)))) => self.last_resort(now, id),
             None => return false,
@@ -725,7 +801,7 @@
             let name = self.registry.name(server).unwrap_or_default();
             let attempt = self.open.get(&id).map_or(0, |open| open.sent);
             let cause = self.cause;
-            trace!(COLD_SENT, upstream = %name, age = %age / 1000, request = %id, attempt = %attempt, cause = %cause;
+            note!(COLD_SENT, upstream = %name, age = %age / 1000, request = %id, attempt = %attempt, cause = %cause;
                 "cold: sent to {name}, {} ms old, request {id}, attempt {attempt}, on {cause}", age / 1000);
         }
         let not_sent = |attempt, closed| Event::Outcome {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -360,6 +360,11 @@
         self.core.borrow().uses(class)
     }
 
+    /// See [`Core::cold`].
+    pub fn cold(&self) -> Vec<(String, f64, u64)> {
+        self.core.borrow().cold(self.clock.now())
+    }
+
     /// See [`Core::list_held`].
     pub fn list_held(&self) -> Option<Vec<Listed>> {
         self.core.borrow().list_held()
--- a/events/src/events.rs
+++ b/events/src/events.rs
@@ -161,6 +161,12 @@
     FLEET_REFUSED: WARN, "fleet", "fleet.refused", ["from", "why"],
         "a datagram was not heard: another key, another version, or none of ours",
         "look at the keys on both sides";
+    COLD_TOLD: INFO, "cold", "cold.told", ["upstreams", "count"],
+        "a list names upstreams that have just started: each is sent its share of what a warm one takes, until it is warm",
+        "nothing; `ctl pools` shows the share of each and how often it was passed over";
+    COLD_OVER: INFO, "cold", "cold.over", ["upstreams", "count", "passed_over"],
+        "upstreams are warm, or gone; `passed_over`: picks that went past them while they were cold",
+        "nothing";
     COLD_LISTED: TRACE, "cold", "cold.listed", ["upstream", "age"],
         "a list names a cold upstream; `age` in milliseconds since its start",
         "nothing; to follow one case, with the level of the area `cold` at trace";
@@ -225,7 +231,7 @@
         for (event, constant) in ALL.iter().zip(CONSTANTS) {
             let calls: Vec<&str> = code
                 .split("tell!(")
-                .flat_map(|part| part.split("trace!("))
+                .flat_map(|part| part.split("note!("))
                 .skip(1)
                 .filter(|call| {
                     call.trim_start().strip_prefix(constant).is_some_and(|c| c.starts_with([',', ';']))
--- a/events/src/lib.rs
+++ b/events/src/lib.rs
@@ -29,9 +29,9 @@
     };
 }
 
-/// Tells an event that only those who ask for its level hear: nothing is said where nothing listens.
+/// The same where something listens, and nothing elsewhere: for what a library tells often, or of everybody.
 #[macro_export]
-macro_rules! trace {
+macro_rules! note {
     ($event:ident $(, $field:ident = %$value:expr)* ; $($message:tt)+) => {
         $crate::tracing::event!(
             target: $crate::events::$event.area,
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -409,7 +409,12 @@
             Source::Sources(_) => "sources",
         };
         let classes: Vec<&str> = self.slots.iter().map(|slot| slot.name.as_str()).collect();
+        // Those that have just started: each with the share of its capacity that it has.
+        let cold = engine.cold().into_iter().map(|(node, share, passed)| {
+            format!("{node} at {:.0}% (passed over {passed} times)", 100.0 * share)
+        });
         json!({
+            "cold": cold.collect::<Vec<_>>().join(", "),
             "pool": name,
             "source": source,
             "listed": engine.listed(),
--- a/sloeline/tests/ctl.rs
+++ b/sloeline/tests/ctl.rs
@@ -37,6 +37,13 @@
     assert_eq!((taking(0), taking(1)), (1.into(), 0.into()));
     assert_eq!(daemon.json(&["back", "n"])["pools"], serde_json::json!(["p", "q"]));
     assert_eq!((taking(0), taking(1)), (2.into(), 1.into()));
+    // Put back it counts as just started, in both pools.
+    daemon.logged("cold: just started: n");
+    for pool in [0, 1] {
+        let cold = daemon.json(&["pools"])[pool]["cold"].clone();
+        let told = cold.as_str().is_some_and(|cold| cold.starts_with("n at 1") && cold.contains("passed over"));
+        assert!(told, "{cold}");
+    }
     assert!(daemon.refused(&["out", "x"]).contains("found node \"x\""));
 
     let none = daemon.json(&["changes"]);
