--- a/sloeline/tests/ctl.rs
+++ b/sloeline/tests/ctl.rs
@@ -41,7 +41,8 @@
     daemon.logged("cold: just started: n");
     for pool in [0, 1] {
         let cold = daemon.json(&["pools"])[pool]["cold"].clone();
-        let told = cold.as_str().is_some_and(|cold| cold.starts_with("n at 1") && cold.contains("passed over"));
+        let told =
+            cold.as_str().is_some_and(|cold| cold.starts_with("n at 1") && cold.contains("passed over"));
         assert!(told, "{cold}");
     }
     assert!(daemon.refused(&["out", "x"]).contains("found node \"x\""));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -280,8 +280,8 @@
     lingering: f64,
     /// With a window under one attempt: nothing goes out earlier.
     resume: Micros,
-    /// Attempts sent to warm servers, faded: a measure of what one takes.
-    sent: f64,
+    /// Calls that warm servers answered, faded: what is turned away or lost tells nothing of what one takes.
+    taken: f64,
 }
 
 #[derive(Default)]
@@ -452,7 +452,8 @@
         let class =
             |c: &ClassState| [&[c.base, c.work, c.offered, c.served], &c.latency.figures()[..]].concat();
         let classes = self.classes.iter().map(class).collect();
-        let zones = self.pools.iter().map(|(&zone, p)| (zone, vec![p.window, p.lingering, p.sent])).collect();
+        let zones =
+            self.pools.iter().map(|(&zone, p)| (zone, vec![p.window, p.lingering, p.taken])).collect();
         Learned { classes, all: self.all.figures(), zones }
     }
 
@@ -470,7 +471,7 @@
         }
         for (zone, figures) in learned.zones.iter().filter(|(_, f)| good(f)) {
             if let ([window, lingering, sent], Some(pool)) = (&figures[..], self.pools.get_mut(zone)) {
-                (pool.window, pool.lingering, pool.sent) = (window.max(LEAST_WINDOW), *lingering, *sent);
+                (pool.window, pool.lingering, pool.taken) = (window.max(LEAST_WINDOW), *lingering, *sent);
             }
         }
     }
@@ -804,10 +805,8 @@
             .map_or(limit, |p| (p.p50 * self.requests[&id].scale * PATIENCE) as Micros);
         self.spare(now, at, 0.5);
         let server = &mut self.servers[at];
-        let warm = server.share(now, &self.settings.rules) >= 1.0;
         let pool = self.pools.entry(server.entry.zone).or_default();
         pool.in_flight += 1;
-        pool.sent += f64::from(u8::from(warm));
         server.in_flight += 1;
         for breaker in [0, class + 1] {
             let state = &mut server.breakers[breaker].state;
@@ -1016,6 +1015,7 @@
         }
         if matches!(outcome, Outcome::Ok | Outcome::Error) {
             server.idle.push(now);
+            pool.taken += f64::from(u8::from(server.share(now, &self.settings.rules) >= 1.0));
         } else if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
             pool.lingering += 1.0;
         }
@@ -1151,8 +1151,8 @@
         let warm = || self.pools.iter().filter(|(_, p)| p.warm > 0);
         let span = self.half_life * std::f64::consts::LOG2_E;
         let each = |sent: f64, servers: u32| sent / span / f64::from(servers.max(1));
-        let (sent, servers) = warm().fold((0.0, 0), |(sent, n), (_, p)| (sent + p.sent, n + p.warm));
-        let here = warm().find(|(z, _)| **z == zone).map_or(0.0, |(_, p)| each(p.sent, p.warm));
+        let (sent, servers) = warm().fold((0.0, 0), |(sent, n), (_, p)| (sent + p.taken, n + p.warm));
+        let here = warm().find(|(z, _)| **z == zone).map_or(0.0, |(_, p)| each(p.taken, p.warm));
         let own = part(&self.settings, zone, 1);
         let everywhere = each(sent, servers) * own * self.settings.balancers as f64;
         1.0 / here.max(everywhere).max(own / self.usual())
@@ -1264,7 +1264,7 @@
         let gone = if self.all.p50 > 0.0 { 0.5_f64.powf(span / (LINGER * self.all.p50)) } else { keep };
         for pool in self.pools.values_mut() {
             pool.lingering *= gone;
-            pool.sent *= keep;
+            pool.taken *= keep;
         }
         self.count_warm(now);
         let delay = (self.half_life as Micros / HOUSEKEEPING).max(1);
