--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -167,7 +167,7 @@
 }
 
 /// A class of each effect; `limits` goes into the settings' limits.
-fn settings(discovery: &str, limits: &str, tiers: &str, (balancers, areas): (u32, &str)) -> String {
+fn settings(discovery: &str, limits: &str, tiers: &str, (balancers, areas): (u32, &str), me: u32) -> String {
     let class = |name: &str, effect: &str| {
         format!(
             r#"{{"Name":"{name}","Effect":"{effect}","Group":"all","DedupWindowMs":60000.0,"TargetMs":20000.0,"DeadlineMs":20000.0,"LateWorth":0.0,"Streaming":false,"Value":1.0}}"#
@@ -175,7 +175,7 @@
     };
     let classes = [class("look", "retryable"), class("pull", "dedup"), class("pay", "fragile")].join(",");
     format!(
-        r#"{{"Areas":[{areas}],"Balancers":{balancers},"Categories":[{classes}],"Discovery":"{discovery}","GranularityMs":1.0,"Limits":{{"Cancel":true,"MostTries":4,"RetryAfter":true,"ConnectTimeoutMs":1000.0{limits}}},"Me":0,"Rules":{{"AskWithinMs":40.0,"ColdFrom":0.5,"DrainGraceMs":500.0,"OverloadFactor":3.0,"TipAfterMs":1000.0,"WarmAfterMs":5000.0}},"Stage":0,"Tiers":[{tiers}],"Zone":"a"}}"#
+        r#"{{"Areas":[{areas}],"Balancers":{balancers},"Categories":[{classes}],"Discovery":"{discovery}","GranularityMs":1.0,"Limits":{{"Cancel":true,"MostTries":4,"RetryAfter":true,"ConnectTimeoutMs":1000.0{limits}}},"Me":{me},"Rules":{{"AskWithinMs":40.0,"ColdFrom":0.5,"DrainGraceMs":500.0,"OverloadFactor":3.0,"TipAfterMs":1000.0,"WarmAfterMs":5000.0}},"Stage":0,"Tiers":[{tiers}],"Zone":"a"}}"#
     )
 }
 
@@ -188,6 +188,8 @@
     pub tiers: &'static str,
     /// How many balancers there are in all, and in which zones; this one is in `a`.
     pub balancers: (u32, &'static str),
+    /// Its number among them; its random numbers follow from it.
+    pub me: u32,
     pub sockets: usize,
     pub memory: usize,
     pub listen: String,
@@ -229,6 +231,7 @@
             limits: "",
             tiers: r#""t""#,
             balancers: (1, r#""a""#),
+            me: 0,
             sockets: 1024,
             memory: 192,
             listen: "127.0.0.1:0".to_owned(),
@@ -250,11 +253,12 @@
         };
         let control = if self.operated { r#""control":"127.0.0.1:0","# } else { "" };
         format!(
-            r#"{{"name":"n3",{control}"listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{known}"settings":{}}}"#,
+            r#"{{"name":"n3",{control}"listen":"{}","discovery":"{discovery}","seed":"8c1f30d27a5b{:04x}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{known}"settings":{}}}"#,
             self.listen,
+            0xe964 - self.me,
             self.memory,
             self.sockets,
-            settings(mode, self.limits, self.tiers, self.balancers)
+            settings(mode, self.limits, self.tiers, self.balancers, self.me)
         )
     }
 
