--- a/src/brain.rs
+++ b/src/brain.rs
@@ -387,6 +387,8 @@
     sweeping: bool,
     started: bool,
     housekept: Micros,
+    /// The span over which answers are counted, faded as they are: a young balancer knows its rate as well.
+    watched: f64,
 }
 
 impl Balancer {
@@ -414,6 +416,7 @@
             sweeping: false,
             started: false,
             housekept: 0,
+            watched: 0.0,
             settings,
         })
     }
@@ -469,6 +472,7 @@
         if good(&learned.all) {
             self.all.resume(now, &learned.all);
         }
+        self.watched = self.half_life * std::f64::consts::LOG2_E;
         for (zone, figures) in learned.zones.iter().filter(|(_, f)| good(f)) {
             if let ([window, lingering, sent], Some(pool)) = (&figures[..], self.pools.get_mut(zone)) {
                 (pool.window, pool.lingering, pool.taken) = (window.max(LEAST_WINDOW), *lingering, *sent);
@@ -1126,9 +1130,7 @@
     }
 
     fn count_pools(&mut self, now: Micros) {
-        for pool in self.pools.values_mut() {
-            (pool.servers, pool.in_flight) = (0, 0);
-        }
+        self.pools.values_mut().for_each(|p| (p.servers, p.in_flight) = (0, 0));
         for s in &self.servers {
             let pool = self.pools.entry(s.entry.zone).or_default();
             pool.servers += 1;
@@ -1149,7 +1151,7 @@
     /// A cold server is sent its share of that.
     fn pace(&self, zone: ZoneId) -> f64 {
         let warm = || self.pools.iter().filter(|(_, p)| p.warm > 0);
-        let span = self.half_life * std::f64::consts::LOG2_E;
+        let span = self.watched.max(self.settings.rules.tip_after as f64);
         let each = |sent: f64, servers: u32| sent / span / f64::from(servers.max(1));
         let (sent, servers) = warm().fold((0.0, 0), |(sent, n), (_, p)| (sent + p.taken, n + p.warm));
         let here = warm().find(|(z, _)| **z == zone).map_or(0.0, |(_, p)| each(p.taken, p.warm));
@@ -1262,10 +1264,8 @@
         self.all.fade(now, self.half_life);
         self.stale.iter_mut().flatten().for_each(|s| *s *= keep);
         let gone = if self.all.p50 > 0.0 { 0.5_f64.powf(span / (LINGER * self.all.p50)) } else { keep };
-        for pool in self.pools.values_mut() {
-            pool.lingering *= gone;
-            pool.taken *= keep;
-        }
+        self.pools.values_mut().for_each(|p| (p.lingering, p.taken) = (p.lingering * gone, p.taken * keep));
+        self.watched = self.watched * keep + self.half_life * std::f64::consts::LOG2_E * (1.0 - keep);
         self.count_warm(now);
         let delay = (self.half_life as Micros / HOUSEKEEPING).max(1);
         actions.push(Action::Timer { delay, token: HOUSEKEEP });
