Wrong clocks: starts in the future and starts that contradict what was told, in a test

A start an hour ahead, at the end of time, and one far back of a server told as warm since: each counts as cold from the news, warms up while the list repeats it, and is used as any other afterwards.

--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -55,3 +55,36 @@
     warm_up(&mut world, 0, 100, 5 * MS);
     assert!((6..10).all(|id| world.sends.get(&id).is_some_and(|n| *n >= 8)), "{:?}", world.sends);
 }
+
+/// Starts by wrong clocks: one in the future, and one that would pass for warm though its last life was told since.
+#[test]
+fn a_wrong_clock_keeps_no_server_out_for_good_and_takes_none_for_warm_before_its_time() {
+    let warm_after = settings(&[Effect::Safe]).rules.warm_after;
+    for (known, ahead, behind) in
+        [(false, 3_600 * SECOND, 0), (false, u64::MAX / 2, 0), (true, 0, 500 * SECOND)]
+    {
+        let mut world = world(&[Effect::Safe], 4);
+        warm_up(&mut world, 0, 20, 5 * MS);
+        let until = world.now + 100 * SECOND;
+        world.run(until, |_| None);
+        let id = if known { 0 } else { 9 };
+        let started = Some(world.now + ahead - if behind > 0 { world.now - behind } else { 0 });
+        world.list(ListKind::Changes, vec![ServerEntry { started, ..ServerEntry::new(id) }]);
+        let cold = world.balancer.cold(world.now);
+        let share = world.settings.rules.cold_from;
+        assert!(
+            cold.len() == 1 && cold[0].0 == id && (cold[0].1 - share).abs() < 1e-9,
+            "{started:?}: {cold:?}"
+        );
+        // Told the same again it goes on warming up.
+        let until = world.now + warm_after / 2;
+        world.run(until, |_| None);
+        world.list(ListKind::Changes, vec![ServerEntry { started, ..ServerEntry::new(id) }]);
+        assert!(world.balancer.cold(world.now)[0].1 > share, "{started:?}");
+        let until = world.now + warm_after / 2;
+        world.run(until, |_| None);
+        assert!(world.balancer.cold(world.now).is_empty(), "{started:?}");
+        warm_up(&mut world, 0, 100, 5 * MS);
+        assert!(world.sends.get(&id).is_some_and(|n| *n >= 5), "{started:?}: {:?}", world.sends);
+    }
+}
