--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -809,8 +809,15 @@
             let name = self.registry.name(server).unwrap_or_default();
             let attempt = self.open.get(&id).map_or(0, |open| open.sent);
             let cause = self.cause;
-            note!(COLD_SENT, upstream = %name, age = %age, request = %id, attempt = %attempt, cause = %cause;
-                "cold: sent to {name}, {age} ms old, request {id}, attempt {attempt}, on {cause}");
+            let class = self.open.get(&id).map_or(0, |open| open.class);
+            // What the module went by, read after its own bookkeeping of this attempt.
+            let (share, pace, warm, window, all_cold) =
+                self.balancer.cold_terms(now, server).unwrap_or((1.0, 0.0, 0, 0.0, false));
+            let pace = pace / 1000.0;
+            note!(COLD_SENT, upstream = %name, age = %age, request = %id, attempt = %attempt, cause = %cause,
+                class = %class, share = %share, pace = %pace, warm = %warm, window = %window, all_cold = %all_cold;
+                "cold: sent to {name}, {age} ms old, request {id}, attempt {attempt}, on {cause}, class {class}, \
+                 share {share:.3}, pace {pace:.0} ms, warm {warm}, window {window:.2}, all cold {all_cold}");
         }
         let not_sent = |attempt, closed| Event::Outcome {
             request: id,
--- a/events/src/events.rs
+++ b/events/src/events.rs
@@ -170,8 +170,8 @@
     COLD_LISTED: TRACE, "cold", "cold.listed", ["upstream", "age"],
         "a list names a cold upstream; `age` in milliseconds since its start",
         "nothing; to follow one case, with the level of the area `cold` at trace";
-    COLD_SENT: TRACE, "cold", "cold.sent", ["upstream", "age", "request", "attempt", "cause"],
-        "an attempt goes to a cold upstream; `cause` is what the module was told when it let it go",
+    COLD_SENT: TRACE, "cold", "cold.sent", ["upstream", "age", "request", "attempt", "cause", "class", "share", "pace", "warm", "window", "all_cold"],
+        "an attempt goes to a cold upstream; `cause` is what the module was told when it let it go, `share` the part of its capacity, `pace` the milliseconds between calls to a warm one, `warm` the warm ones of its zone, `window` that zone's, `all_cold` whether none is warm anywhere",
         "nothing; to follow one case, with the level of the area `cold` at trace";
     OPERATION_ODD: WARN, "operations", "operation.odd", ["operation", "code"],
         "an operation does not do as it is described",
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,8 +45,7 @@
 const PATIENCE: f64 = 12.0;
 /// Retries that one first attempt pays for.
 const RETRY_SHARE: f64 = 0.1;
-/// Retries that may be saved up, or as many as the windows: what is cut short has one put aside, and a hiccup
-/// cuts all that is out.
+/// Retries that may be saved up, or as many as the windows: a hiccup cuts all that is out.
 const RETRY_SAVINGS: f64 = 5.0;
 /// An answer that took more than this share of the time in which it is useful waited too long in queues.
 const QUEUE_TARGET: f64 = 0.7;
@@ -58,8 +57,7 @@
 const CROWDED_FROM: f64 = 0.02;
 /// Growth of that lowest P50 within a half-life, so that it follows a fleet that has changed.
 const BASE_RISE: f64 = 1.05;
-/// A class is learned anew when its answers take this many times the depth of first windows longer or
-/// shorter.
+/// A class is learned anew when answers take this many times the depth of first windows longer or shorter.
 const SLOWER: f64 = 4.0;
 /// ... while no window is wider than this many first ones.
 const MODEST: f64 = 2.0;
@@ -118,8 +116,7 @@
 const HOUSEKEEPING: u64 = 16;
 /// Discovery is first asked within this share of the span allowed for asking.
 const ASK_SPREAD: f64 = 0.9;
-/// ... but this share for each balancer is enough: a few must not wait for their first list as hundreds have
-/// to.
+/// ... but this share for each balancer is enough: a few must not wait for their first list as hundreds do.
 const ASK_EACH: f64 = 0.0025;
 /// Discovery is asked again within this share of that span after a failed call.
 const ASK_AGAIN: f64 = 0.4;
@@ -530,8 +527,7 @@
         }
     }
 
-    /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave: a call
-    /// that was out then counts as late. Hurts where clients leave for reasons of their own.
+    /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave.
     fn gone(&mut self, id: RequestId) {
         let Some(attempt) = self.forget(id).and_then(|r| r.out) else { return };
         let Some(pool) = self.pools.get_mut(&attempt.zone) else { return };
@@ -642,11 +638,8 @@
             let c = &self.classes[i];
             let own = worth(i) * c.offered;
             let bonus = if ratio(c) <= worst && own > 0.0 { goal.worst_class * total / own } else { 0.0 };
-            let work = if self.settings.worth_by_work || c.latency.total < MIN_SAMPLES {
-                1.0
-            } else {
-                c.latency.p50
-            };
+            let alike = self.settings.worth_by_work || c.latency.total < MIN_SAMPLES;
+            let work = if alike { 1.0 } else { c.latency.p50 };
             worth(i) * (goal.whole + goal.worst_window + bonus) / work
         };
         let mut order: Vec<ClassId> = (0..self.classes.len()).collect();
@@ -1184,6 +1177,14 @@
         self.servers.iter().map(of).filter(|(_, share, _)| *share < 1.0).collect()
     }
 
+    /// By what an attempt goes to a cold server: its share, the span between calls to a warm one, the warm
+    /// servers of its zone, the window there, and whether no zone has any.
+    pub fn cold_terms(&self, now: Micros, id: ServerId) -> Option<(f64, f64, u32, f64, bool)> {
+        let server = &self.servers[*self.places.get(&id)?];
+        let (share, pool) = (server.share(now, &self.settings.rules), self.pools.get(&server.entry.zone)?);
+        Some((share, self.pace(server.entry.zone), pool.warm, pool.window.min(pool.most), self.all_cold))
+    }
+
     /// Beside warm servers cold ones are spared by the pace of these. Where no zone has any, first windows at
     /// the cold share guard them; each balancer begins its part of a pool, a new one too, at its own time.
     fn count_warm(&mut self, now: Micros) {
