--- a/fleet/src/swim.rs
+++ b/fleet/src/swim.rs
@@ -293,8 +293,8 @@
             self.ended(now, &name);
         }
         if self.silent {
-            self.next = now + self.settings.period;
-            self.join = None;
+            // Its last question too: nobody will be asked to help with it, so it would be due for ever.
+            (self.next, self.join, self.question) = (now + self.settings.period, None, None);
             return;
         }
         if let Some((at, pause)) = self.join.filter(|(at, _)| *at <= now) {
--- a/fleet/tests/swim.rs
+++ b/fleet/tests/swim.rs
@@ -105,6 +105,26 @@
     println!("all back after {} ms", (world.now - now) / 1000);
 }
 
+/// Time has to pass for one that has fallen silent, whatever it had asked when it did: what is always due is a loop without end.
+#[test]
+fn one_that_leaves_with_a_question_out_is_not_due_for_ever() {
+    let mut world = met(10);
+    // At every part of a period, so that some questions are unanswered and some due for help.
+    for (of, part) in (0..10).zip(0..) {
+        world.cut = Box::new(move |_, to| to != of && part % 2 == 0);
+        world.until(world.now + SECOND + part * SECOND / 10);
+        let now = world.now;
+        let Some(swim) = &mut world.all[of].swim else { unreachable!() };
+        swim.leave(now);
+        for after in 1..=20 {
+            let at = now + after * SECOND / 10;
+            swim.ring(at);
+            assert!(swim.due() > at, "{of} is due at {} after {at}", swim.due());
+        }
+        world.kill(of);
+    }
+}
+
 #[test]
 fn of_two_with_one_name_one_falls_silent_and_both_say_so() {
     let mut world = met(10);
