--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -492,6 +492,11 @@
         let closed = !self.open.get(&id).is_some_and(|o| o.waits);
         let latency = now.saturating_sub(out.at);
         let server = out.server;
+        let (names, millis) = (&self.registry, latency / 1000);
+        note!(ATTEMPT_ENDED, upstream = %names.name(server).unwrap_or_default(), request = %id, attempt = %attempt,
+            outcome = %format_args!("{outcome:?}"), latency = %millis;
+            "attempt: ended at {}, request {id}, attempt {attempt}, {outcome:?} after {millis} ms",
+            names.name(server).unwrap_or_default());
         self.feed(now, Event::Outcome { request: id, attempt, server, outcome, latency, closed, load });
         self.settle(id);
     }
--- a/events/src/events.rs
+++ b/events/src/events.rs
@@ -164,6 +164,9 @@
     ATTEMPT_SENT: TRACE, "attempt", "attempt.sent", ["upstream", "request", "attempt", "class"],
         "an attempt goes to an upstream, cold or not; beside `cold.listed` of others it shows what goes out before the news",
         "nothing; to follow one case, with the level of the area `attempt` at trace";
+    ATTEMPT_ENDED: TRACE, "attempt", "attempt.ended", ["upstream", "request", "attempt", "outcome", "latency"],
+        "how an attempt ended and after how many milliseconds: an upstream that has fallen answers nobody from then on",
+        "nothing; to follow one case, with the level of the area `attempt` at trace";
     COLD_TOLD: INFO, "cold", "cold.told", ["upstreams", "count"],
         "a list names upstreams that have just started: each is sent its share of what a warm one takes, until it is warm",
         "nothing; `ctl pools` shows the share of each and how often it was passed over";
