A window belongs to the servers that a list names: it shrinks and grows with them

Six balancers that had restarted with the zone held first windows for the five servers of the list that they had saved; the list that they then got named one, and the windows stayed: 41 calls in 1.5 s, 7.5 times what it could do by mean work. Ruled out: unreached servers (the four were no longer listed), further attempts (0 of 41), old balancers (3 of 41).

Change: count_pools fits the window when a list changes: what leaves takes its part along, what comes brings a first one. The floor of two places for a first window is gone (a part of a place is one with pauses, as elsewhere), and an express class may have twice the part, no longer twice a place rounded up. Room in the module: a pool's warm servers are counted in one place, not kept by hand in place().

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -258,6 +258,8 @@
 #[derive(Default)]
 struct Pool {
     servers: u32,
+    /// How many they were when the window was last fitted to them.
+    sized: u32,
     /// Those that could not be reached last.
     unreached: u32,
     /// Where they begin among all servers.
@@ -740,7 +742,7 @@
             for pool in pools.iter().filter(|(zone, _)| away == (**zone != settings.zone)).map(|(_, p)| p) {
                 let given_up = if settings.tier == 0 { pool.lingering } else { 0.0 };
                 let held = pool.in_flight as f64 + pool.beside + given_up;
-                let most = pool.places().max(1.0) * room;
+                let most = (pool.places() * room).max(1.0);
                 // Prevents many balancers from rounding up, each, its part of servers that are all cold.
                 let full = if *all_cold { held.floor() + 1.0 > most } else { held >= most };
                 if full || (now < pool.resume && room == 1.0) {
@@ -1081,7 +1083,7 @@
         if moved {
             self.servers.retain(|s| stays(&s.entry.id));
             self.count_pools(now);
-        } else if !self.all_cold && self.pools.values().all(|p| p.warm == 0) {
+        } else {
             self.count_warm(now);
         }
     }
@@ -1089,18 +1091,12 @@
     /// Takes an entry over; tells whether servers have come or moved.
     fn place(&mut self, now: Micros, mut entry: ServerEntry) -> bool {
         entry.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
-        let pool = self.pools.entry(entry.zone).or_default();
-        let rules = &self.settings.rules;
-        let counts =
-            |s: &Server| u32::from(s.entry.state == ServerState::Ready && s.share(now, rules) >= 1.0);
         let known = self.places.get(&entry.id).copied();
         if let Some(server) =
             known.map(|at| &mut self.servers[at]).filter(|s| s.entry.started == entry.started)
         {
             let moved = (server.entry.zone, server.entry.ring) != (entry.zone, entry.ring);
-            let before = counts(server);
             server.entry = entry;
-            pool.warm = (pool.warm + counts(server)).saturating_sub(before);
             return moved;
         }
         // Guards against wrong clocks: none starts after the news, or is warm that was another lately.
@@ -1137,9 +1133,13 @@
         self.prefer();
         self.count_warm(now);
         for (&zone, pool) in &mut self.pools {
-            if pool.window == 0.0 {
-                pool.window = due(&self.settings, zone, pool.servers, FIRST_BEHIND).max(2.0);
-            }
+            // Prevents what was learned of many from going to the few that a list still names. Each that
+            // comes brings its first part.
+            let stay = f64::from(pool.servers) / f64::from(pool.sized.max(1));
+            let come = pool.servers.saturating_sub(pool.sized);
+            pool.window *= stay.min(1.0);
+            pool.window = (pool.window + due(&self.settings, zone, come, FIRST_BEHIND)).max(LEAST_WINDOW);
+            pool.sized = pool.servers;
         }
     }
 
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -53,9 +53,13 @@
     /// Its first server is back three seconds before the others and the news, and its balancers have been restarted with it:
     /// the only list that they know is the one from before.
     FirstBack,
+    /// The same, and all have heard that its other servers are gone, those that restarted after the list from before.
+    LastListed,
+    /// It comes back in a lull, in which few of its calls are used; then all balancers have more than they can send elsewhere.
+    Lull,
 }
 
-const CASES: [Case; 15] = [
+const CASES: [Case; 17] = [
     Case::Zone,
     Case::OneByOne,
     Case::Twice,
@@ -71,6 +75,8 @@
     Case::CountOfHalf,
     Case::CountOfDouble,
     Case::FirstBack,
+    Case::LastListed,
+    Case::Lull,
 ];
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -94,6 +100,8 @@
     Reload(usize),
     /// A zone's servers take so many times as long from now on.
     Slow(u32, u32),
+    /// So many hundredths of what all servers can do arrive from now on.
+    Load(u32),
 }
 
 struct Server {
@@ -126,8 +134,9 @@
     late: Micros,
     /// Nobody hears of what dies.
     silent: bool,
-    /// Arrivals a second.
+    /// Arrivals a second, and what all servers can do.
     rate: f64,
+    capacity: f64,
     sent: HashMap<(usize, RequestId), u32>,
     /// The start of each server that a balancer has been told.
     heard: HashMap<(usize, ServerId), Option<Micros>>,
@@ -186,6 +195,7 @@
             late: 0,
             silent: false,
             rate: 0.9 * capacity,
+            capacity,
             sent: HashMap::new(),
             heard: HashMap::new(),
             next: 0,
@@ -375,6 +385,7 @@
                     let settings = Settings { me, zone: b as u32 % ZONES, ..self.settings.clone() };
                     self.balancers[b].reconfigure(settings, &[Some(0), Some(1)]).expect("the same settings");
                 }
+                Ev::Load(part) => self.rate = f64::from(part) / 100.0 * self.capacity,
                 Ev::Slow(zone, by) => {
                     self.servers.iter_mut().filter(|s| s.zone == zone).for_each(|s| s.slow = by);
                 }
@@ -434,19 +445,36 @@
             fleet.late = 6 * SECOND;
             (0..ZONES).for_each(|zone| fleet.bounce(zone, 10 * SECOND, 12 * SECOND, 6 * SECOND));
         }
-        Case::FirstBack => {
+        Case::FirstBack | Case::LastListed => {
             (fleet.silent, fleet.lag) = (true, 3 * SECOND);
             fleet.bounce(last, 10 * SECOND, 20 * SECOND, 0);
             // All but its first die once more.
-            for id in (0..fleet.servers.len() as u32).filter(|id| id % ZONES == last && *id != last) {
+            let others: Vec<u32> =
+                (0..fleet.servers.len() as u32).filter(|id| id % ZONES == last && *id != last).collect();
+            for &id in &others {
                 fleet.at(START + 20 * SECOND, Ev::Die(id));
                 fleet.at(START + 23 * SECOND, Ev::Start(id));
             }
-            for b in (0..n as usize).filter(|b| *b as u32 % ZONES == last) {
-                let after = fleet.rng.u64(..500 * MS);
-                fleet.at(START + 19_500 * MS + after, Ev::Behind(b));
+            for b in 0..n as usize {
+                let (anew, after) = (b as u32 % ZONES == last, fleet.rng.u64(..500 * MS));
+                let (heard, at) = match anew {
+                    true => (START + 20 * SECOND, START + 19_500 * MS + after),
+                    false => (START + 15 * SECOND, START + 15 * SECOND),
+                };
+                if anew {
+                    fleet.at(at, Ev::Behind(b));
+                }
+                for &id in others.iter().filter(|_| case == Case::LastListed) {
+                    fleet.at(heard + MS, Ev::Hear(b, id));
+                }
             }
         }
+        Case::Lull => {
+            fleet.bounce(last, 10 * SECOND, 20 * SECOND, 0);
+            fleet.at(START + 12 * SECOND, Ev::Load(45));
+            fleet.at(START + 25 * SECOND, Ev::Load(200));
+            fleet.at(START + 28 * SECOND, Ev::Load(90));
+        }
         Case::OtherSlows => {
             fleet.bounce(last, 10 * SECOND, 20 * SECOND, 0);
             fleet.at(START + 20 * SECOND, Ev::Slow(0, 3));
@@ -486,7 +514,7 @@
                 let most = |of: fn(&Server) -> f64| fleet.servers.iter().map(of).fold(0.0, f64::max);
                 // Where nobody has been told, the rule counts nothing: that what all send stays near it all the same is held for
                 // up to 40 balancers and zones of several servers.
-                let unaware = case == Case::FirstBack;
+                let unaware = matches!(case, Case::FirstBack | Case::LastListed);
                 let (worst, limit) = match unaware {
                     false => (most(|s| s.worst), 1.0),
                     true if n <= 40 && each > 1 => (most(|s| s.all), 2.0),
