Calls to a cold server come in turns by balancers' numbers, no longer at drawn times

Cause: the bound on what all send to a cold server is a sum of rates, right on the average. Ruled out: calls saved up (gaps of 0.7 to 1.5 spans in the near windows; the case Lull).

Change: a first call waits for the balancer's part of the span, number x 0.618 + the server's place on the ring, and later ones for 0.9 to 1.1 spans. In a fleet a daemon's number is its place by name, for instances are seldom given numbers and equal ones would call together; ctl pools shows it.

Four earlier tests of this had not failed without it: they looked at the worst window, where this looks at all.

--- a/config/src/model.rs
+++ b/config/src/model.rs
@@ -126,6 +126,22 @@
     pub count: u32,
 }
 
+/// An instance's place among all that share its upstreams.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Seat {
+    /// How many they are, one at the least.
+    pub count: u32,
+    /// Its number among them, from 0, under the count. No two should have one number: their turns would fall together.
+    pub number: u32,
+}
+
+impl Instance {
+    /// Its place as the configuration has it.
+    pub fn seat(&self) -> Seat {
+        Seat { count: self.count, number: self.number }
+    }
+}
+
 /// `[limits]`
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
--- a/fleet/src/shell.rs
+++ b/fleet/src/shell.rs
@@ -169,6 +169,11 @@
         (inner.swim.alive(), inner.swim.sending())
     }
 
+    /// This one's place among those that may be sending, from 0.
+    pub fn place(&self) -> usize {
+        self.inner.borrow().swim.place()
+    }
+
     /// Datagrams that were not heard, and those that were not sent: for want of bytes, or because the socket would not.
     pub fn lost(&self) -> (u64, u64) {
         let inner = self.inner.borrow();
--- a/fleet/src/swim.rs
+++ b/fleet/src/swim.rs
@@ -247,6 +247,12 @@
         1 + self.members.values().filter(|m| m.update.state != State::Left).count()
     }
 
+    /// This one's place among them, by name from 0: each that knows the same others has another.
+    pub fn place(&self) -> usize {
+        let before = |m: &&Member| m.update.state != State::Left && m.update.name < self.me.name;
+        self.members.values().filter(before).count()
+    }
+
     /// Whether somebody has answered, or there is nobody to ask.
     pub fn joined(&self) -> bool {
         self.join.is_none() || self.seeds.is_empty()
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -291,7 +291,7 @@
         for name in config.pools.keys() {
             let (classes, before) = (classes.get(name.as_str()), self.pools.get(name));
             let plan =
-                Plan::new(name, &config, classes, &self.folder, &mut zones, before, self.count(&config))?;
+                Plan::new(name, &config, classes, &self.folder, &mut zones, before, self.seat(&config))?;
             plans.push((name.clone(), plan));
             turn.rest().await;
         }
@@ -336,7 +336,7 @@
                     &self.folder,
                     &mut zones,
                     Some(running),
-                    self.count(&config),
+                    self.seat(&config),
                 )?;
                 let given = plan.numbers();
                 if numbers.insert(name.clone(), given.clone()) != Some(given) {
--- a/sloeline/src/daemon/fleet.rs
+++ b/sloeline/src/daemon/fleet.rs
@@ -7,7 +7,7 @@
 
 use finchshift::Micros;
 use serde_json::{Value, json};
-use sloeline_config::model::{Config, Fleet as Wanted};
+use sloeline_config::model::{Config, Fleet as Wanted, Seat};
 use sloeline_events::tell;
 use sloeline_fleet::grants;
 use sloeline_fleet::message::{Fact, Keys, MOST_NAME, Name, Seen, State};
@@ -45,8 +45,8 @@
 /// The daemon's part.
 pub(super) struct Part {
     fleet: Rc<Fleet>,
-    /// As many as share each upstream.
-    count: u32,
+    /// Its place among all that share each upstream.
+    seat: Seat,
     shares: BTreeMap<String, Share>,
     /// What the own sources have said, by pool and source.
     said: BTreeMap<(String, String), Said>,
@@ -192,7 +192,7 @@
         let fleet = Fleet::start(start).await.map_err(|e| format!("fleet: {}: {e}", wanted.address))?;
         let part = Part {
             fleet,
-            count: self.config.instance.count,
+            seat: self.config.instance.seat(),
             shares: BTreeMap::new(),
             said: BTreeMap::new(),
             kept_out: BTreeMap::new(),
@@ -238,9 +238,13 @@
 
     /// How many share each upstream: as many as are told, or as there were ever heard of and have not left, whichever is
     /// more. Guards cold upstreams: a count that is too high costs some of what they could take, one that is too low all.
-    pub(super) fn count(&self, config: &Config) -> u32 {
-        let sending = self.part.borrow().as_ref().map_or(0, |part| part.fleet.count().1);
-        config.instance.count.max(sending as u32)
+    /// Its own number among them is its place by name: calls to cold upstreams come in turns by number, and instances of a
+    /// fleet are seldom given numbers of their own.
+    pub(super) fn seat(&self, config: &Config) -> Seat {
+        let own = config.instance.seat();
+        let part = self.part.borrow();
+        let Some(fleet) = part.as_ref().map(|part| &part.fleet) else { return own };
+        Seat { count: own.count.max(fleet.count().1 as u32), number: fleet.place() as u32 }
     }
 
     /// Nodes that are kept out by the word of other instances, by pool.
@@ -261,11 +265,11 @@
         if drains {
             self.carry_out();
         }
-        let count = self.count(&self.config);
+        let seat = self.seat(&self.config);
         let mut part = self.part.borrow_mut();
         let Some(part) = part.as_mut() else { return };
-        if std::mem::replace(&mut part.count, count) != count {
-            self.pools.values().for_each(|running| running.recount(count));
+        if std::mem::replace(&mut part.seat, seat) != seat {
+            self.pools.values().for_each(|running| running.reseat(seat));
         }
         for (name, running) in &self.pools {
             let pool = &running.pool;
@@ -319,7 +323,7 @@
             "address": part.fleet.at().to_string(),
             "alive": alive,
             "may_be_sending": sending,
-            "counted": part.count,
+            "counted": part.seat.count,
             "unheard": unheard,
             "unsent": unsent,
             "kept_out": part.kept_out().map(|(pool, node)| format!("{node} in {pool}")).collect::<Vec<_>>(),
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -11,7 +11,7 @@
 use hyper::StatusCode;
 use hyper::header::{HeaderName, HeaderValue};
 use serde_json::{Value, json};
-use sloeline_config::model::{Config, Instance, Nodes, Origin, Place, Pool as Wanted};
+use sloeline_config::model::{Config, Instance, Nodes, Origin, Place, Pool as Wanted, Seat};
 use sloeline_engine::core::{Stage, Standing};
 use sloeline_engine::engine::Engine;
 use sloeline_engine::types::Listed;
@@ -154,7 +154,7 @@
         folder: &Path,
         zones: &mut Names,
         before: Option<&Running>,
-        count: u32,
+        Seat { count, number }: Seat,
     ) -> Result<Plan, String> {
         let named = |why: String| format!("pool.{name}: {why}");
         let pool = config.pools.get(name).ok_or_else(|| named("not configured".to_owned()))?;
@@ -180,7 +180,7 @@
         };
         let settings =
             settings(config, pool, assigned.slots.iter().map(|s| s.class.clone()).collect(), zones);
-        let settings = fs::Settings { balancers: count, ..settings };
+        let settings = fs::Settings { balancers: count, me: number, ..settings };
         settings.check().map_err(|e| named(e.to_string()))?;
         let same_source = before.is_some_and(|running| running.config.nodes == pool.nodes);
         let file = match &pool.nodes {
@@ -295,9 +295,9 @@
         }
     }
 
-    /// As many instances share its upstreams from now on.
-    pub fn recount(&self, count: u32) {
-        let settings = fs::Settings { balancers: count, ..self.settings.borrow().clone() };
+    /// As many instances share its upstreams from now on, and this is its number among them.
+    pub fn reseat(&self, Seat { count, number }: Seat) {
+        let settings = fs::Settings { balancers: count, me: number, ..self.settings.borrow().clone() };
         let learned: Vec<Option<fs::ClassId>> = (0..settings.classes.len()).map(Some).collect();
         match self.pool.engine.reconfigure(settings.clone(), &learned) {
             Ok(()) => *self.settings.borrow_mut() = settings,
@@ -421,6 +421,7 @@
             "taking_requests": engine.upstreams(),
             "open_requests": engine.open(),
             "shared_by": self.settings.borrow().balancers,
+            "number": self.settings.borrow().me,
             "classes": classes.join(" "),
         })
     }
--- a/sloeline/tests/fleet.rs
+++ b/sloeline/tests/fleet.rs
@@ -178,6 +178,11 @@
         assert_eq!((&fleet["alive"], &fleet["counted"]), (&SIZE.into(), &SIZE.into()), "edge-{of}");
     }
 
+    // Calls to cold upstreams come in turns by number, so each has another, though none was given one.
+    let number = |of: usize| all[of].json(&["pools"])[0]["number"].as_u64();
+    let numbers: Vec<Option<u64>> = (0..SIZE).map(number).collect();
+    assert_eq!(numbers, (0..SIZE as u64).map(Some).collect::<Vec<_>>(), "by their names");
+
     // What all may take together, by two that are asked for more than that.
     let on = Arc::new(AtomicBool::new(true));
     let loads = |all: &[Daemon]| -> Vec<_> {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,7 +63,6 @@
 /// An answer within this share of the aim that shows no queue lets a full window grow by so much more.
 /// Calls are taken for such until known.
 const ROOMY: f64 = 0.1;
-const ROOMY_GAIN: f64 = 1.0;
 /// Change of the window for one answer.
 const WINDOW_GAIN: f64 = 0.5;
 /// First window, in attempts to a server of the balancer's share of the fleet.
@@ -79,6 +78,8 @@
 const SHARED_BY: f64 = 4.0;
 /// Calls in flight that a server outside the preferred ones seems to have more.
 const OUTSIDE: f64 = 1.0;
+/// Turns of balancers with neighbouring numbers, in spans: by the golden ratio any number lie evenly apart.
+const APART: f64 = 0.618_033_988_749_895;
 /// Servers of a zone that are ranked for a call: in larger zones a stretch of so many from a random place.
 const RANKED: usize = 32;
 /// A server is ejected when so many failures in a row would come by chance less often than this.
@@ -766,10 +767,8 @@
                     }
                     let entry = &server.entry;
                     let fits = entry.state == ServerState::Ready && Self::in_group(effect, request, entry);
-                    if !fits {
-                        continue;
-                    }
-                    let Some(trial) = server.passes(request.class, now) else { continue };
+                    let passes = if fits { server.passes(request.class, now) } else { None };
+                    let Some(trial) = passes else { continue };
                     ranked += 1;
                     let size = entry.weight * server.share(now, &settings.rules);
                     let again = if request.last == Some(entry.id) { 2.0 } else { 1.0 };
@@ -805,7 +804,7 @@
         let patience = self
             .percentiles(class)
             .map_or(limit, |p| (p.p50 * self.requests[&id].scale * PATIENCE) as Micros);
-        self.spare(now, at, 0.5);
+        self.spare(now, at, false);
         let server = &mut self.servers[at];
         let pool = self.pools.entry(server.entry.zone).or_default();
         pool.in_flight += 1;
@@ -972,7 +971,7 @@
             Outcome::Full => Some(1.0),
             Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > target => Some(1.0),
             Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > crowded => Some(2.0 * LATE_SHARE),
-            Outcome::Ok if latency < ROOMY * aim => Some(-ROOMY_GAIN),
+            Outcome::Ok if latency < ROOMY * aim => Some(-1.0),
             Outcome::Ok => Some(0.0),
             _ => None,
         }
@@ -981,7 +980,6 @@
     /// Keeps the server's counts, breakers and memory, and its pool's window.
     fn judge(&mut self, now: Micros, class: Option<ClassId>, ended: &Ended, own: bool, late: Option<f64>) {
         let outcome = ended.outcome;
-        let p50 = self.all.p50;
         let Some(&place) = self.places.get(&ended.server) else { return };
         let usual = self.usual();
         let server = &mut self.servers[place];
@@ -1010,7 +1008,7 @@
         }
         if outcome == Outcome::Full {
             // Prevents one that turns all away at once from looking free; a cold one is spared for longer.
-            let rest = now + (p50 * REST * (0.5 + self.rng.f64())) as Micros;
+            let rest = now + (self.all.p50 * REST * (0.5 + self.rng.f64())) as Micros;
             server.not_before = server.not_before.max(rest);
         }
         if matches!(outcome, Outcome::Ok | Outcome::Error) {
@@ -1117,7 +1115,7 @@
                 self.servers.push(server);
             }
         }
-        self.spare(now, at, 0.0);
+        self.spare(now, at, true);
         true
     }
 
@@ -1136,9 +1134,8 @@
             // Prevents what was learned of many from going to the few that a list still names. Each that
             // comes brings its first part.
             let stay = f64::from(pool.servers) / f64::from(pool.sized.max(1));
-            let come = pool.servers.saturating_sub(pool.sized);
-            pool.window *= stay.min(1.0);
-            pool.window = (pool.window + due(&self.settings, zone, come, FIRST_BEHIND)).max(LEAST_WINDOW);
+            let come = due(&self.settings, zone, pool.servers.saturating_sub(pool.sized), FIRST_BEHIND);
+            pool.window = (pool.window * stay.min(1.0) + come).max(LEAST_WINDOW);
             pool.sized = pool.servers;
         }
     }
@@ -1163,13 +1160,16 @@
         if known { self.all.p50 } else { ROOMY * self.split(shortest).max(self.settings.tick) as f64 }
     }
 
-    /// Keeps a cold server from calls for `least` to one more span between two, but not beyond its warm-up.
-    fn spare(&mut self, now: Micros, at: usize, least: f64) {
+    /// Keeps a cold server from calls for about a span between two, first for the own part of it. Parts
+    /// lie evenly apart: prevents calls of all from meeting by chance.
+    fn spare(&mut self, now: Micros, at: usize, first: bool) {
         let Server { entry, since, .. } = &self.servers[at];
         let share = self.servers[at].share(now, &self.settings.rules);
         if share < 1.0 && !self.all_cold {
             let warm = since.unwrap_or(0).saturating_add(self.settings.rules.warm_after);
-            let wait = self.pace(entry.zone) / share * (least + self.rng.f64());
+            let turn = f64::from(self.settings.me) * APART + entry.ring as f64 / u64::MAX as f64;
+            let spans = if first { turn.fract() } else { 0.9 + 0.2 * self.rng.f64() };
+            let wait = self.pace(entry.zone) / share * spans;
             self.servers[at].not_before = now.saturating_add(wait as Micros).min(warm);
         }
     }
@@ -1215,7 +1215,7 @@
         }
         for at in (0..self.servers.len()).filter(|_| turned) {
             self.servers[at].not_before *= Micros::from(!cold);
-            self.spare(now, at, 0.0);
+            self.spare(now, at, true);
         }
     }
 
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -119,6 +119,8 @@
     /// The same for windows of all that was sent, by whomever.
     all: f64,
     served: u32,
+    /// When it was sent to by such as had been told, while it was cold.
+    told_sends: Vec<Micros>,
 }
 
 struct Fleet {
@@ -180,6 +182,7 @@
             worst: 0.0,
             all: 0.0,
             served: 0,
+            told_sends: Vec::new(),
         };
         let servers: Vec<Server> = (0..each * ZONES).map(server).collect();
         let capacity = servers.len() as f64 * CORES as f64 * SECOND as f64 / WORK;
@@ -287,6 +290,9 @@
         }
         if share < 1.0 {
             server.lately.push_back((now, work, heard == Some(server.started)));
+            if heard == Some(server.started) {
+                server.told_sends.push(now);
+            }
             while server.lately.front().is_some_and(|(at, ..)| at + span <= now) {
                 server.lately.pop_front();
             }
@@ -543,6 +549,34 @@
     hold(&[1, 6, 40, 90], 3);
 }
 
+/// Each balancer's part of a cold server is less than a call in a window of the rule. What all send is then even only if their
+/// calls fall to them in turns: drawn times scatter as chance does, up to three times what is meant on some server of a zone.
+#[test]
+fn parts_of_a_call_come_in_turns_not_by_chance() {
+    let (seed, span) = (seed(), 1_500 * MS);
+    let (mut squares, mut mean, mut most) = (0.0, 0.0, 0.0_f64);
+    for round in 0..6 {
+        let n = [17, 24, 40][round as usize % 3];
+        let fleet = play(Case::Zone, n, 14, seed + round);
+        let news = START + 20 * SECOND + fleet.lag + 50 * MS;
+        for window in 0..4 {
+            let from = news + window * span;
+            let count =
+                |s: &Server| s.told_sends.iter().filter(|at| (from..from + span).contains(at)).count();
+            let counts: Vec<f64> =
+                fleet.servers.iter().filter(|s| s.zone == ZONES - 1).map(|s| count(s) as f64).collect();
+            let usual = counts.iter().sum::<f64>() / counts.len() as f64;
+            let square = counts.iter().map(|c| (c - usual).powi(2)).sum::<f64>() / (counts.len() - 1) as f64;
+            (squares, mean) = (squares + square, mean + usual);
+            most = counts.iter().copied().fold(most, f64::max);
+        }
+    }
+    let scatter = squares / mean;
+    println!("variance of calls in a window {scatter:.2} of their mean {:.2}, most {most}", mean / 24.0);
+    assert!(mean / 24.0 > 1.5, "cold servers are sent too little to tell");
+    assert!(scatter < 0.7, "{scatter:.2}: by chance alone it is 1");
+}
+
 /// By hand: minutes.
 #[test]
 #[ignore = "long"]
