--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{MS, SECOND, World, settings, warm_up, world};
-use finchshift::{Effect, ListKind, Outcome, ServerEntry, ServerState};
+use finchshift::{Balancer, Effect, ListKind, Outcome, ServerEntry, ServerState, Settings};
 
 fn cold(id: u32, world: &World) -> ServerEntry {
     ServerEntry { started: Some(world.now), ..ServerEntry::new(id) }
@@ -118,3 +118,49 @@
     assert!(world.balancer.cold(world.now).len() == 2, "both are cold still");
     assert_eq!(world.sends.values().sum::<u32>(), before + 1, "{:?}", world.failed);
 }
+
+/// A mistake, by name.
+type Change = (&'static str, fn(&mut Settings));
+
+/// What settings and lists may say by mistake: refused with a reason, or no harm beyond the warm-up.
+#[test]
+fn absurd_counts_shares_and_starts_are_refused_or_hold_nobody_for_longer_than_a_warm_up() {
+    let wrong: [Change; 7] = [
+        ("no balancers", |s| s.balancers = 0),
+        ("no zones", |s| s.zones = 0),
+        ("share of nothing", |s| s.rules.cold_from = 0.0),
+        ("share under nothing", |s| s.rules.cold_from = -0.1),
+        ("share over all", |s| s.rules.cold_from = 1.5),
+        ("share that is no number", |s| s.rules.cold_from = f64::NAN),
+        ("factor without end", |s| s.rules.overload_factor = f64::INFINITY),
+    ];
+    for (what, change) in wrong {
+        let mut settings = settings(&[Effect::Safe]);
+        change(&mut settings);
+        assert!(Balancer::new(settings, 1).is_err(), "{what}");
+    }
+    let odd: [Change; 6] = [
+        ("as many balancers as can be written", |s| s.balancers = u32::MAX),
+        ("a number beyond the count", |s| s.me = u32::MAX),
+        ("more zones than servers", |s| s.zones = u32::MAX),
+        ("no warm-up", |s| s.rules.warm_after = 0),
+        ("no window of the rule", |s| s.rules.tip_after = 0),
+        ("a factor of nothing", |s| s.rules.overload_factor = 0.0),
+    ];
+    let starts = [None, Some(0), Some(1), Some(1_000 * SECOND), Some(u64::MAX)];
+    for (what, change) in odd {
+        for started in starts {
+            let mut settings = settings(&[Effect::Safe]);
+            change(&mut settings);
+            let warm_after = settings.rules.warm_after;
+            let server = |id| ServerEntry { zone: id % 2, ring: u64::MAX, ..ServerEntry::new(id) };
+            let mut world = World::new(settings, (0..2).map(server).collect(), 5);
+            warm_up(&mut world, 0, 20, 5 * MS);
+            world.list(ListKind::Changes, vec![ServerEntry { started, ..server(2) }]);
+            let until = world.now + warm_after + SECOND;
+            world.run(until, |_| None);
+            (0..40).for_each(|_| warm_up(&mut world, 0, 5, 5 * MS));
+            assert!(world.sends.contains_key(&2), "{what}, started {started:?}: never sent to");
+        }
+    }
+}
