Traces of attempts are worked out only where somebody hears them; the script reads logs once

Cause, found on second reading: for each attempt to a cold upstream the core asked the module for its terms (a pace over all zones) and looked up a name, traced or not, on the path of every such request; and bench/scripts/plays.py had the loop over balancers' logs twice.

Change: events get heard!, which asks whether an event's level and area are listened to; cold.sent, attempt.sent and attempt.ended are made only then. plays.py reads each log in one place.

--- a/bench/scripts/plays.py
+++ b/bench/scripts/plays.py
@@ -39,20 +39,24 @@
     return json.JSONDecoder().raw_decode(text[at:])[0]["settings"]
 
 
+def balancers(logs):
+    """Each balancer that was told its settings: its name, their rules, its tier, its log."""
+    for path in sorted(pathlib.Path(logs).iterdir()):
+        text = path.read_text(errors="replace")
+        settings = config(text)
+        if settings is not None:
+            yield path.stem, settings["Rules"], settings["Stage"], text
+
+
 def windows(logs, site):
     """The worst window of each cold server: multiple, server, age, sends, attributes of its sends."""
     sends = collections.defaultdict(list)
     rules = None
-    for path in sorted(pathlib.Path(logs).iterdir()):
-        text = path.read_text(errors="replace")
-        settings = config(text)
-        if settings is None:
-            continue
-        rules, tier = settings["Rules"], settings["Stage"]
+    for balancer, rules, tier, text in balancers(logs):
         for m in SENT.finditer(text):
             name, age, attempt, cause, cls, share, pace, warm, window, cold = m.groups()
             work = site["tier"][tier]["work"] * sum(site["class"][int(cls)]["work_ms"]) / 2
-            sends[tier, name].append((int(age), work, path.stem, int(attempt), cause, float(pace), int(warm), cold))
+            sends[tier, name].append((int(age), work, balancer, int(attempt), cause, float(pace), int(warm), cold))
     worst = []
     for (tier, name), list_ in sends.items():
         list_.sort()
@@ -79,12 +83,7 @@
     """For each server that started, the worst window of all that was sent to it, also by balancers that had not been told:
     multiple, the part of it by those that had, server, age; and how late the last balancer was told after the first."""
     started, told, sends, tiers, rules = {}, collections.defaultdict(dict), collections.defaultdict(list), {}, None
-    for path in sorted(pathlib.Path(logs).iterdir()):
-        text = path.read_text(errors="replace")
-        settings = config(text)
-        if settings is None:
-            continue
-        rules, tier = settings["Rules"], settings["Stage"]
+    for balancer, rules, tier, text in balancers(logs):
         for m in LISTED.finditer(text):
             at, name, age = float(m[1]) * 1000, m[2], int(m[3])
             start = started.setdefault(name, at - age)
@@ -92,10 +91,10 @@
             if at - age > start + 100:
                 started[name] = at - age
                 told[name].clear()
-            told[name].setdefault(path.stem, at)
+            told[name].setdefault(balancer, at)
         for m in ATTEMPT.finditer(text):
             work = site["tier"][tier]["work"] * sum(site["class"][int(m[4])]["work_ms"]) / 2
-            sends[m[2]].append((float(m[1]) * 1000, path.stem, work))
+            sends[m[2]].append((float(m[1]) * 1000, balancer, work))
     rows = []
     for name, start in started.items():
         cores = site["tier"][tiers[name]]["kind"][0]["cores"]
--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -10,7 +10,7 @@
 
 use finchshift as fs;
 use finchshift::{Action, Event, ListKind, Micros, Outcome, RequestId, ServerId};
-use sloeline_events::{note, tell};
+use sloeline_events::{heard, note, tell};
 use sloeline_settings::setup::Names;
 
 use crate::registry::Registry;
@@ -492,11 +492,12 @@
         let closed = !self.open.get(&id).is_some_and(|o| o.waits);
         let latency = now.saturating_sub(out.at);
         let server = out.server;
-        let (names, millis) = (&self.registry, latency / 1000);
-        note!(ATTEMPT_ENDED, upstream = %names.name(server).unwrap_or_default(), request = %id, attempt = %attempt,
-            outcome = %format_args!("{outcome:?}"), latency = %millis;
-            "attempt: ended at {}, request {id}, attempt {attempt}, {outcome:?} after {millis} ms",
-            names.name(server).unwrap_or_default());
+        if heard!(ATTEMPT_ENDED) {
+            let (name, millis) = (self.registry.name(server).unwrap_or_default(), latency / 1000);
+            note!(ATTEMPT_ENDED, upstream = %name, request = %id, attempt = %attempt,
+                outcome = %format_args!("{outcome:?}"), latency = %millis;
+                "attempt: ended at {name}, request {id}, attempt {attempt}, {outcome:?} after {millis} ms");
+        }
         self.feed(now, Event::Outcome { request: id, attempt, server, outcome, latency, closed, load });
         self.settle(id);
     }
@@ -809,7 +810,7 @@
     /// Starts an attempt. What the rules forbid whatever the module says is not sent, and told so.
     pub(crate) fn send(&mut self, now: Micros, id: RequestId, server: ServerId, limit: Micros) {
         let to = self.registry.target(server);
-        if let Some(cold) = self.cold.get(&server) {
+        if let Some(cold) = self.cold.get(&server).filter(|_| heard!(COLD_SENT)) {
             let age = cold.started.map_or(0, |at| now.saturating_sub(at)) / 1000;
             let name = self.registry.name(server).unwrap_or_default();
             let attempt = self.open.get(&id).map_or(0, |open| open.sent);
@@ -824,12 +825,11 @@
                 "cold: sent to {name}, {age} ms old, request {id}, attempt {attempt}, on {cause}, class {class}, \
                  share {share:.3}, pace {pace:.0} ms, warm {warm}, window {window:.2}, all cold {all_cold}");
         }
-        if let Some(open) = self.open.get(&id) {
-            // The name is looked up only where somebody hears of it.
-            let (names, attempt, class) = (&self.registry, open.sent, open.class);
-            note!(ATTEMPT_SENT, upstream = %names.name(server).unwrap_or_default(), request = %id,
-                attempt = %attempt, class = %class; "attempt: sent to {}, request {id}, attempt {attempt}, class {class}",
-                names.name(server).unwrap_or_default());
+        if let Some(open) = self.open.get(&id).filter(|_| heard!(ATTEMPT_SENT)) {
+            let name = self.registry.name(server).unwrap_or_default();
+            let (attempt, class) = (open.sent, open.class);
+            note!(ATTEMPT_SENT, upstream = %name, request = %id, attempt = %attempt, class = %class;
+                "attempt: sent to {name}, request {id}, attempt {attempt}, class {class}");
         }
         let not_sent = |attempt, closed| Event::Outcome {
             request: id,
--- a/events/src/lib.rs
+++ b/events/src/lib.rs
@@ -23,6 +23,14 @@
     };
 }
 
+/// Whether somebody hears an event, as far as its level and area tell: for what is costly to find out.
+#[macro_export]
+macro_rules! heard {
+    ($event:ident) => {
+        $crate::tracing::enabled!(target: $crate::events::$event.area, $crate::events::$event.level)
+    };
+}
+
 /// The same where something listens, and nothing elsewhere: for what a library tells often, or of everybody.
 #[macro_export]
 macro_rules! note {
