--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod core;
 pub mod engine;
 pub mod registry;
+pub mod slots;
 pub mod types;
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -38,6 +38,8 @@
     pub most_answer: usize,
     /// Answers up to here are read whole before they go on; longer ones pass through.
     pub held: usize,
+    /// Whatever its status, an answer is passed on as it came: for one that only forwards.
+    pub forwards: bool,
 }
 
 impl Dialect {
@@ -51,16 +53,23 @@
             declined: Some(mark),
             most_answer: MOST_BODY,
             held: HELD,
+            forwards: false,
         }
     }
 
     fn served(&self, status: StatusCode) -> bool {
         // 429 is a refusal to a caller: passed on, it would promise that the request never ran.
         let own = status.as_u16() < 500 && status != StatusCode::TOO_MANY_REQUESTS;
+        if self.forwards {
+            return !status.is_informational();
+        }
         if self.only_ok { status == StatusCode::OK } else { own && !status.is_informational() }
     }
 
     fn declines(&self, status: StatusCode, headers: &HeaderMap) -> bool {
+        if self.forwards {
+            return false;
+        }
         let Some((name, value, statuses)) = &self.declined else { return false };
         statuses.contains(&status) && headers.get(name) == Some(value)
     }
@@ -147,6 +156,17 @@
     }
 }
 
+/// What came of a request that was passed on.
+#[derive(Debug)]
+pub enum Relayed {
+    /// The upstream has not had it whole: it never ran.
+    NotSent,
+    /// It may have run, and there is no answer that could be passed on.
+    Broken(Outcome),
+    /// The answer.
+    Answered(Reply),
+}
+
 /// An attempt under way.
 pub struct Attempt {
     task: AbortHandle,
@@ -242,6 +262,44 @@
         Attempt { task: task.abort_handle(), flight }
     }
 
+    /// Passes a request on, once, and tells what came of it: for one that only forwards and decides nothing. `right` looks
+    /// at the head of the answer; one that is not right belongs to another request, and its connection is closed. Dropped,
+    /// the exchange ends and so does its connection.
+    pub async fn relay(
+        &self,
+        to: Target,
+        call: &Call,
+        limit: Micros,
+        right: impl FnOnce(StatusCode, &HeaderMap) -> bool,
+    ) -> Relayed {
+        let (flight, dialect) = (Flight::new(call), self.dialect.borrow().clone());
+        let exchanging = exchange(&self.pool, to, call, Some(limit), &dialect, &flight);
+        let ended = match timeout(Duration::from_micros(limit), exchanging).await {
+            Ok(ended) => ended,
+            // Its connection is closed by now: nothing more is written.
+            Err(_) if flight.may_have_run() => return Relayed::Broken(Outcome::TimedOut),
+            Err(_) => return Relayed::NotSent,
+        };
+        let Some(mut reply) = ended.reply else {
+            return if ended.outcome.never_ran() { Relayed::NotSent } else { Relayed::Broken(ended.outcome) };
+        };
+        if !right(reply.status, &reply.headers) {
+            return Relayed::Broken(Outcome::Error);
+        }
+        let pool = self.pool.clone();
+        if let Payload::Passing(passing) = &mut reply.body {
+            let conn = ended.passing;
+            passing.at_end(move |end| {
+                if let (End::Whole, Some(conn)) = (end, conn) {
+                    spawn_local(async move { put_when_ready(&pool, to.server, conn).await });
+                }
+            });
+        } else if let Some(conn) = ended.conn {
+            spawn_local(async move { put_when_ready(&pool, to.server, conn).await });
+        }
+        Relayed::Answered(reply)
+    }
+
     /// Asks an upstream how it is.
     pub fn probe(&self, to: Target, told: impl FnOnce(Duration, Outcome, Option<Load>) + 'static) {
         let (pool, dialect) = (self.pool.clone(), self.dialect.borrow().clone());
--- /dev/null
+++ b/mesh/ballast/src/lib.rs
@@ -0,0 +1,112 @@
+//! What a core machine keeps on disk: one `redb` file with the rows of the state and what must not be forgotten of
+//! promises and views. Each [`Store::write`] is one transaction: all of it is there after a loss of power, or nothing.
+//!
+//! Format 1: table `meta` holds under `format` the number 1 and under `kept` a [`Kept`] as MessagePack; table `rows` holds
+//! the state's rows as they are. A file is made under another name, synced, renamed and its folder synced, so that a file
+//! of this name is never half made.
+
+use std::fs::{self, File};
+use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use sloeline_interlocking::{Kept, Write};
+
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const ROWS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("rows");
+const FORMAT: &[u8] = &[1];
+const FILE: &str = "signals.redb";
+const NEW: &str = "signals.new";
+/// Memory for pages of the file.
+const CACHE: usize = 8 << 20;
+
+/// An open file.
+pub struct Store {
+    database: Database,
+}
+
+/// Rows of the state: keys and values.
+pub type Rows = Vec<(Bytes, Bytes)>;
+
+/// Whether a store is there. A disk that was lost has none.
+pub fn exists(folder: &Path) -> Result<bool> {
+    folder.join(FILE).try_exists().with_context(|| format!("look for {}", folder.join(FILE).display()))
+}
+
+fn open(path: &Path) -> Result<Database> {
+    let mut builder = Database::builder();
+    builder.set_cache_size(CACHE);
+    builder.create(path).with_context(|| format!("open {}", path.display()))
+}
+
+impl Store {
+    /// Makes the file, which must not be there.
+    pub fn create(folder: &Path, kept: &Kept) -> Result<Store> {
+        fs::create_dir_all(folder).with_context(|| format!("make {}", folder.display()))?;
+        let (new, path): (PathBuf, PathBuf) = (folder.join(NEW), folder.join(FILE));
+        match fs::remove_file(&new) {
+            Err(e) if e.kind() != ErrorKind::NotFound => return Err(e).context("remove what was half made"),
+            _ => {}
+        }
+        let store = Store { database: open(&new)? };
+        let transaction = store.database.begin_write().context("begin the first write")?;
+        {
+            let mut meta = transaction.open_table(META)?;
+            meta.insert("format", FORMAT)?;
+            meta.insert("kept", rmp_serde::to_vec(kept)?.as_slice())?;
+            transaction.open_table(ROWS)?;
+        }
+        transaction.commit().context("commit the first write")?;
+        drop(store);
+        fs::rename(&new, &path).with_context(|| format!("rename to {}", path.display()))?;
+        File::open(folder).and_then(|f| f.sync_all()).context("sync the folder")?;
+        Ok(Store { database: open(&path)? })
+    }
+
+    /// Opens the file and reads all of it.
+    pub fn open(folder: &Path) -> Result<(Store, Kept, Rows)> {
+        let store = Store { database: open(&folder.join(FILE))? };
+        let transaction = store.database.begin_read().context("begin to read")?;
+        let meta = transaction.open_table(META).context("read the table meta")?;
+        let format = meta.get("format")?.map(|v| v.value().to_vec());
+        if format.as_deref() != Some(FORMAT) {
+            bail!("format: found {format:?}, expected {FORMAT:?}");
+        }
+        let kept =
+            meta.get("kept")?.context("kept: found nothing, expected what this machine has promised")?;
+        let kept = rmp_serde::from_slice(kept.value()).context("read kept")?;
+        let mut rows = Rows::new();
+        for row in transaction.open_table(ROWS).context("read the table rows")?.iter()? {
+            let (key, value) = row?;
+            rows.push((Bytes::copy_from_slice(key.value()), Bytes::copy_from_slice(value.value())));
+        }
+        drop(transaction);
+        Ok((store, kept, rows))
+    }
+
+    /// Writes all of these, in order, and syncs once. With an error nothing of them counts as kept, and the store is to be
+    /// opened anew.
+    pub fn write(&self, writes: &[Write]) -> Result<()> {
+        let Some(last) = writes.last() else { return Ok(()) };
+        let mut transaction = self.database.begin_write().context("begin to write")?;
+        transaction.set_durability(Durability::Immediate).context("set durability")?;
+        {
+            let mut meta = transaction.open_table(META)?;
+            meta.insert("kept", rmp_serde::to_vec(&last.kept)?.as_slice())?;
+            let from = writes.iter().rposition(|w| w.replace);
+            if from.is_some() {
+                transaction.delete_table(ROWS)?;
+            }
+            let mut rows = transaction.open_table(ROWS)?;
+            for (key, value) in writes[from.unwrap_or(0)..].iter().flat_map(|w| &w.rows) {
+                match value {
+                    Some(value) => rows.insert(key.as_ref(), value.as_ref())?,
+                    None => rows.remove(key.as_ref())?,
+                };
+            }
+        }
+        transaction.commit().context("commit")
+    }
+}
--- /dev/null
+++ b/mesh/footplate/src/front.rs
@@ -0,0 +1,167 @@
+//! Requests of this machine's clients and of its upstream: by which route and service they go, and in which form.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use finchshift::Micros;
+use hyper::StatusCode;
+use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use sloeline_http::front::{Admission, Answered, Front, end_to_end, number, plain};
+use sloeline_limits::Share;
+use sloeline_staff::MOST_KEY;
+use sloeline_telegraph::rendezvous::weight;
+use sloeline_timetable::model::RouteKind;
+use sloeline_timetable::table::Table;
+
+use crate::services::{Lead, Rails};
+use crate::words;
+
+/// What a refused client is told where nothing better is known, in seconds.
+const AGAIN: &str = "0.25";
+/// Answers are held up to here.
+const MOST_HELD: usize = 64 << 10;
+
+/// The routes of one configuration and what they lead to: swapped whole.
+pub struct Routes {
+    /// Finds the route.
+    pub table: Table,
+    /// Where each leads.
+    pub leads: Vec<Lead>,
+}
+
+/// The front of the `outgoing` address.
+pub struct Outgoing {
+    routes: RefCell<Option<Rc<Routes>>>,
+    sender: HeaderValue,
+    bodies: Rc<Share>,
+    ready: Cell<bool>,
+}
+
+impl Outgoing {
+    /// No configuration yet. `sender` is the service of this machine; bodies take of the share.
+    pub fn new(sender: HeaderValue, bodies: Rc<Share>) -> Outgoing {
+        Outgoing { routes: RefCell::default(), sender, bodies, ready: Cell::new(false) }
+    }
+
+    /// Takes the next request by these routes.
+    pub fn swap(&self, routes: Routes) {
+        *self.routes.borrow_mut() = Some(Rc::new(routes));
+    }
+
+    /// Clients may come from now on, or not.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.set(ready);
+    }
+
+    /// Clients may come.
+    pub fn is_ready(&self) -> bool {
+        self.ready.get()
+    }
+}
+
+/// A header that may stand once.
+fn once<'a>(
+    headers: &'a HeaderMap,
+    name: &hyper::header::HeaderName,
+) -> Result<Option<&'a HeaderValue>, Answered> {
+    let mut all = headers.get_all(name).iter();
+    match (all.next(), all.next()) {
+        (found, None) => Ok(found),
+        _ => Err(plain(StatusCode::BAD_REQUEST, format!("{name} stands twice"))),
+    }
+}
+
+/// Never run, and never will.
+fn refused(why: &'static str) -> Answered {
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, why);
+    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(AGAIN));
+    answer
+}
+
+impl Front for Outgoing {
+    type Wire = Rails;
+
+    fn admit(&self, head: &Parts, _peer: SocketAddr) -> Result<Admission<Rails>, Answered> {
+        let Some(routes) = self.routes.borrow().clone() else { return Err(refused("no configuration yet")) };
+        let bad = |why: &'static str| plain(StatusCode::BAD_REQUEST, why);
+        let host = once(&head.headers, &HOST)?.and_then(|h| h.to_str().ok()).ok_or_else(|| bad("no Host"))?;
+        let path = head.uri.path_and_query().cloned().ok_or_else(|| bad("no path"))?;
+        let found = routes.table.find(host, path.path());
+        let Some((route, lead)) =
+            found.and_then(|at| Some((&routes.table.routes()[at], routes.leads.get(at)?)))
+        else {
+            return Err(plain(StatusCode::NOT_FOUND, "no such route"));
+        };
+        let id = once(&head.headers, &words::TRY_ID)?;
+        let keyed = route.route_kind == RouteKind::Tracked;
+        if keyed {
+            let key = once(&head.headers, &words::OPERATION_KEY)?.filter(|k| !k.is_empty());
+            let key = key.ok_or_else(|| bad("a tracked route wants X-Operation-Key"))?;
+            if key.len() > MOST_KEY {
+                return Err(bad("X-Operation-Key is too long"));
+            }
+        }
+        let waits = match once(&head.headers, &words::TIME_LEFT)? {
+            None => Micros::MAX,
+            Some(value) => {
+                let millis = value.to_str().ok().and_then(number);
+                millis.ok_or_else(|| bad("X-Time-Left is no number"))?.saturating_mul(1000)
+            }
+        };
+        let total: u64 = lead.sides.iter().map(|(.., share)| u64::from(*share)).sum();
+        let mut at = match (lead.sides.len(), id) {
+            (1, _) => 0,
+            (_, Some(id)) => weight("split", id.to_str().unwrap_or_default()) % total.max(1),
+            (_, None) => fastrand::u64(..total.max(1)),
+        };
+        let side = lead.sides.iter().find(|(.., share)| {
+            let here = lead.sides.len() == 1 || at < u64::from(*share);
+            at = at.saturating_sub(u64::from(*share));
+            here
+        });
+        let Some((service, class, _)) = side else { return Err(refused("no service")) };
+        if service.engine.upstreams() == 0 {
+            return Err(refused("no upstream"));
+        }
+        let mut headers = end_to_end(&head.headers);
+        for own in
+            [words::ADDRESSEE, words::SENDER, words::KEYED, words::RANK, words::NOT_RUN, words::ROOM_IN]
+        {
+            headers.remove(own);
+        }
+        headers.insert(words::SENDER, self.sender.clone());
+        headers.insert(words::RANK, HeaderValue::from(route.precedence));
+        if keyed {
+            headers.insert(words::KEYED, HeaderValue::from_static("1"));
+        }
+        Ok(Admission {
+            engine: service.engine.clone(),
+            class: *class,
+            time_left: waits.min(route.dispatch.timeout.0),
+            tenant: None,
+            work: None,
+            retry: false,
+            method: head.method.clone(),
+            uri: path.into(),
+            headers,
+            most_body: routes.table.limits().body_bytes.min(usize::MAX as u64) as usize,
+            most_answer: MOST_HELD,
+            bodiless: false,
+            id: None,
+            bodies: self.bodies.clone(),
+            witness: None,
+            held: Some(Box::new(service.admitted.hold(*class))),
+        })
+    }
+
+    fn ready(&self) -> bool {
+        self.ready.get()
+    }
+
+    fn retry_after(&self, wish: Micros) -> Option<HeaderValue> {
+        let wish = if wish == 0 { 250_000 } else { wish };
+        HeaderValue::from_str(&format!("{:.3}", wish as f64 / 1e6)).ok()
+    }
+}
--- /dev/null
+++ b/mesh/footplate/src/keys.rs
@@ -0,0 +1,106 @@
+//! Keyed operations as the core keeps them: asked of one core machine, and of another when that one does not answer.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Result, anyhow, bail};
+use bytes::Bytes;
+use log::debug;
+use sloeline_staff::{Answer, Outcome, Update};
+use sloeline_waybill::link::Link;
+use sloeline_waybill::{Ask, Told};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// How long one core machine is waited for before another is asked.
+const PATIENCE: Duration = Duration::from_millis(600);
+/// How long a claim may take in all.
+pub const CLAIM: Duration = Duration::from_millis(1300);
+/// How long the record of an end is tried.
+const RECORD: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The way to the core.
+pub struct Keys {
+    links: RefCell<Vec<Rc<Link>>>,
+    holder: String,
+}
+
+impl Keys {
+    /// No core machine is known yet; `holder` is this machine's name.
+    pub fn new(holder: String) -> Rc<Keys> {
+        Rc::new(Keys { links: RefCell::default(), holder })
+    }
+
+    /// The core machines, the nearest first.
+    pub fn set_core(&self, addresses: &[SocketAddr]) {
+        let mut links = self.links.borrow_mut();
+        let known = std::mem::take(&mut *links);
+        let link = |address: &SocketAddr| {
+            let found = known.iter().find(|l| l.address() == *address);
+            found.cloned().unwrap_or_else(|| Link::new(*address))
+        };
+        *links = addresses.iter().map(link).collect();
+    }
+
+    async fn ask(&self, update: &Update, within: Duration) -> Result<Outcome> {
+        let until = Instant::now() + within;
+        let ask = Ask::Operation(update.clone());
+        let mut last = anyhow!("core: no machine of it is known");
+        loop {
+            let links = self.links.borrow().clone();
+            for link in &links {
+                let left = until.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    return Err(last);
+                }
+                match link.ask(&ask, left.min(PATIENCE)).await {
+                    Ok(Told::Operation(outcome)) => return Ok(outcome),
+                    Ok(Told::Unable(why)) => last = anyhow!("core {}: {why}", link.address()),
+                    Ok(_) => bail!("core {}: an answer to another question", link.address()),
+                    Err(why) => last = why,
+                }
+                // The next one is asked first from now on.
+                self.links.borrow_mut().rotate_left(usize::from(links.len() > 1));
+            }
+            if Instant::now() + PAUSE >= until {
+                return Err(last);
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Claims a key for a run. With an error the run must not go, and its claim is taken back.
+    pub async fn claim(self: &Rc<Self>, key: &Bytes, run: u64, within: Duration) -> Result<Outcome> {
+        let claim = Update::Claim { key: key.clone(), run, holder: self.holder.clone() };
+        let outcome = self.ask(&claim, within.min(CLAIM)).await;
+        if outcome.is_err() {
+            self.record(Update::Release { key: key.clone(), run });
+        }
+        outcome
+    }
+
+    /// Takes a claim back: the run never went. Waits a moment until that is known.
+    pub async fn release(self: &Rc<Self>, key: &Bytes, run: u64) {
+        let release = Update::Release { key: key.clone(), run };
+        if self.ask(&release, PATIENCE).await.is_err() {
+            self.record(release);
+        }
+    }
+
+    /// The run went, with or without an answer that can be kept.
+    pub fn done(self: &Rc<Self>, key: Bytes, run: u64, answer: Option<Answer>) {
+        self.record(Update::Done { key, run, answer });
+    }
+
+    fn record(self: &Rc<Self>, update: Update) {
+        let keys = self.clone();
+        spawn_local(async move {
+            if let Err(why) = keys.ask(&update, RECORD).await {
+                debug!(target: "keys", "The end of a run is not recorded: {why:#}.");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/mesh/footplate/src/lib.rs
@@ -0,0 +1,12 @@
+//! The data plane: the balancer beside each application instance. Requests of this machine go out through [`front`] and
+//! [`services`], which decide by the module; requests for this machine's upstream come in through [`receive`], which
+//! only forwards what [`gate`] lets through. [`beats`] and [`gate`] are without I/O.
+
+pub mod beats;
+pub mod front;
+pub mod gate;
+pub mod keys;
+pub mod program;
+pub mod receive;
+pub mod services;
+pub mod words;
--- /dev/null
+++ b/mesh/footplate/src/program.rs
@@ -0,0 +1,329 @@
+//! The program: settings, sockets, and how it begins and ends.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result};
+use finchshift as fs;
+use hyper::header::HeaderValue;
+use hyper::{Method, StatusCode};
+use log::{info, warn};
+use sloeline_http::callers::{Callers, Phase, Room};
+use sloeline_http::gate::Pace;
+use sloeline_http::upstream::{Dialect, Upstreams};
+use sloeline_limits::Share;
+use sloeline_lineside::control::{self, Answer, Call, json, plain, wrong};
+use sloeline_rulebook::Settings;
+use sloeline_telegraph::{Record, Version, rendezvous};
+use sloeline_timetable::model::{Config, SizeLimits};
+use sloeline_timetable::table::Table;
+use sloeline_waybill::exchange::{Exchange, Following};
+use sloeline_waybill::serve::serve;
+use sloeline_waybill::{Ask, Told};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::beats::Beat;
+use crate::front::{Outgoing, Routes};
+use crate::keys::Keys;
+use crate::receive::Receiver;
+use crate::services::{Ground, Services};
+use crate::words;
+
+/// How long a core machine holds a pull for want of news.
+const CORE_HOLD: Duration = Duration::from_secs(2);
+/// How long another balancer does.
+const PEER_HOLD: Duration = Duration::from_secs(5);
+/// Balancers that each one follows.
+const PEERS: usize = 2;
+/// Descriptors for listeners, the mesh's own connections, the runtime and standard streams.
+const RESERVED: u64 = 300;
+/// Part of the other descriptors that callers may hold.
+const CALLERS: f64 = 0.5;
+/// Part of the memory that bodies may fill.
+const BODIES: f64 = 0.4;
+/// After an order to stop clients still come for so long: they look once a second and leave after two misses.
+const STILL: Duration = Duration::from_millis(2600);
+/// Time between the last answer and the kill.
+const MARGIN: Duration = Duration::from_millis(400);
+/// Most bytes of a beat.
+const MOST_BEAT: usize = 64 << 10;
+
+/// Runs a balancer until it is told to stop.
+pub fn run(path: &Path) -> Result<()> {
+    let settings = Settings::read(path)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context("start the runtime")?;
+    LocalSet::new().block_on(&runtime, work(settings))
+}
+
+fn unix_micros() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+async fn listen(what: &str, address: Option<SocketAddr>) -> Result<TcpListener> {
+    let address = address.with_context(|| format!("docks.{what}: found nothing, expected an address"))?;
+    TcpListener::bind(address).await.with_context(|| format!("listen at {address} for {what}"))
+}
+
+/// What callers may take up.
+fn room(places: usize, limits: SizeLimits, grace: Duration) -> Room {
+    let pace = Pace { idle: limits.idle.duration(), head: limits.header.duration(), ..Pace::default() };
+    let leave_within = grace.saturating_sub(MARGIN);
+    Room {
+        places,
+        pace,
+        ready_path: "/-/ready".to_owned(),
+        leave_within,
+        still_taken: STILL.min(leave_within),
+    }
+}
+
+async fn work(settings: Settings) -> Result<()> {
+    let guarantees = settings.guarantees()?;
+    let own = Record {
+        source: settings.node_name.clone(),
+        version: Version { life: unix_micros(), change: 1 },
+        mesh: settings.mesh_address(),
+        zone: settings.zone_name.clone(),
+        core: false,
+        leaving: false,
+        incoming: settings.docks.incoming,
+        upstream: None,
+    };
+    let exchange = Exchange::new(own);
+    let sender = settings.line.clone().context("line: found nothing, expected this machine's service")?;
+    let sender = HeaderValue::from_str(&sender).context("line: expected what may stand in a header")?;
+    let free = settings.size_limits.file_handles.saturating_sub(RESERVED).max(16) as f64;
+    let (places, connections) = ((free * CALLERS) as usize, (free * (1.0 - CALLERS)) as usize);
+    let memory = (settings.size_limits.memory_mb << 20) as f64;
+    let bodies = Share::alone((memory * BODIES) as usize);
+    let connections = Share::alone(connections);
+
+    let keys = Keys::new(settings.node_name.clone());
+    let dialect = Dialect {
+        deadline: Some(words::TIME_LEFT),
+        only_ok: false,
+        declined: None,
+        most_answer: 1 << 30,
+        held: 64 << 10,
+        forwards: true,
+    };
+    let limits = fs::Limits { idle_close: 8_000_000, ..fs::Settings::new(Vec::new()).limits };
+    let to_upstream = Upstreams::new(&limits, connections.clone(), dialect);
+    spawn_local(to_upstream.tend());
+    let receiver = Receiver::new(to_upstream, keys.clone(), exchange.clone());
+    spawn_local(receiver.clone().tend());
+
+    let (phases, phase) = watch::channel(Phase::Running);
+    let first = room(places, SizeLimits::default(), guarantees.grace.duration());
+    let callers = Callers::new(Outgoing::new(sender, bodies), first, phase);
+
+    let mesh = TcpListener::bind(settings.mesh_address()).await.context("listen for the mesh")?;
+    let incoming = listen("incoming", settings.docks.incoming).await?;
+    let outgoing = listen("outgoing", settings.docks.outgoing).await?;
+    let readiness = listen("readiness", settings.docks.readiness).await?;
+    let dock = listen("control_dock", settings.docks.control_dock).await?;
+    spawn_local(serve(mesh, {
+        let exchange = exchange.clone();
+        move |ask| answer(exchange.clone(), ask)
+    }));
+    spawn_local(receiver.clone().serve(incoming));
+    spawn_local(control::serve(readiness, 1024, {
+        let callers = callers.clone();
+        move |call, _| {
+            let ready = call.path == "/-/ready" && callers.front().is_ready();
+            async move {
+                match ready {
+                    true => plain(StatusCode::OK, "ready"),
+                    false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+                }
+            }
+        }
+    }));
+    spawn_local(control::serve(dock, MOST_BEAT, {
+        let receiver = receiver.clone();
+        move |call, _| {
+            let answer = beat(&receiver, &call);
+            async move { answer }
+        }
+    }));
+    let ground =
+        Ground { zone: settings.zone_name.clone(), zones: settings.zones.len().max(1) as u32, connections };
+    let following =
+        Follow { settings: settings.clone(), exchange: exchange.clone(), keys, now: RefCell::default() };
+    spawn_local(follow(following, callers.clone(), ground, places, guarantees.grace.duration()));
+    info!(target: "start", "{} serves at {}.", settings.node_name, settings.mesh_address());
+
+    let mut stop = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
+    let mut changed = signal(SignalKind::hangup()).context("wait for SIGHUP")?;
+    let accepting = callers.accept(outgoing, &phases);
+    let stopping = async {
+        loop {
+            tokio::select! {
+                _ = stop.recv() => break,
+                _ = changed.recv() => info!(target: "start", "SIGHUP: nothing of the settings changes at run time."),
+            }
+        }
+        info!(target: "stop", "Told to stop.");
+        callers.front().set_ready(false);
+        exchange.announce(|own| own.leaving = true);
+        let _ = phases.send(Phase::Stopping);
+        Instant::now()
+    };
+    let ((), ordered) = tokio::join!(accepting, stopping);
+    let until = ordered + guarantees.grace.duration().saturating_sub(MARGIN);
+    let rest = async {
+        callers.closed().await;
+        while !receiver.is_idle() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let _ = timeout(until.saturating_duration_since(Instant::now()), rest).await;
+    info!(target: "stop", "Ends.");
+    Ok(())
+}
+
+/// What other processes ask.
+async fn answer(exchange: Rc<Exchange>, ask: Ask) -> Option<Told> {
+    match ask {
+        Ask::Pull(pull) => Some(Told::News(exchange.answer(pull).await)),
+        Ask::Tell(records) => {
+            exchange.told(records);
+            Some(Told::Done)
+        }
+        Ask::Chain { .. } => None,
+        Ask::Operation(_) => Some(Told::Unable("a balancer keeps no keys".to_owned())),
+        Ask::Status => Some(Told::Status("{}".into())),
+    }
+}
+
+/// A call of this machine's upstream.
+fn beat(receiver: &Receiver, call: &Call) -> Answer {
+    if call.path != "/-/rpc" || call.method != Method::POST {
+        return wrong(StatusCode::NOT_FOUND, "expected POST /-/rpc");
+    }
+    let Some(id) = call.of.as_deref().filter(|id| !id.is_empty() && id.len() <= 255) else {
+        return wrong(StatusCode::BAD_REQUEST, "of: expected an upstream's id of 1 to 255 bytes");
+    };
+    match call.name.as_deref() {
+        Some("upstreams.beat") => match Beat::parse(&call.body) {
+            Ok(beat) => {
+                if receiver.beats(|beats| beats.beat(unix_micros(), id, &beat)) {
+                    info!(target: "upstream", "{id} is {:?}.", beat.tracking.condition);
+                }
+                json(StatusCode::OK, "{}")
+            }
+            Err(why) => wrong(StatusCode::BAD_REQUEST, &format!("{why:#}")),
+        },
+        Some("upstreams.leave") => {
+            if receiver.beats(|beats| beats.leave(id)) {
+                info!(target: "upstream", "{id} has left.");
+            }
+            json(StatusCode::OK, "{}")
+        }
+        _ => wrong(StatusCode::NOT_FOUND, "call: expected upstreams.beat or upstreams.leave"),
+    }
+}
+
+/// Whom this balancer follows.
+struct Follow {
+    settings: Settings,
+    exchange: Rc<Exchange>,
+    keys: Rc<Keys>,
+    now: RefCell<HashMap<SocketAddr, Following>>,
+}
+
+impl Follow {
+    /// Follows the few that rendezvous hashing names, of the core and of the other balancers.
+    fn choose(&self) {
+        let records = self.exchange.board().records();
+        let me = self.settings.node_name.as_str();
+        let mut core: Vec<SocketAddr> =
+            self.settings.seed_nodes.iter().map(|s| self.settings.mesh_address_of(*s)).collect();
+        core.extend(records.values().filter(|r| r.core).map(|r| r.mesh));
+        core.sort_unstable();
+        core.dedup();
+        let near = |address: &SocketAddr| {
+            let zone = records.values().find(|r| r.mesh == *address).map(|r| r.zone.as_str());
+            (zone != Some(self.settings.zone_name.as_str()), rendezvous::weight(me, &address.to_string()))
+        };
+        let mut by_nearness = core.clone();
+        by_nearness.sort_by_key(near);
+        self.keys.set_core(&by_nearness);
+        let names: Vec<String> = core.iter().map(ToString::to_string).collect();
+        let few = self.settings.tolerance.machine_loss as usize + 1;
+        let picked = rendezvous::picks(me, names.iter().map(String::as_str), few);
+        let mut wanted: Vec<(SocketAddr, Duration)> =
+            picked.iter().filter_map(|p| Some((p.parse().ok()?, CORE_HOLD))).collect();
+        let others = records.values().filter(|r| !r.core && !r.leaving).map(|r| r.source.as_str());
+        let peers = rendezvous::picks(me, others, PEERS);
+        wanted.extend(peers.iter().filter_map(|p| records.get(*p)).map(|r| (r.mesh, PEER_HOLD)));
+        let mut now = self.now.borrow_mut();
+        now.retain(|address, _| wanted.iter().any(|(w, _)| w == address));
+        for (address, hold) in wanted {
+            now.entry(address).or_insert_with(|| self.exchange.follow(address, hold));
+        }
+    }
+
+    fn reached(&self) -> bool {
+        self.now.borrow().values().any(|f| f.reached().is_some())
+    }
+}
+
+/// Goes by every change of what is known; never returns.
+async fn follow(
+    follow: Follow,
+    callers: Rc<Callers<Outgoing>>,
+    ground: Ground,
+    places: usize,
+    grace: Duration,
+) {
+    let exchange = follow.exchange.clone();
+    let mut changes = exchange.changes();
+    let mut services = Services::default();
+    let mut planned = (None, 0, 0);
+    loop {
+        changes.mark_unchanged();
+        follow.choose();
+        let (records, config) = (exchange.board().records(), exchange.board().config());
+        let balancers = records.values().filter(|r| !r.core && !r.leaving);
+        let count = balancers.clone().count() as u32;
+        let me = balancers.take_while(|r| r.source < follow.settings.node_name).count() as u32;
+        if let Some(config) = config
+            && planned != (Some(config.edition), me, count)
+        {
+            match Config::parse(&config.body) {
+                Ok(parsed) => {
+                    let table = Table::new(&parsed);
+                    let limits = table.limits();
+                    match services.plan(&table, &ground, me, count.max(me + 1)) {
+                        Ok(leads) => {
+                            if planned.0 != Some(config.edition) {
+                                info!(target: "routes", "Configuration {:08x} is in force.", config.edition);
+                            }
+                            callers.front().swap(Routes { table, leads });
+                            callers.resize(room(places, limits, grace));
+                        }
+                        Err(why) => warn!(target: "routes", "Not in force: {why:#}."),
+                    }
+                }
+                Err(why) => warn!(target: "routes", "Not in force: {why:#}."),
+            }
+            planned = (Some(config.edition), me, count);
+        }
+        services.list(&records);
+        let leaving = exchange.own().leaving;
+        callers.front().set_ready(!leaving && planned.0.is_some() && services.listed() && follow.reached());
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/mesh/footplate/src/receive.rs
@@ -0,0 +1,449 @@
+//! Requests for this machine's upstream: what the gate lets through is forwarded as it is, its answer passed back. An
+//! answer with `X-Not-Run` is a promise that the near balancer may go by.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, StatusCode, Uri, body::Incoming};
+use hyper_util::rt::TokioIo;
+use log::debug;
+use sloeline_engine::types::Target;
+use sloeline_http::front::{Answered, end_to_end, number, plain};
+use sloeline_http::payload::Payload;
+use sloeline_http::upload::Sent;
+use sloeline_http::upstream::{Call, Relayed, Reply, Upstreams};
+use sloeline_staff::{Answer, Outcome};
+use sloeline_telegraph::Condition;
+use sloeline_waybill::exchange::Exchange;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::beats::Beats;
+use crate::gate::{Gate, Micros, State, Verdict};
+use crate::keys::Keys;
+use crate::words;
+
+/// Longest time that a request is taken for, whatever it says: a day.
+const LONGEST: Micros = 86_400_000_000;
+/// Most bytes of a request's body.
+const MOST_BODY: usize = 64 << 20;
+/// Keyed answers up to here are kept for repeats.
+const MOST_KEPT: usize = 64 << 10;
+/// Less time than this is no use.
+const LEAST: Micros = 2_000;
+/// An answer's way back.
+const WAY_BACK: Micros = 3_000;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// The way in.
+pub struct Receiver {
+    gate: RefCell<Gate>,
+    beats: RefCell<Beats>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    upstreams: Upstreams,
+    keys: Rc<Keys>,
+    exchange: Rc<Exchange>,
+    start: Instant,
+    changed: Notify,
+}
+
+/// A place with the upstream; dropped, it is free again.
+struct Place {
+    receiver: Rc<Receiver>,
+    rank: usize,
+    since: Micros,
+    told: bool,
+}
+
+impl Place {
+    /// The upstream has answered: how long that took tells something.
+    fn done(&mut self) {
+        self.told = true;
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = self.receiver.now();
+        let took = self.told.then(|| now.saturating_sub(self.since));
+        let go = self.receiver.gate.borrow_mut().leave(now, self.rank, took);
+        self.receiver.wake(go, true);
+        self.receiver.changed.notify_one();
+    }
+}
+
+/// Whoever waits; dropped, it waits no more.
+struct Waits<'a> {
+    receiver: &'a Receiver,
+    number: u64,
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        if self.receiver.waiting.borrow_mut().remove(&self.number).is_some() {
+            self.receiver.gate.borrow_mut().forget(self.number);
+        }
+    }
+}
+
+/// It never ran and never will: the near balancer may go elsewhere at once.
+fn not_run(status: StatusCode, why: &'static str, room_in: Option<Micros>) -> Answered {
+    let mut answer = plain(status, why);
+    let headers = answer.headers_mut();
+    headers.insert(words::NOT_RUN, HeaderValue::from_static("1"));
+    if let Some(room_in) = room_in {
+        headers.insert(words::ROOM_IN, HeaderValue::from(room_in.div_ceil(1000)));
+        if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", room_in as f64 / 1e6)) {
+            headers.insert(RETRY_AFTER, seconds);
+        }
+    }
+    answer
+}
+
+/// A request as it goes on.
+struct Going {
+    call: Call,
+    id: Option<HeaderValue>,
+    target: Target,
+    until: Micros,
+    rank: usize,
+    upstream: String,
+}
+
+impl Receiver {
+    /// No upstream has told of itself yet.
+    pub fn new(upstreams: Upstreams, keys: Rc<Keys>, exchange: Rc<Exchange>) -> Rc<Receiver> {
+        Rc::new(Receiver {
+            gate: RefCell::default(),
+            beats: RefCell::default(),
+            waiting: RefCell::default(),
+            upstreams,
+            keys,
+            exchange,
+            start: Instant::now(),
+            changed: Notify::new(),
+        })
+    }
+
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    /// Has a look at, or a word with, what the upstream tells of itself; what is new is told to all.
+    pub fn beats<T>(&self, word: impl FnOnce(&mut Beats) -> T) -> T {
+        let done = word(&mut self.beats.borrow_mut());
+        let upstream = self.beats.borrow().upstream().cloned();
+        let state = match upstream.as_ref().map(|u| u.condition) {
+            Some(Condition::Accepting) => State::Open,
+            Some(Condition::Closing) => State::Closing,
+            Some(Condition::Down) | None => State::Absent,
+        };
+        let slots = upstream.as_ref().map_or(1, |u| u.slots as usize);
+        self.gate.borrow_mut().set(state, slots);
+        self.changed.notify_one();
+        self.exchange.announce(|own| own.upstream = upstream);
+        done
+    }
+
+    /// Nothing is with the upstream, and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.gate.borrow().is_idle()
+    }
+
+    fn wake(&self, numbers: Vec<u64>, go: bool) {
+        for number in numbers {
+            let waits = self.waiting.borrow_mut().remove(&number);
+            // Whoever left in the same moment gives its place back.
+            if waits.is_some_and(|w| w.send(go).is_err()) && go {
+                let go = self.gate.borrow_mut().leave(self.now(), 0, None);
+                self.wake(go, true);
+            }
+        }
+    }
+
+    /// Turns away those that wait too long; never returns.
+    pub async fn tend(self: Rc<Self>) {
+        loop {
+            let now = self.now();
+            let (late, go, due) = {
+                let mut gate = self.gate.borrow_mut();
+                (gate.expire(now), gate.fill(now), gate.due())
+            };
+            self.wake(late, false);
+            self.wake(go, true);
+            match due {
+                Some(due) => tokio::select! {
+                    () = sleep_until(self.start + Duration::from_micros(due.max(now + 1000))) => {}
+                    () = self.changed.notified() => {}
+                },
+                None => self.changed.notified().await,
+            }
+        }
+    }
+
+    /// Takes connections of other balancers for good.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(self.clone().connection(stream));
+                }
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(move |request| {
+            let receiver = self.clone();
+            async move { Ok::<_, Infallible>(receiver.respond(request).await) }
+        });
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(64 << 10);
+        let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    }
+
+    async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Answered {
+        let came = self.now();
+        let (head, body) = request.into_parts();
+        let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let left = text(&words::TIME_LEFT).and_then(number).map_or(LONGEST, |ms| ms.saturating_mul(1000));
+        let until = came + left.min(LONGEST);
+        let rank = text(&words::RANK).and_then(number).map_or(7, |r| r.min(7) as usize);
+        let (id, address) = {
+            let beats = self.beats.borrow();
+            match (beats.upstream(), beats.address()) {
+                (Some(upstream), Some(address)) => (upstream.id.clone(), address),
+                _ => return not_run(StatusCode::SERVICE_UNAVAILABLE, "no upstream here", None),
+            }
+        };
+        if text(&words::ADDRESSEE).is_some_and(|to| to != id) {
+            return not_run(StatusCode::MISDIRECTED_REQUEST, "another upstream is here", None);
+        }
+        let Ok(body) = Limited::new(body, MOST_BODY).collect().await else {
+            return not_run(StatusCode::BAD_REQUEST, "the body broke off or is too large", None);
+        };
+        let key = head.headers.get(words::KEYED).and_then(|_| head.headers.get(words::OPERATION_KEY));
+        let key = key.map(|k| Bytes::copy_from_slice(k.as_bytes()));
+        let mut headers = end_to_end(&head.headers);
+        for own in [words::KEYED, words::RANK] {
+            headers.remove(own);
+        }
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            headers.insert(words::ADDRESSEE, id);
+        }
+        debug_assert!(headers.contains_key(HOST));
+        let uri: Uri = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
+        let (method, body): (Method, _) = (head.method.clone(), Sent::Whole(body.to_bytes()));
+        let call = Call { method, uri, headers, body };
+        let target = Target { server: 0, address };
+        let try_id = head.headers.get(words::TRY_ID).cloned();
+        let going = Going { call, id: try_id, target, until, rank, upstream: id };
+        match key {
+            None => self.forward(going).await,
+            // Once it is under way it goes on, whoever still waits for it.
+            Some(key) => {
+                let (sender, answer) = oneshot::channel();
+                spawn_local(async move {
+                    let answer = self.keyed(going, key).await;
+                    let _ = sender.send(answer);
+                });
+                answer.await.unwrap_or_else(|_| plain(StatusCode::BAD_GATEWAY, "the run broke off"))
+            }
+        }
+    }
+
+    /// A place with the upstream, or the answer where there is none.
+    async fn place(self: &Rc<Self>, rank: usize, until: Micros) -> Result<Place, Answered> {
+        let now = self.now();
+        let left = until.saturating_sub(now);
+        if left < LEAST {
+            return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "too little time left", None));
+        }
+        let verdict = self.gate.borrow_mut().arrive(now, rank, left);
+        let place = || Place { receiver: self.clone(), rank, since: self.now(), told: false };
+        match verdict {
+            Verdict::Go => Ok(place()),
+            Verdict::Full(wait) => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room", Some(wait))),
+            Verdict::Closed => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream leaves", None)),
+            Verdict::Wait(number) => {
+                let (sender, go) = oneshot::channel();
+                self.waiting.borrow_mut().insert(number, sender);
+                self.changed.notify_one();
+                let waits = Waits { receiver: self, number };
+                let go = go.await;
+                drop(waits);
+                match go {
+                    Ok(true) => Ok(place()),
+                    _ => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room in time", None)),
+                }
+            }
+        }
+    }
+
+    /// Sends a request to the upstream; its answer, or how it went where there is none.
+    async fn run(self: &Rc<Self>, going: &Going, mut place: Place) -> Ran {
+        let left = going.until.saturating_sub(self.now()).saturating_sub(WAY_BACK);
+        if left < LEAST {
+            return Ran::Not(not_run(StatusCode::SERVICE_UNAVAILABLE, "too little time left", None));
+        }
+        let id = going.id.clone();
+        let right = move |status: StatusCode, headers: &HeaderMap| {
+            // An answer that came in the place of this one's belongs to another request.
+            let whose = headers.get(words::TRY_ID) == id.as_ref();
+            whose && (!status.is_success() || headers.contains_key(words::POSTMARK))
+        };
+        match self.upstreams.relay(going.target, &going.call, left, right).await {
+            Relayed::NotSent => {
+                // The upstream is gone, or takes no more connections: its next beat tells.
+                if self.beats(|b| b.unreachable(&going.upstream)) {
+                    debug!(target: "upstream", "{} can't be reached.", going.upstream);
+                }
+                Ran::Not(not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream can't be reached", None))
+            }
+            Relayed::Broken(why) => {
+                debug!(target: "upstream", "{} broke off: {why:?}.", going.upstream);
+                Ran::Unknown(plain(StatusCode::BAD_GATEWAY, "the upstream broke off"))
+            }
+            Relayed::Answered(reply) if reply.status == StatusCode::MISDIRECTED_REQUEST => {
+                drop(reply);
+                Ran::Not(not_run(StatusCode::MISDIRECTED_REQUEST, "another upstream is here", None))
+            }
+            Relayed::Answered(reply) if reply.headers.contains_key(words::NOT_RUN) => {
+                Ran::Not(not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream is full", None))
+            }
+            Relayed::Answered(mut reply) => {
+                place.done();
+                if let Payload::Passing(passing) = &mut reply.body {
+                    passing.at_end(move |_| drop(place));
+                }
+                Ran::Answered(reply)
+            }
+        }
+    }
+
+    async fn forward(self: Rc<Self>, going: Going) -> Answered {
+        let place = match self.place(going.rank, going.until).await {
+            Ok(place) => place,
+            Err(answer) => return answer,
+        };
+        match self.run(&going, place).await {
+            Ran::Not(answer) | Ran::Unknown(answer) => answer,
+            Ran::Answered(reply) => passed(reply),
+        }
+    }
+
+    async fn keyed(self: Rc<Self>, going: Going, key: Bytes) -> Answered {
+        let run = fastrand::u64(1..);
+        let left = Duration::from_micros(going.until.saturating_sub(self.now()));
+        match self.keys.claim(&key, run, left / 2).await {
+            Ok(Outcome::Granted) => {}
+            Ok(Outcome::Running { .. }) => return plain(StatusCode::CONFLICT, "this key is at work"),
+            Ok(Outcome::Ran { answer: Some(answer) }) => return again(answer, going.id),
+            Ok(Outcome::Ran { answer: None }) => {
+                return plain(StatusCode::BAD_GATEWAY, "it ran, and its answer is lost");
+            }
+            Err(why) => {
+                debug!(target: "keys", "Not claimed: {why:#}.");
+                return not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "the key could not be claimed",
+                    Some(250_000),
+                );
+            }
+        }
+        let place = match self.place(going.rank, going.until).await {
+            Ok(place) => place,
+            Err(answer) => {
+                self.keys.release(&key, run).await;
+                return answer;
+            }
+        };
+        match self.run(&going, place).await {
+            Ran::Not(answer) => {
+                self.keys.release(&key, run).await;
+                answer
+            }
+            Ran::Unknown(answer) => {
+                self.keys.done(key, run, None);
+                answer
+            }
+            Ran::Answered(reply) => match whole(reply).await {
+                Ok((answer, kept)) => {
+                    self.keys.done(key, run, kept);
+                    answer
+                }
+                Err(answer) => {
+                    self.keys.done(key, run, None);
+                    answer
+                }
+            },
+        }
+    }
+}
+
+/// How a run went.
+enum Ran {
+    /// It never ran.
+    Not(Answered),
+    /// It may have run.
+    Unknown(Answered),
+    /// It ran.
+    Answered(Reply),
+}
+
+/// An answer as it is passed back.
+fn passed(reply: Reply) -> Answered {
+    let mut answer = Answered::new(reply.body);
+    *answer.status_mut() = reply.status;
+    *answer.headers_mut() = end_to_end(&reply.headers);
+    answer
+}
+
+/// Reads an answer to its end: what is passed back, and what is kept for repeats where it is small enough.
+async fn whole(reply: Reply) -> Result<(Answered, Option<Answer>), Answered> {
+    let (status, headers) = (reply.status, end_to_end(&reply.headers));
+    let Ok(body) = reply.body.collect().await else {
+        return Err(plain(StatusCode::BAD_GATEWAY, "the upstream broke off"));
+    };
+    let body = body.to_bytes();
+    let named = |(name, value): (&HeaderName, &HeaderValue)| {
+        (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
+    };
+    let kept = (body.len() <= MOST_KEPT).then(|| Answer {
+        status: status.as_u16(),
+        headers: headers.iter().map(named).collect(),
+        body: body.clone(),
+    });
+    let mut answer = Answered::new(Payload::Whole(Full::new(body)));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    Ok((answer, kept))
+}
+
+/// The first answer, for a repeat.
+fn again(kept: Answer, id: Option<HeaderValue>) -> Answered {
+    let mut answer = Answered::new(Payload::Whole(Full::new(kept.body)));
+    *answer.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = answer.headers_mut();
+    for (name, value) in kept.headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_bytes(&value)) {
+            headers.append(name, value);
+        }
+    }
+    if let Some(id) = id {
+        headers.insert(words::TRY_ID, id);
+    }
+    answer
+}
--- /dev/null
+++ b/mesh/footplate/src/services.rs
@@ -0,0 +1,306 @@
+//! The services that this balancer sends to: for each one engine with the module, as the configuration and the list of
+//! upstreams have it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use anyhow::{Result, anyhow};
+use finchshift as fs;
+use finchshift::{Effect, ListKind, Micros, ServerId, ServerState};
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use sloeline_engine::engine::{Engine, Report, Wire};
+use sloeline_engine::slots::{Slot, assign};
+use sloeline_engine::types::{Listed, Target};
+use sloeline_http::front::Admitted;
+use sloeline_http::upstream::{Attempt, Call, Dialect, Reply, Upstreams};
+use sloeline_limits::Share;
+use sloeline_settings::setup::Names;
+use sloeline_telegraph::{Condition, Record};
+use sloeline_timetable::model::{Route, RouteKind};
+use sloeline_timetable::table::Table;
+use tokio::task::{AbortHandle, spawn_local};
+
+use crate::words;
+
+/// A connection between balancers that does not come up in this time has failed.
+const CONNECT: Micros = 300_000;
+/// Idle connections between balancers are kept about so long.
+const IDLE: Micros = 30_000_000;
+/// Answers up to here are held, larger ones pass through.
+const HELD: usize = 256 << 10;
+/// Most bytes of an answer.
+const MOST_ANSWER: usize = 1 << 30;
+/// Share of its capacity that a cold upstream has.
+const COLD_FROM: f64 = 0.4;
+/// An upstream counts as warm after this.
+const WARM_AFTER: Micros = 3_000_000;
+
+/// The way to other balancers.
+pub struct Rails {
+    upstreams: Upstreams,
+    /// Which upstream is behind each balancer.
+    behind: RefCell<HashMap<SocketAddr, HeaderValue>>,
+}
+
+impl Wire for Rails {
+    type Call = Call;
+    type Reply = Reply;
+    type Out = Attempt;
+
+    fn send(&self, to: Target, call: Rc<Call>, limit: Micros, report: Report<Self>) -> Attempt {
+        let mut headers = call.headers.clone();
+        if let Some(id) = self.behind.borrow().get(&to.address) {
+            headers.insert(words::ADDRESSEE, id.clone());
+        }
+        let call =
+            Call { method: call.method.clone(), uri: call.uri.clone(), headers, body: call.body.clone() };
+        self.upstreams.send(to, Rc::new(call), limit, report)
+    }
+
+    fn coming(&self, call: &Call) -> bool {
+        !call.body.has_come()
+    }
+
+    fn spent(&self, call: &Call) -> bool {
+        call.body.spent()
+    }
+
+    fn abort(&self, out: Attempt) -> bool {
+        out.abort()
+    }
+
+    // Nothing is probed: the balancer beside an upstream knows how it is.
+    fn probe(&self, _engine: &Rc<Engine<Self>>, _to: Target) {}
+
+    fn close_idle(&self, server: ServerId) {
+        self.upstreams.close_idle(server);
+    }
+
+    fn watch(&self, _engine: &Rc<Engine<Self>>) {}
+
+    fn fetch(&self, _engine: &Rc<Engine<Self>>) {}
+}
+
+/// A service that is sent to.
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Its engine.
+    pub engine: Rc<Engine<Rails>>,
+    /// Requests between head and answer, by class.
+    pub admitted: Rc<Admitted>,
+    slots: RefCell<Vec<Slot>>,
+    listed: RefCell<Vec<Listed>>,
+    told: Cell<(u32, u32)>,
+    tasks: Vec<AbortHandle>,
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
+    }
+}
+
+/// A class as routes need it: the same for all routes of a service that say the same.
+fn slot(route: &Route) -> Slot {
+    let effect = match route.route_kind {
+        RouteKind::Safe | RouteKind::Download => Effect::Safe,
+        // Keyed ones too: the balancer beside the upstream keeps the key, but a further arrival costs the budget.
+        RouteKind::Unsafe | RouteKind::Tracked => Effect::Unsafe,
+    };
+    let worth = match route.precedence {
+        0 => 4.0,
+        1 => 2.0,
+        _ => 1.0,
+    };
+    let (aim, deadline) = (route.target.0.max(1_000), route.dispatch.timeout.0);
+    let class = fs::Class { effect, aim, aim_stretch: 0.0, deadline, worth, late_worth: 0.15, stream: false };
+    let kind = route.route_kind;
+    Slot { name: format!("{kind:?}/{}/{aim}/{deadline}", route.precedence), class }
+}
+
+fn dialect() -> Dialect {
+    let statuses = [503, 429, 421, 408, 400].into_iter().filter_map(|s| StatusCode::from_u16(s).ok());
+    Dialect {
+        deadline: Some(words::TIME_LEFT),
+        only_ok: false,
+        declined: Some((words::NOT_RUN, HeaderValue::from_static("1"), statuses.collect())),
+        most_answer: MOST_ANSWER,
+        held: HELD,
+        forwards: false,
+    }
+}
+
+/// What all services share.
+pub struct Ground {
+    /// This balancer's zone.
+    pub zone: String,
+    /// How many zones there are.
+    pub zones: u32,
+    /// Connections to other balancers.
+    pub connections: Rc<Share>,
+}
+
+/// All services, as of one configuration and one list.
+#[derive(Default)]
+pub struct Services {
+    by_name: BTreeMap<String, Rc<Service>>,
+}
+
+/// Where a route leads.
+pub struct Lead {
+    /// The services, the class of the route in each, and their weights.
+    pub sides: Vec<(Rc<Service>, fs::ClassId, u32)>,
+}
+
+impl Services {
+    /// Goes by a table from now on; what each of its routes leads to.
+    pub fn plan(&mut self, table: &Table, ground: &Ground, me: u32, balancers: u32) -> Result<Vec<Lead>> {
+        let mut wanted: BTreeMap<&str, Vec<Slot>> = BTreeMap::new();
+        for route in table.routes() {
+            let slot = slot(route);
+            for (line, _) in route.dispatch.parts() {
+                let slots = wanted.entry(line).or_default();
+                if !slots.contains(&slot) {
+                    slots.push(slot.clone());
+                }
+            }
+        }
+        let tries = table.routes().iter().map(|r| r.dispatch.tries).max().unwrap_or(1);
+        let mut numbers: HashMap<(String, String), fs::ClassId> = HashMap::new();
+        for (name, slots) in &wanted {
+            let service = self.by_name.get(*name);
+            let old = service.map(|s| s.slots.borrow().clone()).unwrap_or_default();
+            let uses = |at| service.is_some_and(|s| s.admitted.any(at) || s.engine.uses(at));
+            let assigned = assign(&old, slots, uses);
+            for (slot, number) in slots.iter().zip(&assigned.numbers) {
+                numbers.insert(((*name).to_owned(), slot.name.clone()), *number);
+            }
+            let classes = assigned.slots.iter().map(|s| s.class.clone()).collect();
+            let mut zones = Names::default();
+            let settings = settings(ground, &mut zones, classes, tries, me, balancers);
+            match service {
+                Some(service) => {
+                    service
+                        .engine
+                        .reconfigure(settings, &assigned.learned)
+                        .map_err(|e| anyhow!("{name}: {e}"))?;
+                    *service.slots.borrow_mut() = assigned.slots;
+                    service.told.set((me, balancers));
+                }
+                None => {
+                    let service = start(name, settings, &zones, ground, assigned.slots)?;
+                    service.told.set((me, balancers));
+                    self.by_name.insert((*name).to_owned(), Rc::new(service));
+                }
+            }
+        }
+        // Requests that are open keep theirs.
+        self.by_name.retain(|name, _| wanted.contains_key(name.as_str()));
+        let lead = |route: &Route| {
+            let name = slot(route).name;
+            let side = |(line, share): (&str, u32)| {
+                let number = numbers.get(&(line.to_owned(), name.clone()))?;
+                Some((self.by_name.get(line)?.clone(), *number, share))
+            };
+            Lead { sides: route.dispatch.parts().into_iter().filter_map(side).collect() }
+        };
+        Ok(table.routes().iter().map(lead).collect())
+    }
+
+    /// Tells each service its upstreams.
+    pub fn list(&self, records: &BTreeMap<String, Rc<Record>>) {
+        let mut lists: BTreeMap<&str, Vec<Listed>> = BTreeMap::new();
+        let mut behind = HashMap::new();
+        for record in records.values() {
+            let (Some(upstream), Some(incoming)) = (&record.upstream, record.incoming) else { continue };
+            if upstream.condition == Condition::Down {
+                continue;
+            }
+            let leaves = record.leaving || upstream.condition == Condition::Closing;
+            if let Ok(id) = HeaderValue::from_str(&upstream.id) {
+                behind.insert(incoming, id);
+            }
+            lists.entry(upstream.service.as_str()).or_default().push(Listed {
+                instance: upstream.id.clone(),
+                address: incoming,
+                zone: record.zone.clone(),
+                kind: String::new(),
+                cell: 0,
+                state: if leaves { ServerState::Draining } else { ServerState::Ready },
+                weight: 1.0,
+                started: upstream.cold_until.map(|until| until.saturating_sub(WARM_AFTER)),
+            });
+        }
+        for (name, service) in &self.by_name {
+            let list = lists.remove(name.as_str()).unwrap_or_default();
+            service.engine.wire().behind.borrow_mut().clone_from(&behind);
+            if *service.listed.borrow() != list || !service.engine.listed() {
+                service.listed.borrow_mut().clone_from(&list);
+                service.engine.list(ListKind::Complete, list);
+            }
+        }
+    }
+
+    /// Each has an upstream.
+    pub fn listed(&self) -> bool {
+        self.by_name.values().any(|s| s.engine.upstreams() > 0)
+    }
+}
+
+fn settings(
+    ground: &Ground,
+    zones: &mut Names,
+    classes: Vec<fs::Class>,
+    tries: u32,
+    me: u32,
+    balancers: u32,
+) -> fs::Settings {
+    let base = fs::Settings::new(classes);
+    fs::Settings {
+        me,
+        balancers: balancers.max(1),
+        zone: zones.number(&ground.zone),
+        zones: ground.zones.max(1),
+        limits: fs::Limits {
+            cancel: true,
+            retry_after: true,
+            max_attempts: tries.max(1),
+            max_retry_after: 1_000_000,
+            connect_timeout: CONNECT,
+            idle_close: IDLE,
+            ..base.limits
+        },
+        rules: fs::Rules { cold_from: COLD_FROM, warm_after: WARM_AFTER, ..base.rules },
+        goal: fs::Goal { whole: 0.5, worst_window: 0.3, worst_class: 0.2, ..base.goal },
+        ..base
+    }
+}
+
+fn start(
+    name: &str,
+    settings: fs::Settings,
+    zones: &Names,
+    ground: &Ground,
+    slots: Vec<Slot>,
+) -> Result<Service> {
+    let upstreams = Upstreams::new(&settings.limits, ground.connections.clone(), dialect());
+    let tend = upstreams.tend();
+    let rails = Rails { upstreams, behind: RefCell::default() };
+    let engine =
+        Engine::new(settings, zones, fastrand::u64(..), rails).map_err(|e| anyhow!("{name}: {e}"))?;
+    let tasks = vec![spawn_local(tend).abort_handle(), spawn_local(engine.clone().run()).abort_handle()];
+    engine.begin();
+    Ok(Service {
+        name: name.to_owned(),
+        engine,
+        admitted: Rc::default(),
+        slots: RefCell::new(slots),
+        listed: RefCell::default(),
+        told: Cell::new((0, 0)),
+        tasks,
+    })
+}
--- /dev/null
+++ b/mesh/footplate/src/words.rs
@@ -0,0 +1,24 @@
+//! Headers that clients, upstreams and balancers know.
+
+use hyper::header::HeaderName;
+
+/// The client's name for a try.
+pub const TRY_ID: HeaderName = HeaderName::from_static("x-try-id");
+/// Milliseconds that the client waits.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
+/// The upstream that a request is for.
+pub const ADDRESSEE: HeaderName = HeaderName::from_static("x-addressee");
+/// The service of the machine where a request began.
+pub const SENDER: HeaderName = HeaderName::from_static("x-sender");
+/// The key of an operation.
+pub const OPERATION_KEY: HeaderName = HeaderName::from_static("x-operation-key");
+/// An upstream's stamp on its answer.
+pub const POSTMARK: HeaderName = HeaderName::from_static("x-postmark");
+/// The request never ran.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+/// Between balancers: the route is keyed.
+pub const KEYED: HeaderName = HeaderName::from_static("x-mesh-keyed");
+/// Between balancers: the rank of the request.
+pub const RANK: HeaderName = HeaderName::from_static("x-mesh-rank");
+/// Between balancers: milliseconds until there is room.
+pub const ROOM_IN: HeaderName = HeaderName::from_static("x-mesh-room-in");
--- /dev/null
+++ b/mesh/signalbox/src/lib.rs
@@ -0,0 +1,8 @@
+//! The control plane: core machines keep the configuration and the keyed operations in a chain, and know who exists.
+//! [`tables`] is the state, without I/O; [`core`] drives the chain; [`operator`] takes operators' calls.
+
+pub mod core;
+pub mod disk;
+pub mod operator;
+pub mod program;
+pub mod tables;
--- /dev/null
+++ b/mesh/telegraph/src/board.rs
@@ -0,0 +1,126 @@
+//! All that a process knows of others, and what it tells to those who lack it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::record::{Record, Vector, Version};
+
+/// Most records that are kept. Guards the memory against a stranger that makes names up.
+const MOST_RECORDS: usize = 1 << 16;
+
+/// A configuration, as it was taken: the higher version holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Its version.
+    pub edition: u32,
+    /// As the operator sent it.
+    pub body: Bytes,
+}
+
+/// Asks for what is lacking.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pull {
+    /// Who asks.
+    pub source: String,
+    /// What the asker has.
+    pub vector: Vector,
+    /// The version of its configuration, where it has one.
+    pub edition: Option<u32>,
+    /// What the asker believes that the other lacks.
+    pub told: Vec<Record>,
+    /// How long the other may wait for news, in milliseconds.
+    pub hold: u64,
+}
+
+/// What was lacking.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Records.
+    pub records: Vec<Record>,
+    /// A newer configuration.
+    pub config: Option<Config>,
+    /// What the other has of the asker.
+    pub yours: Option<Version>,
+}
+
+impl News {
+    /// There are none.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.config.is_none()
+    }
+}
+
+/// What is known. Snapshots are immutable and swapped whole.
+#[derive(Default)]
+pub struct Board {
+    records: Rc<BTreeMap<String, Rc<Record>>>,
+    config: Option<Rc<Config>>,
+}
+
+impl Board {
+    /// Everybody, as of now.
+    pub fn records(&self) -> Rc<BTreeMap<String, Rc<Record>>> {
+        self.records.clone()
+    }
+
+    /// The newest configuration.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.clone()
+    }
+
+    /// The versions that are here.
+    pub fn vector(&self) -> Vector {
+        self.records.iter().map(|(source, record)| (source.clone(), record.version)).collect()
+    }
+
+    /// Takes what is newer; tells which sources changed.
+    pub fn take(&mut self, records: Vec<Record>) -> Vec<String> {
+        let newer = |r: &Record| match self.records.get(&r.source) {
+            Some(known) => known.version < r.version,
+            None => true,
+        };
+        let records: Vec<Record> = records.into_iter().filter(newer).collect();
+        if records.is_empty() {
+            return Vec::new();
+        }
+        let all = Rc::make_mut(&mut self.records);
+        let mut changed = Vec::new();
+        for record in records {
+            if all.len() < MOST_RECORDS || all.contains_key(&record.source) {
+                changed.push(record.source.clone());
+                all.insert(record.source.clone(), Rc::new(record));
+            }
+        }
+        changed
+    }
+
+    /// Forgets sources.
+    pub fn forget(&mut self, gone: impl Fn(&Record) -> bool) {
+        if self.records.values().any(|r| gone(r)) {
+            Rc::make_mut(&mut self.records).retain(|_, r| !gone(r));
+        }
+    }
+
+    /// Takes a configuration if it is newer; tells whether it was.
+    pub fn take_config(&mut self, config: Config) -> bool {
+        let newer = self.config.as_ref().is_none_or(|c| c.edition < config.edition);
+        if newer {
+            self.config = Some(Rc::new(config));
+        }
+        newer
+    }
+
+    /// What somebody lacks who has this.
+    pub fn lacking(&self, pull: &Pull) -> News {
+        let lacks = |r: &&Rc<Record>| {
+            r.source != pull.source && pull.vector.get(&r.source).is_none_or(|v| *v < r.version)
+        };
+        let records = self.records.values().filter(lacks).map(|r| (**r).clone()).collect();
+        let config = self.config.as_deref().filter(|c| pull.edition.is_none_or(|e| e < c.edition)).cloned();
+        let yours = self.records.get(&pull.source).map(|r| r.version);
+        News { records, config, yours }
+    }
+}
--- /dev/null
+++ b/mesh/waybill/src/exchange.rs
@@ -0,0 +1,209 @@
+//! What a process knows of all others, how it follows a few of them, and what it answers those that follow it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sloeline_telegraph::{Board, Config, News, Pull, Record, Version};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::link::Link;
+use crate::{Ask, Told};
+
+/// Longest that a pull is held for want of news, whatever it asks.
+const MOST_HOLD: Duration = Duration::from_secs(10);
+/// An answer may come so much later than the hold ends.
+const LATE: Duration = Duration::from_millis(1000);
+/// Pause after a pull that failed.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// What is known here.
+pub struct Exchange {
+    board: RefCell<Board>,
+    own: RefCell<Record>,
+    /// Counts up with everything that is new here.
+    changed: watch::Sender<u64>,
+    /// Counts up with every change of the own record.
+    announced: watch::Sender<u64>,
+    /// Who has asked lately, and when.
+    heard: RefCell<std::collections::BTreeMap<String, Instant>>,
+}
+
+impl Exchange {
+    /// Nothing is known but the own record.
+    pub fn new(own: Record) -> Rc<Exchange> {
+        let mut board = Board::default();
+        board.take(vec![own.clone()]);
+        Rc::new(Exchange {
+            board: RefCell::new(board),
+            own: RefCell::new(own),
+            changed: watch::Sender::new(0),
+            announced: watch::Sender::new(0),
+            heard: RefCell::default(),
+        })
+    }
+
+    /// Tells of every change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// What is known.
+    pub fn board(&self) -> std::cell::Ref<'_, Board> {
+        self.board.borrow()
+    }
+
+    /// The own record.
+    pub fn own(&self) -> Record {
+        self.own.borrow().clone()
+    }
+
+    /// When a source asked last.
+    pub fn heard(&self, source: &str) -> Option<Instant> {
+        self.heard.borrow().get(source).copied()
+    }
+
+    /// Changes the own record and tells those that are followed.
+    pub fn announce(&self, change: impl FnOnce(&mut Record)) {
+        let record = {
+            let mut own = self.own.borrow_mut();
+            let before = own.clone();
+            change(&mut own);
+            if *own == before {
+                return;
+            }
+            own.version.change += 1;
+            own.clone()
+        };
+        self.take(vec![record]);
+        self.announced.send_modify(|n| *n += 1);
+    }
+
+    fn take(&self, records: Vec<Record>) {
+        // Somebody knows a later life of this process than it does itself: its clock was set back.
+        let me = self.own.borrow().source.clone();
+        let later = records.iter().filter(|r| r.source == me).map(|r| r.version.life).max();
+        if later.is_some_and(|life| life > self.own.borrow().version.life) {
+            let own = {
+                let mut own = self.own.borrow_mut();
+                own.version = Version { life: later.unwrap_or(0) + 1, change: 1 };
+                own.clone()
+            };
+            self.board.borrow_mut().take(vec![own]);
+            self.announced.send_modify(|n| *n += 1);
+        }
+        let others = records.into_iter().filter(|r| r.source != me || *r == *self.own.borrow());
+        let changed = self.board.borrow_mut().take(others.collect());
+        if !changed.is_empty() {
+            self.changed.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Takes a configuration that is in force.
+    pub fn take_config(&self, config: Config) {
+        if self.board.borrow_mut().take_config(config) {
+            self.changed.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Forgets sources.
+    pub fn forget(&self, gone: impl Fn(&Record) -> bool) {
+        self.board.borrow_mut().forget(gone);
+    }
+
+    /// Takes what somebody tells of itself.
+    pub fn told(&self, records: Vec<Record>) {
+        self.take(records);
+    }
+
+    /// Answers a pull as soon as there is news for it.
+    pub async fn answer(&self, mut pull: Pull) -> News {
+        self.heard.borrow_mut().insert(pull.source.clone(), Instant::now());
+        self.take(std::mem::take(&mut pull.told));
+        let until = Instant::now() + Duration::from_millis(pull.hold).min(MOST_HOLD);
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.mark_unchanged();
+            let news = self.board.borrow().lacking(&pull);
+            if !news.is_empty() || Instant::now() >= until {
+                return news;
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = sleep_until(until) => {}
+            }
+        }
+    }
+
+    /// Pulls from one process for good.
+    pub fn follow(self: &Rc<Self>, address: SocketAddr, hold: Duration) -> Following {
+        let reached = Rc::new(Cell::new(None));
+        let task = spawn_local(self.clone().pull(address, hold, reached.clone())).abort_handle();
+        Following { task, reached }
+    }
+
+    async fn pull(self: Rc<Self>, address: SocketAddr, hold: Duration, reached: Rc<Cell<Option<Instant>>>) {
+        let link = Link::new(address);
+        let mut theirs: Option<Version> = None;
+        let mut announced = self.announced.subscribe();
+        // The first answer comes at once: whoever has just started waits for it.
+        let mut patience = Duration::ZERO;
+        loop {
+            announced.mark_unchanged();
+            let own = self.own();
+            let told = if theirs == Some(own.version) { Vec::new() } else { vec![own.clone()] };
+            let (vector, edition) = {
+                let board = self.board.borrow();
+                (board.vector(), board.config().map(|c| c.edition))
+            };
+            let pull = Pull { source: own.source, vector, edition, told, hold: patience.as_millis() as u64 };
+            let ask = Ask::Pull(pull);
+            let mut asking = std::pin::pin!(link.ask(&ask, patience + LATE));
+            let answer = loop {
+                tokio::select! {
+                    answer = &mut asking => break answer,
+                    // News of this process is not to wait for theirs.
+                    _ = announced.changed() => link.tell(&Ask::Tell(vec![self.own()])),
+                }
+            };
+            match answer {
+                Ok(Told::News(news)) => {
+                    reached.set(Some(Instant::now()));
+                    theirs = news.yours;
+                    patience = hold;
+                    if let Some(config) = news.config {
+                        self.take_config(config);
+                    }
+                    self.take(news.records);
+                }
+                _ => {
+                    theirs = None;
+                    patience = Duration::ZERO;
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// A process that is followed; dropped, it is not.
+pub struct Following {
+    task: AbortHandle,
+    reached: Rc<Cell<Option<Instant>>>,
+}
+
+impl Following {
+    /// When it answered last.
+    pub fn reached(&self) -> Option<Instant> {
+        self.reached.get()
+    }
+}
+
+impl Drop for Following {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/mesh/waybill/src/lib.rs
@@ -0,0 +1,48 @@
+//! Messages between processes of the mesh: MessagePack in frames of a bounded length, many calls at once on one
+//! connection. [`frame`] is without I/O; [`link`] and [`serve`] carry frames over TCP.
+
+pub mod exchange;
+pub mod frame;
+pub mod link;
+pub mod serve;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sloeline_interlocking::Message;
+use sloeline_staff::{Outcome, Update};
+use sloeline_telegraph::{News, Pull, Record};
+
+/// What a process asks of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// News that the asker lacks.
+    Pull(Pull),
+    /// The asker's own news.
+    Tell(Vec<Record>),
+    /// Something of a keyed operation; only the core answers.
+    Operation(Update),
+    /// Between core machines; has no answer.
+    Chain {
+        /// Who sends it.
+        from: std::net::SocketAddr,
+        /// What.
+        message: Message,
+    },
+    /// How the asked process is, as JSON.
+    Status,
+}
+
+/// What it is answered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Told {
+    /// The news.
+    News(News),
+    /// Done.
+    Done,
+    /// What came of the operation.
+    Operation(Outcome),
+    /// JSON.
+    Status(Bytes),
+    /// It can't be done here and now; nothing has happened, or it may still happen.
+    Unable(String),
+}
--- /dev/null
+++ b/mesh/waybill/src/link.rs
@@ -0,0 +1,175 @@
+//! The calling end: one connection to one process, made when it is needed and made anew when it breaks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use anyhow::{Context, Result, anyhow, bail};
+use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::frame::{self, Kind};
+use crate::{Ask, Told};
+
+/// How long a connection may take to come up.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Pause after one that did not.
+const PAUSE: Duration = Duration::from_millis(100);
+/// How long sent bytes may stay without an acknowledgement.
+pub(crate) const UNACKNOWLEDGED: Duration = Duration::from_millis(2000);
+/// Most frames that wait for the connection; those beyond are dropped.
+const MOST_WAITING: usize = 4096;
+
+type Waiting = RefCell<HashMap<u64, oneshot::Sender<Bytes>>>;
+
+/// A connection to one process.
+pub struct Link {
+    address: SocketAddr,
+    queue: mpsc::Sender<Bytes>,
+    waiting: Rc<Waiting>,
+    number: Cell<u64>,
+    reset: Rc<Notify>,
+    up: Rc<Cell<Option<Instant>>>,
+}
+
+/// What a socket of the mesh is set to.
+pub(crate) fn tune(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+}
+
+impl Link {
+    /// No connection yet.
+    pub fn new(address: SocketAddr) -> Rc<Link> {
+        let (queue, frames) = mpsc::channel(MOST_WAITING);
+        let (waiting, reset, up): (Rc<Waiting>, _, _) =
+            (Rc::default(), Rc::new(Notify::new()), Rc::default());
+        let link = Rc::new(Link { address, queue, waiting, number: Cell::new(0), reset, up });
+        spawn_local(drive(Rc::downgrade(&link), frames));
+        link
+    }
+
+    /// Where it goes.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the connection: what was asked on it fails, and the next frame makes a new one.
+    pub fn reset(&self) {
+        self.reset.notify_one();
+    }
+
+    /// Since when the connection stands.
+    pub fn up(&self) -> Option<Instant> {
+        self.up.get()
+    }
+
+    /// Sends something that has no answer; it may be lost.
+    pub fn tell(&self, message: &Ask) {
+        if let Ok(bytes) = frame::encode(Kind::Tell, 0, message) {
+            let _ = self.queue.try_send(bytes);
+        }
+    }
+
+    /// Asks, and waits so long for the answer. One that does not come ends the connection.
+    pub async fn ask(&self, message: &Ask, within: Duration) -> Result<Told> {
+        let number = self.number.get() + 1;
+        self.number.set(number);
+        let bytes = frame::encode(Kind::Ask, number, message)?;
+        let (sender, answer) = oneshot::channel();
+        self.waiting.borrow_mut().insert(number, sender);
+        let forget = Forget { waiting: &self.waiting, number };
+        self.queue.try_send(bytes).map_err(|_| anyhow!("ask {}: too much waits", self.address))?;
+        let answered = timeout(within, answer).await;
+        drop(forget);
+        let body = match answered {
+            Ok(body) => body.map_err(|_| anyhow!("ask {}: the connection broke", self.address))?,
+            Err(_) => {
+                self.reset();
+                bail!("ask {}: no answer within {} ms", self.address, within.as_millis());
+            }
+        };
+        frame::decode(&body).with_context(|| format!("ask {}", self.address))
+    }
+}
+
+struct Forget<'a> {
+    waiting: &'a Waiting,
+    number: u64,
+}
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.waiting.borrow_mut().remove(&self.number);
+    }
+}
+
+async fn drive(link: Weak<Link>, mut frames: mpsc::Receiver<Bytes>) {
+    while let Some(first) = frames.recv().await {
+        let Some(strong) = link.upgrade() else { return };
+        let (address, waiting, reset, up) =
+            (strong.address, strong.waiting.clone(), strong.reset.clone(), strong.up.clone());
+        drop(strong);
+        match timeout(CONNECT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => {
+                tune(&stream);
+                up.set(Some(Instant::now()));
+                tokio::select! {
+                    _ = carry(stream, first, &mut frames, &waiting) => {}
+                    () = reset.notified() => {}
+                }
+                up.set(None);
+            }
+            _ => sleep(PAUSE).await,
+        }
+        // What waited for it is old; whoever asked is told at once.
+        while frames.try_recv().is_ok() {}
+        waiting.borrow_mut().clear();
+    }
+}
+
+async fn carry(
+    stream: TcpStream,
+    first: Bytes,
+    frames: &mut mpsc::Receiver<Bytes>,
+    waiting: &Waiting,
+) -> Result<()> {
+    let (mut from, mut to) = stream.into_split();
+    let write = async {
+        to.write_all(&first).await?;
+        let mut some = Vec::new();
+        while frames.recv_many(&mut some, 64).await > 0 {
+            match some.as_slice() {
+                [one] => to.write_all(one).await?,
+                many => to.write_all(&many.concat()).await?,
+            }
+            some.clear();
+        }
+        Ok::<_, anyhow::Error>(())
+    };
+    let read = async {
+        let mut come = BytesMut::new();
+        loop {
+            while let Some(frame) = frame::next(&mut come)? {
+                let waits = waiting.borrow_mut().remove(&frame.number);
+                if let Some(waits) = waits.filter(|_| frame.kind == Kind::Answer) {
+                    let _ = waits.send(frame.body);
+                }
+            }
+            if from.read_buf(&mut come).await? == 0 {
+                bail!("closed");
+            }
+        }
+    };
+    tokio::select! {
+        done = write => done,
+        done = read => done,
+    }
+}
--- /dev/null
+++ b/mesh/waybill/src/serve.rs
@@ -0,0 +1,88 @@
+//! The called end: takes connections of other processes and answers what they ask.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::frame::{self, Kind};
+use crate::link::tune;
+use crate::{Ask, Told};
+
+/// Answers that wait for a peer that does not read; beyond, its connection is closed.
+const MOST_ANSWERS: usize = 1024;
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes connections for good. `answer` gives nothing for what has no answer.
+pub async fn serve<A, F>(listener: TcpListener, answer: A)
+where
+    A: Fn(Ask) -> F + 'static,
+    F: Future<Output = Option<Told>> + 'static,
+{
+    let answer = Rc::new(answer);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tune(&stream);
+                spawn_local(connection(stream, answer.clone()));
+            }
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn connection<A, F>(stream: TcpStream, answer: Rc<A>)
+where
+    A: Fn(Ask) -> F + 'static,
+    F: Future<Output = Option<Told>> + 'static,
+{
+    let (mut from, mut to) = stream.into_split();
+    let (sender, mut answers) = mpsc::channel::<Bytes>(MOST_ANSWERS);
+    let write = async move {
+        let mut some = Vec::new();
+        while answers.recv_many(&mut some, 64).await > 0 {
+            if to.write_all(&some.concat()).await.is_err() {
+                return;
+            }
+            some.clear();
+        }
+    };
+    let read = async move {
+        let mut come = BytesMut::new();
+        loop {
+            loop {
+                match frame::next(&mut come) {
+                    Ok(Some(frame)) => {
+                        let Ok(ask) = frame::decode::<Ask>(&frame.body) else { return };
+                        let (answering, sender) = (answer(ask), sender.clone());
+                        spawn_local(async move {
+                            let Some(told) = answering.await.filter(|_| frame.kind == Kind::Ask) else {
+                                return;
+                            };
+                            if let Ok(bytes) = frame::encode(Kind::Answer, frame.number, &told) {
+                                let _ = sender.try_send(bytes);
+                            }
+                        });
+                    }
+                    Ok(None) => break,
+                    // What is no frame, or of another version, ends the connection.
+                    Err(_) => return,
+                }
+            }
+            match from.read_buf(&mut come).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+    }
+}
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -30,7 +30,7 @@
 use crate::members;
 use crate::net::Net;
 use crate::origins;
-use crate::slots::{Assigned, Slot, assign};
+use sloeline_engine::slots::{Assigned, Slot, assign};
 
 /// What all pools share beyond their own parts.
 pub struct Reserves {
@@ -114,6 +114,7 @@
         declined: declined.transpose()?,
         most_answer: pool.answer_limit,
         held: pool.held(),
+        forwards: false,
     })
 }
 
--- a/sloeline/src/lib.rs
+++ b/sloeline/src/lib.rs
@@ -12,4 +12,3 @@
 pub mod observed;
 pub mod origins;
 pub mod platform;
-mod slots;
--- a/sloeline/src/platform/service.rs
+++ b/sloeline/src/platform/service.rs
@@ -20,7 +20,7 @@
 use super::config::Config;
 use super::operator::Learned;
 use crate::net::Net;
-use crate::slots::{Slot, assign};
+use sloeline_engine::slots::{Slot, assign};
 
 /// Descriptors for the runtime, the signals, the listeners, operators' calls, discovery and standard streams.
 const RESERVED: usize = 40;
