Gate: those in time for their aim go first; near windows no longer divide upstreams

Change: the aim travels with a request; the gate orders by it, tells 'not run' before its sender stops waiting; the module is set as if alone; an engine may answer refused what surely never ran.

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -204,6 +204,8 @@
     /// What the module was told last.
     cause: &'static str,
     warm_after: Micros,
+    /// See [`Core::refuse_unsent`].
+    refuses_unsent: bool,
     /// Upstreams that are cold.
     cold: HashMap<ServerId, Cold>,
     cold_looked: Micros,
@@ -270,6 +272,7 @@
             outputs: VecDeque::new(),
             cause: "",
             warm_after,
+            refuses_unsent: false,
             cold: HashMap::new(),
             cold_looked: 0,
         })
@@ -373,6 +376,11 @@
         Ok(())
     }
 
+    /// A request that failed though surely no attempt ran is answered as refused: its client hears that it may come again.
+    pub fn refuse_unsent(&mut self) {
+        self.refuses_unsent = true;
+    }
+
     // Requests.
 
     /// Takes a request; its number. Its one final answer comes as an [`Output::Answer`].
@@ -801,7 +809,11 @@
     fn answer(&mut self, id: RequestId, answer: impl FnOnce(Failure) -> Answer<R>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if std::mem::replace(&mut open.waits, false) {
-            let answer = answer(open.failure);
+            let unsent = self.refuses_unsent && !open.doubt && open.out.is_empty();
+            let answer = match answer(open.failure) {
+                Answer::Failed(_) if unsent => Answer::Refused { retry_after: 0 },
+                other => other,
+            };
             self.outputs.push_back(Output::Answer { request: id, answer });
         }
         self.settle(id);
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -375,6 +375,11 @@
         self.core.borrow_mut().reconfigure(settings, learned)
     }
 
+    /// See [`Core::refuse_unsent`].
+    pub fn refuse_unsent(&self) {
+        self.core.borrow_mut().refuse_unsent();
+    }
+
     /// See [`Core::begin`].
     pub fn begin(self: &Rc<Self>) {
         self.with(Core::begin);
--- a/mesh/footplate/src/front.rs
+++ b/mesh/footplate/src/front.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
+use sloeline_engine::clock::Clock;
 use sloeline_http::front::{Admission, Answered, Front, end_to_end, number, plain};
 use sloeline_limits::Share;
 use sloeline_staff::MOST_KEY;
@@ -36,13 +37,14 @@
     routes: RefCell<Option<Rc<Routes>>>,
     sender: HeaderValue,
     bodies: Rc<Share>,
+    clock: Rc<Clock>,
     ready: Cell<bool>,
 }
 
 impl Outgoing {
     /// No configuration yet. `sender` is the service of this machine; bodies take of the share.
-    pub fn new(sender: HeaderValue, bodies: Rc<Share>) -> Outgoing {
-        Outgoing { routes: RefCell::default(), sender, bodies, ready: Cell::new(false) }
+    pub fn new(sender: HeaderValue, bodies: Rc<Share>, clock: Rc<Clock>) -> Outgoing {
+        Outgoing { routes: RefCell::default(), sender, bodies, clock, ready: Cell::new(false) }
     }
 
     /// Takes the next request by these routes.
@@ -126,13 +128,20 @@
             return Err(refused("no upstream"));
         }
         let mut headers = end_to_end(&head.headers);
-        for own in
-            [words::ADDRESSEE, words::SENDER, words::KEYED, words::RANK, words::NOT_RUN, words::ROOM_IN]
-        {
+        for own in [
+            words::ADDRESSEE,
+            words::SENDER,
+            words::KEYED,
+            words::KIND,
+            words::NOT_RUN,
+            words::ROOM_IN,
+            words::AIM,
+        ] {
             headers.remove(own);
         }
         headers.insert(words::SENDER, self.sender.clone());
-        headers.insert(words::RANK, HeaderValue::from(route.precedence));
+        headers.insert(words::KIND, lead.kind.clone());
+        headers.insert(words::AIM, HeaderValue::from(self.clock.now() + route.target.0));
         if keyed {
             headers.insert(words::KEYED, HeaderValue::from_static("1"));
         }
--- a/mesh/footplate/src/gate.rs
+++ b/mesh/footplate/src/gate.rs
@@ -10,10 +10,14 @@
 const AHEAD: usize = 1;
 /// Weight of the newest figure in the mean.
 const NEWEST: f64 = 0.05;
-/// Ranks that are told apart.
-const RANKS: usize = 8;
 /// Most requests that wait, for each slot.
-const MOST_WAITING: usize = 64;
+const MOST_WAITING: usize = 16;
+/// Most kinds of requests whose means are kept apart; those beyond share the last.
+const MOST_KINDS: usize = 32;
+/// So long before its sender stops waiting, a request that waits is turned away: the word must be there in time.
+const WORD: Micros = 20_000;
+/// Part of the mean that is left to a request at the least when it is let through.
+const LEAST_LEFT: f64 = 0.6;
 
 /// What becomes of a request that has arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,13 +43,30 @@
     Closing,
 }
 
+/// A request as it arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Requests of one kind take about as long: what its route says of it.
+    pub kind: u64,
+    /// How long until its aim.
+    pub aim: Micros,
+    /// How long its sender waits.
+    pub left: Micros,
+}
+
 /// A request that waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Waiting {
-    deadline: Micros,
-    rank: usize,
+    kind: usize,
+    /// When it must be let through to be in time for its aim.
+    aim: Micros,
+    /// When it is turned away.
+    last: Micros,
 }
 
+/// In time for their aims go before those that are late; among each, the one that must go first.
+type Place = (bool, Micros, u64);
+
 /// The gate.
 #[derive(Debug)]
 pub struct Gate {
@@ -53,10 +74,11 @@
     slots: usize,
     working: usize,
     next: u64,
-    /// By rank and order of arrival.
-    queue: BTreeMap<(usize, u64), Waiting>,
-    /// Mean time with the upstream, by rank.
-    mean: [f64; RANKS],
+    queue: BTreeMap<Place, Waiting>,
+    /// What is in the queue of each kind of place: work in all, in microseconds.
+    ahead: [f64; 2],
+    /// Kinds and their mean time with the upstream.
+    kinds: Vec<(u64, f64)>,
 }
 
 impl Default for Gate {
@@ -67,13 +89,14 @@
             working: 0,
             next: 0,
             queue: BTreeMap::new(),
-            mean: [0.0; RANKS],
+            ahead: [0.0; 2],
+            kinds: Vec::new(),
         }
     }
 }
 
 impl Gate {
-    /// The upstream is so from now on, and works on so many requests at once. Its means are learned anew where it begins.
+    /// The upstream is so from now on, and works on so many requests at once.
     pub fn set(&mut self, state: State, slots: usize) {
         self.state = state;
         self.slots = slots.max(1);
@@ -99,54 +122,79 @@
         self.working == 0 && self.queue.is_empty()
     }
 
-    fn mean(&self, rank: usize) -> f64 {
-        match self.mean[rank] {
-            0.0 => self.mean.iter().copied().fold(0.0, f64::max),
-            mean => mean,
+    /// The number of a kind.
+    fn kind(&mut self, kind: u64) -> usize {
+        match self.kinds.iter().position(|(k, _)| *k == kind) {
+            Some(at) => at,
+            None if self.kinds.len() < MOST_KINDS => {
+                self.kinds.push((kind, 0.0));
+                self.kinds.len() - 1
+            }
+            None => MOST_KINDS - 1,
         }
     }
 
-    /// About how long a request of this rank would wait.
-    fn wait(&self, rank: usize) -> Micros {
-        let room = (self.slots + AHEAD).saturating_sub(self.working);
-        let before = self.queue.range(..(rank + 1, 0));
-        let work: f64 = before.clone().map(|(_, w)| self.mean(w.rank)).sum();
-        if room > 0 && self.queue.is_empty() {
-            return 0;
-        }
-        // Half of what is at work is done, and one of them ends first.
-        let first = self.mean.iter().copied().fold(0.0, f64::max) / self.slots as f64;
-        ((work + first) / self.slots as f64 + first / 2.0) as Micros
+    fn mean(&self, kind: usize) -> f64 {
+        self.kinds.get(kind).map_or(0.0, |(_, mean)| *mean)
+    }
+
+    fn has_room(&self) -> bool {
+        self.working < self.slots + AHEAD
+    }
+
+    /// About how long until a request is let through that has so much work before it.
+    fn wait(&self, work: f64) -> f64 {
+        // One of those at work ends after its part of a mean; all means are taken for alike there.
+        let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
+        (work + 0.5 * longest) / self.slots as f64
     }
 
-    /// A request arrives that has so much time left.
-    pub fn arrive(&mut self, now: Micros, rank: usize, time_left: Micros) -> Verdict {
-        let rank = rank.min(RANKS - 1);
+    /// A request arrives.
+    pub fn arrive(&mut self, now: Micros, arrival: Arrival) -> Verdict {
         if self.state != State::Open {
             return Verdict::Closed;
         }
-        if self.queue.is_empty() && self.working < self.slots + AHEAD {
+        if self.queue.is_empty() && self.has_room() {
             self.working += 1;
             return Verdict::Go;
         }
-        let wait = self.wait(rank);
-        let needs = wait as f64 + self.mean(rank);
-        if needs > time_left as f64 || self.queue.len() >= MOST_WAITING * self.slots {
-            return Verdict::Full(wait.max(1_000));
+        let kind = self.kind(arrival.kind);
+        let mean = self.mean(kind);
+        let in_time = self.wait(self.ahead[0]);
+        // Whoever is late for its aim waits behind all that are not.
+        let late = in_time + mean > arrival.aim as f64;
+        let wait = if late { self.wait(self.ahead[0] + self.ahead[1]) } else { in_time };
+        let last = arrival.left.saturating_sub(WORD.max((mean * LEAST_LEFT) as Micros));
+        if wait + mean > arrival.left as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
+            return Verdict::Full((wait as Micros).max(1_000));
         }
         let number = self.next;
         self.next += 1;
-        let deadline = now + time_left.saturating_sub((self.mean(rank) / 2.0) as Micros);
-        self.queue.insert((rank, number), Waiting { deadline, rank });
+        let aim = now + arrival.aim.saturating_sub(mean as Micros);
+        let waiting = Waiting { kind, aim, last: now + last };
+        let first = if late { waiting.last } else { aim };
+        self.ahead[usize::from(late)] += mean;
+        self.queue.insert((late, first, number), waiting);
         Verdict::Wait(number)
     }
 
-    /// A request that was let through is over; it took so long, where that tells something. Those named go on now.
-    pub fn leave(&mut self, now: Micros, rank: usize, took: Option<Micros>) -> Vec<u64> {
-        let rank = rank.min(RANKS - 1);
+    fn take(&mut self, place: Place) -> Option<Waiting> {
+        let waiting = self.queue.remove(&place)?;
+        let ahead = &mut self.ahead[usize::from(place.0)];
+        *ahead = (*ahead - self.kinds.get(waiting.kind).map_or(0.0, |(_, mean)| *mean)).max(0.0);
+        if self.queue.is_empty() {
+            self.ahead = [0.0; 2];
+        }
+        Some(waiting)
+    }
+
+    /// A request of this kind that was let through is over; it took so long, where that tells something. Those named go on
+    /// now.
+    pub fn leave(&mut self, now: Micros, kind: u64, took: Option<Micros>) -> Vec<u64> {
         self.working = self.working.saturating_sub(1);
         if let Some(took) = took {
-            let mean = &mut self.mean[rank];
+            let kind = self.kind(kind);
+            let mean = &mut self.kinds[kind].1;
             *mean = if *mean == 0.0 { took as f64 } else { *mean + NEWEST * (took as f64 - *mean) };
         }
         self.fill(now)
@@ -155,11 +203,19 @@
     /// Those that go on now.
     pub fn fill(&mut self, now: Micros) -> Vec<u64> {
         let mut go = Vec::new();
-        while self.working < self.slots + AHEAD && self.state != State::Absent {
-            let Some(((_, number), waiting)) = self.queue.pop_first() else { break };
-            if waiting.deadline <= now {
-                // Told by expire, which the caller asks right after.
-                self.queue.insert((waiting.rank, number), waiting);
+        while self.has_room() && self.state != State::Absent {
+            let Some(place) = self.queue.keys().next().copied() else { break };
+            let Some(waiting) = self.take(place) else { break };
+            let (late, _, number) = place;
+            if !late && waiting.aim < now {
+                // Too late for its aim by now: behind those that are not.
+                self.ahead[1] += self.mean(waiting.kind);
+                self.queue.insert((true, waiting.last, number), waiting);
+                continue;
+            }
+            if waiting.last <= now {
+                // Told by expire.
+                self.queue.insert(place, waiting);
                 break;
             }
             self.working += 1;
@@ -171,20 +227,20 @@
     /// Takes out those that can't be served in time any more, or at all, and names them.
     pub fn expire(&mut self, now: Micros) -> Vec<u64> {
         let gone = self.state == State::Absent;
-        let late = |w: &Waiting| gone || w.deadline <= now;
-        let numbers: Vec<(usize, u64)> =
-            self.queue.iter().filter(|(_, w)| late(w)).map(|(key, _)| *key).collect();
-        self.queue.retain(|_, w| !late(w));
-        numbers.into_iter().map(|(_, number)| number).collect()
+        let late = |w: &Waiting| gone || w.last <= now;
+        let places: Vec<Place> = self.queue.iter().filter(|(_, w)| late(w)).map(|(key, _)| *key).collect();
+        places.iter().for_each(|place| _ = self.take(*place));
+        places.into_iter().map(|(.., number)| number).collect()
     }
 
     /// Whoever waited under this number has left.
     pub fn forget(&mut self, number: u64) {
-        self.queue.retain(|(_, n), _| *n != number);
+        let place = self.queue.keys().find(|(.., n)| *n == number).copied();
+        place.and_then(|place| self.take(place));
     }
 
-    /// When the first of those that wait is late.
+    /// When the first of those that wait is to be turned away.
     pub fn due(&self) -> Option<Micros> {
-        self.queue.values().map(|w| w.deadline).min()
+        self.queue.values().map(|w| w.last).min()
     }
 }
--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
 use log::{info, warn};
+use sloeline_engine::clock::Clock;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
 use sloeline_http::upstream::{Dialect, Upstreams};
@@ -122,9 +123,10 @@
     let receiver = Receiver::new(to_upstream, keys.clone(), exchange.clone());
     spawn_local(receiver.clone().tend());
 
+    let clock = Rc::new(Clock::new());
     let (phases, phase) = watch::channel(Phase::Running);
     let first = room(places, SizeLimits::default(), guarantees.grace.duration());
-    let callers = Callers::new(Outgoing::new(sender, bodies), first, phase);
+    let callers = Callers::new(Outgoing::new(sender, bodies, clock.clone()), first, phase);
 
     let mesh = TcpListener::bind(settings.mesh_address()).await.context("listen for the mesh")?;
     let incoming = listen("incoming", settings.docks.incoming).await?;
@@ -155,8 +157,12 @@
             async move { answer }
         }
     }));
-    let ground =
-        Ground { zone: settings.zone_name.clone(), zones: settings.zones.len().max(1) as u32, connections };
+    let ground = Ground {
+        zone: settings.zone_name.clone(),
+        zones: settings.zones.len().max(1) as u32,
+        clock,
+        connections,
+    };
     let following =
         Follow { settings: settings.clone(), exchange: exchange.clone(), keys, now: RefCell::default() };
     spawn_local(follow(following, callers.clone(), ground, places, guarantees.grace.duration()));
@@ -289,26 +295,21 @@
     let exchange = follow.exchange.clone();
     let mut changes = exchange.changes();
     let mut services = Services::default();
-    let mut planned = (None, 0, 0);
+    let mut planned = None;
     loop {
         changes.mark_unchanged();
         follow.choose();
         let (records, config) = (exchange.board().records(), exchange.board().config());
-        let balancers = records.values().filter(|r| !r.core && !r.leaving);
-        let count = balancers.clone().count() as u32;
-        let me = balancers.take_while(|r| r.source < follow.settings.node_name).count() as u32;
         if let Some(config) = config
-            && planned != (Some(config.edition), me, count)
+            && planned != Some(config.edition)
         {
             match Config::parse(&config.body) {
                 Ok(parsed) => {
                     let table = Table::new(&parsed);
                     let limits = table.limits();
-                    match services.plan(&table, &ground, me, count.max(me + 1)) {
+                    match services.plan(&table, &ground) {
                         Ok(leads) => {
-                            if planned.0 != Some(config.edition) {
-                                info!(target: "routes", "Configuration {:08x} is in force.", config.edition);
-                            }
+                            info!(target: "routes", "Configuration {:08x} is in force.", config.edition);
                             callers.front().swap(Routes { table, leads });
                             callers.resize(room(places, limits, grace));
                         }
@@ -317,11 +318,11 @@
                 }
                 Err(why) => warn!(target: "routes", "Not in force: {why:#}."),
             }
-            planned = (Some(config.edition), me, count);
+            planned = Some(config.edition);
         }
         services.list(&records);
         let leaving = exchange.own().leaving;
-        callers.front().set_ready(!leaving && planned.0.is_some() && services.listed() && follow.reached());
+        callers.front().set_ready(!leaving && planned.is_some() && services.listed() && follow.reached());
         if changes.changed().await.is_err() {
             return;
         }
--- a/mesh/footplate/src/receive.rs
+++ b/mesh/footplate/src/receive.rs
@@ -20,6 +20,7 @@
 use sloeline_http::payload::Payload;
 use sloeline_http::upload::Sent;
 use sloeline_http::upstream::{Call, Relayed, Reply, Upstreams};
+use sloeline_settings::setup::ring;
 use sloeline_staff::{Answer, Outcome};
 use sloeline_telegraph::Condition;
 use sloeline_waybill::exchange::Exchange;
@@ -29,7 +30,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::beats::Beats;
-use crate::gate::{Gate, Micros, State, Verdict};
+use crate::gate::{Arrival, Gate, Micros, State, Verdict};
 use crate::keys::Keys;
 use crate::words;
 
@@ -60,7 +61,7 @@
 /// A place with the upstream; dropped, it is free again.
 struct Place {
     receiver: Rc<Receiver>,
-    rank: usize,
+    kind: u64,
     since: Micros,
     told: bool,
 }
@@ -76,7 +77,7 @@
     fn drop(&mut self) {
         let now = self.receiver.now();
         let took = self.told.then(|| now.saturating_sub(self.since));
-        let go = self.receiver.gate.borrow_mut().leave(now, self.rank, took);
+        let go = self.receiver.gate.borrow_mut().leave(now, self.kind, took);
         self.receiver.wake(go, true);
         self.receiver.changed.notify_one();
     }
@@ -110,13 +111,19 @@
     answer
 }
 
+/// What requests are told apart by in the gate: route and class, as the sender has them.
+fn kind(headers: &HeaderMap) -> u64 {
+    headers.get(words::KIND).map_or(0, |v| ring(v.to_str().unwrap_or_default()))
+}
+
 /// A request as it goes on.
 struct Going {
     call: Call,
     id: Option<HeaderValue>,
     target: Target,
+    came: Micros,
     until: Micros,
-    rank: usize,
+    arrival: Arrival,
     upstream: String,
 }
 
@@ -220,7 +227,8 @@
         let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
         let left = text(&words::TIME_LEFT).and_then(number).map_or(LONGEST, |ms| ms.saturating_mul(1000));
         let until = came + left.min(LONGEST);
-        let rank = text(&words::RANK).and_then(number).map_or(7, |r| r.min(7) as usize);
+        let aim = text(&words::AIM).and_then(number).map_or(left, |ms| ms.saturating_mul(1000));
+        let arrival = Arrival { kind: kind(&head.headers), aim, left: left.min(LONGEST) };
         let (id, address) = {
             let beats = self.beats.borrow();
             match (beats.upstream(), beats.address()) {
@@ -237,7 +245,7 @@
         let key = head.headers.get(words::KEYED).and_then(|_| head.headers.get(words::OPERATION_KEY));
         let key = key.map(|k| Bytes::copy_from_slice(k.as_bytes()));
         let mut headers = end_to_end(&head.headers);
-        for own in [words::KEYED, words::RANK] {
+        for own in [words::KEYED, words::KIND, words::AIM] {
             headers.remove(own);
         }
         if let Ok(id) = HeaderValue::from_str(&id) {
@@ -249,7 +257,7 @@
         let call = Call { method, uri, headers, body };
         let target = Target { server: 0, address };
         let try_id = head.headers.get(words::TRY_ID).cloned();
-        let going = Going { call, id: try_id, target, until, rank, upstream: id };
+        let going = Going { call, id: try_id, target, came, until, arrival, upstream: id };
         match key {
             None => self.forward(going).await,
             // Once it is under way it goes on, whoever still waits for it.
@@ -265,14 +273,16 @@
     }
 
     /// A place with the upstream, or the answer where there is none.
-    async fn place(self: &Rc<Self>, rank: usize, until: Micros) -> Result<Place, Answered> {
+    async fn place(self: &Rc<Self>, arrival: Arrival, came: Micros) -> Result<Place, Answered> {
         let now = self.now();
-        let left = until.saturating_sub(now);
+        let age = now.saturating_sub(came);
+        let (aim, left) = (arrival.aim.saturating_sub(age), arrival.left.saturating_sub(age));
         if left < LEAST {
             return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "too little time left", None));
         }
-        let verdict = self.gate.borrow_mut().arrive(now, rank, left);
-        let place = || Place { receiver: self.clone(), rank, since: self.now(), told: false };
+        let kind = arrival.kind;
+        let verdict = self.gate.borrow_mut().arrive(now, Arrival { kind, aim, left });
+        let place = || Place { receiver: self.clone(), kind, since: self.now(), told: false };
         match verdict {
             Verdict::Go => Ok(place()),
             Verdict::Full(wait) => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room", Some(wait))),
@@ -334,7 +344,7 @@
     }
 
     async fn forward(self: Rc<Self>, going: Going) -> Answered {
-        let place = match self.place(going.rank, going.until).await {
+        let place = match self.place(going.arrival, going.came).await {
             Ok(place) => place,
             Err(answer) => return answer,
         };
@@ -363,7 +373,7 @@
                 );
             }
         }
-        let place = match self.place(going.rank, going.until).await {
+        let place = match self.place(going.arrival, going.came).await {
             Ok(place) => place,
             Err(answer) => {
                 self.keys.release(&key, run).await;
--- a/mesh/footplate/src/services.rs
+++ b/mesh/footplate/src/services.rs
@@ -1,7 +1,7 @@
 //! The services that this balancer sends to: for each one engine with the module, as the configuration and the list of
 //! upstreams have it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,10 +11,11 @@
 use finchshift::{Effect, ListKind, Micros, ServerId, ServerState};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use sloeline_engine::clock::Clock;
 use sloeline_engine::engine::{Engine, Report, Wire};
 use sloeline_engine::slots::{Slot, assign};
 use sloeline_engine::types::{Listed, Target};
-use sloeline_http::front::Admitted;
+use sloeline_http::front::{Admitted, number};
 use sloeline_http::upstream::{Attempt, Call, Dialect, Reply, Upstreams};
 use sloeline_limits::Share;
 use sloeline_settings::setup::Names;
@@ -33,6 +34,8 @@
 const HELD: usize = 256 << 10;
 /// Most bytes of an answer.
 const MOST_ANSWER: usize = 1 << 30;
+/// Gates that may turn a request away beyond its tries.
+const GATES: u32 = 2;
 /// Share of its capacity that a cold upstream has.
 const COLD_FROM: f64 = 0.4;
 /// An upstream counts as warm after this.
@@ -41,6 +44,7 @@
 /// The way to other balancers.
 pub struct Rails {
     upstreams: Upstreams,
+    clock: Rc<Clock>,
     /// Which upstream is behind each balancer.
     behind: RefCell<HashMap<SocketAddr, HeaderValue>>,
 }
@@ -55,6 +59,11 @@
         if let Some(id) = self.behind.borrow().get(&to.address) {
             headers.insert(words::ADDRESSEE, id.clone());
         }
+        // The moment of the aim as the other has it: its clock is not this one's.
+        let aim = headers.get(words::AIM).and_then(|v| v.to_str().ok()).and_then(number);
+        if let Some(aim) = aim {
+            headers.insert(words::AIM, HeaderValue::from(aim.saturating_sub(self.clock.now()) / 1000));
+        }
         let call =
             Call { method: call.method.clone(), uri: call.uri.clone(), headers, body: call.body.clone() };
         self.upstreams.send(to, Rc::new(call), limit, report)
@@ -94,7 +103,6 @@
     pub admitted: Rc<Admitted>,
     slots: RefCell<Vec<Slot>>,
     listed: RefCell<Vec<Listed>>,
-    told: Cell<(u32, u32)>,
     tasks: Vec<AbortHandle>,
 }
 
@@ -140,6 +148,8 @@
     pub zone: String,
     /// How many zones there are.
     pub zones: u32,
+    /// The time that aims are told by.
+    pub clock: Rc<Clock>,
     /// Connections to other balancers.
     pub connections: Rc<Share>,
 }
@@ -152,13 +162,15 @@
 
 /// Where a route leads.
 pub struct Lead {
+    /// What its requests have in common with others that take as long.
+    pub kind: HeaderValue,
     /// The services, the class of the route in each, and their weights.
     pub sides: Vec<(Rc<Service>, fs::ClassId, u32)>,
 }
 
 impl Services {
     /// Goes by a table from now on; what each of its routes leads to.
-    pub fn plan(&mut self, table: &Table, ground: &Ground, me: u32, balancers: u32) -> Result<Vec<Lead>> {
+    pub fn plan(&mut self, table: &Table, ground: &Ground) -> Result<Vec<Lead>> {
         let mut wanted: BTreeMap<&str, Vec<Slot>> = BTreeMap::new();
         for route in table.routes() {
             let slot = slot(route);
@@ -181,7 +193,7 @@
             }
             let classes = assigned.slots.iter().map(|s| s.class.clone()).collect();
             let mut zones = Names::default();
-            let settings = settings(ground, &mut zones, classes, tries, me, balancers);
+            let settings = settings(ground, &mut zones, classes, tries);
             match service {
                 Some(service) => {
                     service
@@ -189,11 +201,9 @@
                         .reconfigure(settings, &assigned.learned)
                         .map_err(|e| anyhow!("{name}: {e}"))?;
                     *service.slots.borrow_mut() = assigned.slots;
-                    service.told.set((me, balancers));
                 }
                 None => {
                     let service = start(name, settings, &zones, ground, assigned.slots)?;
-                    service.told.set((me, balancers));
                     self.by_name.insert((*name).to_owned(), Rc::new(service));
                 }
             }
@@ -206,7 +216,8 @@
                 let number = numbers.get(&(line.to_owned(), name.clone()))?;
                 Some((self.by_name.get(line)?.clone(), *number, share))
             };
-            Lead { sides: route.dispatch.parts().into_iter().filter_map(side).collect() }
+            let kind = HeaderValue::from_str(&name).unwrap_or_else(|_| HeaderValue::from_static("other"));
+            Lead { kind, sides: route.dispatch.parts().into_iter().filter_map(side).collect() }
         };
         Ok(table.routes().iter().map(lead).collect())
     }
@@ -251,24 +262,20 @@
     }
 }
 
-fn settings(
-    ground: &Ground,
-    zones: &mut Names,
-    classes: Vec<fs::Class>,
-    tries: u32,
-    me: u32,
-    balancers: u32,
-) -> fs::Settings {
+fn settings(ground: &Ground, zones: &mut Names, classes: Vec<fs::Class>, tries: u32) -> fs::Settings {
     let base = fs::Settings::new(classes);
     fs::Settings {
-        me,
-        balancers: balancers.max(1),
+        // What the others send is known where it arrives: the gate there admits, and a window that divides an upstream
+        // among balancers beforehand would only hold back what it has room for.
+        me: 0,
+        balancers: 1,
         zone: zones.number(&ground.zone),
         zones: ground.zones.max(1),
         limits: fs::Limits {
             cancel: true,
             retry_after: true,
-            max_attempts: tries.max(1),
+            // What a gate turns away has not been sent to its upstream.
+            max_attempts: tries.max(1) + GATES,
             max_retry_after: 1_000_000,
             connect_timeout: CONNECT,
             idle_close: IDLE,
@@ -289,10 +296,11 @@
 ) -> Result<Service> {
     let upstreams = Upstreams::new(&settings.limits, ground.connections.clone(), dialect());
     let tend = upstreams.tend();
-    let rails = Rails { upstreams, behind: RefCell::default() };
+    let rails = Rails { upstreams, clock: ground.clock.clone(), behind: RefCell::default() };
     let engine =
         Engine::new(settings, zones, fastrand::u64(..), rails).map_err(|e| anyhow!("{name}: {e}"))?;
     let tasks = vec![spawn_local(tend).abort_handle(), spawn_local(engine.clone().run()).abort_handle()];
+    engine.refuse_unsent();
     engine.begin();
     Ok(Service {
         name: name.to_owned(),
@@ -300,7 +308,6 @@
         admitted: Rc::default(),
         slots: RefCell::new(slots),
         listed: RefCell::default(),
-        told: Cell::new((0, 0)),
         tasks,
     })
 }
--- a/mesh/footplate/src/words.rs
+++ b/mesh/footplate/src/words.rs
@@ -18,7 +18,9 @@
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 /// Between balancers: the route is keyed.
 pub const KEYED: HeaderName = HeaderName::from_static("x-mesh-keyed");
-/// Between balancers: the rank of the request.
-pub const RANK: HeaderName = HeaderName::from_static("x-mesh-rank");
+/// Between balancers: what requests that take about as long have in common.
+pub const KIND: HeaderName = HeaderName::from_static("x-mesh-kind");
 /// Between balancers: milliseconds until there is room.
 pub const ROOM_IN: HeaderName = HeaderName::from_static("x-mesh-room-in");
+/// Between balancers: milliseconds until the aim; within a process the moment of it, on the engine's clock.
+pub const AIM: HeaderName = HeaderName::from_static("x-mesh-aim");
