After SIGTERM no attempt is cut short: its upstream may be at work

Change: Core::stop_cutting; the footplate orders it with the first word of its leaving. Tests in engine.

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -206,6 +206,8 @@
     warm_after: Micros,
     /// See [`Core::refuse_unsent`].
     refuses_unsent: bool,
+    /// See [`Core::stop_cutting`].
+    keeps: bool,
     /// Upstreams that are cold.
     cold: HashMap<ServerId, Cold>,
     cold_looked: Micros,
@@ -273,6 +275,7 @@
             cause: "",
             warm_after,
             refuses_unsent: false,
+            keeps: false,
             cold: HashMap::new(),
             cold_looked: 0,
         })
@@ -381,6 +384,11 @@
         self.refuses_unsent = true;
     }
 
+    /// From now on no attempt is cut short: one whose upstream is at work has what is left of its client's time.
+    pub fn stop_cutting(&mut self) {
+        self.keeps = true;
+    }
+
     // Requests.
 
     /// Takes a request; its number. Its one final answer comes as an [`Output::Answer`].
@@ -727,6 +735,7 @@
                 self.feed(now, Event::Timer { token });
                 self.look_cold(now);
             }
+            Some(Reverse((.., Due::Limit(..)))) if self.keeps => {}
             Some(Reverse((.., Due::Limit(id, attempt)))) => self.call_off(id, attempt, Outcome::TimedOut),
             Some(Reverse((.., Due::LastResort(id)))) => self.last_resort(now, id),
             None => return false,
@@ -795,6 +804,7 @@
                 });
             }
             Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Cancel { .. } if self.keeps => {}
             Action::Cancel { request, attempt } => self.call_off(request, attempt, Outcome::Cancelled),
             Action::Probe { server } => {
                 self.outputs.extend(self.registry.target(server).map(|to| Output::Probe { to }));
@@ -860,7 +870,7 @@
         let left = open.deadline.saturating_sub(now + LAST_RESORT);
         // The time of a body that still comes has not begun.
         let left = if open.coming { open.time_left.saturating_sub(LAST_RESORT) } else { left };
-        let limit = if limit == 0 { left } else { limit.min(left) };
+        let limit = if limit == 0 || self.keeps { left } else { limit.min(left) };
         let copies = open.out.is_empty() || self.limits.second_copies;
         let may = open.waits && copies && attempt < self.limits.max_attempts && limit > 0;
         let Some(to) = to.filter(|_| may) else {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -380,6 +380,11 @@
         self.core.borrow_mut().refuse_unsent();
     }
 
+    /// See [`Core::stop_cutting`].
+    pub fn stop_cutting(&self) {
+        self.core.borrow_mut().stop_cutting();
+    }
+
     /// See [`Core::begin`].
     pub fn begin(self: &Rc<Self>) {
         self.with(Core::begin);
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -323,3 +323,56 @@
         assert_eq!((fake.aborted.get(), engine.open()), (1, 0));
     });
 }
+
+/// Answers many requests within a millisecond, so that the module bounds the next attempt by far less than its time left.
+async fn teach(fake: &Fake, engine: &Rc<Engine<Fake>>) {
+    for _ in 0..200 {
+        let asking = engine.ask(asked(4_000_000));
+        tokio::time::advance(Duration::from_millis(1)).await;
+        fake.take().end(Outcome::Ok, None, Some(1));
+        assert_eq!(asking.answer().await, Answer::Served(1));
+    }
+}
+
+#[test]
+fn told_to_stop_it_ends_no_attempt_whose_upstream_may_be_at_work() {
+    for stops in [false, true] {
+        with(async move |fake, engine| {
+            fake.ran.set(true);
+            teach(&fake, &engine).await;
+            let asking = engine.ask(asked(4_000_000));
+            let out = fake.take();
+            if stops {
+                engine.stop_cutting();
+            }
+            tokio::time::sleep(Duration::from_millis(3900)).await;
+            // Without the order the attempt is over by now: its limit was a few of the usual milliseconds.
+            assert_eq!(fake.aborted.get(), u32::from(!stops));
+            out.end(Outcome::Ok, None, Some(9));
+            let expected = if stops { Answer::Served(9) } else { Answer::Failed(Failure::Time) };
+            assert_eq!(asking.answer().await, expected);
+        });
+    }
+}
+
+#[test]
+fn what_surely_never_ran_is_refused_where_that_is_asked_for() {
+    for (outcome, refuses, refused) in [
+        (Outcome::Full, true, true),
+        (Outcome::ConnectFailed, true, true),
+        (Outcome::Reset, true, false),
+        (Outcome::Full, false, false),
+    ] {
+        with(async move |fake, engine| {
+            if refuses {
+                engine.refuse_unsent();
+            }
+            let asking = engine.ask(asked(300_000));
+            // So late that the module has no hope for another attempt, and none of a new try of the client's.
+            tokio::time::sleep(Duration::from_millis(292)).await;
+            fake.take().end(outcome, None, None);
+            let answer = asking.answer().await;
+            assert_eq!(matches!(answer, Answer::Refused { .. }), refused, "{outcome:?} {answer:?}");
+        });
+    }
+}
--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -322,6 +322,9 @@
         }
         services.list(&records);
         let leaving = exchange.own().leaving;
+        if leaving {
+            services.stop_cutting();
+        }
         callers.front().set_ready(!leaving && planned.is_some() && services.listed() && follow.reached());
         if changes.changed().await.is_err() {
             return;
--- a/mesh/footplate/src/services.rs
+++ b/mesh/footplate/src/services.rs
@@ -256,6 +256,11 @@
         }
     }
 
+    /// Ends no attempt whose upstream may be at work: this balancer has been told to stop, and is to finish what it has.
+    pub fn stop_cutting(&self) {
+        self.by_name.values().for_each(|s| s.engine.stop_cutting());
+    }
+
     /// Each has an upstream.
     pub fn listed(&self) -> bool {
         self.by_name.values().any(|s| s.engine.upstreams() > 0)
