--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -367,9 +367,11 @@
             if refuses {
                 engine.refuse_unsent();
             }
+            teach(&fake, &engine).await;
+            // So that the attempt is still out when too little time is left for another, or for a new try of the client's.
+            engine.stop_cutting();
             let asking = engine.ask(asked(300_000));
-            // So late that the module has no hope for another attempt, and none of a new try of the client's.
-            tokio::time::sleep(Duration::from_millis(292)).await;
+            tokio::time::sleep(Duration::from_micros(289_700)).await;
             fake.take().end(outcome, None, None);
             let answer = asking.answer().await;
             assert_eq!(matches!(answer, Answer::Refused { .. }), refused, "{outcome:?} {answer:?}");
