Keyed answers stay with the holder of the claim; the core keeps claims only

In the gate a short request that was late for its aim waited behind long ones, and its caller's slot with it. Change: staff has claims (core) and a ledger (holder); repeats ask the holder. Short kinds are never late.

--- a/mesh/footplate/src/gate.rs
+++ b/mesh/footplate/src/gate.rs
@@ -16,6 +16,8 @@
 const MOST_KINDS: usize = 32;
 /// So long before its sender stops waiting, a request that waits is turned away: the word must be there in time.
 const WORD: Micros = 20_000;
+/// Part of the longest mean under which a kind of request is short.
+const SHORT: f64 = 0.4;
 /// Part of the mean that is left to a request at the least when it is let through.
 const LEAST_LEFT: f64 = 0.6;
 
@@ -75,8 +77,6 @@
     working: usize,
     next: u64,
     queue: BTreeMap<Place, Waiting>,
-    /// What is in the queue of each kind of place: work in all, in microseconds.
-    ahead: [f64; 2],
     /// Kinds and their mean time with the upstream.
     kinds: Vec<(u64, f64)>,
 }
@@ -89,7 +89,6 @@
             working: 0,
             next: 0,
             queue: BTreeMap::new(),
-            ahead: [0.0; 2],
             kinds: Vec::new(),
         }
     }
@@ -160,32 +159,29 @@
         }
         let kind = self.kind(arrival.kind);
         let mean = self.mean(kind);
-        let in_time = self.wait(self.ahead[0]);
-        // Whoever is late for its aim waits behind all that are not.
-        let late = in_time + mean > arrival.aim as f64;
-        let wait = if late { self.wait(self.ahead[0] + self.ahead[1]) } else { in_time };
+        let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
+        let aim = now + arrival.aim.saturating_sub(mean as Micros);
+        let in_time = self.wait(self.ahead((false, aim, u64::MAX)));
+        // Whoever is late for its aim waits behind all that are not; but what is short beside the others delays nobody,
+        // and a request of another service may wait for it.
+        let late = in_time + mean > arrival.aim as f64 && mean > SHORT * longest;
+        let behind = arrival.left;
+        let wait = if late { self.wait(self.ahead((true, now + behind, u64::MAX))) } else { in_time };
         let last = arrival.left.saturating_sub(WORD.max((mean * LEAST_LEFT) as Micros));
         if wait + mean > arrival.left as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
             return Verdict::Full((wait as Micros).max(1_000));
         }
         let number = self.next;
         self.next += 1;
-        let aim = now + arrival.aim.saturating_sub(mean as Micros);
         let waiting = Waiting { kind, aim, last: now + last };
         let first = if late { waiting.last } else { aim };
-        self.ahead[usize::from(late)] += mean;
         self.queue.insert((late, first, number), waiting);
         Verdict::Wait(number)
     }
 
-    fn take(&mut self, place: Place) -> Option<Waiting> {
-        let waiting = self.queue.remove(&place)?;
-        let ahead = &mut self.ahead[usize::from(place.0)];
-        *ahead = (*ahead - self.kinds.get(waiting.kind).map_or(0.0, |(_, mean)| *mean)).max(0.0);
-        if self.queue.is_empty() {
-            self.ahead = [0.0; 2];
-        }
-        Some(waiting)
+    /// The work of all that go before a place.
+    fn ahead(&self, place: Place) -> f64 {
+        self.queue.range(..place).map(|(_, w)| self.mean(w.kind)).sum()
     }
 
     /// A request of this kind that was let through is over; it took so long, where that tells something. Those named go on
@@ -205,11 +201,11 @@
         let mut go = Vec::new();
         while self.has_room() && self.state != State::Absent {
             let Some(place) = self.queue.keys().next().copied() else { break };
-            let Some(waiting) = self.take(place) else { break };
+            let Some(waiting) = self.queue.remove(&place) else { break };
             let (late, _, number) = place;
-            if !late && waiting.aim < now {
+            let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
+            if !late && waiting.aim < now && self.mean(waiting.kind) > SHORT * longest {
                 // Too late for its aim by now: behind those that are not.
-                self.ahead[1] += self.mean(waiting.kind);
                 self.queue.insert((true, waiting.last, number), waiting);
                 continue;
             }
@@ -229,14 +225,14 @@
         let gone = self.state == State::Absent;
         let late = |w: &Waiting| gone || w.last <= now;
         let places: Vec<Place> = self.queue.iter().filter(|(_, w)| late(w)).map(|(key, _)| *key).collect();
-        places.iter().for_each(|place| _ = self.take(*place));
+        self.queue.retain(|_, w| !late(w));
         places.into_iter().map(|(.., number)| number).collect()
     }
 
     /// Whoever waited under this number has left.
     pub fn forget(&mut self, number: u64) {
         let place = self.queue.keys().find(|(.., n)| *n == number).copied();
-        place.and_then(|place| self.take(place));
+        place.and_then(|place| self.queue.remove(&place));
     }
 
     /// When the first of those that wait is to be turned away.
--- a/mesh/footplate/src/keys.rs
+++ b/mesh/footplate/src/keys.rs
@@ -1,6 +1,7 @@
 //! Keyed operations as the core keeps them: asked of one core machine, and of another when that one does not answer.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use anyhow::{Result, anyhow, bail};
 use bytes::Bytes;
 use log::debug;
-use sloeline_staff::{Answer, Outcome, Update};
+use sloeline_staff::{Outcome, Update};
 use sloeline_waybill::link::Link;
 use sloeline_waybill::{Ask, Told};
 use tokio::task::spawn_local;
@@ -18,20 +19,24 @@
 const PATIENCE: Duration = Duration::from_millis(600);
 /// How long a claim may take in all.
 pub const CLAIM: Duration = Duration::from_millis(1300);
-/// How long the record of an end is tried.
+/// How long it is tried to take a claim back.
 const RECORD: Duration = Duration::from_secs(20);
+/// Most connections for answers that are kept.
+const MOST_HOLDERS: usize = 64;
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// The way to the core.
 pub struct Keys {
     links: RefCell<Vec<Rc<Link>>>,
+    /// Other balancers that were asked for answers.
+    holders: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     holder: String,
 }
 
 impl Keys {
     /// No core machine is known yet; `holder` is this machine's name.
     pub fn new(holder: String) -> Rc<Keys> {
-        Rc::new(Keys { links: RefCell::default(), holder })
+        Rc::new(Keys { links: RefCell::default(), holders: RefCell::default(), holder })
     }
 
     /// The core machines, the nearest first.
@@ -90,16 +95,24 @@
         }
     }
 
-    /// The run went, with or without an answer that can be kept.
-    pub fn done(self: &Rc<Self>, key: Bytes, run: u64, answer: Option<Answer>) {
-        self.record(Update::Done { key, run, answer });
+    /// Asks the holder of a claim what came of its run.
+    pub async fn recall(&self, holder: SocketAddr, key: &Bytes, run: u64) -> Result<Told> {
+        let known = self.holders.borrow().get(&holder).cloned();
+        let link = known.unwrap_or_else(|| {
+            let mut holders = self.holders.borrow_mut();
+            if holders.len() >= MOST_HOLDERS {
+                holders.clear();
+            }
+            holders.entry(holder).or_insert_with(|| Link::new(holder)).clone()
+        });
+        link.ask(&Ask::Recall { key: key.clone(), run }, PATIENCE).await
     }
 
     fn record(self: &Rc<Self>, update: Update) {
         let keys = self.clone();
         spawn_local(async move {
             if let Err(why) = keys.ask(&update, RECORD).await {
-                debug!(target: "keys", "The end of a run is not recorded: {why:#}.");
+                debug!(target: "keys", "A claim is not taken back: {why:#}.");
             }
         });
     }
--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -19,6 +19,7 @@
 use sloeline_limits::Share;
 use sloeline_lineside::control::{self, Answer, Call, json, plain, wrong};
 use sloeline_rulebook::Settings;
+use sloeline_staff::Ledger;
 use sloeline_telegraph::{Record, Version, rendezvous};
 use sloeline_timetable::model::{Config, SizeLimits};
 use sloeline_timetable::table::Table;
@@ -50,6 +51,10 @@
 const CALLERS: f64 = 0.5;
 /// Part of the memory that bodies may fill.
 const BODIES: f64 = 0.4;
+/// Part of the memory that keyed answers may fill.
+const ANSWERS: f64 = 0.15;
+/// Keyed answers are kept so much longer than their window, in milliseconds.
+const LEDGER_LONGER: u64 = 10_000;
 /// After an order to stop clients still come for so long: they look once a second and leave after two misses.
 const STILL: Duration = Duration::from_millis(2600);
 /// Time between the last answer and the kill.
@@ -120,7 +125,9 @@
     let limits = fs::Limits { idle_close: 8_000_000, ..fs::Settings::new(Vec::new()).limits };
     let to_upstream = Upstreams::new(&limits, connections.clone(), dialect);
     spawn_local(to_upstream.tend());
-    let receiver = Receiver::new(to_upstream, keys.clone(), exchange.clone());
+    let window = guarantees.key_window.millis() + LEDGER_LONGER;
+    let ledger = Ledger::new(window, (memory * ANSWERS) as usize);
+    let receiver = Receiver::new(to_upstream, keys.clone(), ledger, exchange.clone());
     spawn_local(receiver.clone().tend());
 
     let clock = Rc::new(Clock::new());
@@ -134,8 +141,8 @@
     let readiness = listen("readiness", settings.docks.readiness).await?;
     let dock = listen("control_dock", settings.docks.control_dock).await?;
     spawn_local(serve(mesh, {
-        let exchange = exchange.clone();
-        move |ask| answer(exchange.clone(), ask)
+        let (exchange, receiver) = (exchange.clone(), receiver.clone());
+        move |ask| answer(exchange.clone(), receiver.clone(), ask)
     }));
     spawn_local(receiver.clone().serve(incoming));
     spawn_local(control::serve(readiness, 1024, {
@@ -198,13 +205,14 @@
 }
 
 /// What other processes ask.
-async fn answer(exchange: Rc<Exchange>, ask: Ask) -> Option<Told> {
+async fn answer(exchange: Rc<Exchange>, receiver: Rc<Receiver>, ask: Ask) -> Option<Told> {
     match ask {
         Ask::Pull(pull) => Some(Told::News(exchange.answer(pull).await)),
         Ask::Tell(records) => {
             exchange.told(records);
             Some(Told::Done)
         }
+        Ask::Recall { key, run } => Some(receiver.recall(&key, run)),
         Ask::Chain { .. } => None,
         Ask::Operation(_) => Some(Told::Unable("a balancer keeps no keys".to_owned())),
         Ask::Status => Some(Told::Status("{}".into())),
--- a/mesh/footplate/src/receive.rs
+++ b/mesh/footplate/src/receive.rs
@@ -21,8 +21,9 @@
 use sloeline_http::upload::Sent;
 use sloeline_http::upstream::{Call, Relayed, Reply, Upstreams};
 use sloeline_settings::setup::ring;
-use sloeline_staff::{Answer, Outcome};
+use sloeline_staff::{Answer, Entry, Ledger, Outcome};
 use sloeline_telegraph::Condition;
+use sloeline_waybill::Told;
 use sloeline_waybill::exchange::Exchange;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
@@ -53,6 +54,7 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     upstreams: Upstreams,
     keys: Rc<Keys>,
+    ledger: RefCell<Ledger>,
     exchange: Rc<Exchange>,
     start: Instant,
     changed: Notify,
@@ -129,13 +131,14 @@
 
 impl Receiver {
     /// No upstream has told of itself yet.
-    pub fn new(upstreams: Upstreams, keys: Rc<Keys>, exchange: Rc<Exchange>) -> Rc<Receiver> {
+    pub fn new(upstreams: Upstreams, keys: Rc<Keys>, ledger: Ledger, exchange: Rc<Exchange>) -> Rc<Receiver> {
         Rc::new(Receiver {
             gate: RefCell::default(),
             beats: RefCell::default(),
             waiting: RefCell::default(),
             upstreams,
             keys,
+            ledger: RefCell::new(ledger),
             exchange,
             start: Instant::now(),
             changed: Notify::new(),
@@ -354,18 +357,59 @@
         }
     }
 
+    /// What is told of a run that another request has begun.
+    fn recalled(&self, key: &Bytes, run: u64) -> Option<Told> {
+        match self.ledger.borrow().get(key) {
+            Some((known, entry)) if *known == run => Some(match entry {
+                Entry::Running => Told::Running,
+                Entry::Ran(answer) => Told::Ran(answer.clone()),
+            }),
+            _ => None,
+        }
+    }
+
+    /// Answers another balancer that asks for it.
+    pub fn recall(&self, key: &Bytes, run: u64) -> Told {
+        self.recalled(key, run).unwrap_or_else(|| Told::Unable("this run is not known here".to_owned()))
+    }
+
+    /// The answer to a repeat.
+    async fn repeat(&self, key: &Bytes, run: u64, holder: &str, id: Option<HeaderValue>) -> Answered {
+        let own = self.exchange.own().source == holder;
+        let told = if own {
+            self.recalled(key, run)
+        } else {
+            let mesh = self.exchange.board().records().get(holder).map(|r| r.mesh);
+            match mesh {
+                Some(mesh) => self.keys.recall(mesh, key, run).await.ok(),
+                None => None,
+            }
+        };
+        match told {
+            Some(Told::Running) => plain(StatusCode::CONFLICT, "this key is at work"),
+            Some(Told::Ran(Some(answer))) => again(answer, id),
+            _ => plain(StatusCode::BAD_GATEWAY, "it ran or may have run, and its answer is lost"),
+        }
+    }
+
     async fn keyed(self: Rc<Self>, going: Going, key: Bytes) -> Answered {
+        let known = self.ledger.borrow().get(&key).map(|(run, _)| *run);
+        if let Some(run) = known {
+            let own = self.exchange.own().source;
+            return self.repeat(&key, run, &own, going.id).await;
+        }
         let run = fastrand::u64(1..);
+        self.ledger.borrow_mut().begin(self.now() / 1000, &key, run);
         let left = Duration::from_micros(going.until.saturating_sub(self.now()));
         match self.keys.claim(&key, run, left / 2).await {
             Ok(Outcome::Granted) => {}
-            Ok(Outcome::Running { .. }) => return plain(StatusCode::CONFLICT, "this key is at work"),
-            Ok(Outcome::Ran { answer: Some(answer) }) => return again(answer, going.id),
-            Ok(Outcome::Ran { answer: None }) => {
-                return plain(StatusCode::BAD_GATEWAY, "it ran, and its answer is lost");
+            Ok(Outcome::Held { run: first, holder }) => {
+                self.ledger.borrow_mut().end(&key, run);
+                return self.repeat(&key, first, &holder, going.id).await;
             }
             Err(why) => {
                 debug!(target: "keys", "Not claimed: {why:#}.");
+                self.ledger.borrow_mut().end(&key, run);
                 return not_run(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "the key could not be claimed",
@@ -373,32 +417,28 @@
                 );
             }
         }
-        let place = match self.place(going.arrival, going.came).await {
-            Ok(place) => place,
-            Err(answer) => {
-                self.keys.release(&key, run).await;
-                return answer;
-            }
+        let ran = match self.place(going.arrival, going.came).await {
+            Ok(place) => self.run(&going, place).await,
+            Err(answer) => Ran::Not(answer),
         };
-        match self.run(&going, place).await {
+        match ran {
             Ran::Not(answer) => {
                 self.keys.release(&key, run).await;
+                self.ledger.borrow_mut().end(&key, run);
                 answer
             }
             Ran::Unknown(answer) => {
-                self.keys.done(key, run, None);
+                self.ledger.borrow_mut().ran(&key, run, None);
+                answer
+            }
+            Ran::Answered(reply) => {
+                let (answer, kept) = match whole(reply).await {
+                    Ok(whole) => whole,
+                    Err(answer) => (answer, None),
+                };
+                self.ledger.borrow_mut().ran(&key, run, kept);
                 answer
             }
-            Ran::Answered(reply) => match whole(reply).await {
-                Ok((answer, kept)) => {
-                    self.keys.done(key, run, kept);
-                    answer
-                }
-                Err(answer) => {
-                    self.keys.done(key, run, None);
-                    answer
-                }
-            },
         }
     }
 }
--- a/mesh/footplate/src/words.rs
+++ b/mesh/footplate/src/words.rs
@@ -22,5 +22,7 @@
 pub const KIND: HeaderName = HeaderName::from_static("x-mesh-kind");
 /// Between balancers: milliseconds until there is room.
 pub const ROOM_IN: HeaderName = HeaderName::from_static("x-mesh-room-in");
+/// Between balancers: milliseconds that the near one waits for this attempt.
+pub const LIMIT: HeaderName = HeaderName::from_static("x-mesh-limit");
 /// Between balancers: milliseconds until the aim; within a process the moment of it, on the engine's clock.
 pub const AIM: HeaderName = HeaderName::from_static("x-mesh-aim");
--- a/mesh/signalbox/src/tables.rs
+++ b/mesh/signalbox/src/tables.rs
@@ -3,7 +3,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use sloeline_interlocking::{Applied, Row, Tables};
-use sloeline_staff::{Outcome, Record, Table, Update};
+use sloeline_staff::{Claim, Claims, Outcome, Update};
 use sloeline_telegraph::Config;
 
 /// A key is kept so much longer than its window, in milliseconds: its first try was sent before it was claimed, and the
@@ -50,13 +50,13 @@
 /// All of it.
 pub struct State {
     config: Option<Config>,
-    keys: Table,
+    keys: Claims,
 }
 
 impl State {
     /// Nothing yet; keys are remembered for this window, in milliseconds.
     pub fn new(key_window: u64) -> State {
-        State { config: None, keys: Table::new(key_window + KEPT_LONGER) }
+        State { config: None, keys: Claims::new(key_window + KEPT_LONGER) }
     }
 
     /// The newest configuration, be it kept by all or not yet.
@@ -65,7 +65,7 @@
     }
 
     /// The keyed operations.
-    pub fn keys(&self) -> &Table {
+    pub fn keys(&self) -> &Claims {
         &self.keys
     }
 }
@@ -98,7 +98,7 @@
             Change::Key(update) => {
                 let (outcome, changed) = self.keys.apply(stamp, &update);
                 let row =
-                    |(key, record): (Bytes, Option<Record>)| (key_row(&key), record.map(|r| encoded(&r)));
+                    |(key, record): (Bytes, Option<Claim>)| (key_row(&key), record.map(|r| encoded(&r)));
                 rows.extend(changed.into_iter().map(row));
                 Came::Key(outcome)
             }
@@ -109,21 +109,21 @@
 
     fn dump(&self) -> Vec<(Bytes, Bytes)> {
         let config = self.config.iter().map(|c| (Bytes::from_static(CONFIG), encoded(c)));
-        config.chain(self.keys.records().map(|(key, record)| (key_row(key), encoded(record)))).collect()
+        config.chain(self.keys.all().map(|(key, claim)| (key_row(key), encoded(claim)))).collect()
     }
 
     fn load(&mut self, rows: Vec<(Bytes, Bytes)>) {
         self.config = None;
-        let mut records = Vec::new();
+        let mut claims = Vec::new();
         for (key, value) in rows {
             if key.as_ref() == CONFIG {
                 self.config = rmp_serde::from_slice(&value).ok();
             } else if key.first() == Some(&KEY)
-                && let Ok(record) = rmp_serde::from_slice(&value)
+                && let Ok(claim) = rmp_serde::from_slice(&value)
             {
-                records.push((key.slice(1..), record));
+                claims.push((key.slice(1..), claim));
             }
         }
-        self.keys.load(records.into_iter());
+        self.keys.load(claims.into_iter());
     }
 }
--- a/mesh/waybill/src/lib.rs
+++ b/mesh/waybill/src/lib.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sloeline_interlocking::Message;
-use sloeline_staff::{Outcome, Update};
+use sloeline_staff::{Answer, Outcome, Update};
 use sloeline_telegraph::{News, Pull, Record};
 
 /// What a process asks of another.
@@ -21,6 +21,13 @@
     Tell(Vec<Record>),
     /// Something of a keyed operation; only the core answers.
     Operation(Update),
+    /// What came of a run; only the machine that holds its claim answers.
+    Recall {
+        /// The key.
+        key: Bytes,
+        /// The run.
+        run: u64,
+    },
     /// Between core machines; has no answer.
     Chain {
         /// Who sends it.
@@ -41,6 +48,10 @@
     Done,
     /// What came of the operation.
     Operation(Outcome),
+    /// The run is at work.
+    Running,
+    /// It ran, with this answer where it is kept.
+    Ran(Option<Answer>),
     /// JSON.
     Status(Bytes),
     /// It can't be done here and now; nothing has happened, or it may still happen.
