--- a/mesh/footplate/src/front.rs
+++ b/mesh/footplate/src/front.rs
@@ -136,19 +136,22 @@
             words::NOT_RUN,
             words::ROOM_IN,
             words::AIM,
+            words::LIMIT,
         ] {
             headers.remove(own);
         }
         headers.insert(words::SENDER, self.sender.clone());
         headers.insert(words::KIND, lead.kind.clone());
-        headers.insert(words::AIM, HeaderValue::from(self.clock.now() + route.target.0));
+        let (now, time_left) = (self.clock.now(), waits.min(route.dispatch.timeout.0));
+        headers.insert(words::AIM, HeaderValue::from(now.saturating_add(route.target.0)));
+        headers.insert(words::TIME_LEFT, HeaderValue::from(now.saturating_add(time_left)));
         if keyed {
             headers.insert(words::KEYED, HeaderValue::from_static("1"));
         }
         Ok(Admission {
             engine: service.engine.clone(),
             class: *class,
-            time_left: waits.min(route.dispatch.timeout.0),
+            time_left,
             tenant: None,
             work: None,
             retry: false,
--- a/mesh/footplate/src/receive.rs
+++ b/mesh/footplate/src/receive.rs
@@ -231,7 +231,8 @@
         let left = text(&words::TIME_LEFT).and_then(number).map_or(LONGEST, |ms| ms.saturating_mul(1000));
         let until = came + left.min(LONGEST);
         let aim = text(&words::AIM).and_then(number).map_or(left, |ms| ms.saturating_mul(1000));
-        let arrival = Arrival { kind: kind(&head.headers), aim, left: left.min(LONGEST) };
+        let limit = text(&words::LIMIT).and_then(number).map_or(left, |ms| ms.saturating_mul(1000).min(left));
+        let arrival = Arrival { kind: kind(&head.headers), aim, left: limit.min(LONGEST) };
         let (id, address) = {
             let beats = self.beats.borrow();
             match (beats.upstream(), beats.address()) {
@@ -248,7 +249,7 @@
         let key = head.headers.get(words::KEYED).and_then(|_| head.headers.get(words::OPERATION_KEY));
         let key = key.map(|k| Bytes::copy_from_slice(k.as_bytes()));
         let mut headers = end_to_end(&head.headers);
-        for own in [words::KEYED, words::KIND, words::AIM] {
+        for own in [words::KEYED, words::KIND, words::AIM, words::LIMIT] {
             headers.remove(own);
         }
         if let Ok(id) = HeaderValue::from_str(&id) {
--- a/mesh/footplate/src/services.rs
+++ b/mesh/footplate/src/services.rs
@@ -59,10 +59,13 @@
         if let Some(id) = self.behind.borrow().get(&to.address) {
             headers.insert(words::ADDRESSEE, id.clone());
         }
-        // The moment of the aim as the other has it: its clock is not this one's.
-        let aim = headers.get(words::AIM).and_then(|v| v.to_str().ok()).and_then(number);
-        if let Some(aim) = aim {
-            headers.insert(words::AIM, HeaderValue::from(aim.saturating_sub(self.clock.now()) / 1000));
+        // Moments as the other has them: its clock is not this one's. An upstream is told all of the client's time, and the
+        // attempt ends from this side: whoever is told to stop may then leave it the rest.
+        for name in [words::AIM, words::TIME_LEFT] {
+            let at = headers.get(&name).and_then(|v| v.to_str().ok()).and_then(number);
+            if let Some(at) = at {
+                headers.insert(name, HeaderValue::from(at.saturating_sub(self.clock.now()) / 1000));
+            }
         }
         let call =
             Call { method: call.method.clone(), uri: call.uri.clone(), headers, body: call.body.clone() };
@@ -133,7 +136,7 @@
 fn dialect() -> Dialect {
     let statuses = [503, 429, 421, 408, 400].into_iter().filter_map(|s| StatusCode::from_u16(s).ok());
     Dialect {
-        deadline: Some(words::TIME_LEFT),
+        deadline: Some(words::LIMIT),
         only_ok: false,
         declined: Some((words::NOT_RUN, HeaderValue::from_static("1"), statuses.collect())),
         most_answer: MOST_ANSWER,
