--- a/mesh/footplate/src/front.rs
+++ b/mesh/footplate/src/front.rs
@@ -21,6 +21,9 @@
 
 /// What a refused client is told where nothing better is known, in seconds.
 const AGAIN: &str = "0.25";
+/// Part of its time that a request may wait before it is offered to an upstream: later its client is told in time to come
+/// again.
+const HELD: f64 = 0.45;
 /// Answers are held up to here.
 const MOST_HELD: usize = 64 << 10;
 
@@ -137,6 +140,7 @@
             words::ROOM_IN,
             words::AIM,
             words::LIMIT,
+            words::HOLD,
         ] {
             headers.remove(own);
         }
@@ -144,6 +148,8 @@
         headers.insert(words::KIND, lead.kind.clone());
         let (now, time_left) = (self.clock.now(), waits.min(route.dispatch.timeout.0));
         headers.insert(words::AIM, HeaderValue::from(now.saturating_add(route.target.0)));
+        let hold = (time_left as f64 * HELD) as Micros;
+        headers.insert(words::HOLD, HeaderValue::from(now.saturating_add(hold)));
         headers.insert(words::TIME_LEFT, HeaderValue::from(now.saturating_add(time_left)));
         if keyed {
             headers.insert(words::KEYED, HeaderValue::from_static("1"));
--- a/mesh/footplate/src/gate.rs
+++ b/mesh/footplate/src/gate.rs
@@ -19,7 +19,7 @@
 /// Part of the longest mean under which a kind of request is short.
 const SHORT: f64 = 0.4;
 /// Part of the mean that is left to a request at the least when it is let through.
-const LEAST_LEFT: f64 = 0.6;
+const LEAST_LEFT: f64 = 1.3;
 
 /// What becomes of a request that has arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +54,8 @@
     pub aim: Micros,
     /// How long its sender waits.
     pub left: Micros,
+    /// How long it may wait here.
+    pub hold: Micros,
 }
 
 /// A request that waits.
@@ -167,8 +169,8 @@
         let late = in_time + mean > arrival.aim as f64 && mean > SHORT * longest;
         let behind = arrival.left;
         let wait = if late { self.wait(self.ahead((true, now + behind, u64::MAX))) } else { in_time };
-        let last = arrival.left.saturating_sub(WORD.max((mean * LEAST_LEFT) as Micros));
-        if wait + mean > arrival.left as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
+        let last = arrival.left.saturating_sub(WORD.max((mean * LEAST_LEFT) as Micros)).min(arrival.hold);
+        if wait > last as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
             return Verdict::Full((wait as Micros).max(1_000));
         }
         let number = self.next;
--- a/mesh/footplate/src/receive.rs
+++ b/mesh/footplate/src/receive.rs
@@ -232,7 +232,8 @@
         let until = came + left.min(LONGEST);
         let aim = text(&words::AIM).and_then(number).map_or(left, |ms| ms.saturating_mul(1000));
         let limit = text(&words::LIMIT).and_then(number).map_or(left, |ms| ms.saturating_mul(1000).min(left));
-        let arrival = Arrival { kind: kind(&head.headers), aim, left: limit.min(LONGEST) };
+        let hold = text(&words::HOLD).and_then(number).map_or(limit, |ms| ms.saturating_mul(1000));
+        let arrival = Arrival { kind: kind(&head.headers), aim, left: limit.min(LONGEST), hold };
         let (id, address) = {
             let beats = self.beats.borrow();
             match (beats.upstream(), beats.address()) {
@@ -249,7 +250,7 @@
         let key = head.headers.get(words::KEYED).and_then(|_| head.headers.get(words::OPERATION_KEY));
         let key = key.map(|k| Bytes::copy_from_slice(k.as_bytes()));
         let mut headers = end_to_end(&head.headers);
-        for own in [words::KEYED, words::KIND, words::AIM, words::LIMIT] {
+        for own in [words::KEYED, words::KIND, words::AIM, words::LIMIT, words::HOLD] {
             headers.remove(own);
         }
         if let Ok(id) = HeaderValue::from_str(&id) {
@@ -280,12 +281,12 @@
     async fn place(self: &Rc<Self>, arrival: Arrival, came: Micros) -> Result<Place, Answered> {
         let now = self.now();
         let age = now.saturating_sub(came);
-        let (aim, left) = (arrival.aim.saturating_sub(age), arrival.left.saturating_sub(age));
+        let [aim, left, hold] = [arrival.aim, arrival.left, arrival.hold].map(|t| t.saturating_sub(age));
         if left < LEAST {
             return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "too little time left", None));
         }
         let kind = arrival.kind;
-        let verdict = self.gate.borrow_mut().arrive(now, Arrival { kind, aim, left });
+        let verdict = self.gate.borrow_mut().arrive(now, Arrival { kind, aim, left, hold });
         let place = || Place { receiver: self.clone(), kind, since: self.now(), told: false };
         match verdict {
             Verdict::Go => Ok(place()),
--- a/mesh/footplate/src/services.rs
+++ b/mesh/footplate/src/services.rs
@@ -61,7 +61,7 @@
         }
         // Moments as the other has them: its clock is not this one's. An upstream is told all of the client's time, and the
         // attempt ends from this side: whoever is told to stop may then leave it the rest.
-        for name in [words::AIM, words::TIME_LEFT] {
+        for name in [words::AIM, words::TIME_LEFT, words::HOLD] {
             let at = headers.get(&name).and_then(|v| v.to_str().ok()).and_then(number);
             if let Some(at) = at {
                 headers.insert(name, HeaderValue::from(at.saturating_sub(self.clock.now()) / 1000));
--- a/mesh/footplate/src/words.rs
+++ b/mesh/footplate/src/words.rs
@@ -26,3 +26,5 @@
 pub const LIMIT: HeaderName = HeaderName::from_static("x-mesh-limit");
 /// Between balancers: milliseconds until the aim; within a process the moment of it, on the engine's clock.
 pub const AIM: HeaderName = HeaderName::from_static("x-mesh-aim");
+/// Between balancers: milliseconds that the request may still wait anywhere before it is offered to an upstream.
+pub const HOLD: HeaderName = HeaderName::from_static("x-mesh-hold");
