Keyed answers have a keeper in the holder's zone, asked when the holder has forgotten them

Change: the holder gives each answer to one balancer of its zone (rendezvous); repeats ask it second.

--- a/mesh/footplate/src/keys.rs
+++ b/mesh/footplate/src/keys.rs
@@ -9,7 +9,7 @@
 use anyhow::{Result, anyhow, bail};
 use bytes::Bytes;
 use log::debug;
-use sloeline_staff::{Outcome, Update};
+use sloeline_staff::{Answer, Outcome, Update};
 use sloeline_waybill::link::Link;
 use sloeline_waybill::{Ask, Told};
 use tokio::task::spawn_local;
@@ -95,19 +95,25 @@
         }
     }
 
-    /// Asks the holder of a claim what came of its run.
+    /// Asks a holder of an answer what came of a run.
     pub async fn recall(&self, holder: SocketAddr, key: &Bytes, run: u64) -> Result<Told> {
-        let known = self.holders.borrow().get(&holder).cloned();
-        let link = known.unwrap_or_else(|| {
-            let mut holders = self.holders.borrow_mut();
-            if holders.len() >= MOST_HOLDERS {
-                holders.clear();
-            }
-            holders.entry(holder).or_insert_with(|| Link::new(holder)).clone()
-        });
+        let link = self.holder(holder);
         link.ask(&Ask::Recall { key: key.clone(), run }, PATIENCE).await
     }
 
+    /// Gives an answer to another machine, in case this one forgets it.
+    pub fn keep(&self, keeper: SocketAddr, key: Bytes, run: u64, answer: Answer) {
+        self.holder(keeper).tell(&Ask::Keep { key, run, answer });
+    }
+
+    fn holder(&self, address: SocketAddr) -> Rc<Link> {
+        let mut holders = self.holders.borrow_mut();
+        if holders.len() >= MOST_HOLDERS && !holders.contains_key(&address) {
+            holders.clear();
+        }
+        holders.entry(address).or_insert_with(|| Link::new(address)).clone()
+    }
+
     fn record(self: &Rc<Self>, update: Update) {
         let keys = self.clone();
         spawn_local(async move {
--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -213,6 +213,10 @@
             Some(Told::Done)
         }
         Ask::Recall { key, run } => Some(receiver.recall(&key, run)),
+        Ask::Keep { key, run, answer } => {
+            receiver.keep(&key, run, answer);
+            None
+        }
         Ask::Chain { .. } => None,
         Ask::Operation(_) => Some(Told::Unable("a balancer keeps no keys".to_owned())),
         Ask::Status => Some(Told::Status("{}".into())),
--- a/mesh/footplate/src/receive.rs
+++ b/mesh/footplate/src/receive.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use sloeline_settings::setup::ring;
 use sloeline_staff::{Answer, Entry, Ledger, Outcome};
 use sloeline_telegraph::Condition;
+use sloeline_telegraph::rendezvous::picks;
 use sloeline_waybill::Told;
 use sloeline_waybill::exchange::Exchange;
 use tokio::net::{TcpListener, TcpStream};
@@ -41,6 +43,8 @@
 const MOST_BODY: usize = 64 << 20;
 /// Keyed answers up to here are kept for repeats.
 const MOST_KEPT: usize = 64 << 10;
+/// Other balancers that are asked for an answer that its holder has forgotten; the first of them is given each.
+const KEEPERS: usize = 2;
 /// Less time than this is no use.
 const LEAST: Micros = 2_000;
 /// An answer's way back.
@@ -359,7 +363,7 @@
         }
     }
 
-    /// What is told of a run that another request has begun.
+    /// What this machine knows of a run that another request has begun.
     fn recalled(&self, key: &Bytes, run: u64) -> Option<Told> {
         match self.ledger.borrow().get(key) {
             Some((known, entry)) if *known == run => Some(match entry {
@@ -375,22 +379,42 @@
         self.recalled(key, run).unwrap_or_else(|| Told::Unable("this run is not known here".to_owned()))
     }
 
+    /// The balancers that keep answers for a holder in case it forgets them: of its own zone, the nearest by rendezvous.
+    fn keepers(&self, holder: &str) -> Vec<SocketAddr> {
+        let records = self.exchange.board().records();
+        let Some(zone) = records.get(holder).map(|r| r.zone.as_str()) else { return Vec::new() };
+        let near = records.values().filter(|r| !r.core && r.zone == zone).map(|r| r.source.as_str());
+        let picked = picks(holder, near, KEEPERS);
+        picked.iter().filter_map(|name| records.get(*name)).map(|r| r.mesh).collect()
+    }
+
+    /// Keeps an answer for another holder.
+    pub fn keep(&self, key: &Bytes, run: u64, answer: Answer) {
+        self.ledger.borrow_mut().keep(self.now() / 1000, key, run, answer);
+    }
+
     /// The answer to a repeat.
     async fn repeat(&self, key: &Bytes, run: u64, holder: &str, id: Option<HeaderValue>) -> Answered {
-        let own = self.exchange.own().source == holder;
-        let told = if own {
-            self.recalled(key, run)
-        } else {
-            let mesh = self.exchange.board().records().get(holder).map(|r| r.mesh);
-            match mesh {
-                Some(mesh) => self.keys.recall(mesh, key, run).await.ok(),
-                None => None,
+        let me = self.exchange.own();
+        let mut told = self.recalled(key, run);
+        let mut ask = Vec::new();
+        if me.source != holder {
+            ask.extend(self.exchange.board().records().get(holder).map(|r| r.mesh));
+        }
+        ask.extend(self.keepers(holder));
+        for mesh in ask.into_iter().filter(|mesh| *mesh != me.mesh) {
+            if matches!(told, Some(Told::Running | Told::Ran(Some(_)))) {
+                break;
             }
-        };
+            told = self.keys.recall(mesh, key, run).await.ok();
+        }
         match told {
             Some(Told::Running) => plain(StatusCode::CONFLICT, "this key is at work"),
             Some(Told::Ran(Some(answer))) => again(answer, id),
-            _ => plain(StatusCode::BAD_GATEWAY, "it ran or may have run, and its answer is lost"),
+            _ => {
+                debug!(target: "repeat", "The answer to a run of {holder} is lost.");
+                plain(StatusCode::BAD_GATEWAY, "it ran or may have run, and its answer is lost")
+            }
         }
     }
 
@@ -438,6 +462,10 @@
                     Ok(whole) => whole,
                     Err(answer) => (answer, None),
                 };
+                let me = self.exchange.own().source;
+                if let (Some(answer), Some(keeper)) = (&kept, self.keepers(&me).first()) {
+                    self.keys.keep(*keeper, key.clone(), run, answer.clone());
+                }
                 self.ledger.borrow_mut().ran(&key, run, kept);
                 answer
             }
--- a/mesh/signalbox/src/program.rs
+++ b/mesh/signalbox/src/program.rs
@@ -120,7 +120,7 @@
             Ok(_) => Told::Unable("chain: an answer to another question".to_owned()),
             Err(why) => Told::Unable(format!("{why:#}")),
         }),
-        Ask::Recall { .. } => Some(Told::Unable("core machines run nothing".to_owned())),
+        Ask::Recall { .. } | Ask::Keep { .. } => Some(Told::Unable("core machines run nothing".to_owned())),
         Ask::Status => Some(Told::Status(status(&core).to_string().into())),
     }
 }
--- a/mesh/staff/src/ledger.rs
+++ b/mesh/staff/src/ledger.rs
@@ -77,6 +77,14 @@
         self.bytes += if kept { size } else { 0 };
     }
 
+    /// Keeps an answer for another holder, which may forget it.
+    pub fn keep(&mut self, now: u64, key: &Bytes, run: u64, answer: Answer) {
+        if !self.entries.contains_key(key) {
+            self.begin(now, key, run);
+            self.ran(key, run, Some(answer));
+        }
+    }
+
     /// It never ran and never will.
     pub fn end(&mut self, key: &Bytes, run: u64) {
         if self.entries.get(key).is_some_and(|(known, _)| *known == run) {
--- a/mesh/waybill/src/lib.rs
+++ b/mesh/waybill/src/lib.rs
@@ -28,6 +28,15 @@
         /// The run.
         run: u64,
     },
+    /// Keeps the answer to a run for its holder; has no answer.
+    Keep {
+        /// The key.
+        key: Bytes,
+        /// The run.
+        run: u64,
+        /// Its answer.
+        answer: Answer,
+    },
     /// Between core machines; has no answer.
     Chain {
         /// Who sends it.
