--- a/mesh/interlocking/src/message.rs
+++ b/mesh/interlocking/src/message.rs
@@ -79,6 +79,8 @@
     pub hears: Vec<Peer>,
     /// How far its state goes.
     pub held: Position,
+    /// Up to here everything is kept by all, as far as it knows; the tail's word holds.
+    pub committed: u64,
 }
 
 /// What a machine that lacks something is given.
--- a/mesh/interlocking/src/node.rs
+++ b/mesh/interlocking/src/node.rs
@@ -1,6 +1,6 @@
 //! One core machine: its place in the chain, its promises, and what it owes to others.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bytes::Bytes;
@@ -134,6 +134,8 @@
     told: u64,
     committed: u64,
     progress: u64,
+    /// At the head: updates in the chain that are not known to be kept by all, by whoever asked.
+    entered: HashSet<(Peer, u64)>,
     /// At the tail: results that wait for the commit.
     results: BTreeMap<u64, (Peer, u64, Bytes)>,
     submitted: HashMap<u64, Submitted>,
@@ -181,6 +183,7 @@
             told: 0,
             committed: 0,
             progress: now,
+            entered: HashSet::new(),
             results: BTreeMap::new(),
             submitted: HashMap::new(),
             outgoing: Vec::new(),
@@ -374,6 +377,10 @@
             return;
         }
         let Some(ballot) = self.ballot() else { return };
+        // Guards a slow chain against those that ask again while it is at it.
+        if number != 0 && !self.entered.insert((origin, number)) {
+            return;
+        }
         let stamp = self.stamped.0 + self.now.saturating_sub(self.stamped.1);
         let position = Position { ballot, sequence: self.kept.held.sequence + 1 };
         self.take(Entry { position, stamp, origin, number, update });
@@ -448,9 +455,9 @@
         if through <= self.committed {
             return;
         }
-        self.committed = through;
+        let before = std::mem::replace(&mut self.committed, through);
         self.progress = self.now;
-        self.taken_in();
+        self.kept_by_all(before);
         let Some(ballot) = self.ballot() else { return };
         let peers: Vec<Peer> = self.kept.view.iter().flat_map(|v| &v.members).map(|m| m.peer).collect();
         let me = self.settings.me;
@@ -467,7 +474,12 @@
 
     /// All members of the view have accepted it: from now on the promises of this disk count. Guards against promises
     /// that a lost disk of this machine has made: whoever gathered them promised higher itself, and would not be here.
-    fn taken_in(&mut self) {
+    fn kept_by_all(&mut self, before: u64) {
+        if !self.entered.is_empty() {
+            let new = |e: &&Entry| e.position.sequence > before;
+            let done = self.recent.iter().rev().skip_while(|e| e.position.sequence > self.committed);
+            done.take_while(new).for_each(|e| _ = self.entered.remove(&(e.origin, e.number)));
+        }
         if !self.kept.remembers {
             self.kept.remembers = true;
             self.dirty = true;
@@ -487,7 +499,13 @@
         self.now = now;
         self.others.heard(now, from, if let Message::Standing(s) = &message { Some(s) } else { None });
         match message {
-            Message::Standing(_) => {}
+            // Again and again: the word of a commit may have been lost.
+            Message::Standing(standing) => {
+                let tail = self.kept.view.as_ref().and_then(|v| v.members.last()).copied();
+                if standing.active && Some(standing.member) == tail && standing.member.peer == from {
+                    self.told_committed(standing.view, standing.committed);
+                }
+            }
             Message::Seal { ballot } => self.sealed_by(from, ballot),
             Message::Sealed { ballot, member, remembers, view, held } => {
                 if member.peer == from {
@@ -507,13 +525,7 @@
                     self.resend(sequence);
                 }
             }
-            Message::Committed { ballot, sequence } => {
-                if self.active && self.ballot() == Some(ballot) && sequence <= self.kept.held.sequence {
-                    self.committed = self.committed.max(sequence);
-                    self.progress = now;
-                    self.taken_in();
-                }
-            }
+            Message::Committed { ballot, sequence } => self.told_committed(Some(ballot), sequence),
             Message::Submit { number, update } => self.enter(from, number, update),
             Message::Result { number, result } => {
                 if self.submitted.remove(&number).is_some() {
@@ -523,6 +535,15 @@
         }
     }
 
+    fn told_committed(&mut self, ballot: Option<Ballot>, sequence: u64) {
+        let here = self.active && self.ballot() == ballot && sequence <= self.kept.held.sequence;
+        if here && sequence > self.committed {
+            let before = std::mem::replace(&mut self.committed, sequence);
+            self.progress = self.now;
+            self.kept_by_all(before);
+        }
+    }
+
     fn updates(&mut self, from: Peer, ballot: Ballot, entries: Vec<Entry>, synced: u64) {
         if !self.active || self.ballot() != Some(ballot) || self.neighbour(false) != Some(from) {
             return;
@@ -637,6 +658,7 @@
         self.told = 0;
         self.committed = self.committed.min(self.kept.held.sequence);
         self.results.clear();
+        self.entered.clear();
         // What it begins with must be on disk as well, before this member counts it.
         self.synced = 0;
         self.then.push(Then::Synced(self.kept.held.sequence));
@@ -719,6 +741,7 @@
                 promised: self.kept.promised,
                 hears: self.others.hears(now),
                 held: self.kept.held,
+                committed: self.committed,
             };
             self.spread(&Message::Standing(standing));
         }
--- /dev/null
+++ b/mesh/rulebook/tests/settings.rs
@@ -0,0 +1,71 @@
+//! Settings files: what is read, what is passed over, and what a wrong one is told.
+
+use sloeline_rulebook::Settings;
+use sloeline_rulebook::span::{Span, span};
+
+const GOOD: &str = r#"
+node_name = "branch-a-1"
+ip_addr = "10.1.0.8"
+zone_name = "a"
+port_range = [7620,7635]
+seed_nodes = ["10.1.0.13:8306"]
+first_boot = true
+beat = "1500ms"
+guarantees = ["key_window=60s","grace=6s","retry_ratio=0.2","something_new=true"]
+a_field_of_tomorrow = { x = 1 }
+app_addr = "10.1.0.8:8301"
+line = "one"
+[zones]
+a = "r"
+[docks]
+incoming = "10.1.0.8:8300"
+[size_limits]
+cpu_share = 0.2
+memory_mb = 260
+file_handles = 4100
+[tolerance]
+machine_loss = 1
+"#;
+
+#[test]
+fn a_settings_file_is_read_and_what_is_not_known_is_passed_over() {
+    let settings = Settings::parse(GOOD).expect("good settings");
+    assert_eq!(settings.mesh_address().to_string(), "10.1.0.8:7620");
+    assert_eq!(settings.mesh_address_of(settings.seed_nodes[0]).to_string(), "10.1.0.13:7620");
+    let guarantees = settings.guarantees().expect("good guarantees");
+    assert_eq!((guarantees.key_window, guarantees.retry_ratio), (Span::from_millis(60_000), 0.2));
+    // What the file does not say holds as the rules have it.
+    assert_eq!(guarantees.drain, Span::from_millis(2000));
+}
+
+#[test]
+fn what_is_wrong_is_told_with_its_field() {
+    for (from, to, told) in [
+        ("\"branch-a-1\"", "\"\"", "node_name"),
+        ("[7620,7635]", "[7635,7620]", "port_range"),
+        ("0.2\nmemory", "0.0\nmemory", "cpu_share"),
+        ("file_handles = 4100", "file_handles = 3", "file_handles"),
+        ("grace=6s", "grace=6", "grace"),
+        ("retry_ratio=0.2", "retry_ratio=-1", "retry_ratio"),
+        ("\"retry_ratio=0.2\"", "\"retry_ratio\"", "name=value"),
+        ("10.1.0.13:8306", "10.1.0.13", "seed_nodes"),
+        ("ip_addr = \"10.1.0.8\"", "", "ip_addr"),
+    ] {
+        let text = GOOD.replacen(from, to, 1);
+        assert_ne!(text, GOOD, "{from}");
+        let why = format!("{:#}", Settings::parse(&text).expect_err(told));
+        assert!(why.contains(told), "{why:?} does not name {told}");
+    }
+}
+
+#[test]
+fn times_are_a_number_and_a_unit() {
+    for (text, micros) in
+        [("1500ms", 1_500_000), ("2.5s", 2_500_000), ("0ms", 0), ("0.25ms", 250), ("86400s", 86_400_000_000)]
+    {
+        assert_eq!(span(text).ok(), Some(Span(micros)), "{text}");
+    }
+    for text in ["", "s", "ms", "1", "-1s", "1e3ms", "+1s", "1 s", "infs", "nans", "1m", "86401s", "1.2.3s"] {
+        assert!(span(text).is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/mesh/timetable/tests/configurations.rs
@@ -0,0 +1,114 @@
+//! Configurations as operators send them: what is taken, what is refused and why, and what routes requests.
+
+use serde_json::{Value, json};
+use sloeline_timetable::model::{Config, Edition};
+use sloeline_timetable::table::Table;
+
+fn route(prefix: &str, line: &str) -> Value {
+    json!({"name": "r", "route_kind": "safe", "target": "300ms", "precedence": 2,
+        "sort_by": {"lane_prefix": prefix}, "dispatch": {"line": line, "timeout": "2s", "tries": 2}})
+}
+
+fn config() -> Value {
+    json!({"edition": "0000000c",
+        "size_limits": {"header_bytes": 16384, "body_bytes": 67108864, "header": "3000ms", "idle": "15000ms"},
+        "gateways": [
+            {"station": "a.example", "regulations": [route("/x/", "one"), route("/x/y/", "two")]},
+            {"station": "b.example", "regulations": [{"name": "s", "route_kind": "tracked", "target": "0.4s",
+                "precedence": 1, "sort_by": {"lane_prefix": "/k/"},
+                "dispatch": {"splits": [{"line": "one", "share": 90}, {"line": "two", "share": 10}],
+                    "timeout": "2500ms", "tries": 2}}]}],
+        "depots": [
+            {"name": "one", "health_path": "/health", "conn_limit": 120, "protocol": "h1", "tls_mode": false,
+                "deduplicates": false},
+            {"name": "two", "health_path": "/health", "conn_limit": 120, "deduplicates": true}]})
+}
+
+fn parse(config: &Value) -> anyhow::Result<Config> {
+    Config::parse(config.to_string().as_bytes())
+}
+
+#[test]
+fn the_longest_prefix_of_its_host_finds_the_route() {
+    let parsed = parse(&config()).expect("a good configuration");
+    assert_eq!(parsed.edition, Edition(12));
+    let table = Table::new(&parsed);
+    let line = |host: &str, path: &str| {
+        table.find(host, path).map(|at| table.routes()[at].dispatch.parts()[0].0.to_owned())
+    };
+    assert_eq!(line("a.example", "/x/1").as_deref(), Some("one"));
+    assert_eq!(line("A.Example:80", "/x/y/1").as_deref(), Some("two"));
+    assert_eq!(line("a.example", "/x/y").as_deref(), Some("one"));
+    for (host, path) in
+        [("a.example", "/x"), ("a.example", "/"), ("b.example", "/x/1"), ("c.example", "/x/1")]
+    {
+        assert_eq!(line(host, path), None, "{host}{path}");
+    }
+    // A path is cut between characters only.
+    assert_eq!(line("a.example", "/xé").as_deref(), None);
+}
+
+#[test]
+fn each_kind_of_invalid_configuration_is_refused_with_its_field() {
+    let cases: [(&str, &dyn Fn(&mut Value), &str); 13] = [
+        (
+            "a service that is not known",
+            &|c| c["gateways"][0]["regulations"][0]["dispatch"]["line"] = json!("no"),
+            "line",
+        ),
+        (
+            "two routes of a place",
+            &|c| c["gateways"][0]["regulations"][1] = route("/x/", "two"),
+            "two routes",
+        ),
+        (
+            "no time-out",
+            &|c| c["gateways"][0]["regulations"][0]["dispatch"]["timeout"] = json!("0ms"),
+            "timeout",
+        ),
+        ("no host", &|c| c["gateways"][0]["station"] = json!(""), "station"),
+        ("an odd kind", &|c| c["gateways"][0]["regulations"][0]["route_kind"] = json!("maybe"), "maybe"),
+        (
+            "a target far over the time-out",
+            &|c| c["gateways"][0]["regulations"][0]["target"] = json!("62s"),
+            "target",
+        ),
+        ("an odd version", &|c| c["edition"] = json!("12"), "edition"),
+        ("a signed version", &|c| c["edition"] = json!("+000000c"), "edition"),
+        (
+            "no weight",
+            &|c| {
+                c["gateways"][1]["regulations"][0]["dispatch"]["splits"] =
+                    json!([{"line": "one", "share": 0}])
+            },
+            "share",
+        ),
+        (
+            "nowhere to go",
+            &|c| c["gateways"][1]["regulations"][0]["dispatch"]["splits"] = json!([]),
+            "splits",
+        ),
+        (
+            "a prefix without its slash",
+            &|c| c["gateways"][0]["regulations"][0]["sort_by"]["lane_prefix"] = json!("/x"),
+            "lane_prefix",
+        ),
+        ("a time without its unit", &|c| c["gateways"][0]["regulations"][0]["target"] = json!("300"), "300"),
+        ("two services of a name", &|c| c["depots"][1]["name"] = json!("one"), "depots"),
+    ];
+    for (what, change, field) in cases {
+        let mut changed = config();
+        change(&mut changed);
+        let why = format!("{:#}", parse(&changed).expect_err(what));
+        assert!(why.contains(field), "{what}: {why:?} does not name {field}");
+    }
+    let whole = config().to_string();
+    for cut in 0..whole.len() {
+        assert!(Config::parse(&whole.as_bytes()[..cut]).is_err(), "cut at {cut}");
+    }
+    assert!(Config::parse(format!("{whole}{whole}").as_bytes()).is_err());
+    // A target a little less than a minute above its time-out is odd, and taken.
+    let mut edge = config();
+    edge["gateways"][0]["regulations"][0]["target"] = json!("61.999s");
+    parse(&edge).expect("just under the bound");
+}
