--- a/mesh/ballast/src/lib.rs
+++ b/mesh/ballast/src/lib.rs
@@ -7,11 +7,12 @@
 
 use std::fs::{self, File};
 use std::io::ErrorKind;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Builder, Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use sloeline_interlocking::{Kept, Write};
 
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
@@ -19,6 +20,7 @@
 const FORMAT: &[u8] = &[1];
 const FILE: &str = "signals.redb";
 const NEW: &str = "signals.new";
+const DOUBTFUL: &str = "signals.doubtful";
 /// Memory for pages of the file.
 const CACHE: usize = 8 << 20;
 
@@ -35,10 +37,25 @@
     folder.join(FILE).try_exists().with_context(|| format!("look for {}", folder.join(FILE).display()))
 }
 
-fn open(path: &Path) -> Result<Database> {
+fn builder() -> Builder {
     let mut builder = Database::builder();
     builder.set_cache_size(CACHE);
-    builder.create(path).with_context(|| format!("open {}", path.display()))
+    builder
+}
+
+/// What a spoilt file makes of the library is an error here as well, be it a panic.
+fn guarded<T>(open: impl FnOnce() -> Result<T>) -> Result<T> {
+    catch_unwind(AssertUnwindSafe(open)).unwrap_or_else(|_| bail!("the file is spoilt"))
+}
+
+fn open(path: &Path) -> Result<Database> {
+    guarded(|| builder().create(path).with_context(|| format!("open {}", path.display())))
+}
+
+/// Sets a file aside that does not open: this disk is as good as lost, and the next start finds none.
+pub fn set_aside(folder: &Path) -> Result<()> {
+    fs::rename(folder.join(FILE), folder.join(DOUBTFUL)).context("set the spoilt file aside")?;
+    File::open(folder).and_then(|f| f.sync_all()).context("sync the folder")
 }
 
 impl Store {
@@ -51,23 +68,44 @@
             _ => {}
         }
         let store = Store { database: open(&new)? };
-        let transaction = store.database.begin_write().context("begin the first write")?;
+        store.begin(kept)?;
+        drop(store);
+        fs::rename(&new, &path).with_context(|| format!("rename to {}", path.display()))?;
+        File::open(folder).and_then(|f| f.sync_all()).context("sync the folder")?;
+        Ok(Store { database: open(&path)? })
+    }
+
+    fn begin(&self, kept: &Kept) -> Result<()> {
+        let transaction = self.database.begin_write().context("begin the first write")?;
         {
             let mut meta = transaction.open_table(META)?;
             meta.insert("format", FORMAT)?;
             meta.insert("kept", rmp_serde::to_vec(kept)?.as_slice())?;
             transaction.open_table(ROWS)?;
         }
-        transaction.commit().context("commit the first write")?;
-        drop(store);
-        fs::rename(&new, &path).with_context(|| format!("rename to {}", path.display()))?;
-        File::open(folder).and_then(|f| f.sync_all()).context("sync the folder")?;
-        Ok(Store { database: open(&path)? })
+        transaction.commit().context("commit the first write")
+    }
+
+    /// A new store on something else than a file.
+    pub fn create_on(backend: impl StorageBackend, kept: &Kept) -> Result<Store> {
+        let store = Store { database: builder().create_with_backend(backend).context("open the backend")? };
+        store.begin(kept)?;
+        Ok(store)
+    }
+
+    /// Opens what [`create_on`](Store::create_on) made and reads all of it.
+    pub fn open_on(backend: impl StorageBackend) -> Result<(Store, Kept, Rows)> {
+        guarded(|| Store::read(builder().create_with_backend(backend).context("open the backend")?))
     }
 
     /// Opens the file and reads all of it.
     pub fn open(folder: &Path) -> Result<(Store, Kept, Rows)> {
-        let store = Store { database: open(&folder.join(FILE))? };
+        let path = folder.join(FILE);
+        guarded(|| Store::read(builder().create(&path).with_context(|| format!("open {}", path.display()))?))
+    }
+
+    fn read(database: Database) -> Result<(Store, Kept, Rows)> {
+        let store = Store { database };
         let transaction = store.database.begin_read().context("begin to read")?;
         let meta = transaction.open_table(META).context("read the table meta")?;
         let format = meta.get("format")?.map(|v| v.value().to_vec());
--- /dev/null
+++ b/mesh/footplate/tests/gate.rs
@@ -0,0 +1,188 @@
+//! The gate as a machine without I/O: who goes, who waits, who is turned away, and that the upstream is never given more
+//! than it may have.
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use sloeline_footplate::gate::{Arrival, Gate, State, Verdict};
+
+const MS: u64 = 1_000;
+
+fn arrival(kind: u64, aim: u64, left: u64) -> Arrival {
+    Arrival { kind, aim: aim * MS, left: left * MS, hold: left * MS * 45 / 100 }
+}
+
+/// A gate of two slots that has learned how long two kinds take: 100 ms and 10 ms.
+fn learned() -> Gate {
+    let mut gate = Gate::default();
+    gate.set(State::Open, 2);
+    for kind in [1, 2] {
+        assert_eq!(gate.arrive(0, arrival(kind, 300, 2000)), Verdict::Go);
+        let took = if kind == 1 { 100 * MS } else { 10 * MS };
+        assert!(gate.leave(0, kind, Some(took)).is_empty());
+    }
+    gate
+}
+
+/// The same with its upstream full: two at work and one ahead.
+fn full() -> Gate {
+    let mut gate = learned();
+    for _ in 0..3 {
+        assert_eq!(gate.arrive(0, arrival(1, 300, 2000)), Verdict::Go);
+    }
+    gate
+}
+
+fn waits(gate: &mut Gate, now: u64, arrival: Arrival) -> u64 {
+    match gate.arrive(now, arrival) {
+        Verdict::Wait(number) => number,
+        other => panic!("{arrival:?} got {other:?}"),
+    }
+}
+
+#[test]
+fn those_in_time_for_their_aim_go_before_those_that_are_late() {
+    let mut gate = full();
+    let late = waits(&mut gate, 0, arrival(1, 40, 2000));
+    let relaxed = waits(&mut gate, 0, arrival(1, 900, 2000));
+    let pressed = waits(&mut gate, 0, arrival(1, 400, 2000));
+    let short = waits(&mut gate, 0, arrival(2, 60, 250));
+    let mut order = Vec::new();
+    while order.len() < 4 {
+        order.extend(gate.leave(MS, 1, None));
+    }
+    assert_eq!(order, [short, pressed, relaxed, late]);
+}
+
+#[test]
+fn what_is_short_beside_the_others_is_never_put_behind_them() {
+    let mut gate = full();
+    let long = waits(&mut gate, 0, arrival(1, 900, 2000));
+    // Its own aim is past, and whoever waits for it holds a place elsewhere.
+    let short = waits(&mut gate, 0, arrival(2, 0, 250));
+    assert_eq!(gate.leave(MS, 1, None), [short]);
+    assert_eq!(gate.leave(MS, 1, None), [long]);
+}
+
+#[test]
+fn whoever_would_wait_too_long_is_told_at_once_when_there_may_be_room() {
+    let mut gate = full();
+    let (mut waiting, mut told) = (0, None);
+    while told.is_none() {
+        match gate.arrive(0, arrival(1, 300, 2000)) {
+            Verdict::Wait(_) => waiting += 1,
+            Verdict::Full(wait) => told = Some(wait),
+            other => panic!("{other:?}"),
+        }
+    }
+    // 0.45 of 2000 ms, at two of 100 ms at a time: about 17 of them.
+    assert!((10..=20).contains(&waiting), "{waiting} wait");
+    assert!(told.is_some_and(|wait| wait >= 800 * MS), "{told:?}");
+    // One that may wait for longer still gets in.
+    assert!(matches!(gate.arrive(0, arrival(1, 300, 20_000)), Verdict::Wait(_)));
+}
+
+#[test]
+fn a_request_that_waits_is_turned_away_before_its_sender_stops_waiting() {
+    let mut gate = full();
+    let number = waits(&mut gate, 0, arrival(2, 100, 200));
+    let due = gate.due().expect("one waits");
+    assert!(due <= 90 * MS, "held to {due}");
+    assert!(gate.expire(due - 1).is_empty());
+    assert_eq!(gate.expire(due), [number]);
+    assert_eq!(gate.waiting(), 0);
+}
+
+#[test]
+fn an_upstream_that_closes_takes_nothing_new_and_finishes_what_waits() {
+    let mut gate = full();
+    let number = waits(&mut gate, 0, arrival(1, 900, 2000));
+    gate.set(State::Closing, 2);
+    assert_eq!(gate.arrive(0, arrival(1, 900, 2000)), Verdict::Closed);
+    assert_eq!(gate.leave(MS, 1, None), [number]);
+    let mut gate = full();
+    let number = waits(&mut gate, 0, arrival(1, 900, 2000));
+    gate.set(State::Absent, 2);
+    assert!(gate.leave(MS, 1, None).is_empty());
+    assert_eq!(gate.expire(MS), [number]);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive { kind: u64, aim: u64, left: u64 },
+    Leave { took: u64 },
+    Pass { ms: u64 },
+    Forget { which: usize },
+    Set { open: bool, slots: usize },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let n = u64::arbitrary(g);
+        match u8::arbitrary(g) % 10 {
+            0..=4 => Step::Arrive { kind: n % 3, aim: n / 3 % 900, left: n / 2700 % 3000 },
+            5 | 6 => Step::Leave { took: n % 400 },
+            7 => Step::Pass { ms: n % 300 },
+            8 => Step::Forget { which: n as usize },
+            _ => Step::Set { open: n % 3 > 0, slots: n as usize % 5 + 1 },
+        }
+    }
+}
+
+quickcheck! {
+    fn everybody_is_told_once_and_the_upstream_never_has_more_than_it_may(steps: Vec<Step>) -> bool {
+        let mut gate = Gate::default();
+        let (mut now, mut most, mut working) = (0, 2, 0_usize);
+        let mut waiting: Vec<u64> = Vec::new();
+        gate.set(State::Open, 2);
+        for step in steps {
+            let go = match step {
+                Step::Arrive { kind, aim, left } => match gate.arrive(now, arrival(kind, aim, left)) {
+                    Verdict::Go => {
+                        working += 1;
+                        Vec::new()
+                    }
+                    Verdict::Wait(number) => {
+                        waiting.push(number);
+                        Vec::new()
+                    }
+                    _ => Vec::new(),
+                },
+                Step::Leave { took } if working > 0 => {
+                    working -= 1;
+                    gate.leave(now, took % 3, Some(took * MS))
+                }
+                Step::Leave { .. } => Vec::new(),
+                Step::Pass { ms } => {
+                    now += ms * MS;
+                    let late = gate.expire(now);
+                    let known = late.iter().all(|n| waiting.contains(n));
+                    waiting.retain(|n| !late.contains(n));
+                    if !known {
+                        return false;
+                    }
+                    gate.fill(now)
+                }
+                Step::Forget { which } => {
+                    if !waiting.is_empty() {
+                        gate.forget(waiting.swap_remove(which % waiting.len()));
+                    }
+                    Vec::new()
+                }
+                Step::Set { open, slots } => {
+                    gate.set(if open { State::Open } else { State::Closing }, slots);
+                    most = most.max(slots);
+                    gate.fill(now)
+                }
+            };
+            // Each of them waited, and waits no more.
+            if !go.iter().all(|n| waiting.contains(n)) {
+                return false;
+            }
+            waiting.retain(|n| !go.contains(n));
+            working += go.len();
+            if working != gate.working() || waiting.len() != gate.waiting() || working > most + 1 {
+                return false;
+            }
+        }
+        true
+    }
+}
--- a/mesh/signalbox/src/program.rs
+++ b/mesh/signalbox/src/program.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
-use log::info;
+use log::{error, info};
 use sloeline_ballast::{Rows, Store};
 use sloeline_interlocking::Kept;
 use sloeline_lineside::control;
@@ -41,14 +41,23 @@
 /// The store of this machine, made if there is none.
 fn open(settings: &Settings, me: SocketAddr, founders: &[SocketAddr]) -> Result<(Store, Kept, Rows)> {
     let folder = settings.data_path.as_deref().context("data_path: found nothing, expected a folder")?;
+    let mut spoilt = false;
     if sloeline_ballast::exists(folder)? {
-        return Store::open(folder);
+        match Store::open(folder) {
+            Ok(opened) => return Ok(opened),
+            // What it has promised is in doubt, so it counts as lost: the others take this machine in again.
+            Err(why) => {
+                error!(target: "disk", "Set aside, it does not open: {why:#}.");
+                sloeline_ballast::set_aside(folder)?;
+                spoilt = true;
+            }
+        }
     }
     let mut drawn = [0; 8];
     getrandom::fill(&mut drawn).map_err(|e| anyhow::anyhow!("draw the disk's number: {e}"))?;
-    let kept = Kept::new(founders.to_vec(), u64::from_le_bytes(drawn), settings.first_boot);
+    let kept = Kept::new(founders.to_vec(), u64::from_le_bytes(drawn), settings.first_boot && !spoilt);
     let store = Store::create(folder, &kept)?;
-    let what = if settings.first_boot { "the system begins" } else { "an earlier one was lost" };
+    let what = if kept.remembers { "the system begins" } else { "an earlier one was lost" };
     info!(target: "disk", "New for {me}: {what}.");
     Ok((store, kept, Rows::new()))
 }
--- /dev/null
+++ b/mesh/signalbox/tests/tables.rs
@@ -0,0 +1,76 @@
+//! The state that the chain keeps: the same updates make the same state, row by row or as a whole.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use quickcheck::quickcheck;
+use sloeline_interlocking::Tables;
+use sloeline_signalbox::tables::{Came, Change, State};
+use sloeline_staff::{Outcome, Update};
+use sloeline_telegraph::Config;
+
+fn change(kind: u8, key: u8, run: u64) -> Change {
+    let name = Bytes::from(vec![key % 5]);
+    match kind % 4 {
+        0 => Change::Config(Config { edition: u32::from(key), body: Bytes::from(vec![run as u8; 3]) }),
+        1 => Change::Key(Update::Release { key: name, run: run % 7 }),
+        2 => Change::Key(Update::Claim { key: name, run: run % 7, holder: "m".to_owned() }),
+        _ => Change::Read,
+    }
+}
+
+quickcheck! {
+    fn rows_written_one_by_one_make_the_state_that_is_dumped(changes: Vec<(u8, u8, u64, u8)>) -> bool {
+        let (mut state, mut disk, mut stamp) = (State::new(100), BTreeMap::new(), 0);
+        for (kind, key, run, pause) in changes {
+            stamp += u64::from(pause) * 40;
+            for (key, value) in state.apply(stamp, &change(kind, key, run).encoded()).rows {
+                match value {
+                    Some(value) => disk.insert(key, value),
+                    None => disk.remove(&key),
+                };
+            }
+        }
+        let dumped: BTreeMap<Bytes, Bytes> = state.dump().into_iter().collect();
+        let mut loaded = State::new(100);
+        loaded.load(disk.clone().into_iter().collect());
+        let again: BTreeMap<Bytes, Bytes> = loaded.dump().into_iter().collect();
+        dumped == disk && again == disk
+    }
+
+    fn bytes_that_are_no_change_change_nothing(bytes: Vec<u8>) -> bool {
+        let mut state = State::new(100);
+        let before = state.dump();
+        let applied = state.apply(1, &Bytes::from(bytes.clone()));
+        rmp_serde::from_slice::<Change>(&bytes).is_ok() || (applied.rows.is_empty() && state.dump() == before)
+    }
+}
+
+fn came(state: &mut State, stamp: u64, change: &Change) -> Came {
+    rmp_serde::from_slice(&state.apply(stamp, &change.encoded()).result).expect("a result")
+}
+
+#[test]
+fn the_highest_configuration_holds_and_lower_or_equal_ones_change_nothing() {
+    let mut state = State::new(100);
+    let put =
+        |edition, body: &'static [u8]| Change::Config(Config { edition, body: Bytes::from_static(body) });
+    assert_eq!(came(&mut state, 1, &Change::Read), Came::Config(None));
+    assert_eq!(came(&mut state, 1, &put(5, b"five")), Came::Taken { holds: 5 });
+    for (edition, body) in [(4, &b"four"[..]), (5, b"another five")] {
+        assert_eq!(came(&mut state, 1, &put(edition, body)), Came::Taken { holds: 5 });
+    }
+    assert_eq!(state.config().map(|c| c.body.as_ref()), Some(&b"five"[..]));
+    assert_eq!(came(&mut state, 1, &put(9, b"nine")), Came::Taken { holds: 9 });
+}
+
+#[test]
+fn a_key_is_kept_for_its_window_and_a_margin() {
+    let mut state = State::new(60_000);
+    let claim =
+        |run| Change::Key(Update::Claim { key: Bytes::from_static(b"k"), run, holder: "m".to_owned() });
+    assert_eq!(came(&mut state, 0, &claim(1)), Came::Key(Outcome::Granted));
+    let held = Came::Key(Outcome::Held { run: 1, holder: "m".to_owned() });
+    assert_eq!(came(&mut state, 69_000, &claim(2)), held);
+    assert_eq!(came(&mut state, 71_000, &claim(2)), Came::Key(Outcome::Granted));
+}
--- a/mesh/timetable/tests/configurations.rs
+++ b/mesh/timetable/tests/configurations.rs
@@ -50,7 +50,8 @@
 
 #[test]
 fn each_kind_of_invalid_configuration_is_refused_with_its_field() {
-    let cases: [(&str, &dyn Fn(&mut Value), &str); 13] = [
+    type Case<'a> = (&'a str, &'a dyn Fn(&mut Value), &'a str);
+    let cases: [Case<'_>; 13] = [
         (
             "a service that is not known",
             &|c| c["gateways"][0]["regulations"][0]["dispatch"]["line"] = json!("no"),
