Yard: a whole mesh on loopback, as a demonstration and for tests of broken answers and lost disks

Cause, found by it: a store that another process still has open was taken for a spoilt one and set aside, and so a machine that came back at once would have lost its memory. Change: only what is spoilt is set aside; all else is tried again. slopes: what parts cost as they grow.

--- a/mesh/ballast/src/lib.rs
+++ b/mesh/ballast/src/lib.rs
@@ -5,14 +5,18 @@
 //! the state's rows as they are. A file is made under another name, synced, renamed and its folder synced, so that a file
 //! of this name is never half made.
 
+use std::fmt;
 use std::fs::{self, File};
 use std::io::ErrorKind;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result};
 use bytes::Bytes;
-use redb::{Builder, Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
+use redb::{
+    Builder, Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, StorageBackend,
+    StorageError, TableDefinition, TableError,
+};
 use sloeline_interlocking::{Kept, Write};
 
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
@@ -43,9 +47,38 @@
     builder
 }
 
+/// The file is there and holds no store: to open it again will not help. Everything else that goes wrong may pass.
+#[derive(Debug)]
+pub struct Spoilt;
+
+impl fmt::Display for Spoilt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the file is spoilt")
+    }
+}
+
+impl std::error::Error for Spoilt {}
+
+/// Whether an error says that the file is spoilt.
+pub fn is_spoilt(why: &anyhow::Error) -> bool {
+    let corrupted = |e: &StorageError| match e {
+        StorageError::Corrupted(_) => true,
+        StorageError::Io(e) => matches!(e.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof),
+        _ => false,
+    };
+    why.chain().any(|cause| {
+        let storage = cause.downcast_ref::<StorageError>().is_some_and(corrupted);
+        let opening =
+            matches!(cause.downcast_ref::<DatabaseError>(), Some(DatabaseError::Storage(e)) if corrupted(e));
+        let table =
+            matches!(cause.downcast_ref::<TableError>(), Some(e) if !matches!(e, TableError::Storage(_)));
+        cause.is::<Spoilt>() || storage || opening || table
+    })
+}
+
 /// What a spoilt file makes of the library is an error here as well, be it a panic.
 fn guarded<T>(open: impl FnOnce() -> Result<T>) -> Result<T> {
-    catch_unwind(AssertUnwindSafe(open)).unwrap_or_else(|_| bail!("the file is spoilt"))
+    catch_unwind(AssertUnwindSafe(open)).unwrap_or_else(|_| Err(Spoilt.into()))
 }
 
 fn open(path: &Path) -> Result<Database> {
@@ -110,7 +143,7 @@
         let meta = transaction.open_table(META).context("read the table meta")?;
         let format = meta.get("format")?.map(|v| v.value().to_vec());
         if format.as_deref() != Some(FORMAT) {
-            bail!("format: found {format:?}, expected {FORMAT:?}");
+            return Err(Spoilt).with_context(|| format!("format: found {format:?}, expected {FORMAT:?}"));
         }
         let kept =
             meta.get("kept")?.context("kept: found nothing, expected what this machine has promised")?;
--- a/mesh/ballast/tests/torn.rs
+++ b/mesh/ballast/tests/torn.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use redb::StorageBackend;
-use sloeline_ballast::{Store, exists};
+use sloeline_ballast::{Store, exists, is_spoilt};
 use sloeline_interlocking::{Kept, Write};
 
 struct Folder(PathBuf);
@@ -202,9 +202,20 @@
         ("zeroes", vec![0; good.len()]),
     ] {
         fs::write(&path, bytes).expect("a file");
-        assert!(Store::open(folder.path()).is_err(), "{what}");
+        let why = Store::open(folder.path()).err().unwrap_or_else(|| panic!("{what} opens"));
+        assert!(is_spoilt(&why), "{what}: {why:#}");
         assert!(exists(folder.path()).expect("a look"), "{what}");
     }
     sloeline_ballast::set_aside(folder.path()).expect("a new name");
     assert!(!exists(folder.path()).expect("a look"));
 }
+
+#[test]
+fn a_file_that_another_process_still_has_is_not_taken_for_a_spoilt_one() {
+    let folder = Folder::new("open");
+    let store = Store::create(folder.path(), &kept()).expect("a store");
+    let why = Store::open(folder.path()).err().expect("it is open");
+    assert!(!is_spoilt(&why), "{why:#}");
+    drop(store);
+    assert!(Store::open(folder.path()).is_ok());
+}
--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -92,7 +92,8 @@
     }
 }
 
-async fn work(settings: Settings) -> Result<()> {
+/// The whole life of one, told its settings.
+pub async fn work(settings: Settings) -> Result<()> {
     let guarantees = settings.guarantees()?;
     let own = Record {
         source: settings.node_name.clone(),
--- a/mesh/signalbox/src/program.rs
+++ b/mesh/signalbox/src/program.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result};
-use log::{error, info};
+use log::{error, info, warn};
 use sloeline_ballast::{Rows, Store};
 use sloeline_interlocking::Kept;
 use sloeline_lineside::control;
@@ -19,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
 use crate::core::Core;
 use crate::disk::Disk;
@@ -27,6 +28,8 @@
 
 /// How long balancers wait for what they ask of an operation; the answer must be there before.
 const OPERATION: Duration = Duration::from_millis(1500);
+/// Pause before a store that does not open is tried again.
+const OPEN_AGAIN: Duration = Duration::from_millis(250);
 /// How long core machines hold each other's pulls.
 const HOLD: Duration = Duration::from_secs(3);
 
@@ -38,19 +41,24 @@
     LocalSet::new().block_on(&runtime, work(settings))
 }
 
-/// The store of this machine, made if there is none.
-fn open(settings: &Settings, me: SocketAddr, founders: &[SocketAddr]) -> Result<(Store, Kept, Rows)> {
+/// The store of this machine, made if there is none. One that can't be opened now is tried again for good: only a file that
+/// is spoilt counts as a lost disk.
+async fn open(settings: &Settings, me: SocketAddr, founders: &[SocketAddr]) -> Result<(Store, Kept, Rows)> {
     let folder = settings.data_path.as_deref().context("data_path: found nothing, expected a folder")?;
     let mut spoilt = false;
-    if sloeline_ballast::exists(folder)? {
+    while sloeline_ballast::exists(folder)? {
         match Store::open(folder) {
             Ok(opened) => return Ok(opened),
             // What it has promised is in doubt, so it counts as lost: the others take this machine in again.
-            Err(why) => {
+            Err(why) if sloeline_ballast::is_spoilt(&why) => {
                 error!(target: "disk", "Set aside, it does not open: {why:#}.");
                 sloeline_ballast::set_aside(folder)?;
                 spoilt = true;
             }
+            Err(why) => {
+                warn!(target: "disk", "Does not open now: {why:#}.");
+                sleep(OPEN_AGAIN).await;
+            }
         }
     }
     let mut drawn = [0; 8];
@@ -62,7 +70,8 @@
     Ok((store, kept, Rows::new()))
 }
 
-async fn work(settings: Settings) -> Result<()> {
+/// The whole life of one, told its settings.
+pub async fn work(settings: Settings) -> Result<()> {
     let me = settings.mesh_address();
     let mut founders: Vec<SocketAddr> =
         settings.seed_nodes.iter().map(|seed| settings.mesh_address_of(*seed)).collect();
@@ -71,7 +80,7 @@
     }
     founders.sort_unstable();
     founders.dedup();
-    let (store, kept, rows) = open(&settings, me, &founders)?;
+    let (store, kept, rows) = open(&settings, me, &founders).await?;
     let folder = settings.data_path.clone().unwrap_or_default();
     let (writes, told) = Disk::start(store, folder)?.split();
     let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
--- /dev/null
+++ b/mesh/yard/examples/slopes.rs
@@ -0,0 +1,212 @@
+//! What the parts cost as they grow, for docs/CAPACITY.md: `cargo run --release -p sloeline-yard --example slopes`. No
+//! sockets; bytes are counted as they would be sent, times are this machine's.
+
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::Bytes;
+use sloeline_footplate::gate::{Arrival, Gate, State};
+use sloeline_interlocking::{Kept, Message, Node, Output, Settings, Tables};
+use sloeline_signalbox::tables::{Change, State as Kept3};
+use sloeline_staff::Update;
+use sloeline_telegraph::{Board, Condition, Pull, Record, Upstream, Version};
+use sloeline_timetable::model::Config;
+use sloeline_timetable::table::Table;
+use sloeline_waybill::frame::{Kind, encode};
+use sloeline_waybill::{Ask, Told};
+
+fn micros(start: Instant, times: u32) -> f64 {
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(times)
+}
+
+fn record(n: u32) -> Record {
+    let address: SocketAddr = ([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7620).into();
+    Record {
+        source: format!("branch-zone-{}-{n}", n % 13),
+        version: Version { life: 1_790_000_000_000_000 + u64::from(n), change: 3 },
+        mesh: address,
+        zone: format!("zone-{}", n % 13),
+        core: false,
+        leaving: false,
+        incoming: Some(address),
+        upstream: Some(Upstream {
+            id: format!("i-{n:010x}"),
+            service: format!("service-{}", n % 2000),
+            edition: "v1".to_owned(),
+            slots: 6,
+            condition: Condition::Accepting,
+            cold_until: None,
+        }),
+    }
+}
+
+fn boards() {
+    println!("sources   vector, bytes   one record, bytes   all, bytes   answer to a pull with one new, us");
+    for count in [16, 256, 4096, 16_000] {
+        let mut board = Board::default();
+        board.take((0..count).map(record).collect());
+        let vector = board.vector();
+        let pull =
+            Pull { source: "asker".to_owned(), vector, edition: Some(7), told: Vec::new(), hold: 2000 };
+        let asked = encode(Kind::Ask, 1, &Ask::Pull(pull.clone())).map_or(0, |b| b.len());
+        let all: Vec<Record> = board.records().values().map(|r| (**r).clone()).collect();
+        let one = encode(Kind::Answer, 1, &Told::Done).map_or(0, |b| b.len());
+        let single = encode(Kind::Tell, 0, &Ask::Tell(vec![record(1)])).map_or(0, |b| b.len());
+        let whole = encode(Kind::Tell, 0, &Ask::Tell(all)).map_or(0, |b| b.len());
+        let mut news = record(5);
+        news.version.change += 1;
+        board.take(vec![news]);
+        let times = 2_000_000 / count.max(1_000);
+        let start = Instant::now();
+        for _ in 0..times {
+            assert_eq!(black_box(board.lacking(black_box(&pull))).records.len(), 1);
+        }
+        println!(
+            "{count:7}   {:13}   {:17}   {whole:10}   {:8.1}",
+            asked,
+            single.max(one),
+            micros(start, times)
+        );
+    }
+}
+
+fn chain() {
+    let peers: Vec<SocketAddr> = (1..=3).map(|i| ([10, 0, 0, i], 1).into()).collect();
+    let mut nodes: Vec<Node<Kept3>> = peers
+        .iter()
+        .map(|me| {
+            let settings = Settings { me: *me, founders: peers.clone(), beat: 100, silence: 700, again: 200 };
+            let kept = Kept::new(peers.clone(), u64::from(me.port()) + 7, true);
+            Node::new(settings, kept, Kept3::new(60_000), 0)
+        })
+        .collect();
+    let (mut now, mut bytes, mut messages) = (0, 0, 0);
+    let run = |nodes: &mut Vec<Node<Kept3>>, now: u64, bytes: &mut usize, messages: &mut usize| {
+        let mut results = 0;
+        loop {
+            let mut quiet = true;
+            for at in 0..nodes.len() {
+                let outputs = nodes[at].outputs();
+                quiet &= outputs.is_empty();
+                for output in outputs {
+                    match output {
+                        Output::Send { to, message } => {
+                            let from = peers[at];
+                            let ask = Ask::Chain { from, message: message.clone() };
+                            if !matches!(message, Message::Standing(_)) {
+                                *bytes += encode(Kind::Tell, 0, &ask).map_or(0, |b| b.len());
+                                *messages += 1;
+                            }
+                            if let Some(to) = peers.iter().position(|p| *p == to) {
+                                nodes[to].receive(now, from, message);
+                            }
+                        }
+                        Output::Write(write) => nodes[at].written(now, write.token),
+                        Output::Result { .. } => results += 1,
+                    }
+                }
+            }
+            if quiet {
+                return results;
+            }
+        }
+    };
+    while !nodes.iter().all(|n| n.active() && n.committed() > 0) {
+        now += 50;
+        nodes.iter_mut().for_each(|n| n.tick(now));
+        run(&mut nodes, now, &mut bytes, &mut messages);
+    }
+    println!("\nclaims together   all three machines, us a claim   bytes a claim   messages a claim");
+    for together in [1, 8, 64] {
+        (bytes, messages) = (0, 0);
+        let (times, start) = (20_000 / together, Instant::now());
+        let mut done = 0;
+        for round in 0..times {
+            now += 1;
+            for n in 0..together {
+                let number = u64::from(round * together + n) + 1 + (u64::from(together) << 40);
+                let key = Bytes::from(number.to_be_bytes().to_vec());
+                let claim = Update::Claim { key, run: number, holder: "branch-zone-1-1".to_owned() };
+                nodes[1].submit(now, number, Change::Key(claim).encoded());
+            }
+            done += run(&mut nodes, now, &mut bytes, &mut messages);
+        }
+        let all = times * together;
+        assert_eq!(done, all);
+        println!(
+            "{together:15}   {:30.1}   {:13.0}   {:16.2}",
+            micros(start, all),
+            bytes as f64 / f64::from(all),
+            messages as f64 / f64::from(all)
+        );
+    }
+    let rows = nodes[0].tables().dump();
+    let held: usize = rows.iter().map(|(k, v)| k.len() + v.len()).sum();
+    println!("{} claims are {} bytes as rows", rows.len(), held);
+}
+
+fn tables() {
+    println!("\nroutes   body, bytes   read and checked, ms   table, ms   found, us");
+    for count in [10, 100, 1_000, 10_000] {
+        let routes: Vec<String> = (0..count)
+            .map(|n| {
+                format!(
+                    r#"{{"name":"r-{n}","route_kind":"safe","target":"300ms","precedence":2,
+                    "sort_by":{{"lane_prefix":"/p{n}/"}},"dispatch":{{"line":"s-{}","timeout":"2000ms","tries":2}}}}"#,
+                    n % 100
+                )
+            })
+            .collect();
+        let depots: Vec<String> = (0..100).map(|n| format!(r#"{{"name":"s-{n}"}}"#)).collect();
+        let body = format!(
+            r#"{{"edition":"00000001","gateways":[{{"station":"h","regulations":[{}]}}],"depots":[{}]}}"#,
+            routes.join(","),
+            depots.join(",")
+        );
+        let times = 20_000 / count.max(20);
+        let start = Instant::now();
+        let mut parsed = None;
+        for _ in 0..times {
+            parsed = Config::parse(black_box(body.as_bytes())).ok();
+        }
+        let read = micros(start, times) / 1e3;
+        let Some(parsed) = parsed else { continue };
+        let start = Instant::now();
+        let mut table = Table::new(&parsed);
+        for _ in 1..times {
+            table = Table::new(black_box(&parsed));
+        }
+        let made = micros(start, times) / 1e3;
+        let start = Instant::now();
+        for n in 0..100_000 {
+            black_box(table.find("h", if n % 2 == 0 { "/p7/x" } else { "/none/x" }));
+        }
+        println!("{count:6}   {:11}   {read:20.2}   {made:9.2}   {:9.2}", body.len(), micros(start, 100_000));
+    }
+}
+
+fn gate() {
+    let mut gate = Gate::default();
+    gate.set(State::Open, 6);
+    println!("\nrequests that wait at a gate   arrive and leave, us");
+    for waiting in [0, 16, 90] {
+        let arrival = Arrival { kind: 1, aim: 900_000_000, left: 3_000_000_000, hold: 1_400_000_000 };
+        while gate.waiting() < waiting || gate.working() < 6 {
+            gate.arrive(0, arrival);
+        }
+        let start = Instant::now();
+        for n in 0..100_000 {
+            gate.arrive(n, arrival);
+            black_box(gate.leave(n, 1, Some(90_000)));
+        }
+        println!("{waiting:28}   {:20.2}", micros(start, 100_000));
+    }
+}
+
+fn main() {
+    boards();
+    chain();
+    tables();
+    gate();
+}
--- /dev/null
+++ b/mesh/yard/src/machine.rs
@@ -0,0 +1,155 @@
+//! Machines: a process of the mesh, or a stand-in, in a thread with its own runtime. Stopped, all of it ends at once, as a
+//! process that is killed.
+
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::thread::{self, JoinHandle};
+
+use anyhow::{Context, Result};
+use sloeline_rulebook::Settings;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+use crate::standin::{Place, Standin};
+
+/// A thread that runs something until it is stopped.
+pub struct Machine {
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Machine {
+    /// Starts one.
+    pub fn start<F>(name: &str, work: impl FnOnce() -> F + Send + 'static) -> Result<Machine>
+    where
+        F: Future<Output = Result<()>> + 'static,
+    {
+        let (stop, stopped) = oneshot::channel();
+        let named = name.to_owned();
+        let thread = thread::Builder::new().name(name.to_owned()).spawn(move || {
+            let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+                return;
+            };
+            LocalSet::new().block_on(&runtime, async {
+                tokio::select! {
+                    ended = work() => {
+                        if let Err(why) = ended {
+                            eprintln!("{named}: {why:#}");
+                        }
+                    }
+                    _ = stopped => {}
+                }
+            });
+        });
+        Ok(Machine { stop: Some(stop), thread: Some(thread.context("start a thread")?) })
+    }
+
+    /// Ends it and waits until it has.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// A mesh's plan: where everything is. Each plan has a net of its own in 127/8.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    net: u8,
+    cores: u8,
+    folder: PathBuf,
+}
+
+const INCOMING: u16 = 8300;
+const APP: u16 = 8301;
+const READINESS: u16 = 8302;
+const OUTGOING: u16 = 8304;
+const DOCK: u16 = 8306;
+
+impl Plan {
+    /// A net of 127/8 from 1 to 250, so many core machines, and where their disks are.
+    pub fn new(net: u8, cores: u8, folder: PathBuf) -> Plan {
+        Plan { net, cores, folder }
+    }
+
+    fn ip(&self, machine: u8) -> IpAddr {
+        Ipv4Addr::new(127, 1, self.net, machine).into()
+    }
+
+    /// Where operators call a core machine, from 0.
+    pub fn operator(&self, core: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(200 + core), DOCK)
+    }
+
+    /// Where clients of a balancer's machine call, from 1.
+    pub fn outgoing(&self, balancer: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(balancer), OUTGOING)
+    }
+
+    /// Where a balancer tells whether it is ready.
+    pub fn readiness(&self, balancer: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(balancer), READINESS)
+    }
+
+    /// Where an upstream is.
+    pub fn upstream(&self, balancer: u8, service: &str, slots: u32) -> Place {
+        Place {
+            id: format!("i-{}-{balancer}", self.net),
+            service: service.to_owned(),
+            address: SocketAddr::new(self.ip(balancer), APP),
+            dock: SocketAddr::new(self.ip(balancer), DOCK),
+            slots,
+        }
+    }
+
+    fn settings(&self, machine: u8, first: bool, rest: &str) -> Result<Settings> {
+        let seeds: Vec<String> = (0..self.cores).map(|c| format!("\"{}\"", self.operator(c))).collect();
+        let ip = self.ip(machine);
+        let text = format!(
+            "node_name = \"m-{machine}\"\nip_addr = \"{ip}\"\nzone_name = \"a\"\nport_range = [7620,7635]\n\
+             seed_nodes = [{}]\nfirst_boot = {first}\n\
+             guarantees = [\"grace=6s\",\"key_window=60s\",\"drain=2000ms\"]\n{rest}\n\
+             [zones]\na = \"r\"\n[size_limits]\nfile_handles = 2000\nmemory_mb = 64\n\
+             [tolerance]\nmachine_loss = 1\n[docks]\ncontrol_dock = \"{ip}:{DOCK}\"\n",
+            seeds.join(","),
+        );
+        let docks = format!(
+            "incoming = \"{ip}:{INCOMING}\"\noutgoing = \"{ip}:{OUTGOING}\"\nreadiness = \"{ip}:{READINESS}\"\n"
+        );
+        Settings::parse(&if machine < 200 { text + &docks } else { text })
+    }
+
+    /// Starts a core machine, from 0.
+    pub fn core(&self, core: u8, first: bool) -> Result<Machine> {
+        let folder = self.folder.join(format!("core-{core}"));
+        let settings =
+            self.settings(200 + core, first, &format!("data_path = {:?}", folder.display().to_string()))?;
+        Machine::start(&format!("core-{core}"), move || sloeline_signalbox::program::work(settings))
+    }
+
+    /// Starts a balancer, from 1.
+    pub fn balancer(&self, balancer: u8, service: &str) -> Result<Machine> {
+        let app = SocketAddr::new(self.ip(balancer), APP);
+        let settings =
+            self.settings(balancer, true, &format!("app_addr = \"{app}\"\nline = \"{service}\""))?;
+        Machine::start(&format!("balancer-{balancer}"), move || sloeline_footplate::program::work(settings))
+    }
+
+    /// Starts a stand-in upstream beside a balancer.
+    pub fn standin(&self, balancer: u8, service: &str, standin: &Standin, slots: u32) -> Result<Machine> {
+        let (place, standin) = (self.upstream(balancer, service, slots), standin.clone());
+        Machine::start(&place.id.clone(), move || crate::standin::run(standin, place))
+    }
+}
--- /dev/null
+++ b/mesh/yard/src/standin.rs
@@ -0,0 +1,206 @@
+//! Stand-in upstreams: they beat, work, count what they ran, and break off as they are told.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, body::Incoming};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::client;
+
+/// How an upstream behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Manner {
+    /// It answers.
+    #[default]
+    Well,
+    /// It closes the connection before it works.
+    CutBefore,
+    /// It works and closes the connection without an answer.
+    CutDuring,
+    /// It works and breaks off within its answer.
+    CutAfter,
+    /// It turns every request away unseen.
+    Sheds,
+    /// It answers as if for another request.
+    Mixes,
+}
+
+/// What an upstream has done and is to do.
+#[derive(Debug, Default)]
+pub struct Book {
+    /// Its manner.
+    pub manner: Manner,
+    /// How long it works.
+    pub works: Duration,
+    /// It says that it is closing.
+    pub closing: bool,
+    /// How often it ran each try.
+    pub runs: BTreeMap<String, u32>,
+    /// How often it ran each key.
+    pub keys: BTreeMap<String, u32>,
+    /// `X-Sender` of what it ran.
+    pub senders: BTreeMap<String, u32>,
+    /// Requests that are at work, and the most there were.
+    pub working: (u32, u32),
+}
+
+/// An upstream as its owner sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Standin(Arc<Mutex<Book>>);
+
+impl Standin {
+    /// Its book.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many runs there were.
+    pub fn ran(&self) -> u32 {
+        self.book().runs.values().sum()
+    }
+}
+
+/// Where an upstream is and what it is.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Where it beats.
+    pub dock: SocketAddr,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+/// Serves and beats for good.
+pub async fn run(standin: Standin, place: Place) -> Result<()> {
+    let listener =
+        TcpListener::bind(place.address).await.with_context(|| format!("listen at {}", place.address))?;
+    spawn_local(beats(standin.clone(), place.clone()));
+    loop {
+        let (stream, _) = listener.accept().await?;
+        spawn_local(connection(standin.clone(), stream));
+    }
+}
+
+async fn beats(standin: Standin, place: Place) {
+    for sequence in 1_u64.. {
+        let condition = if standin.book().closing { "closing" } else { "accepting" };
+        let body = serde_json::json!({
+            "address": place.address.to_string(),
+            "notice": {"line": place.service, "edition": "v1", "zone_name": "a", "berths": place.slots},
+            "tracking": {"condition": condition, "sequence": sequence, "cold_left": "0ms"},
+        });
+        let target = format!("/-/rpc?call=upstreams.beat&of={}", place.id);
+        let body = body.to_string();
+        let _ = client::ask(place.dock, "POST", &target, &[], body.as_bytes(), Duration::from_secs(1)).await;
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+async fn connection(standin: Standin, stream: TcpStream) {
+    // Told by the service when the connection is to be cut.
+    let (cut, cuts) = tokio::sync::oneshot::channel::<()>();
+    let cut = std::cell::RefCell::new(Some(cut));
+    let service = service_fn(|request| {
+        let standin = standin.clone();
+        let cut = &cut;
+        async move {
+            match respond(standin, request).await {
+                Some(response) => Ok::<_, Infallible>(response),
+                None => {
+                    if let Some(cut) = cut.borrow_mut().take() {
+                        let _ = cut.send(());
+                    }
+                    std::future::pending().await
+                }
+            }
+        }
+    });
+    let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = serving => {}
+        _ = cuts => {}
+    }
+}
+
+/// Counts a request that is at work until it is dropped.
+struct Working(Standin);
+
+impl Working {
+    fn begin(standin: &Standin) -> Working {
+        let mut book = standin.book();
+        book.working.0 += 1;
+        book.working.1 = book.working.1.max(book.working.0);
+        Working(standin.clone())
+    }
+}
+
+impl Drop for Working {
+    fn drop(&mut self) {
+        self.0.book().working.0 -= 1;
+    }
+}
+
+/// The answer, or nothing where the connection is to be cut.
+async fn respond(standin: Standin, request: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+    let (head, body) = request.into_parts();
+    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+    let (id, key, sender) = (text("x-try-id"), text("x-operation-key"), text("x-sender"));
+    let body = timeout(Duration::from_secs(5), body.collect()).await.ok()?.ok()?.to_bytes();
+    let (manner, works) = {
+        let book = standin.book();
+        (book.manner, book.works)
+    };
+    match manner {
+        Manner::CutBefore => return None,
+        Manner::Sheds => {
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+            response.headers_mut().insert("x-not-run", hyper::header::HeaderValue::from_static("1"));
+            response.headers_mut().insert("x-try-id", id.parse().ok()?);
+            return Some(response);
+        }
+        _ => {}
+    }
+    let working = Working::begin(&standin);
+    {
+        let mut book = standin.book();
+        *book.runs.entry(id.clone()).or_default() += 1;
+        *book.senders.entry(sender).or_default() += 1;
+        if !key.is_empty() {
+            *book.keys.entry(key).or_default() += 1;
+        }
+    }
+    sleep(works).await;
+    drop(working);
+    let stamp = format!("{id}.{}", standin.ran());
+    let answer = |length: Option<&str>| {
+        let id = if manner == Manner::Mixes { "another" } else { id.as_str() };
+        let said = format!("{} {} ran {}", head.method, head.uri, String::from_utf8_lossy(&body));
+        let builder = Response::builder().header("x-try-id", id).header("x-postmark", &stamp);
+        let builder = length.into_iter().fold(builder, |b, l| b.header("content-length", l));
+        builder.body(Full::from(said)).ok()
+    };
+    match manner {
+        Manner::CutDuring => None,
+        // Less than was promised: the connection ends within it.
+        Manner::CutAfter => answer(Some("100000")),
+        _ => answer(None),
+    }
+}
--- /dev/null
+++ b/mesh/yard/tests/loopback.rs
@@ -0,0 +1,236 @@
+//! Requests through two balancers on loopback sockets, with upstreams that break off before, during and after their work,
+//! and with core machines that are lost.
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use sloeline_yard::client::{Answer, ask};
+use sloeline_yard::machine::{Machine, Plan};
+use sloeline_yard::standin::{Manner, Standin};
+use tokio::task::LocalSet;
+
+const WITHIN: Duration = Duration::from_secs(10);
+
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A mesh with one upstream, which is beside balancer 2; clients call at balancer 1.
+struct Mesh {
+    plan: Plan,
+    standin: Standin,
+    cores: Vec<Option<Machine>>,
+    _machines: Vec<Machine>,
+    _folder: Folder,
+}
+
+fn config(edition: u32, timeout: &str) -> String {
+    format!(
+        r#"{{"edition":"{edition:08x}","gateways":[{{"station":"h.example","regulations":[
+        {{"name":"s","route_kind":"safe","target":"300ms","precedence":2,"sort_by":{{"lane_prefix":"/safe/"}},
+          "dispatch":{{"line":"one","timeout":"{timeout}","tries":2}}}},
+        {{"name":"u","route_kind":"unsafe","target":"300ms","precedence":2,"sort_by":{{"lane_prefix":"/once/"}},
+          "dispatch":{{"line":"one","timeout":"{timeout}","tries":2}}}},
+        {{"name":"k","route_kind":"tracked","target":"300ms","precedence":1,"sort_by":{{"lane_prefix":"/key/"}},
+          "dispatch":{{"line":"one","timeout":"{timeout}","tries":2}}}}]}}],
+        "depots":[{{"name":"one"}}]}}"#
+    )
+}
+
+/// Asks until it is as wanted; what it was last, where it never is.
+async fn until<T, F: Future<Output = T>>(ask: impl Fn() -> F, wanted: impl Fn(&T) -> bool) -> T {
+    let start = Instant::now();
+    loop {
+        let got = ask().await;
+        if wanted(&got) || start.elapsed() > WITHIN {
+            return got;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn status(answer: &anyhow::Result<Answer>) -> u16 {
+    answer.as_ref().map_or(0, |a| a.status)
+}
+
+impl Mesh {
+    async fn start(net: u8, cores: u8) -> Mesh {
+        let folder = std::env::temp_dir().join(format!("sloeline-loopback-{}-{net}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let plan = Plan::new(net, cores, folder.clone());
+        let cores = (0..cores).map(|c| Some(plan.core(c, true).expect("a core machine"))).collect();
+        let standin = Standin::default();
+        standin.book().works = Duration::from_millis(5);
+        let machines = vec![
+            plan.balancer(1, "front").expect("a balancer"),
+            plan.balancer(2, "one").expect("a balancer"),
+            plan.standin(2, "one", &standin, 2).expect("an upstream"),
+        ];
+        let mesh = Mesh { plan, standin, cores, _machines: machines, _folder: Folder(folder) };
+        let first = config(1, "2s");
+        let put = until(|| mesh.put(0, &first), |a| status(a) == 200).await;
+        assert_eq!(status(&put), 200, "{put:?}");
+        let ready = mesh.plan.readiness(1);
+        let ready = until(|| ask(ready, "GET", "/-/ready", &[], b"", WITHIN), |a| status(a) == 200).await;
+        assert_eq!(status(&ready), 200, "{ready:?}");
+        mesh
+    }
+
+    async fn put(&self, core: u8, config: &str) -> anyhow::Result<Answer> {
+        let to = self.plan.operator(core);
+        ask(to, "POST", "/-/rpc?call=config.replace", &[], config.as_bytes(), Duration::from_secs(5)).await
+    }
+
+    async fn read(&self, core: u8) -> anyhow::Result<Answer> {
+        let to = self.plan.operator(core);
+        ask(to, "POST", "/-/rpc?call=config.read", &[], b"", Duration::from_secs(5)).await
+    }
+
+    /// A request of a client at balancer 1.
+    async fn request(&self, path: &str, id: &str, key: Option<&str>) -> anyhow::Result<Answer> {
+        let mut headers = vec![("Host", "h.example"), ("X-Try-Id", id), ("X-Time-Left", "1500")];
+        // What clients say of themselves here is not believed.
+        headers.extend([("X-Sender", "somebody"), ("X-Addressee", "i-other"), ("X-Mesh-Keyed", "1")]);
+        headers.extend(key.map(|k| ("X-Operation-Key", k)));
+        let method = if path.starts_with("/safe") { "GET" } else { "POST" };
+        ask(self.plan.outgoing(1), method, path, &headers, b"", WITHIN).await
+    }
+
+    fn set(&self, manner: Manner) {
+        self.standin.book().manner = manner;
+    }
+}
+
+fn play(test: impl AsyncFnOnce()) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let ended = tokio::time::timeout(Duration::from_secs(60), test()).await;
+        assert!(ended.is_ok(), "it waits for what never comes");
+    });
+}
+
+#[test]
+fn a_request_passes_two_balancers_and_what_breaks_off_is_told_as_it_is() {
+    play(async || {
+        let mesh = Mesh::start(31, 1).await;
+        let good = mesh.request("/safe/a?b=1", "t-1", None).await.expect("an answer");
+        assert_eq!((good.status, good.body.as_slice()), (200, &b"GET /safe/a?b=1 ran "[..]), "{good:?}");
+        assert_eq!((good.header("x-try-id"), good.header("x-postmark")), (Some("t-1"), Some("t-1.1")));
+        assert_eq!(mesh.standin.book().senders.keys().collect::<Vec<_>>(), ["front"]);
+        assert_eq!(status(&mesh.request("/none/", "t-2", None).await), 404);
+        // Never run: said so, and the client may come again.
+        for manner in [Manner::Sheds, Manner::CutBefore] {
+            mesh.set(manner);
+            let (id, before) = (format!("{manner:?}"), mesh.standin.ran());
+            let answer = mesh.request("/once/a", &id, None).await.expect("an answer");
+            assert_eq!(mesh.standin.ran(), before, "{manner:?}");
+            // A connection that is cut after the request was written may have run, as far as anybody can tell.
+            let expected = if manner == Manner::Sheds { 503 } else { 502 };
+            assert_eq!(answer.status, expected, "{manner:?} {answer:?}");
+            assert_eq!(answer.header("retry-after").is_some(), expected == 503);
+        }
+        // Run, or perhaps run: no promise, and never twice.
+        for manner in [Manner::CutDuring, Manner::CutAfter, Manner::Mixes] {
+            // After one that broke off the near balancer first tries with care: until it trusts the upstream again.
+            mesh.set(Manner::Well);
+            let well = until(|| mesh.request("/once/a", "well", None), |a| status(a) == 200).await;
+            assert_eq!(status(&well), 200, "{well:?}");
+            mesh.set(manner);
+            let id = format!("{manner:?}");
+            let answer = mesh.request("/once/a", &id, None).await.expect("an answer");
+            assert_eq!(answer.status, 502, "{manner:?} {answer:?}");
+            assert_eq!(mesh.standin.book().runs.get(&id), Some(&1), "{manner:?}");
+        }
+        mesh.set(Manner::Well);
+        let back = until(|| mesh.request("/once/a", "t-9", None), |a| status(a) == 200).await;
+        assert_eq!(status(&back), 200, "{back:?}");
+    });
+}
+
+#[test]
+fn an_operation_runs_once_whatever_becomes_of_its_answers() {
+    play(async || {
+        let mesh = Mesh::start(32, 1).await;
+        let first = mesh.request("/key/a", "t-1", Some("k-1")).await.expect("an answer");
+        let again = mesh.request("/key/a", "t-2", Some("k-1")).await.expect("an answer");
+        assert_eq!((first.status, again.status), (200, 200));
+        assert_eq!((&first.body, first.header("x-postmark")), (&again.body, again.header("x-postmark")));
+        assert_eq!(again.header("x-try-id"), Some("t-2"));
+        // Two at the same moment: one runs, the other hears so.
+        mesh.standin.book().works = Duration::from_millis(150);
+        let (one, other) = tokio::join!(
+            mesh.request("/key/a", "t-3", Some("k-2")),
+            mesh.request("/key/a", "t-4", Some("k-2"))
+        );
+        let mut both = [status(&one), status(&other)];
+        both.sort_unstable();
+        assert_eq!(both, [200, 409]);
+        // The answer is lost: nobody is told that it did not run, and nobody runs it again.
+        mesh.standin.book().works = Duration::ZERO;
+        mesh.set(Manner::CutDuring);
+        assert_eq!(status(&mesh.request("/key/a", "t-5", Some("k-3")).await), 502);
+        mesh.set(Manner::Well);
+        assert_eq!(status(&mesh.request("/key/a", "t-6", Some("k-3")).await), 502);
+        // It was turned away unseen: the next try may run.
+        mesh.set(Manner::Sheds);
+        assert_eq!(status(&mesh.request("/key/a", "t-7", Some("k-4")).await), 503);
+        mesh.set(Manner::Well);
+        let run = until(|| mesh.request("/key/a", "t-8", Some("k-4")), |a| status(a) == 200).await;
+        assert_eq!(status(&run), 200, "{run:?}");
+        let keys = mesh.standin.book().keys.clone();
+        assert!(keys.values().all(|n| *n == 1) && keys.len() == 4, "{keys:?}");
+        assert_eq!(status(&mesh.request("/key/a", "t-9", None).await), 400);
+    });
+}
+
+#[test]
+fn an_upstream_that_closes_gets_nothing_new_and_finishes_what_it_has() {
+    play(async || {
+        let mesh = Mesh::start(33, 1).await;
+        mesh.standin.book().works = Duration::from_millis(600);
+        let long = mesh.request("/once/a", "t-1", None);
+        let closes = async {
+            until(async || mesh.standin.ran(), |ran| *ran == 1).await;
+            mesh.standin.book().closing = true;
+            until(|| mesh.request("/once/a", "t-2", None), |a| status(a) == 503).await
+        };
+        let (long, refused) = tokio::join!(long, closes);
+        assert_eq!((status(&long), status(&refused)), (200, 503));
+        let ran = mesh.standin.ran();
+        assert_eq!(status(&mesh.request("/once/a", "t-3", None).await), 503);
+        assert_eq!(mesh.standin.ran(), ran);
+    });
+}
+
+#[test]
+fn configurations_outlive_the_loss_of_a_core_machine_and_of_its_disk() {
+    play(async || {
+        let mut mesh = Mesh::start(34, 3).await;
+        assert_eq!(status(&mesh.put(1, &config(2, "2s")).await), 200);
+        // Refused ones change nothing.
+        assert_eq!(status(&mesh.put(2, &config(3, "0ms")).await), 400);
+        // The head goes, and its disk with it.
+        drop(mesh.cores[0].take());
+        let fourth = config(4, "1s");
+        let put = until(|| mesh.put(1, &fourth), |a| status(a) == 200).await;
+        assert_eq!(status(&put), 200, "{put:?}");
+        std::fs::remove_dir_all(mesh._folder.0.join("core-0")).expect("its disk");
+        mesh.cores[0] = Some(mesh.plan.core(0, false).expect("a core machine"));
+        // It is taken in again, and answers what was acknowledged without it.
+        let read = until(|| mesh.read(0), |a| status(a) == 200).await.expect("an answer");
+        assert_eq!(String::from_utf8_lossy(&read.body), config(4, "1s"));
+        // All at once, disks kept.
+        mesh.cores.iter_mut().for_each(|core| drop(core.take()));
+        for core in 0..3 {
+            mesh.cores[usize::from(core)] = Some(mesh.plan.core(core, false).expect("a core machine"));
+        }
+        let read = until(|| mesh.read(2), |a| status(a) == 200).await.expect("an answer");
+        assert_eq!(String::from_utf8_lossy(&read.body), config(4, "1s"));
+        let served = until(|| mesh.request("/key/a", "t-1", Some("k-1")), |a| status(a) == 200).await;
+        assert_eq!(status(&served), 200, "{served:?}");
+    });
+}
