Balancers follow the nearest core machine only, look at a second, and at each other when no core answers

Cause: every change of a record went to each balancer from four followed ones, with a vector for each pull: most of the control's bytes between zones. Change: one pull is held; the second core machine is asked for a digest each 0.7 s.

--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -40,9 +40,15 @@
 use crate::words;
 
 /// How long a core machine holds a pull for want of news.
-const CORE_HOLD: Duration = Duration::from_secs(2);
+const CORE_HOLD: Duration = Duration::from_millis(1000);
 /// How long another balancer does.
 const PEER_HOLD: Duration = Duration::from_secs(5);
+/// How often another core machine is looked at.
+const LOOK: Duration = Duration::from_millis(700);
+/// Whoever has not answered for so long is not counted on. Longer than a pull is held.
+const STALE: Duration = Duration::from_millis(1700);
+/// How often it is looked whom to follow.
+const CHOOSE: Duration = Duration::from_millis(500);
 /// Balancers that each one follows.
 const PEERS: usize = 2;
 /// Descriptors for listeners, the mesh's own connections, the runtime and standard streams.
@@ -171,8 +177,13 @@
         clock,
         connections,
     };
-    let following =
-        Follow { settings: settings.clone(), exchange: exchange.clone(), keys, now: RefCell::default() };
+    let following = Follow {
+        settings: settings.clone(),
+        exchange: exchange.clone(),
+        keys,
+        now: RefCell::default(),
+        since: Instant::now(),
+    };
     spawn_local(follow(following, callers.clone(), ground, places, guarantees.grace.duration()));
     info!(target: "start", "{} serves at {}.", settings.node_name, settings.mesh_address());
 
@@ -209,6 +220,7 @@
 async fn answer(exchange: Rc<Exchange>, receiver: Rc<Receiver>, ask: Ask) -> Option<Told> {
     match ask {
         Ask::Pull(pull) => Some(Told::News(exchange.answer(pull).await)),
+        Ask::Compare { digest } => Some(exchange.compare(digest)),
         Ask::Tell(records) => {
             exchange.told(records);
             Some(Told::Done)
@@ -258,10 +270,12 @@
     exchange: Rc<Exchange>,
     keys: Rc<Keys>,
     now: RefCell<HashMap<SocketAddr, Following>>,
+    since: Instant,
 }
 
 impl Follow {
-    /// Follows the few that rendezvous hashing names, of the core and of the other balancers.
+    /// Follows the nearest core machine that answers and looks at others, as rendezvous hashing names them; other balancers
+    /// only while no core machine answers.
     fn choose(&self) {
         let records = self.exchange.board().records();
         let me = self.settings.node_name.as_str();
@@ -270,25 +284,40 @@
         core.extend(records.values().filter(|r| r.core).map(|r| r.mesh));
         core.sort_unstable();
         core.dedup();
-        let near = |address: &SocketAddr| {
+        let weigh = |address: &SocketAddr| {
             let zone = records.values().find(|r| r.mesh == *address).map(|r| r.zone.as_str());
-            (zone != Some(self.settings.zone_name.as_str()), rendezvous::weight(me, &address.to_string()))
+            let far = zone != Some(self.settings.zone_name.as_str());
+            (far, std::cmp::Reverse(rendezvous::weight(me, &address.to_string())))
         };
-        let mut by_nearness = core.clone();
-        by_nearness.sort_by_key(near);
-        self.keys.set_core(&by_nearness);
-        let names: Vec<String> = core.iter().map(ToString::to_string).collect();
-        let few = self.settings.tolerance.machine_loss as usize + 1;
-        let picked = rendezvous::picks(me, names.iter().map(String::as_str), few);
-        let mut wanted: Vec<(SocketAddr, Duration)> =
-            picked.iter().filter_map(|p| Some((p.parse().ok()?, CORE_HOLD))).collect();
-        let others = records.values().filter(|r| !r.core && !r.leaving).map(|r| r.source.as_str());
-        let peers = rendezvous::picks(me, others, PEERS);
-        wanted.extend(peers.iter().filter_map(|p| records.get(*p)).map(|r| (r.mesh, PEER_HOLD)));
+        core.sort_by_key(weigh);
+        self.keys.set_core(&core);
         let mut now = self.now.borrow_mut();
-        now.retain(|address, _| wanted.iter().any(|(w, _)| w == address));
+        let fresh = |address: &SocketAddr| {
+            now.get(address).and_then(Following::reached).is_some_and(|at| at.elapsed() < STALE)
+        };
+        // As many as may be lost, and one more.
+        let few = (self.settings.tolerance.machine_loss as usize + 1).min(core.len());
+        let answers = core.iter().take(few).any(fresh);
+        let nearest = core.iter().take(few).find(|a| fresh(a)).or(core.first()).copied();
+        let mut wanted: Vec<(SocketAddr, Option<Duration>)> = core[..few]
+            .iter()
+            .map(|address| (*address, (Some(*address) == nearest).then_some(CORE_HOLD)))
+            .collect();
+        if !answers && self.since.elapsed() > STALE {
+            wanted.extend(core[few..].iter().map(|address| (*address, None)));
+            let others = records.values().filter(|r| !r.core && !r.leaving).map(|r| r.source.as_str());
+            let peers = rendezvous::picks(me, others, PEERS);
+            let met = peers.iter().filter_map(|p| records.get(*p));
+            wanted.extend(met.map(|r| (r.mesh, Some(PEER_HOLD))));
+        }
+        now.retain(|address, following| {
+            wanted.iter().any(|(w, hold)| w == address && *hold == following.hold())
+        });
         for (address, hold) in wanted {
-            now.entry(address).or_insert_with(|| self.exchange.follow(address, hold));
+            now.entry(address).or_insert_with(|| match hold {
+                Some(hold) => self.exchange.follow(address, hold),
+                None => self.exchange.look_at(address, LOOK),
+            });
         }
     }
 
@@ -339,8 +368,9 @@
             services.stop_cutting();
         }
         callers.front().set_ready(!leaving && planned.is_some() && services.listed() && follow.reached());
-        if changes.changed().await.is_err() {
-            return;
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return },
+            () = sleep(CHOOSE) => {}
         }
     }
 }
--- a/mesh/signalbox/src/program.rs
+++ b/mesh/signalbox/src/program.rs
@@ -129,6 +129,7 @@
             None
         }
         Ask::Pull(pull) => Some(Told::News(exchange.answer(pull).await)),
+        Ask::Compare { digest } => Some(exchange.compare(digest)),
         Ask::Tell(records) => {
             exchange.told(records);
             Some(Told::Done)
--- a/mesh/telegraph/src/board.rs
+++ b/mesh/telegraph/src/board.rs
@@ -1,12 +1,14 @@
 //! All that a process knows of others, and what it tells to those who lack it.
 
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::record::{Record, Vector, Version};
+use crate::rendezvous::Fnv;
 
 /// Most records that are kept. Guards the memory against a stranger that makes names up.
 const MOST_RECORDS: usize = 1 << 16;
@@ -76,6 +78,18 @@
         self.records.iter().map(|(source, record)| (source.clone(), record.version)).collect()
     }
 
+    /// The same for two boards that have the same, and hardly ever for others: a look costs less than a vector.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Fnv::default();
+        for (source, record) in self.records.iter() {
+            hasher.write(source.as_bytes());
+            hasher.write_u64(record.version.life);
+            hasher.write_u64(record.version.change);
+        }
+        hasher.write_u64(self.config.as_ref().map_or(0, |c| u64::from(c.edition) + 1));
+        hasher.finish()
+    }
+
     /// Takes what is newer; tells which sources changed.
     pub fn take(&mut self, records: Vec<Record>) -> Vec<String> {
         let newer = |r: &Record| match self.records.get(&r.source) {
--- a/mesh/telegraph/src/rendezvous.rs
+++ b/mesh/telegraph/src/rendezvous.rs
@@ -3,7 +3,13 @@
 use std::hash::Hasher;
 
 /// FNV-1a, the same in every build.
-struct Fnv(u64);
+pub(crate) struct Fnv(u64);
+
+impl Default for Fnv {
+    fn default() -> Fnv {
+        Fnv(0xcbf2_9ce4_8422_2325)
+    }
+}
 
 impl Hasher for Fnv {
     fn finish(&self) -> u64 {
@@ -23,7 +29,7 @@
 
 /// The weight of a candidate for one that picks.
 pub fn weight(me: &str, candidate: &str) -> u64 {
-    let mut hasher = Fnv(0xcbf2_9ce4_8422_2325);
+    let mut hasher = Fnv::default();
     hasher.write(me.as_bytes());
     hasher.write_u8(0);
     hasher.write(candidate.as_bytes());
--- a/mesh/telegraph/tests/boards.rs
+++ b/mesh/telegraph/tests/boards.rs
@@ -58,6 +58,23 @@
         })
     }
 
+    fn boards_have_one_digest_if_they_have_the_same(news: Vec<(u8, u8, u8)>, edition: Option<u32>) -> bool {
+        let (mut one, mut other) = (Board::default(), Board::default());
+        let records = || news.iter().map(|(s, l, c)| record(s % 5, u64::from(*l), u64::from(*c)));
+        one.take(records().collect());
+        // In another order, one by one.
+        for record in records().collect::<Vec<_>>().into_iter().rev() {
+            other.take(vec![record]);
+        }
+        let alike = one.digest() == other.digest();
+        if let Some(edition) = edition {
+            one.take_config(Config { edition, body: Bytes::new() });
+        }
+        let before = other.digest();
+        other.take(vec![record(7, 1, 1)]);
+        alike && before != other.digest() && (edition.is_none() || one.digest() != before)
+    }
+
     fn few_picks_change_when_a_candidate_goes(names: Vec<u8>, gone: u8) -> bool {
         let names: Vec<String> = names.iter().map(|n| format!("c-{n}")).collect();
         let gone = format!("c-{gone}");
--- a/mesh/waybill/src/exchange.rs
+++ b/mesh/waybill/src/exchange.rs
@@ -138,11 +138,55 @@
         }
     }
 
+    /// Tells whether the same is known here.
+    pub fn compare(&self, digest: u64) -> Told {
+        match self.board.borrow().digest() == digest {
+            true => Told::Done,
+            false => Told::Unable("something else is known here".to_owned()),
+        }
+    }
+
+    /// Looks at one process again and again, and pulls from it only where it knows something else. For a second source:
+    /// most of what it knows has come from the first.
+    pub fn look_at(self: &Rc<Self>, address: SocketAddr, every: Duration) -> Following {
+        let reached = Rc::new(Cell::new(None));
+        let task = spawn_local(self.clone().look(address, every, reached.clone())).abort_handle();
+        Following { task, reached, hold: None }
+    }
+
+    async fn look(self: Rc<Self>, address: SocketAddr, every: Duration, reached: Rc<Cell<Option<Instant>>>) {
+        let link = Link::new(address);
+        let mut first = true;
+        loop {
+            let digest = self.board.borrow().digest();
+            let same = !first && matches!(link.ask(&Ask::Compare { digest }, LATE).await, Ok(Told::Done));
+            if same {
+                reached.set(Some(Instant::now()));
+            } else {
+                first = false;
+                let own = self.own();
+                let (vector, edition) = {
+                    let board = self.board.borrow();
+                    (board.vector(), board.config().map(|c| c.edition))
+                };
+                let pull = Pull { source: own.source.clone(), vector, edition, told: vec![own], hold: 0 };
+                if let Ok(Told::News(news)) = link.ask(&Ask::Pull(pull), LATE).await {
+                    reached.set(Some(Instant::now()));
+                    if let Some(config) = news.config {
+                        self.take_config(config);
+                    }
+                    self.take(news.records);
+                }
+            }
+            sleep(every).await;
+        }
+    }
+
     /// Pulls from one process for good.
     pub fn follow(self: &Rc<Self>, address: SocketAddr, hold: Duration) -> Following {
         let reached = Rc::new(Cell::new(None));
         let task = spawn_local(self.clone().pull(address, hold, reached.clone())).abort_handle();
-        Following { task, reached }
+        Following { task, reached, hold: Some(hold) }
     }
 
     async fn pull(self: Rc<Self>, address: SocketAddr, hold: Duration, reached: Rc<Cell<Option<Instant>>>) {
@@ -193,9 +237,15 @@
 pub struct Following {
     task: AbortHandle,
     reached: Rc<Cell<Option<Instant>>>,
+    hold: Option<Duration>,
 }
 
 impl Following {
+    /// How long its pulls are held; nothing where it is only looked at.
+    pub fn hold(&self) -> Option<Duration> {
+        self.hold
+    }
+
     /// When it answered last.
     pub fn reached(&self) -> Option<Instant> {
         self.reached.get()
--- a/mesh/waybill/src/lib.rs
+++ b/mesh/waybill/src/lib.rs
@@ -17,6 +17,11 @@
 pub enum Ask {
     /// News that the asker lacks.
     Pull(Pull),
+    /// Whether the asked process knows the same as the asker; [`Told::Done`] where it does.
+    Compare {
+        /// Of the asker's board.
+        digest: u64,
+    },
     /// The asker's own news.
     Tell(Vec<Record>),
     /// Something of a keyed operation; only the core answers.
