Board: of two records of one source in one list the newer holds, whatever their order

Cause: newer was judged before the list was taken, so that an older one that came second replaced the newer.

--- a/mesh/telegraph/src/board.rs
+++ b/mesh/telegraph/src/board.rs
@@ -92,20 +92,14 @@
 
     /// Takes what is newer; tells which sources changed.
     pub fn take(&mut self, records: Vec<Record>) -> Vec<String> {
-        let newer = |r: &Record| match self.records.get(&r.source) {
-            Some(known) => known.version < r.version,
-            None => true,
-        };
-        let records: Vec<Record> = records.into_iter().filter(newer).collect();
-        if records.is_empty() {
-            return Vec::new();
-        }
-        let all = Rc::make_mut(&mut self.records);
         let mut changed = Vec::new();
         for record in records {
-            if all.len() < MOST_RECORDS || all.contains_key(&record.source) {
+            let known = self.records.get(&record.source);
+            // One of the same list may have come before.
+            let newer = known.is_none_or(|known| known.version < record.version);
+            if newer && (known.is_some() || self.records.len() < MOST_RECORDS) {
                 changed.push(record.source.clone());
-                all.insert(record.source.clone(), Rc::new(record));
+                Rc::make_mut(&mut self.records).insert(record.source.clone(), Rc::new(record));
             }
         }
         changed
