--- a/mesh/footplate/src/services.rs
+++ b/mesh/footplate/src/services.rs
@@ -34,6 +34,10 @@
 const HELD: usize = 256 << 10;
 /// Most bytes of an answer.
 const MOST_ANSWER: usize = 1 << 30;
+/// Most engines of a service; classes beyond share one.
+const MOST_APART: usize = 32;
+/// The group of those.
+const TOGETHER: &str = "together";
 /// Gates that may turn a request away beyond its tries.
 const GATES: u32 = 2;
 /// Share of its capacity that a cold upstream has.
@@ -96,7 +100,7 @@
     fn fetch(&self, _engine: &Rc<Engine<Self>>) {}
 }
 
-/// A service that is sent to.
+/// A service that is sent to, for requests of one class.
 pub struct Service {
     /// Its name.
     pub name: String,
@@ -157,10 +161,13 @@
     pub connections: Rc<Share>,
 }
 
+/// A service, and what the classes of one engine have in common.
+type Group = (String, String);
+
 /// All services, as of one configuration and one list.
 #[derive(Default)]
 pub struct Services {
-    by_name: BTreeMap<String, Rc<Service>>,
+    by_group: BTreeMap<Group, Rc<Service>>,
 }
 
 /// Where a route leads.
@@ -174,50 +181,55 @@
 impl Services {
     /// Goes by a table from now on; what each of its routes leads to.
     pub fn plan(&mut self, table: &Table, ground: &Ground) -> Result<Vec<Lead>> {
-        let mut wanted: BTreeMap<&str, Vec<Slot>> = BTreeMap::new();
+        // Each class of a service has an engine of its own: what one is turned away for says nothing of another, and least of
+        // all may requests wait that others wait for.
+        let mut wanted: BTreeMap<(&str, String), Vec<Slot>> = BTreeMap::new();
         for route in table.routes() {
             let slot = slot(route);
             for (line, _) in route.dispatch.parts() {
-                let slots = wanted.entry(line).or_default();
+                let apart =
+                    wanted.range((line, String::new())..).take_while(|((l, _), _)| *l == line).count();
+                let known = wanted.contains_key(&(line, slot.name.clone()));
+                let group = if known || apart < MOST_APART { slot.name.clone() } else { TOGETHER.to_owned() };
+                let slots = wanted.entry((line, group)).or_default();
                 if !slots.contains(&slot) {
                     slots.push(slot.clone());
                 }
             }
         }
         let tries = table.routes().iter().map(|r| r.dispatch.tries).max().unwrap_or(1);
-        let mut numbers: HashMap<(String, String), fs::ClassId> = HashMap::new();
-        for (name, slots) in &wanted {
-            let service = self.by_name.get(*name);
+        let mut numbers: HashMap<(String, String), (Group, fs::ClassId)> = HashMap::new();
+        for ((line, group), slots) in &wanted {
+            let group: Group = ((*line).to_owned(), group.clone());
+            let service = self.by_group.get(&group);
             let old = service.map(|s| s.slots.borrow().clone()).unwrap_or_default();
             let uses = |at| service.is_some_and(|s| s.admitted.any(at) || s.engine.uses(at));
             let assigned = assign(&old, slots, uses);
             for (slot, number) in slots.iter().zip(&assigned.numbers) {
-                numbers.insert(((*name).to_owned(), slot.name.clone()), *number);
+                numbers.insert(((*line).to_owned(), slot.name.clone()), (group.clone(), *number));
             }
             let classes = assigned.slots.iter().map(|s| s.class.clone()).collect();
             let mut zones = Names::default();
             let settings = settings(ground, &mut zones, classes, tries);
             match service {
                 Some(service) => {
-                    service
-                        .engine
-                        .reconfigure(settings, &assigned.learned)
-                        .map_err(|e| anyhow!("{name}: {e}"))?;
+                    let done = service.engine.reconfigure(settings, &assigned.learned);
+                    done.map_err(|e| anyhow!("{line}: {e}"))?;
                     *service.slots.borrow_mut() = assigned.slots;
                 }
                 None => {
-                    let service = start(name, settings, &zones, ground, assigned.slots)?;
-                    self.by_name.insert((*name).to_owned(), Rc::new(service));
+                    let service = start(line, settings, &zones, ground, assigned.slots)?;
+                    self.by_group.insert(group, Rc::new(service));
                 }
             }
         }
         // Requests that are open keep theirs.
-        self.by_name.retain(|name, _| wanted.contains_key(name.as_str()));
+        self.by_group.retain(|(line, group), _| wanted.contains_key(&(line.as_str(), group.clone())));
         let lead = |route: &Route| {
             let name = slot(route).name;
             let side = |(line, share): (&str, u32)| {
-                let number = numbers.get(&(line.to_owned(), name.clone()))?;
-                Some((self.by_name.get(line)?.clone(), *number, share))
+                let (group, number) = numbers.get(&(line.to_owned(), name.clone()))?;
+                Some((self.by_group.get(group)?.clone(), *number, share))
             };
             let kind = HeaderValue::from_str(&name).unwrap_or_else(|_| HeaderValue::from_static("other"));
             Lead { kind, sides: route.dispatch.parts().into_iter().filter_map(side).collect() }
@@ -249,8 +261,8 @@
                 started: upstream.cold_until.map(|until| until.saturating_sub(WARM_AFTER)),
             });
         }
-        for (name, service) in &self.by_name {
-            let list = lists.remove(name.as_str()).unwrap_or_default();
+        for ((line, _), service) in &self.by_group {
+            let list = lists.get(line.as_str()).cloned().unwrap_or_default();
             service.engine.wire().behind.borrow_mut().clone_from(&behind);
             if *service.listed.borrow() != list || !service.engine.listed() {
                 service.listed.borrow_mut().clone_from(&list);
@@ -261,12 +273,12 @@
 
     /// Ends no attempt whose upstream may be at work: this balancer has been told to stop, and is to finish what it has.
     pub fn stop_cutting(&self) {
-        self.by_name.values().for_each(|s| s.engine.stop_cutting());
+        self.by_group.values().for_each(|s| s.engine.stop_cutting());
     }
 
     /// Each has an upstream.
     pub fn listed(&self) -> bool {
-        self.by_name.values().any(|s| s.engine.upstreams() > 0)
+        self.by_group.values().any(|s| s.engine.upstreams() > 0)
     }
 }
 
