--- a/mesh/footplate/src/gate.rs
+++ b/mesh/footplate/src/gate.rs
@@ -6,8 +6,6 @@
 /// Microseconds.
 pub type Micros = u64;
 
-/// Requests that an upstream holds beyond those it works on: the next one is there when a slot frees.
-const AHEAD: usize = 1;
 /// Weight of the newest figure in the mean.
 const NEWEST: f64 = 0.05;
 /// Most requests that wait, for each slot.
@@ -140,7 +138,7 @@
     }
 
     fn has_room(&self) -> bool {
-        self.working < self.slots + AHEAD
+        self.working < self.slots
     }
 
     /// About how long until a request is let through that has so much work before it.
--- a/mesh/footplate/tests/gate.rs
+++ b/mesh/footplate/tests/gate.rs
@@ -22,10 +22,10 @@
     gate
 }
 
-/// The same with its upstream full: two at work and one ahead.
+/// The same with its upstream full.
 fn full() -> Gate {
     let mut gate = learned();
-    for _ in 0..3 {
+    for _ in 0..2 {
         assert_eq!(gate.arrive(0, arrival(1, 300, 2000)), Verdict::Go);
     }
     gate
@@ -179,7 +179,7 @@
             }
             waiting.retain(|n| !go.contains(n));
             working += go.len();
-            if working != gate.working() || waiting.len() != gate.waiting() || working > most + 1 {
+            if working != gate.working() || waiting.len() != gate.waiting() || working > most {
                 return false;
             }
         }
