An upstream's own failure goes to the client unchanged, and to repeats of its key

PROTOCOL: status, body and stamp unchanged. Change: the engine keeps the answer of an upstream that failed, where the dialect hands it on (mesh only).

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -94,7 +94,7 @@
 }
 
 /// A request that is not answered or has attempts out.
-struct Open {
+struct Open<R> {
     class: fs::ClassId,
     operation: Option<u64>,
     /// An attempt may have run.
@@ -110,6 +110,8 @@
     /// Limits of attempts that began before the body's last byte.
     limits: Vec<(u32, Micros)>,
     failure: Failure,
+    /// The answer of an upstream that failed, where the wire hands it on and no attempt came after it.
+    error: Option<R>,
 }
 
 /// A request as the core takes it.
@@ -188,7 +190,7 @@
 pub struct Core<R> {
     balancer: fs::Balancer,
     limits: fs::Limits,
-    open: HashMap<RequestId, Open>,
+    open: HashMap<RequestId, Open<R>>,
     next: RequestId,
     timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
     timer_number: u64,
@@ -320,7 +322,7 @@
 
     /// How many open requests are at each stage, and the oldest of them.
     pub fn requests(&self, now: Micros, most: usize) -> (BTreeMap<Stage, usize>, Vec<Standing>) {
-        let stage = |open: &Open| match (open.waits, open.out.is_empty(), open.coming) {
+        let stage = |open: &Open<R>| match (open.waits, open.out.is_empty(), open.coming) {
             (false, ..) => Stage::Answered,
             (true, true, _) => Stage::Held,
             (true, false, true) => Stage::Coming,
@@ -409,6 +411,7 @@
             out,
             limits,
             failure,
+            error: None,
         };
         self.open.insert(id, open);
         self.set_timer(deadline.saturating_sub(LAST_RESORT), Due::LastResort(id));
@@ -422,7 +425,7 @@
     /// request's last.
     pub fn narrow(&mut self, now: Micros, operation: u64) {
         self.narrowed.insert(operation);
-        let between = |o: &Open| o.operation == Some(operation) && o.doubt && o.waits && o.out.is_empty();
+        let between = |o: &Open<R>| o.operation == Some(operation) && o.doubt && o.waits && o.out.is_empty();
         let mut given_up: Vec<RequestId> =
             self.open.iter().filter(|(_, o)| between(o)).map(|(id, _)| *id).collect();
         // In the same order whatever the map's: runs can be repeated.
@@ -433,7 +436,7 @@
         }
     }
 
-    fn no_repeat(&self, open: &Open) -> bool {
+    fn no_repeat(&self, open: &Open<R>) -> bool {
         open.doubt && open.operation.is_some_and(|operation| self.narrowed.contains(&operation))
     }
 
@@ -491,6 +494,8 @@
         let timed_out = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
         open.failure = if timed_out { Failure::Time } else { Failure::Upstream };
         let no_repeat = open.doubt && open.operation.is_some_and(|o| self.narrowed.contains(&o));
+        let (reply, error) = if outcome == Outcome::Error { (None, reply) } else { (reply, None) };
+        open.error = error;
         let answer = match (outcome, reply) {
             (Outcome::Ok, Some(reply)) => Some(Answer::Served(reply)),
             (outcome, _) if outcome != Outcome::Ok && no_repeat => Some(Answer::Failed(open.failure)),
@@ -822,6 +827,7 @@
             let unsent = self.refuses_unsent && !open.doubt && open.out.is_empty();
             let answer = match answer(open.failure) {
                 Answer::Failed(_) if unsent => Answer::Refused { retry_after: 0 },
+                Answer::Failed(failure) => open.error.take().map_or(Answer::Failed(failure), Answer::Served),
                 other => other,
             };
             self.outputs.push_back(Output::Answer { request: id, answer });
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -378,3 +378,19 @@
         });
     }
 }
+
+#[test]
+fn the_answer_of_an_upstream_that_failed_goes_to_the_caller_where_nothing_better_comes() {
+    for (outcome, reply, expected) in [
+        (Outcome::Error, Some(500), Answer::Served(500)),
+        (Outcome::Error, None, Answer::Failed(Failure::Upstream)),
+        // What broke off is no answer, whatever came with it.
+        (Outcome::Reset, Some(500), Answer::Failed(Failure::Upstream)),
+    ] {
+        with(async move |fake, engine| {
+            let asking = engine.ask(asked(1_000_000));
+            fake.take().end(outcome, None, reply);
+            assert_eq!(asking.answer().await, expected);
+        });
+    }
+}
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -40,6 +40,8 @@
     pub held: usize,
     /// Whatever its status, an answer is passed on as it came: for one that only forwards.
     pub forwards: bool,
+    /// The answer of an upstream that failed goes to the caller, where nothing better comes.
+    pub errors: bool,
 }
 
 impl Dialect {
@@ -54,6 +56,7 @@
             most_answer: MOST_BODY,
             held: HELD,
             forwards: false,
+            errors: false,
         }
     }
 
@@ -424,6 +427,10 @@
             let body = joined(held).into();
             (Outcome::Ok, Some(Reply { status, headers: head.headers, body }))
         }
+        status if dialect.errors && status.is_server_error() => {
+            let body = joined(held).into();
+            (Outcome::Error, Some(Reply { status, headers: head.headers, body }))
+        }
         _ => (Outcome::Error, None),
     };
     Exchanged { outcome, load, reply, conn: Some(conn), passing: None }
--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -128,6 +128,7 @@
         most_answer: 1 << 30,
         held: 64 << 10,
         forwards: true,
+        errors: false,
     };
     let limits = fs::Limits { idle_close: 8_000_000, ..fs::Settings::new(Vec::new()).limits };
     let to_upstream = Upstreams::new(&limits, connections.clone(), dialect);
--- a/mesh/footplate/src/services.rs
+++ b/mesh/footplate/src/services.rs
@@ -146,6 +146,7 @@
         most_answer: MOST_ANSWER,
         held: HELD,
         forwards: false,
+        errors: true,
     }
 }
 
--- a/mesh/yard/src/standin.rs
+++ b/mesh/yard/src/standin.rs
@@ -33,6 +33,8 @@
     CutAfter,
     /// It turns every request away unseen.
     Sheds,
+    /// It works and answers 500.
+    Fails,
     /// It answers as if for another request.
     Mixes,
 }
@@ -193,7 +195,8 @@
     let answer = |length: Option<&str>| {
         let id = if manner == Manner::Mixes { "another" } else { id.as_str() };
         let said = format!("{} {} ran {}", head.method, head.uri, String::from_utf8_lossy(&body));
-        let builder = Response::builder().header("x-try-id", id).header("x-postmark", &stamp);
+        let status = if manner == Manner::Fails { 500 } else { 200 };
+        let builder = Response::builder().status(status).header("x-try-id", id).header("x-postmark", &stamp);
         let builder = length.into_iter().fold(builder, |b, l| b.header("content-length", l));
         builder.body(Full::from(said)).ok()
     };
--- a/mesh/yard/tests/loopback.rs
+++ b/mesh/yard/tests/loopback.rs
@@ -183,6 +183,14 @@
         assert_eq!(status(&run), 200, "{run:?}");
         let keys = mesh.standin.book().keys.clone();
         assert!(keys.values().all(|n| *n == 1) && keys.len() == 4, "{keys:?}");
+        // Its own failure is the first one's answer as well.
+        mesh.set(Manner::Fails);
+        let first = mesh.request("/key/a", "t-10", Some("k-5")).await.expect("an answer");
+        mesh.set(Manner::Well);
+        let again = mesh.request("/key/a", "t-11", Some("k-5")).await.expect("an answer");
+        assert_eq!((first.status, again.status), (500, 500));
+        assert_eq!((&first.body, first.header("x-postmark")), (&again.body, again.header("x-postmark")));
+        assert_eq!(mesh.standin.book().keys.get("k-5"), Some(&1));
         assert_eq!(status(&mesh.request("/key/a", "t-9", None).await), 400);
     });
 }
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -115,6 +115,7 @@
         most_answer: pool.answer_limit,
         held: pool.held(),
         forwards: false,
+        errors: false,
     })
 }
 
