--- a/mesh/yard/src/main.rs
+++ b/mesh/yard/src/main.rs
@@ -112,7 +112,7 @@
                 book.working.1
             );
         }
-        if more > 0 || ends.get(&0).is_some() {
+        if more > 0 || ends.contains_key(&0) {
             bail!("the account does not close");
         }
         println!("the account closes");
