Gate: what waits when an upstream closes is sent within half of drain or not at all; strangers tested

Also: one command line for both programs in lineside, and a loopback test of what strangers send to mesh ports, operators' calls and clients' listeners.

--- a/mesh/footplate/src/gate.rs
+++ b/mesh/footplate/src/gate.rs
@@ -101,6 +101,11 @@
         self.slots = slots.max(1);
     }
 
+    /// Nothing that waits now is let through after this moment: an upstream that closes gets nothing late.
+    pub fn close_by(&mut self, moment: Micros) {
+        self.queue.values_mut().for_each(|w| w.last = w.last.min(moment));
+    }
+
     /// How the upstream is.
     pub fn state(&self) -> State {
         self.state
--- a/mesh/footplate/src/program.rs
+++ b/mesh/footplate/src/program.rs
@@ -135,7 +135,7 @@
     spawn_local(to_upstream.tend());
     let window = guarantees.key_window.millis() + LEDGER_LONGER;
     let ledger = Ledger::new(window, (memory * ANSWERS) as usize);
-    let receiver = Receiver::new(to_upstream, keys.clone(), ledger, exchange.clone());
+    let receiver = Receiver::new(to_upstream, keys.clone(), ledger, exchange.clone(), guarantees.drain.0);
     spawn_local(receiver.clone().tend());
 
     let clock = Rc::new(Clock::new());
--- a/mesh/footplate/src/receive.rs
+++ b/mesh/footplate/src/receive.rs
@@ -60,6 +60,8 @@
     keys: Rc<Keys>,
     ledger: RefCell<Ledger>,
     exchange: Rc<Exchange>,
+    /// How long after its word that it closes the upstream is still sent what waits.
+    drain: Micros,
     start: Instant,
     changed: Notify,
 }
@@ -135,7 +137,13 @@
 
 impl Receiver {
     /// No upstream has told of itself yet.
-    pub fn new(upstreams: Upstreams, keys: Rc<Keys>, ledger: Ledger, exchange: Rc<Exchange>) -> Rc<Receiver> {
+    pub fn new(
+        upstreams: Upstreams,
+        keys: Rc<Keys>,
+        ledger: Ledger,
+        exchange: Rc<Exchange>,
+        drain: Micros,
+    ) -> Rc<Receiver> {
         Rc::new(Receiver {
             gate: RefCell::default(),
             beats: RefCell::default(),
@@ -144,6 +152,7 @@
             keys,
             ledger: RefCell::new(ledger),
             exchange,
+            drain: drain / 2,
             start: Instant::now(),
             changed: Notify::new(),
         })
@@ -163,7 +172,13 @@
             Some(Condition::Down) | None => State::Absent,
         };
         let slots = upstream.as_ref().map_or(1, |u| u.slots as usize);
-        self.gate.borrow_mut().set(state, slots);
+        {
+            let mut gate = self.gate.borrow_mut();
+            if state == State::Closing && gate.state() == State::Open {
+                gate.close_by(self.now() + self.drain);
+            }
+            gate.set(state, slots);
+        }
         self.changed.notify_one();
         self.exchange.announce(|own| own.upstream = upstream);
         done
--- a/mesh/footplate/tests/gate.rs
+++ b/mesh/footplate/tests/gate.rs
@@ -98,6 +98,14 @@
     gate.set(State::Closing, 2);
     assert_eq!(gate.arrive(0, arrival(1, 900, 2000)), Verdict::Closed);
     assert_eq!(gate.leave(MS, 1, None), [number]);
+    // But not for long: what waits far longer than an upstream may still be sent something is turned away.
+    let mut gate = full();
+    let number = waits(&mut gate, 0, arrival(1, 20_000, 60_000));
+    gate.close_by(1000 * MS);
+    gate.set(State::Closing, 2);
+    assert_eq!(gate.due(), Some(1000 * MS));
+    assert!(gate.expire(999 * MS).is_empty());
+    assert_eq!(gate.expire(1000 * MS), [number]);
     let mut gate = full();
     let number = waits(&mut gate, 0, arrival(1, 900, 2000));
     gate.set(State::Absent, 2);
--- a/mesh/lineside/src/lib.rs
+++ b/mesh/lineside/src/lib.rs
@@ -1,5 +1,6 @@
-//! What both programs of the mesh stand on: [`control`], the calls of operators and upstreams over HTTP/1.1, and
-//! [`lamps`], the log.
+//! What both programs of the mesh stand on: [`control`], the calls of operators and upstreams over HTTP/1.1, [`lamps`], the
+//! log, and [`program`], the command line.
 
 pub mod control;
 pub mod lamps;
+pub mod program;
--- a/mesh/yard/tests/loopback.rs
+++ b/mesh/yard/tests/loopback.rs
@@ -242,3 +242,68 @@
         assert_eq!(status(&served), 200, "{served:?}");
     });
 }
+
+/// Sends bytes to an address and waits until the other end closes; what came back.
+async fn stranger(to: std::net::SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(to).await.expect("a connection");
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    let mut come = Vec::new();
+    let _ =
+        tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut come)).await.expect("an end");
+    come
+}
+
+#[test]
+fn what_strangers_send_is_refused_with_a_reason_and_harms_nobody() {
+    play(async || {
+        let mesh = Mesh::start(35, 1).await;
+        let mesh_ports = [mesh.plan.operator(0), mesh.plan.outgoing(1)].map(|mut a| {
+            a.set_port(7620);
+            a
+        });
+        let long = [&0x7fff_ffff_u32.to_be_bytes()[..], &[1, 0]].concat();
+        let foreign = [&64_u32.to_be_bytes()[..], &[99, 0], &[0; 62]].concat();
+        // A frame whose message is a list of four thousand million entries, and one that is nested without end.
+        let huge = [&15_u32.to_be_bytes()[..], &[1, 0], &[0; 8], &[0xdd, 0xff, 0xff, 0xff, 0xff]].concat();
+        let nested = [&4106_u32.to_be_bytes()[..], &[1, 0], &[0; 8], &[0x91; 4096]].concat();
+        for port in mesh_ports {
+            for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &long, &foreign, &huge, &nested, &[]] {
+                assert_eq!(stranger(port, bytes).await, b"", "{bytes:?}");
+            }
+        }
+        // Core machines take no word of the chain from one that is no founder.
+        let whole = "x".repeat(20 << 20);
+        let cases: [(&str, &str, u16, &str); 5] = [
+            ("/-/rpc?call=config.replace", "{", 400, "configuration"),
+            ("/-/rpc?call=config.replace", &whole, 413, "body"),
+            ("/-/rpc?call=nothing", "", 404, "config.replace"),
+            ("/-/rpc", "", 404, "nothing"),
+            ("/elsewhere", "", 404, "/-/rpc"),
+        ];
+        for (target, body, status, told) in cases {
+            let answer = ask(mesh.plan.operator(0), "POST", target, &[], body.as_bytes(), WITHIN).await;
+            // Whoever sends twenty megabytes may find the connection closed before it has the answer.
+            let Ok(answer) = answer else {
+                assert_eq!(status, 413, "{target}");
+                continue;
+            };
+            let why = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(answer.status == status && why.contains(told), "{target}: {answer:?}");
+        }
+        for (headers, status) in [
+            (&[("Host", "h.example"), ("Host", "g.example")][..], 400),
+            (&[("Host", "h.example"), ("X-Time-Left", "-5")], 400),
+            (&[("Host", "h.example"), ("X-Time-Left", "soon")], 400),
+            (&[("Host", "h.example"), ("X-Try-Id", "a"), ("X-Try-Id", "b")], 400),
+            (&[("Host", "other.example")], 404),
+        ] {
+            let answer = ask(mesh.plan.outgoing(1), "GET", "/safe/a", headers, b"", WITHIN).await;
+            assert_eq!(answer.as_ref().map_or(0, |a| a.status), status, "{headers:?} {answer:?}");
+        }
+        assert_eq!(mesh.standin.ran(), 0);
+        let good = mesh.request("/safe/a", "t-1", None).await.expect("an answer");
+        assert_eq!(good.status, 200, "{good:?}");
+    });
+}
