Exchange: the names of those that pull are no longer kept without a bound

Cause, at the second reading: each pull's source was put into a map that nothing read and nothing emptied, so that a stranger on the mesh port could fill the memory with made-up names. Change: the map is gone.

--- a/mesh/waybill/src/exchange.rs
+++ b/mesh/waybill/src/exchange.rs
@@ -28,8 +28,6 @@
     changed: watch::Sender<u64>,
     /// Counts up with every change of the own record.
     announced: watch::Sender<u64>,
-    /// Who has asked lately, and when.
-    heard: RefCell<std::collections::BTreeMap<String, Instant>>,
 }
 
 impl Exchange {
@@ -42,7 +40,6 @@
             own: RefCell::new(own),
             changed: watch::Sender::new(0),
             announced: watch::Sender::new(0),
-            heard: RefCell::default(),
         })
     }
 
@@ -61,11 +58,6 @@
         self.own.borrow().clone()
     }
 
-    /// When a source asked last.
-    pub fn heard(&self, source: &str) -> Option<Instant> {
-        self.heard.borrow().get(source).copied()
-    }
-
     /// Changes the own record and tells those that are followed.
     pub fn announce(&self, change: impl FnOnce(&mut Record)) {
         let record = {
@@ -121,7 +113,6 @@
 
     /// Answers a pull as soon as there is news for it.
     pub async fn answer(&self, mut pull: Pull) -> News {
-        self.heard.borrow_mut().insert(pull.source.clone(), Instant::now());
         self.take(std::mem::take(&mut pull.told));
         let until = Instant::now() + Duration::from_millis(pull.hold).min(MOST_HOLD);
         let mut changed = self.changed.subscribe();
