Packages of the mesh get the field's names; no change of behaviour

footplate is data-plane, signalbox control-plane, interlocking chain-replication, ballast storage, staff idempotency, telegraph discovery, timetable route-config, rulebook process-settings, waybill rpc, lineside admin-http, yard testbed; modules lamps and words are logging and header_names.

--- a/mesh/lineside/src/lamps.rs
+++ b/mesh/admin-http/src/logging.rs
@@ -6,7 +6,7 @@
 
 /// Writes lines to standard error from now on, as long as the handle is kept. `level` is a filter as `flexi_logger` has
 /// it, such as `info`.
-pub fn light(level: &str) -> Result<LoggerHandle> {
+pub fn start(level: &str) -> Result<LoggerHandle> {
     Logger::try_with_str(level)
         .context("read the filter of the log")?
         .format(line)
--- a/mesh/lineside/src/program.rs
+++ b/mesh/admin-http/src/program.rs
@@ -5,7 +5,7 @@
 
 use anyhow::Result;
 use clap::{Arg, ArgMatches, Command, value_parser};
-use sloeline_rulebook::Settings;
+use sloeline_process_settings::Settings;
 
 /// A program of the mesh.
 pub struct Program {
@@ -44,7 +44,7 @@
         match matches.subcommand() {
             Some(("run", matches)) => {
                 let filter = matches.get_one::<String>("log").map_or("info", String::as_str);
-                let _lamps = crate::lamps::light(filter)?;
+                let _logging = crate::logging::start(filter)?;
                 (self.run)(&path(matches))
             }
             Some(("check", matches)) => {
--- a/mesh/interlocking/tests/histories.rs
+++ b/mesh/chain-replication/tests/histories.rs
@@ -1,7 +1,7 @@
 //! Histories of core machines with lost messages, cuts, kills, losses of power and disks, against a plain specification:
 //! what was acknowledged is there for good, in one order, and a read sees all that was acknowledged before it began.
 //!
-//! `HISTORIES=1000000 cargo test --release -p sloeline-interlocking histories` plays more of them.
+//! `HISTORIES=1000000 cargo test --release -p sloeline-chain-replication histories` plays more of them.
 
 mod world;
 
--- a/mesh/interlocking/tests/world/mod.rs
+++ b/mesh/chain-replication/tests/world/mod.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use fastrand::Rng;
-use sloeline_interlocking::message::Lacked;
-use sloeline_interlocking::{Applied, Kept, Message, Node, Output, Peer, Row, Settings, Tables, Write};
+use sloeline_chain_replication::message::Lacked;
+use sloeline_chain_replication::{Applied, Kept, Message, Node, Output, Peer, Row, Settings, Tables, Write};
 
 /// What is wrong with the machines on purpose.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/mesh/signalbox/src/core.rs
+++ b/mesh/control-plane/src/core.rs
@@ -11,11 +11,11 @@
 use anyhow::{Context, Result, anyhow};
 use bytes::Bytes;
 use log::{info, warn};
-use sloeline_interlocking::{Kept, Message, Node, Output, Settings, Tables};
-use sloeline_telegraph::Config;
-use sloeline_waybill::Ask;
-use sloeline_waybill::exchange::Exchange;
-use sloeline_waybill::link::Link;
+use sloeline_chain_replication::{Kept, Message, Node, Output, Settings, Tables};
+use sloeline_discovery::Config;
+use sloeline_rpc::Ask;
+use sloeline_rpc::exchange::Exchange;
+use sloeline_rpc::link::Link;
 use tokio::sync::{Notify, mpsc::UnboundedReceiver, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
@@ -62,7 +62,7 @@
     pub fn new(
         me: SocketAddr,
         kept: Kept,
-        rows: sloeline_ballast::Rows,
+        rows: sloeline_storage::Rows,
         key_window: u64,
         disk: Sender<Order>,
         exchange: Rc<Exchange>,
--- a/mesh/signalbox/src/disk.rs
+++ b/mesh/control-plane/src/disk.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use sloeline_ballast::Store;
-use sloeline_interlocking::Write;
+use sloeline_chain_replication::Write;
+use sloeline_storage::Store;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 /// Most writes of one transaction.
@@ -22,7 +22,7 @@
     /// It takes no writes. What was not told as written may be there or not.
     Failed(String),
     /// It takes writes again; this is what it holds.
-    Reopened(Box<sloeline_interlocking::Kept>, sloeline_ballast::Rows),
+    Reopened(Box<sloeline_chain_replication::Kept>, sloeline_storage::Rows),
 }
 
 /// A write for the store as it was opened for the how-manieth time: what was meant for an earlier one is dropped.
@@ -90,6 +90,6 @@
 }
 
 /// A write that changes nothing: it shows that the disk takes writes.
-fn empty(kept: &sloeline_interlocking::Kept) -> Write {
+fn empty(kept: &sloeline_chain_replication::Kept) -> Write {
     Write { token: 0, kept: kept.clone(), rows: Vec::new(), replace: false }
 }
--- /dev/null
+++ b/mesh/control-plane/src/main.rs
@@ -0,0 +1,10 @@
+//! `sloeline-control-plane`: the control plane's program.
+
+use std::process::ExitCode;
+
+use sloeline_admin_http::program::Program;
+
+fn main() -> ExitCode {
+    let about = "Control plane of a sloeline mesh: configuration, keyed operations, who exists";
+    Program { name: "sloeline-control-plane", about, run: sloeline_control_plane::program::run }.main()
+}
--- a/mesh/signalbox/src/operator.rs
+++ b/mesh/control-plane/src/operator.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use log::info;
-use sloeline_lineside::control::{Answer, Call, json, plain, wrong};
-use sloeline_telegraph::Config;
-use sloeline_timetable::model;
+use sloeline_admin_http::control::{Answer, Call, json, plain, wrong};
+use sloeline_discovery::Config;
+use sloeline_route_config::model;
 
 use crate::core::Core;
 use crate::tables::{Came, Change};
--- a/mesh/signalbox/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -7,15 +7,15 @@
 
 use anyhow::{Context, Result};
 use log::{error, info, warn};
-use sloeline_ballast::{Rows, Store};
-use sloeline_interlocking::Kept;
-use sloeline_lineside::control;
-use sloeline_rulebook::Settings;
-use sloeline_telegraph::{Record, Version};
-use sloeline_timetable::model::MOST_BYTES;
-use sloeline_waybill::exchange::Exchange;
-use sloeline_waybill::serve::serve;
-use sloeline_waybill::{Ask, Told};
+use sloeline_admin_http::control;
+use sloeline_chain_replication::Kept;
+use sloeline_discovery::{Record, Version};
+use sloeline_process_settings::Settings;
+use sloeline_route_config::model::MOST_BYTES;
+use sloeline_rpc::exchange::Exchange;
+use sloeline_rpc::serve::serve;
+use sloeline_rpc::{Ask, Told};
+use sloeline_storage::{Rows, Store};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -46,13 +46,13 @@
 async fn open(settings: &Settings, me: SocketAddr, founders: &[SocketAddr]) -> Result<(Store, Kept, Rows)> {
     let folder = settings.data_path.as_deref().context("data_path: found nothing, expected a folder")?;
     let mut spoilt = false;
-    while sloeline_ballast::exists(folder)? {
+    while sloeline_storage::exists(folder)? {
         match Store::open(folder) {
             Ok(opened) => return Ok(opened),
             // What it has promised is in doubt, so it counts as lost: the others take this machine in again.
-            Err(why) if sloeline_ballast::is_spoilt(&why) => {
+            Err(why) if sloeline_storage::is_spoilt(&why) => {
                 error!(target: "disk", "Set aside, it does not open: {why:#}.");
-                sloeline_ballast::set_aside(folder)?;
+                sloeline_storage::set_aside(folder)?;
                 spoilt = true;
             }
             Err(why) => {
--- a/mesh/signalbox/src/tables.rs
+++ b/mesh/control-plane/src/tables.rs
@@ -2,9 +2,9 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
-use sloeline_interlocking::{Applied, Row, Tables};
-use sloeline_staff::{Claim, Claims, Outcome, Update};
-use sloeline_telegraph::Config;
+use sloeline_chain_replication::{Applied, Row, Tables};
+use sloeline_discovery::Config;
+use sloeline_idempotency::{Claim, Claims, Outcome, Update};
 
 /// A key is kept so much longer than its window, in milliseconds: its first try was sent before it was claimed, and the
 /// head's time is not the clients'.
--- a/mesh/signalbox/tests/tables.rs
+++ b/mesh/control-plane/tests/tables.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use quickcheck::quickcheck;
-use sloeline_interlocking::Tables;
-use sloeline_signalbox::tables::{Came, Change, State};
-use sloeline_staff::{Outcome, Update};
-use sloeline_telegraph::Config;
+use sloeline_chain_replication::Tables;
+use sloeline_control_plane::tables::{Came, Change, State};
+use sloeline_discovery::Config;
+use sloeline_idempotency::{Outcome, Update};
 
 fn change(kind: u8, key: u8, run: u64) -> Change {
     let name = Bytes::from(vec![key % 5]);
--- a/mesh/footplate/src/beats.rs
+++ b/mesh/data-plane/src/beats.rs
@@ -5,8 +5,8 @@
 
 use anyhow::{Context, Result, bail};
 use serde::Deserialize;
-use sloeline_rulebook::span::Span;
-use sloeline_telegraph::{Condition, Upstream};
+use sloeline_discovery::{Condition, Upstream};
+use sloeline_process_settings::span::Span;
 
 /// Earlier lives that are remembered: what still comes of them says nothing any more.
 const MOST_PAST: usize = 64;
--- a/mesh/footplate/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -8,16 +8,16 @@
 use hyper::StatusCode;
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
+use sloeline_discovery::rendezvous::weight;
 use sloeline_engine::clock::Clock;
 use sloeline_http::front::{Admission, Answered, Front, end_to_end, number, plain};
+use sloeline_idempotency::MOST_KEY;
 use sloeline_limits::Share;
-use sloeline_staff::MOST_KEY;
-use sloeline_telegraph::rendezvous::weight;
-use sloeline_timetable::model::RouteKind;
-use sloeline_timetable::table::Table;
+use sloeline_route_config::model::RouteKind;
+use sloeline_route_config::table::Table;
 
+use crate::header_names;
 use crate::services::{Lead, Rails};
-use crate::words;
 
 /// What a refused client is told where nothing better is known, in seconds.
 const AGAIN: &str = "0.25";
@@ -99,16 +99,16 @@
         else {
             return Err(plain(StatusCode::NOT_FOUND, "no such route"));
         };
-        let id = once(&head.headers, &words::TRY_ID)?;
+        let id = once(&head.headers, &header_names::TRY_ID)?;
         let keyed = route.route_kind == RouteKind::Tracked;
         if keyed {
-            let key = once(&head.headers, &words::OPERATION_KEY)?.filter(|k| !k.is_empty());
+            let key = once(&head.headers, &header_names::OPERATION_KEY)?.filter(|k| !k.is_empty());
             let key = key.ok_or_else(|| bad("a tracked route wants X-Operation-Key"))?;
             if key.len() > MOST_KEY {
                 return Err(bad("X-Operation-Key is too long"));
             }
         }
-        let waits = match once(&head.headers, &words::TIME_LEFT)? {
+        let waits = match once(&head.headers, &header_names::TIME_LEFT)? {
             None => Micros::MAX,
             Some(value) => {
                 let millis = value.to_str().ok().and_then(number);
@@ -132,27 +132,27 @@
         }
         let mut headers = end_to_end(&head.headers);
         for own in [
-            words::ADDRESSEE,
-            words::SENDER,
-            words::KEYED,
-            words::KIND,
-            words::NOT_RUN,
-            words::ROOM_IN,
-            words::AIM,
-            words::LIMIT,
-            words::HOLD,
+            header_names::ADDRESSEE,
+            header_names::SENDER,
+            header_names::KEYED,
+            header_names::KIND,
+            header_names::NOT_RUN,
+            header_names::ROOM_IN,
+            header_names::AIM,
+            header_names::LIMIT,
+            header_names::HOLD,
         ] {
             headers.remove(own);
         }
-        headers.insert(words::SENDER, self.sender.clone());
-        headers.insert(words::KIND, lead.kind.clone());
+        headers.insert(header_names::SENDER, self.sender.clone());
+        headers.insert(header_names::KIND, lead.kind.clone());
         let (now, time_left) = (self.clock.now(), waits.min(route.dispatch.timeout.0));
-        headers.insert(words::AIM, HeaderValue::from(now.saturating_add(route.target.0)));
+        headers.insert(header_names::AIM, HeaderValue::from(now.saturating_add(route.target.0)));
         let hold = (time_left as f64 * HELD) as Micros;
-        headers.insert(words::HOLD, HeaderValue::from(now.saturating_add(hold)));
-        headers.insert(words::TIME_LEFT, HeaderValue::from(now.saturating_add(time_left)));
+        headers.insert(header_names::HOLD, HeaderValue::from(now.saturating_add(hold)));
+        headers.insert(header_names::TIME_LEFT, HeaderValue::from(now.saturating_add(time_left)));
         if keyed {
-            headers.insert(words::KEYED, HeaderValue::from_static("1"));
+            headers.insert(header_names::KEYED, HeaderValue::from_static("1"));
         }
         Ok(Admission {
             engine: service.engine.clone(),
--- a/mesh/footplate/src/keys.rs
+++ b/mesh/data-plane/src/keys.rs
@@ -9,9 +9,9 @@
 use anyhow::{Result, anyhow, bail};
 use bytes::Bytes;
 use log::debug;
-use sloeline_staff::{Answer, Outcome, Update};
-use sloeline_waybill::link::Link;
-use sloeline_waybill::{Ask, Told};
+use sloeline_idempotency::{Answer, Outcome, Update};
+use sloeline_rpc::link::Link;
+use sloeline_rpc::{Ask, Told};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
--- a/mesh/footplate/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -5,8 +5,8 @@
 pub mod beats;
 pub mod front;
 pub mod gate;
+pub mod header_names;
 pub mod keys;
 pub mod program;
 pub mod receive;
 pub mod services;
-pub mod words;
--- /dev/null
+++ b/mesh/data-plane/src/main.rs
@@ -0,0 +1,10 @@
+//! `sloeline-data-plane`: the data plane's program.
+
+use std::process::ExitCode;
+
+use sloeline_admin_http::program::Program;
+
+fn main() -> ExitCode {
+    let about = "Data plane of a sloeline mesh: the balancer beside an application instance";
+    Program { name: "sloeline-data-plane", about, run: sloeline_data_plane::program::run }.main()
+}
--- a/mesh/footplate/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -12,20 +12,20 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, StatusCode};
 use log::{info, warn};
+use sloeline_admin_http::control::{self, Answer, Call, json, plain, wrong};
+use sloeline_discovery::{Record, Version, rendezvous};
 use sloeline_engine::clock::Clock;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
 use sloeline_http::upstream::{Dialect, Upstreams};
+use sloeline_idempotency::Ledger;
 use sloeline_limits::Share;
-use sloeline_lineside::control::{self, Answer, Call, json, plain, wrong};
-use sloeline_rulebook::Settings;
-use sloeline_staff::Ledger;
-use sloeline_telegraph::{Record, Version, rendezvous};
-use sloeline_timetable::model::{Config, SizeLimits};
-use sloeline_timetable::table::Table;
-use sloeline_waybill::exchange::{Exchange, Following};
-use sloeline_waybill::serve::serve;
-use sloeline_waybill::{Ask, Told};
+use sloeline_process_settings::Settings;
+use sloeline_route_config::model::{Config, SizeLimits};
+use sloeline_route_config::table::Table;
+use sloeline_rpc::exchange::{Exchange, Following};
+use sloeline_rpc::serve::serve;
+use sloeline_rpc::{Ask, Told};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -34,10 +34,10 @@
 
 use crate::beats::Beat;
 use crate::front::{Outgoing, Routes};
+use crate::header_names;
 use crate::keys::Keys;
 use crate::receive::Receiver;
 use crate::services::{Ground, Services};
-use crate::words;
 
 /// How long a core machine holds a pull for want of news.
 const CORE_HOLD: Duration = Duration::from_millis(1000);
@@ -122,7 +122,7 @@
 
     let keys = Keys::new(settings.node_name.clone());
     let dialect = Dialect {
-        deadline: Some(words::TIME_LEFT),
+        deadline: Some(header_names::TIME_LEFT),
         only_ok: false,
         declined: None,
         most_answer: 1 << 30,
--- a/mesh/footplate/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -16,17 +16,17 @@
 use hyper::{Method, Request, StatusCode, Uri, body::Incoming};
 use hyper_util::rt::TokioIo;
 use log::debug;
+use sloeline_discovery::Condition;
+use sloeline_discovery::rendezvous::picks;
 use sloeline_engine::types::Target;
 use sloeline_http::front::{Answered, end_to_end, number, plain};
 use sloeline_http::payload::Payload;
 use sloeline_http::upload::Sent;
 use sloeline_http::upstream::{Call, Relayed, Reply, Upstreams};
+use sloeline_idempotency::{Answer, Entry, Ledger, Outcome};
+use sloeline_rpc::Told;
+use sloeline_rpc::exchange::Exchange;
 use sloeline_settings::setup::ring;
-use sloeline_staff::{Answer, Entry, Ledger, Outcome};
-use sloeline_telegraph::Condition;
-use sloeline_telegraph::rendezvous::picks;
-use sloeline_waybill::Told;
-use sloeline_waybill::exchange::Exchange;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::spawn_local;
@@ -34,8 +34,8 @@
 
 use crate::beats::Beats;
 use crate::gate::{Arrival, Gate, Micros, State, Verdict};
+use crate::header_names;
 use crate::keys::Keys;
-use crate::words;
 
 /// Longest time that a request is taken for, whatever it says: a day.
 const LONGEST: Micros = 86_400_000_000;
@@ -109,9 +109,9 @@
 fn not_run(status: StatusCode, why: &'static str, room_in: Option<Micros>) -> Answered {
     let mut answer = plain(status, why);
     let headers = answer.headers_mut();
-    headers.insert(words::NOT_RUN, HeaderValue::from_static("1"));
+    headers.insert(header_names::NOT_RUN, HeaderValue::from_static("1"));
     if let Some(room_in) = room_in {
-        headers.insert(words::ROOM_IN, HeaderValue::from(room_in.div_ceil(1000)));
+        headers.insert(header_names::ROOM_IN, HeaderValue::from(room_in.div_ceil(1000)));
         if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", room_in as f64 / 1e6)) {
             headers.insert(RETRY_AFTER, seconds);
         }
@@ -121,7 +121,7 @@
 
 /// What requests are told apart by in the gate: route and class, as the sender has them.
 fn kind(headers: &HeaderMap) -> u64 {
-    headers.get(words::KIND).map_or(0, |v| ring(v.to_str().unwrap_or_default()))
+    headers.get(header_names::KIND).map_or(0, |v| ring(v.to_str().unwrap_or_default()))
 }
 
 /// A request as it goes on.
@@ -247,11 +247,13 @@
         let came = self.now();
         let (head, body) = request.into_parts();
         let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
-        let left = text(&words::TIME_LEFT).and_then(number).map_or(LONGEST, |ms| ms.saturating_mul(1000));
+        let left =
+            text(&header_names::TIME_LEFT).and_then(number).map_or(LONGEST, |ms| ms.saturating_mul(1000));
         let until = came + left.min(LONGEST);
-        let aim = text(&words::AIM).and_then(number).map_or(left, |ms| ms.saturating_mul(1000));
-        let limit = text(&words::LIMIT).and_then(number).map_or(left, |ms| ms.saturating_mul(1000).min(left));
-        let hold = text(&words::HOLD).and_then(number).map_or(limit, |ms| ms.saturating_mul(1000));
+        let aim = text(&header_names::AIM).and_then(number).map_or(left, |ms| ms.saturating_mul(1000));
+        let limit =
+            text(&header_names::LIMIT).and_then(number).map_or(left, |ms| ms.saturating_mul(1000).min(left));
+        let hold = text(&header_names::HOLD).and_then(number).map_or(limit, |ms| ms.saturating_mul(1000));
         let arrival = Arrival { kind: kind(&head.headers), aim, left: limit.min(LONGEST), hold };
         let (id, address) = {
             let beats = self.beats.borrow();
@@ -260,27 +262,34 @@
                 _ => return not_run(StatusCode::SERVICE_UNAVAILABLE, "no upstream here", None),
             }
         };
-        if text(&words::ADDRESSEE).is_some_and(|to| to != id) {
+        if text(&header_names::ADDRESSEE).is_some_and(|to| to != id) {
             return not_run(StatusCode::MISDIRECTED_REQUEST, "another upstream is here", None);
         }
         let Ok(body) = Limited::new(body, MOST_BODY).collect().await else {
             return not_run(StatusCode::BAD_REQUEST, "the body broke off or is too large", None);
         };
-        let key = head.headers.get(words::KEYED).and_then(|_| head.headers.get(words::OPERATION_KEY));
+        let key =
+            head.headers.get(header_names::KEYED).and_then(|_| head.headers.get(header_names::OPERATION_KEY));
         let key = key.map(|k| Bytes::copy_from_slice(k.as_bytes()));
         let mut headers = end_to_end(&head.headers);
-        for own in [words::KEYED, words::KIND, words::AIM, words::LIMIT, words::HOLD] {
+        for own in [
+            header_names::KEYED,
+            header_names::KIND,
+            header_names::AIM,
+            header_names::LIMIT,
+            header_names::HOLD,
+        ] {
             headers.remove(own);
         }
         if let Ok(id) = HeaderValue::from_str(&id) {
-            headers.insert(words::ADDRESSEE, id);
+            headers.insert(header_names::ADDRESSEE, id);
         }
         debug_assert!(headers.contains_key(HOST));
         let uri: Uri = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
         let (method, body): (Method, _) = (head.method.clone(), Sent::Whole(body.to_bytes()));
         let call = Call { method, uri, headers, body };
         let target = Target { server: 0, address };
-        let try_id = head.headers.get(words::TRY_ID).cloned();
+        let try_id = head.headers.get(header_names::TRY_ID).cloned();
         let going = Going { call, id: try_id, target, came, until, arrival, upstream: id };
         match key {
             None => self.forward(going).await,
@@ -335,8 +344,8 @@
         let id = going.id.clone();
         let right = move |status: StatusCode, headers: &HeaderMap| {
             // An answer that came in the place of this one's belongs to another request.
-            let whose = headers.get(words::TRY_ID) == id.as_ref();
-            whose && (!status.is_success() || headers.contains_key(words::POSTMARK))
+            let whose = headers.get(header_names::TRY_ID) == id.as_ref();
+            whose && (!status.is_success() || headers.contains_key(header_names::POSTMARK))
         };
         match self.upstreams.relay(going.target, &going.call, left, right).await {
             Relayed::NotSent => {
@@ -354,7 +363,7 @@
                 drop(reply);
                 Ran::Not(not_run(StatusCode::MISDIRECTED_REQUEST, "another upstream is here", None))
             }
-            Relayed::Answered(reply) if reply.headers.contains_key(words::NOT_RUN) => {
+            Relayed::Answered(reply) if reply.headers.contains_key(header_names::NOT_RUN) => {
                 Ran::Not(not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream is full", None))
             }
             Relayed::Answered(mut reply) => {
@@ -538,7 +547,7 @@
         }
     }
     if let Some(id) = id {
-        headers.insert(words::TRY_ID, id);
+        headers.insert(header_names::TRY_ID, id);
     }
     answer
 }
--- a/mesh/footplate/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -11,6 +11,7 @@
 use finchshift::{Effect, ListKind, Micros, ServerId, ServerState};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use sloeline_discovery::{Condition, Record};
 use sloeline_engine::clock::Clock;
 use sloeline_engine::engine::{Engine, Report, Wire};
 use sloeline_engine::slots::{Slot, assign};
@@ -18,13 +19,12 @@
 use sloeline_http::front::{Admitted, number};
 use sloeline_http::upstream::{Attempt, Call, Dialect, Reply, Upstreams};
 use sloeline_limits::Share;
+use sloeline_route_config::model::{Route, RouteKind};
+use sloeline_route_config::table::Table;
 use sloeline_settings::setup::Names;
-use sloeline_telegraph::{Condition, Record};
-use sloeline_timetable::model::{Route, RouteKind};
-use sloeline_timetable::table::Table;
 use tokio::task::{AbortHandle, spawn_local};
 
-use crate::words;
+use crate::header_names;
 
 /// A connection between balancers that does not come up in this time has failed.
 const CONNECT: Micros = 300_000;
@@ -61,11 +61,11 @@
     fn send(&self, to: Target, call: Rc<Call>, limit: Micros, report: Report<Self>) -> Attempt {
         let mut headers = call.headers.clone();
         if let Some(id) = self.behind.borrow().get(&to.address) {
-            headers.insert(words::ADDRESSEE, id.clone());
+            headers.insert(header_names::ADDRESSEE, id.clone());
         }
         // Moments as the other has them: its clock is not this one's. An upstream is told all of the client's time, and the
         // attempt ends from this side: whoever is told to stop may then leave it the rest.
-        for name in [words::AIM, words::TIME_LEFT, words::HOLD] {
+        for name in [header_names::AIM, header_names::TIME_LEFT, header_names::HOLD] {
             let at = headers.get(&name).and_then(|v| v.to_str().ok()).and_then(number);
             if let Some(at) = at {
                 headers.insert(name, HeaderValue::from(at.saturating_sub(self.clock.now()) / 1000));
@@ -140,9 +140,9 @@
 fn dialect() -> Dialect {
     let statuses = [503, 429, 421, 408, 400].into_iter().filter_map(|s| StatusCode::from_u16(s).ok());
     Dialect {
-        deadline: Some(words::LIMIT),
+        deadline: Some(header_names::LIMIT),
         only_ok: false,
-        declined: Some((words::NOT_RUN, HeaderValue::from_static("1"), statuses.collect())),
+        declined: Some((header_names::NOT_RUN, HeaderValue::from_static("1"), statuses.collect())),
         most_answer: MOST_ANSWER,
         held: HELD,
         forwards: false,
--- a/mesh/footplate/tests/beats.rs
+++ b/mesh/data-plane/tests/beats.rs
@@ -1,7 +1,7 @@
 //! Recorded beats of upstreams, played against what a balancer makes of them.
 
-use sloeline_footplate::beats::{Beat, Beats};
-use sloeline_telegraph::Condition;
+use sloeline_data_plane::beats::{Beat, Beats};
+use sloeline_discovery::Condition;
 
 fn beat(condition: &str, sequence: u64, cold: &str) -> Beat {
     let body = format!(
--- a/mesh/footplate/tests/gate.rs
+++ b/mesh/data-plane/tests/gate.rs
@@ -2,7 +2,7 @@
 //! than it may have.
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sloeline_footplate::gate::{Arrival, Gate, State, Verdict};
+use sloeline_data_plane::gate::{Arrival, Gate, State, Verdict};
 
 const MS: u64 = 1_000;
 
--- a/mesh/telegraph/tests/boards.rs
+++ b/mesh/discovery/tests/boards.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use quickcheck::quickcheck;
-use sloeline_telegraph::rendezvous::picks;
-use sloeline_telegraph::{Board, Config, Pull, Record, Version};
+use sloeline_discovery::rendezvous::picks;
+use sloeline_discovery::{Board, Config, Pull, Record, Version};
 
 fn record(source: u8, life: u64, change: u64) -> Record {
     Record {
--- a/mesh/staff/tests/keys.rs
+++ b/mesh/idempotency/tests/keys.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sloeline_staff::{Answer, Claims, Entry, Ledger, Outcome, Update};
+use sloeline_idempotency::{Answer, Claims, Entry, Ledger, Outcome, Update};
 
 const WINDOW: u64 = 50;
 
--- a/mesh/rulebook/tests/settings.rs
+++ b/mesh/process-settings/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Settings files: what is read, what is passed over, and what a wrong one is told.
 
-use sloeline_rulebook::Settings;
-use sloeline_rulebook::span::{Span, span};
+use sloeline_process_settings::Settings;
+use sloeline_process_settings::span::{Span, span};
 
 const GOOD: &str = r#"
 node_name = "branch-a-1"
--- a/mesh/timetable/src/model.rs
+++ b/mesh/route-config/src/model.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result, bail};
 use serde::{Deserialize, Serialize};
-use sloeline_rulebook::span::Span;
+use sloeline_process_settings::span::Span;
 use validator::{Validate, ValidationError};
 
 /// Most bytes of a configuration.
--- a/mesh/timetable/tests/configurations.rs
+++ b/mesh/route-config/tests/configurations.rs
@@ -1,8 +1,8 @@
 //! Configurations as operators send them: what is taken, what is refused and why, and what routes requests.
 
 use serde_json::{Value, json};
-use sloeline_timetable::model::{Config, Edition};
-use sloeline_timetable::table::Table;
+use sloeline_route_config::model::{Config, Edition};
+use sloeline_route_config::table::Table;
 
 fn route(prefix: &str, line: &str) -> Value {
     json!({"name": "r", "route_kind": "safe", "target": "300ms", "precedence": 2,
--- a/mesh/waybill/src/exchange.rs
+++ b/mesh/rpc/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sloeline_telegraph::{Board, Config, News, Pull, Record, Version};
+use sloeline_discovery::{Board, Config, News, Pull, Record, Version};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
--- a/mesh/waybill/src/lib.rs
+++ b/mesh/rpc/src/lib.rs
@@ -8,9 +8,9 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use sloeline_interlocking::Message;
-use sloeline_staff::{Answer, Outcome, Update};
-use sloeline_telegraph::{News, Pull, Record};
+use sloeline_chain_replication::Message;
+use sloeline_discovery::{News, Pull, Record};
+use sloeline_idempotency::{Answer, Outcome, Update};
 
 /// What a process asks of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/mesh/waybill/tests/frames.rs
+++ b/mesh/rpc/tests/frames.rs
@@ -2,8 +2,8 @@
 
 use bytes::BytesMut;
 use quickcheck::quickcheck;
-use sloeline_waybill::frame::{Kind, MOST_FRAME, VERSION, decode, encode, next};
-use sloeline_waybill::{Ask, Told};
+use sloeline_rpc::frame::{Kind, MOST_FRAME, VERSION, decode, encode, next};
+use sloeline_rpc::{Ask, Told};
 
 quickcheck! {
     fn frames_come_out_as_they_went_in_however_they_are_cut(messages: Vec<(u64, String)>, cuts: Vec<u8>) -> bool {
--- a/mesh/ballast/src/lib.rs
+++ b/mesh/storage/src/lib.rs
@@ -17,7 +17,7 @@
     Builder, Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, StorageBackend,
     StorageError, TableDefinition, TableError,
 };
-use sloeline_interlocking::{Kept, Write};
+use sloeline_chain_replication::{Kept, Write};
 
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const ROWS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("rows");
--- a/mesh/ballast/tests/torn.rs
+++ b/mesh/storage/tests/torn.rs
@@ -6,14 +6,14 @@
 
 use bytes::Bytes;
 use redb::StorageBackend;
-use sloeline_ballast::{Store, exists, is_spoilt};
-use sloeline_interlocking::{Kept, Write};
+use sloeline_chain_replication::{Kept, Write};
+use sloeline_storage::{Store, exists, is_spoilt};
 
 struct Folder(PathBuf);
 
 impl Folder {
     fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("sloeline-ballast-{}-{name}", std::process::id()));
+        let path = std::env::temp_dir().join(format!("sloeline-storage-{}-{name}", std::process::id()));
         let _ = fs::remove_dir_all(&path);
         Folder(path)
     }
@@ -206,7 +206,7 @@
         assert!(is_spoilt(&why), "{what}: {why:#}");
         assert!(exists(folder.path()).expect("a look"), "{what}");
     }
-    sloeline_ballast::set_aside(folder.path()).expect("a new name");
+    sloeline_storage::set_aside(folder.path()).expect("a new name");
     assert!(!exists(folder.path()).expect("a look"));
 }
 
--- a/mesh/yard/examples/slopes.rs
+++ b/mesh/testbed/examples/slopes.rs
@@ -1,4 +1,4 @@
-//! What the parts cost as they grow, for docs/CAPACITY.md: `cargo run --release -p sloeline-yard --example slopes`. No
+//! What the parts cost as they grow, for docs/CAPACITY.md: `cargo run --release -p sloeline-testbed --example slopes`. No
 //! sockets; bytes are counted as they would be sent, times are this machine's.
 
 use std::hint::black_box;
@@ -6,15 +6,15 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use sloeline_footplate::gate::{Arrival, Gate, State};
-use sloeline_interlocking::{Kept, Message, Node, Output, Settings, Tables};
-use sloeline_signalbox::tables::{Change, State as Kept3};
-use sloeline_staff::Update;
-use sloeline_telegraph::{Board, Condition, Pull, Record, Upstream, Version};
-use sloeline_timetable::model::Config;
-use sloeline_timetable::table::Table;
-use sloeline_waybill::frame::{Kind, encode};
-use sloeline_waybill::{Ask, Told};
+use sloeline_chain_replication::{Kept, Message, Node, Output, Settings, Tables};
+use sloeline_control_plane::tables::{Change, State as Kept3};
+use sloeline_data_plane::gate::{Arrival, Gate, State};
+use sloeline_discovery::{Board, Condition, Pull, Record, Upstream, Version};
+use sloeline_idempotency::Update;
+use sloeline_route_config::model::Config;
+use sloeline_route_config::table::Table;
+use sloeline_rpc::frame::{Kind, encode};
+use sloeline_rpc::{Ask, Told};
 
 fn micros(start: Instant, times: u32) -> f64 {
     start.elapsed().as_secs_f64() * 1e6 / f64::from(times)
--- a/mesh/yard/src/main.rs
+++ b/mesh/testbed/src/main.rs
@@ -1,4 +1,4 @@
-//! `yard demo`: a whole mesh on loopback for some seconds, with a core machine lost on the way, and an account at the end.
+//! `sloeline-testbed demo`: a whole mesh on loopback for some seconds, with a core machine lost on the way, and an account at the end.
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
@@ -6,9 +6,9 @@
 
 use anyhow::{Context, Result, bail};
 use clap::{Arg, Command, value_parser};
-use sloeline_yard::client::ask;
-use sloeline_yard::machine::Plan;
-use sloeline_yard::standin::Standin;
+use sloeline_testbed::client::ask;
+use sloeline_testbed::machine::Plan;
+use sloeline_testbed::standin::Standin;
 use tokio::task::{JoinSet, LocalSet};
 
 fn command() -> Command {
@@ -18,7 +18,7 @@
         .value_parser(value_parser!(u64).range(2..=600))
         .default_value("6")
         .help("How long clients call");
-    Command::new("yard")
+    Command::new("sloeline-testbed")
         .about("A whole sloeline mesh on this machine, with stand-in upstreams")
         .version(clap::crate_version!())
         .subcommand_required(true)
@@ -31,7 +31,7 @@
     match demo(Duration::from_secs(seconds.unwrap_or(6))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("yard: {why:#}");
+            eprintln!("sloeline-testbed: {why:#}");
             ExitCode::FAILURE
         }
     }
@@ -44,7 +44,7 @@
   "dispatch":{"line":"goods","timeout":"2500ms","tries":2}}]}],"depots":[{"name":"goods"}]}"#;
 
 fn demo(span: Duration) -> Result<()> {
-    let folder = std::env::temp_dir().join(format!("sloeline-yard-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("sloeline-testbed-{}", std::process::id()));
     let plan = Plan::new(77, 3, folder.clone());
     println!("starting three core machines, three balancers and their upstreams on 127.1.77.x");
     let mut cores = (0..3).map(|c| plan.core(c, true)).collect::<Result<Vec<_>>>()?;
--- a/mesh/yard/tests/loopback.rs
+++ b/mesh/testbed/tests/loopback.rs
@@ -4,9 +4,9 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use sloeline_yard::client::{Answer, ask};
-use sloeline_yard::machine::{Machine, Plan};
-use sloeline_yard::standin::{Manner, Standin};
+use sloeline_testbed::client::{Answer, ask};
+use sloeline_testbed::machine::{Machine, Plan};
+use sloeline_testbed::standin::{Manner, Standin};
 use tokio::task::LocalSet;
 
 const WITHIN: Duration = Duration::from_secs(10);
