Both programs follow their settings file: SIGHUP no longer ends the control program

Change: SettingsFile reads, checks and compares the file, reload follows it on SIGHUP and every second without one; a wrong file is logged and changes nothing; fields that need a start are named; the balancers' seeds follow.

--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result};
 use log::{error, info, warn};
 use sloeline_admin_http::control;
+use sloeline_admin_http::reload::{self, SettingsWatch};
 use sloeline_chain_replication::Kept;
 use sloeline_discovery::{Record, Version};
 use sloeline_process_settings::Settings;
@@ -35,10 +36,9 @@
 
 /// Runs a core machine until it is told to stop.
 pub fn run(path: &Path) -> Result<()> {
-    let settings = Settings::read(path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().context("start the runtime")?;
-    LocalSet::new().block_on(&runtime, work(settings))
+    LocalSet::new().block_on(&runtime, async { work(reload::follow(path.to_owned())?).await })
 }
 
 /// The store of this machine, made if there is none. One that can't be opened now is tried again for good: only a file that
@@ -70,8 +70,9 @@
     Ok((store, kept, Rows::new()))
 }
 
-/// The whole life of one, told its settings.
-pub async fn work(settings: Settings) -> Result<()> {
+/// The whole life of one, by its settings.
+pub async fn work(watched: SettingsWatch) -> Result<()> {
+    let settings = Settings::clone(&watched.borrow());
     let me = settings.mesh_address();
     let mut founders: Vec<SocketAddr> =
         settings.seed_nodes.iter().map(|seed| settings.mesh_address_of(*seed)).collect();
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -13,6 +13,7 @@
 use hyper::{Method, StatusCode};
 use log::{info, warn};
 use sloeline_admin_http::control::{self, Answer, Call, json, plain, wrong};
+use sloeline_admin_http::reload::{self, SettingsWatch};
 use sloeline_discovery::{Record, Version, rendezvous};
 use sloeline_engine::clock::Clock;
 use sloeline_http::callers::{Callers, Phase, Room};
@@ -70,10 +71,9 @@
 
 /// Runs a balancer until it is told to stop.
 pub fn run(path: &Path) -> Result<()> {
-    let settings = Settings::read(path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().context("start the runtime")?;
-    LocalSet::new().block_on(&runtime, work(settings))
+    LocalSet::new().block_on(&runtime, async { work(reload::follow(path.to_owned())?).await })
 }
 
 fn unix_micros() -> u64 {
@@ -98,8 +98,9 @@
     }
 }
 
-/// The whole life of one, told its settings.
-pub async fn work(settings: Settings) -> Result<()> {
+/// The whole life of one, by its settings.
+pub async fn work(watched: SettingsWatch) -> Result<()> {
+    let settings = Settings::clone(&watched.borrow());
     let guarantees = settings.guarantees()?;
     let own = Record {
         source: settings.node_name.clone(),
@@ -179,7 +180,7 @@
         connections,
     };
     let following = Follow {
-        settings: settings.clone(),
+        settings: watched,
         exchange: exchange.clone(),
         keys,
         now: RefCell::default(),
@@ -189,15 +190,9 @@
     info!(target: "start", "{} serves at {}.", settings.node_name, settings.mesh_address());
 
     let mut stop = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
-    let mut changed = signal(SignalKind::hangup()).context("wait for SIGHUP")?;
     let accepting = callers.accept(outgoing, &phases);
     let stopping = async {
-        loop {
-            tokio::select! {
-                _ = stop.recv() => break,
-                _ = changed.recv() => info!(target: "start", "SIGHUP: nothing of the settings changes at run time."),
-            }
-        }
+        let _ = stop.recv().await;
         info!(target: "stop", "Told to stop.");
         callers.front().set_ready(false);
         exchange.announce(|own| own.leaving = true);
@@ -267,7 +262,7 @@
 
 /// Whom this balancer follows.
 struct Follow {
-    settings: Settings,
+    settings: SettingsWatch,
     exchange: Rc<Exchange>,
     keys: Rc<Keys>,
     now: RefCell<HashMap<SocketAddr, Following>>,
@@ -279,15 +274,16 @@
     /// only while no core machine answers.
     fn choose(&self) {
         let records = self.exchange.board().records();
-        let me = self.settings.node_name.as_str();
+        let settings = self.settings.borrow().clone();
+        let me = settings.node_name.as_str();
         let mut core: Vec<SocketAddr> =
-            self.settings.seed_nodes.iter().map(|s| self.settings.mesh_address_of(*s)).collect();
+            settings.seed_nodes.iter().map(|s| settings.mesh_address_of(*s)).collect();
         core.extend(records.values().filter(|r| r.core).map(|r| r.mesh));
         core.sort_unstable();
         core.dedup();
         let weigh = |address: &SocketAddr| {
             let zone = records.values().find(|r| r.mesh == *address).map(|r| r.zone.as_str());
-            let far = zone != Some(self.settings.zone_name.as_str());
+            let far = zone != Some(settings.zone_name.as_str());
             (far, std::cmp::Reverse(rendezvous::weight(me, &address.to_string())))
         };
         core.sort_by_key(weigh);
@@ -297,7 +293,7 @@
             now.get(address).and_then(Following::reached).is_some_and(|at| at.elapsed() < STALE)
         };
         // As many as may be lost, and one more.
-        let few = (self.settings.tolerance.machine_loss as usize + 1).min(core.len());
+        let few = (settings.tolerance.machine_loss as usize + 1).min(core.len());
         let answers = core.iter().take(few).any(fresh);
         let nearest = core.iter().take(few).find(|a| fresh(a)).or(core.first()).copied();
         let mut wanted: Vec<(SocketAddr, Option<Duration>)> = core[..few]
--- /dev/null
+++ b/mesh/process-settings/src/file.rs
@@ -0,0 +1,82 @@
+//! A settings file that may change while its process runs, with or without a signal.
+
+use std::fs;
+use std::path::PathBuf;
+use std::time::SystemTime;
+
+use anyhow::{Context, Result};
+
+use crate::Settings;
+
+/// What tells one content of a file from the next without reading it.
+type Fingerprint = (Option<SystemTime>, u64);
+
+/// A settings file and the settings that were read from it last.
+pub struct SettingsFile {
+    path: PathBuf,
+    fingerprint: Option<Fingerprint>,
+    text: String,
+    settings: Settings,
+}
+
+impl SettingsFile {
+    /// Reads and checks the file. Fails if it can't be read or is not valid.
+    pub fn open(path: PathBuf) -> Result<SettingsFile> {
+        let fingerprint = fingerprint(&path).ok();
+        let text = read(&path)?;
+        let settings = Settings::parse(&text).with_context(|| format!("check {}", path.display()))?;
+        Ok(SettingsFile { path, fingerprint, text, settings })
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Reads the file again if it looks different, or if `forced`. Returns the new settings when they are valid and differ.
+    /// On an error the settings in force stay, and the same file is not complained of twice.
+    pub fn reload(&mut self, forced: bool) -> Result<Option<&Settings>> {
+        let current = fingerprint(&self.path)?;
+        if !forced && self.fingerprint == Some(current) {
+            return Ok(None);
+        }
+        let text = read(&self.path)?;
+        self.fingerprint = Some(current);
+        if text == self.text {
+            return Ok(None);
+        }
+        let settings = Settings::parse(&text).with_context(|| format!("check {}", self.path.display()))?;
+        self.text = text;
+        self.settings = settings;
+        Ok(Some(&self.settings))
+    }
+}
+
+fn read(path: &std::path::Path) -> Result<String> {
+    fs::read_to_string(path).with_context(|| format!("read {}", path.display()))
+}
+
+fn fingerprint(path: &std::path::Path) -> Result<Fingerprint> {
+    let metadata = fs::metadata(path).with_context(|| format!("look at {}", path.display()))?;
+    Ok((metadata.modified().ok(), metadata.len()))
+}
+
+/// Names of the fields that differ between two settings though they take effect only at the next start of the process.
+pub fn fields_for_next_start(before: &Settings, after: &Settings) -> Vec<&'static str> {
+    let mut fields = Vec::new();
+    let mut compare = |name, same: bool| {
+        if !same {
+            fields.push(name);
+        }
+    };
+    compare("node_name", before.node_name == after.node_name);
+    compare("ip_addr", before.ip_addr == after.ip_addr);
+    compare("zone_name", before.zone_name == after.zone_name);
+    compare("port_range", before.port_range == after.port_range);
+    compare("data_path", before.data_path == after.data_path);
+    compare("guarantees", before.guarantees == after.guarantees);
+    compare("line", before.line == after.line);
+    compare("app_addr", before.app_addr == after.app_addr);
+    compare("docks", before.docks == after.docks);
+    fields
+}
--- a/mesh/process-settings/src/lib.rs
+++ b/mesh/process-settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! The settings file of a process of the mesh, checked: every mistake at once, each with its field, what was found and
 //! what was expected. Fields that are not known are passed over.
 
+pub mod file;
 pub mod span;
 
 use std::collections::BTreeMap;
@@ -77,7 +78,7 @@
 }
 
 /// Addresses at which a process serves.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct Docks {
     /// Requests for the upstream of this machine, from other balancers.
     pub incoming: Option<SocketAddr>,
--- a/mesh/process-settings/tests/settings.rs
+++ b/mesh/process-settings/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings files: what is read, what is passed over, and what a wrong one is told.
 
 use sloeline_process_settings::Settings;
+use sloeline_process_settings::file::{SettingsFile, fields_for_next_start};
 use sloeline_process_settings::span::{Span, span};
 
 const GOOD: &str = r#"
@@ -69,3 +70,28 @@
         assert!(span(text).is_err(), "{text}");
     }
 }
+
+#[test]
+fn a_file_that_changes_is_read_again_and_a_wrong_one_changes_nothing() {
+    let path = std::env::temp_dir().join(format!("sloeline-settings-{}.toml", std::process::id()));
+    std::fs::write(&path, GOOD).expect("a file");
+    let mut file = SettingsFile::open(path.clone()).expect("good settings");
+    assert!(file.reload(true).expect("readable").is_none(), "the same content is no change");
+    // A new seed, without a signal.
+    std::fs::write(&path, GOOD.replace("10.1.0.13:8306", "10.1.0.113:8306")).expect("a file");
+    let seeds = file.reload(false).expect("readable").expect("a change").seed_nodes.clone();
+    assert_eq!(seeds[0].to_string(), "10.1.0.113:8306");
+    // Half written: refused once, with its field, and the former ones hold.
+    std::fs::write(&path, GOOD.replace("[7620,7635]", "[7635,7620]")).expect("a file");
+    let why = format!("{:#}", file.reload(false).expect_err("a wrong port range"));
+    assert!(why.contains("port_range"), "{why}");
+    assert!(file.reload(false).expect("told once").is_none());
+    assert_eq!(file.settings().seed_nodes[0].to_string(), "10.1.0.113:8306");
+    // What needs a start is named.
+    let before = file.settings().clone();
+    std::fs::write(&path, GOOD.replace("grace=6s", "grace=7s")).expect("a file");
+    let after = file.reload(true).expect("readable").expect("a change");
+    assert_eq!(fields_for_next_start(&before, after), ["guarantees"]);
+    std::fs::remove_file(&path).expect("the file");
+    assert!(file.reload(true).is_err(), "a file that is gone");
+}
--- a/mesh/testbed/src/machine.rs
+++ b/mesh/testbed/src/machine.rs
@@ -7,6 +7,7 @@
 use std::thread::{self, JoinHandle};
 
 use anyhow::{Context, Result};
+use sloeline_admin_http::reload::fixed;
 use sloeline_process_settings::Settings;
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
@@ -136,7 +137,9 @@
         let folder = self.folder.join(format!("core-{core}"));
         let settings =
             self.settings(200 + core, first, &format!("data_path = {:?}", folder.display().to_string()))?;
-        Machine::start(&format!("core-{core}"), move || sloeline_control_plane::program::work(settings))
+        Machine::start(&format!("core-{core}"), move || {
+            sloeline_control_plane::program::work(fixed(settings))
+        })
     }
 
     /// Starts a balancer, from 1.
@@ -144,7 +147,9 @@
         let app = SocketAddr::new(self.ip(balancer), APP);
         let settings =
             self.settings(balancer, true, &format!("app_addr = \"{app}\"\nline = \"{service}\""))?;
-        Machine::start(&format!("balancer-{balancer}"), move || sloeline_data_plane::program::work(settings))
+        Machine::start(&format!("balancer-{balancer}"), move || {
+            sloeline_data_plane::program::work(fixed(settings))
+        })
     }
 
     /// Starts a stand-in upstream beside a balancer.
