--- a/mesh/chain-replication/src/message.rs
+++ b/mesh/chain-replication/src/message.rs
@@ -1,133 +1,127 @@
-//! What core machines say to each other, and the words of it.
-
-use std::net::SocketAddr;
+//! What core machines say to each other. Every message carries the view or the set of voters under which it holds; whoever
+//! is behind is refused.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// A core machine, by the address at which the others reach it.
-pub type Peer = SocketAddr;
-
-/// The number of a view. Whoever proposes one takes a number above all that it knows; the proposer tells two apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Ballot {
-    /// Counts up.
-    pub number: u64,
-    /// Whose it is.
-    pub proposer: Peer,
-}
+use crate::identity::{Entry, Peer, Position, Replica, View, ViewNumber};
+use crate::snapshot::SnapshotId;
 
-/// A machine with the disk that it has now. A disk that was lost comes back as another one.
+/// A peer that was heard lately, and when, by that peer's own clock, the last heartbeat heard of it was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// The machine.
+pub struct Heard {
+    /// The peer.
     pub peer: Peer,
-    /// Drawn when the disk was first written.
-    pub disk: u64,
+    /// When it sent that heartbeat, in milliseconds of its steady clock.
+    pub sent_at: u64,
 }
 
-/// The members of a chain, head first. At least a majority of the founders is among them whose disks have promised this
-/// ballot; a member whose disk is not the one named here takes no part.
+/// Sent to all known core machines all the time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct View {
-    /// Its number.
-    pub ballot: Ballot,
-    /// The chain, head first.
-    pub members: Vec<Member>,
-}
-
-/// How far a machine's state goes: its last update, and by which view that was made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Position {
-    /// The view of the last update.
-    pub ballot: Ballot,
-    /// Its number; 0 where there is none.
-    pub sequence: u64,
-}
-
-/// An update in its place.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Where it stands.
-    pub position: Position,
-    /// Milliseconds that never go back.
-    pub stamp: u64,
-    /// Who asked for it.
-    pub origin: Peer,
-    /// How that machine calls it.
-    pub number: u64,
-    /// What it does; empty for nothing.
-    pub update: Bytes,
-}
-
-/// What a machine tells of itself all the time.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Standing {
+pub struct Heartbeat {
     /// Machine and disk.
-    pub member: Member,
-    /// It remembers what it has promised: its disk was not lost, or it has been taken in since.
-    pub remembers: bool,
-    /// Its disk takes writes.
+    pub replica: Replica,
+    /// When it was sent, in milliseconds of the sender's steady clock.
+    pub sent_at: u64,
+    /// The sender's disk takes writes.
     pub healthy: bool,
-    /// The view that it has accepted last.
-    pub view: Option<Ballot>,
-    /// It works in that view.
+    /// The sender is about to end: it serves no longer and gives up its lease.
+    pub leaving: bool,
+    /// The number of the view that the sender accepted last.
+    pub view: Option<ViewNumber>,
+    /// The sender knows that all of the chain have accepted that view.
+    pub established: bool,
+    /// The sender works in that view.
     pub active: bool,
-    /// The highest ballot that it has promised.
-    pub promised: Ballot,
-    /// Those it has heard from lately.
-    pub hears: Vec<Peer>,
-    /// How far its state goes.
-    pub held: Position,
-    /// Up to here everything is kept by all, as far as it knows; the tail's word holds.
+    /// The view that the sender is fetching the beginning of.
+    pub entering: Option<ViewNumber>,
+    /// The highest view number promised.
+    pub promised: ViewNumber,
+    /// Who was heard lately. From an active sender to a peer of the same view this is a grant of a lease.
+    pub heard: Vec<Heard>,
+    /// How far the sender's state goes.
+    pub position: Position,
+    /// The sender is outside of the chain, but lacks next to nothing of it.
+    pub caught_up: bool,
+    /// Up to here everything is kept by all of the chain, as far as the sender knows.
     pub committed: u64,
+    /// The sender holds a lease: it has heard a majority lately.
+    pub in_contact: bool,
+    /// The whole view, for receivers that have another one.
+    pub details: Option<View>,
 }
 
-/// What a machine that lacks something is given.
+/// Where in a snapshot a receiver is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Lacked {
-    /// The updates after its own position.
-    Entries(Vec<Entry>),
-    /// Everything, as of a position.
-    Whole {
-        /// As of there.
-        position: Position,
-        /// The stamp of its last update.
-        stamp: u64,
-        /// All rows.
+pub struct SnapshotCursor {
+    /// Which snapshot.
+    pub id: SnapshotId,
+    /// The last key that was received.
+    pub after: Bytes,
+}
+
+/// What a replica that lacks something is given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Supply {
+    /// The updates after its own position, as many as fit one message.
+    Entries {
+        /// In order.
+        entries: Vec<Entry>,
+        /// There are more of them now.
+        more: bool,
+    },
+    /// A piece of a snapshot.
+    Piece {
+        /// Which snapshot.
+        id: SnapshotId,
+        /// Rows in the order of their keys.
         rows: Vec<(Bytes, Bytes)>,
+        /// No row follows.
+        last: bool,
     },
+    /// Nothing now: ask again.
+    Wait,
 }
 
 /// A message from one core machine to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Told all the time.
-    Standing(Standing),
-    /// Asks for a promise to take nothing more of views under this ballot.
-    Seal {
-        /// The ballot.
-        ballot: Ballot,
+    Heartbeat(Heartbeat),
+    /// Asks for a promise to take nothing more of views under this number.
+    Prepare {
+        /// The number of the view that is proposed.
+        view: ViewNumber,
+        /// The proposer.
+        replica: Replica,
+        /// The number of the proposer's set of voters.
+        voters: u64,
     },
     /// That promise, on disk.
-    Sealed {
-        /// The ballot.
-        ballot: Ballot,
-        /// Machine and disk.
-        member: Member,
-        /// See [`Standing::remembers`].
-        remembers: bool,
+    Promise {
+        /// The number that was prepared.
+        view: ViewNumber,
+        /// Who promises.
+        replica: Replica,
         /// The view that it has accepted last.
-        view: Option<View>,
+        accepted: Option<View>,
+        /// It knows that all of the chain have accepted that view.
+        established: bool,
         /// How far its state goes.
-        held: Position,
+        position: Position,
+        /// It lacks next to nothing though it is outside of the chain.
+        caught_up: bool,
+        /// It is about to end.
+        leaving: bool,
     },
-    /// Another ballot was promised.
-    Declined {
-        /// That one.
-        promised: Ballot,
+    /// A promise was refused.
+    Refused {
+        /// The number that was promised to another.
+        promised: ViewNumber,
+        /// The number of the set of voters that holds here.
+        voters: u64,
     },
-    /// A view, and what its members must hold to begin.
+    /// A view, and what its chain must hold to begin.
     Install {
         /// The view.
         view: View,
@@ -136,54 +130,66 @@
         /// Who holds it.
         source: Peer,
     },
-    /// Asks for what is lacking to begin a view.
+    /// Asks for what is lacking: to enter a view, or to follow the chain from outside.
     Fetch {
-        /// The view.
-        ballot: Ballot,
+        /// The view to enter; nothing from outside of the chain, where only what is committed is handed out.
+        entering: Option<ViewNumber>,
+        /// The last update with which that view begins.
+        through: u64,
         /// What is there.
-        held: Position,
+        position: Position,
+        /// Goes on with a snapshot.
+        cursor: Option<SnapshotCursor>,
     },
-    /// That.
-    State {
-        /// The view.
-        ballot: Ballot,
+    /// The answer to that.
+    Supplied {
+        /// The view in which the sender works, or that it has promised.
+        view: ViewNumber,
+        /// The view that was to be entered.
+        entering: Option<ViewNumber>,
+        /// The position that was asked with.
+        position: Position,
         /// What was lacking.
-        lacked: Lacked,
+        supply: Supply,
     },
-    /// Updates, from each member to the next.
+    /// Updates, from each replica of the chain to the next.
     Updates {
         /// In this view.
-        ballot: Ballot,
+        view: ViewNumber,
         /// In order.
         entries: Vec<Entry>,
-        /// Up to here all members before the receiver have them on disk.
+        /// Up to here all replicas before the receiver have them on disk.
         synced: u64,
     },
-    /// Tells the member before what is there: what comes after it is to be sent.
+    /// Tells the replica before what is there: what comes after it is to be sent.
     Behind {
         /// In this view.
-        ballot: Ballot,
+        view: ViewNumber,
         /// The last one held.
         sequence: u64,
     },
     /// From the tail: up to here everything is kept.
     Committed {
         /// In this view.
-        ballot: Ballot,
+        view: ViewNumber,
         /// The last one.
         sequence: u64,
     },
     /// An update for the head.
     Submit {
+        /// The view whose head is meant.
+        view: ViewNumber,
         /// How the sender calls it.
-        number: u64,
+        request: u64,
         /// What it does.
         update: Bytes,
     },
     /// From the tail to whoever asked.
     Result {
+        /// The view that committed it.
+        view: ViewNumber,
         /// How that machine calls it.
-        number: u64,
+        request: u64,
         /// What came of it.
         result: Bytes,
     },
--- /dev/null
+++ b/mesh/chain-replication/tests/world/id_log.rs
@@ -0,0 +1,54 @@
+//! A state to keep: the ids of updates, in their order.
+
+use bytes::Bytes;
+use sloeline_chain_replication::{Applied, Row, Rows, Tables};
+
+#[derive(Default)]
+pub struct IdLog {
+    ids: Vec<u64>,
+}
+
+/// The id of an update that reads.
+pub const READ: u64 = 0;
+
+impl IdLog {
+    pub fn contains(&self, id: u64) -> bool {
+        self.ids.contains(&id)
+    }
+
+    fn encoded(&self) -> Bytes {
+        self.ids.iter().flat_map(|id| id.to_be_bytes()).collect::<Vec<u8>>().into()
+    }
+}
+
+/// What a read was answered.
+pub fn decoded(result: &Bytes) -> Vec<u64> {
+    result.chunks_exact(8).map(|c| u64::from_be_bytes(c.try_into().expect("eight"))).collect()
+}
+
+pub fn update(id: u64) -> Bytes {
+    Bytes::copy_from_slice(&id.to_be_bytes())
+}
+
+impl Tables for IdLog {
+    fn apply(&mut self, _stamp: u64, update: &Bytes) -> Applied {
+        let id = u64::from_be_bytes(update.as_ref().try_into().expect("eight bytes"));
+        // The chain may be asked twice for the same: the state decides what that means.
+        let rows: Vec<Row> = match id {
+            READ => Vec::new(),
+            _ if self.ids.contains(&id) => Vec::new(),
+            _ => {
+                self.ids.push(id);
+                let key = (self.ids.len() as u64).to_be_bytes();
+                vec![(Bytes::copy_from_slice(&key), Some(update.clone()))]
+            }
+        };
+        let result = if id == READ { self.encoded() } else { Bytes::new() };
+        Applied { result, rows }
+    }
+
+    fn load(&mut self, rows: &Rows) {
+        self.ids =
+            rows.iter().map(|(_, id)| u64::from_be_bytes(id.as_ref().try_into().expect("eight"))).collect();
+    }
+}
--- a/mesh/control-plane/src/lib.rs
+++ b/mesh/control-plane/src/lib.rs
@@ -1,8 +1,11 @@
 //! The control plane: core machines keep the configuration and the keyed operations in a chain, and know who exists.
-//! [`tables`] is the state, without I/O; [`core`] drives the chain; [`operator`] takes operators' calls.
+//! [`tables`] is the state, without I/O; [`core`] drives the chain; [`operator`] takes operators' calls; [`status`] tells
+//! how a machine is.
 
 pub mod core;
 pub mod disk;
+pub mod links;
 pub mod operator;
 pub mod program;
+pub mod status;
 pub mod tables;
--- a/mesh/control-plane/src/operator.rs
+++ b/mesh/control-plane/src/operator.rs
@@ -1,9 +1,11 @@
 //! Operators' calls: a configuration is taken, or read.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::header::{HeaderValue, LOCATION, RETRY_AFTER};
 use hyper::{Method, StatusCode};
 use log::info;
 use sloeline_admin_http::control::{Answer, Call, json, plain, wrong};
@@ -11,15 +13,21 @@
 use sloeline_route_config::model;
 
 use crate::core::Core;
-use crate::tables::{Came, Change};
+use crate::tables::{Change, ChangeResult};
 
-/// How long a change may take. An operator who hears nothing clear asks again, here or elsewhere.
-const WITHIN: Duration = Duration::from_millis(3500);
+/// How long a change may take. Callers go elsewhere after a second of silence; whoever hears nothing clear asks again.
+const CHANGE_WITHIN: Duration = Duration::from_millis(900);
+/// How much longer for each route.
+const CHANGE_PER_ROUTE: Duration = Duration::from_millis(3);
 /// How long a read may take.
-const READ_WITHIN: Duration = Duration::from_millis(2500);
+const READ_WITHIN: Duration = Duration::from_millis(900);
+/// How long a machine out of contact waits for a majority before it sends the caller elsewhere.
+const CONTACT_WITHIN: Duration = Duration::from_millis(300);
+/// When a caller is to come again that no machine can serve now, in seconds.
+const COME_AGAIN: &str = "0.25";
 
 /// Answers a call.
-pub async fn answer(core: Rc<Core>, call: Call) -> Answer {
+pub async fn answer(core: Rc<Core>, dock: SocketAddr, call: Call) -> Answer {
     if call.path != "/-/rpc" {
         return wrong(StatusCode::NOT_FOUND, &format!("path: found {:?}, expected /-/rpc", call.path));
     }
@@ -30,8 +38,8 @@
         );
     }
     match call.name.as_deref() {
-        Some("config.replace") => replace(&core, call.body).await,
-        Some("config.read") => read(&core).await,
+        Some("config.replace") => replace(&core, dock, call.body).await,
+        Some("config.read") => read(&core, dock).await,
         other => {
             let found = other.unwrap_or("nothing");
             let why = format!("call: found {found:?}, expected config.replace or config.read");
@@ -40,7 +48,23 @@
     }
 }
 
-async fn replace(core: &Core, body: Bytes) -> Answer {
+/// Out of contact with a majority: another machine that has contact, or when to come again. Nothing has happened.
+fn elsewhere(core: &Core, dock: SocketAddr, call: &str) -> Answer {
+    // Ports are alike on all core machines.
+    if let Some(peer) = core.peer_in_contact() {
+        let to = format!("http://{}/-/rpc?call={call}", SocketAddr::new(peer.ip(), dock.port()));
+        if let Ok(location) = HeaderValue::from_str(&to) {
+            let mut answer = plain(StatusCode::TEMPORARY_REDIRECT, "out of contact with a majority");
+            answer.headers_mut().insert(LOCATION, location);
+            return answer;
+        }
+    }
+    let mut answer = wrong(StatusCode::SERVICE_UNAVAILABLE, "chain: out of contact with a majority");
+    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(COME_AGAIN));
+    answer
+}
+
+async fn replace(core: &Core, dock: SocketAddr, body: Bytes) -> Answer {
     let config = match model::Config::parse(&body) {
         Ok(config) => config,
         Err(why) => {
@@ -49,23 +73,35 @@
             return wrong(StatusCode::BAD_REQUEST, &why);
         }
     };
+    if !core.wait_for_contact(CONTACT_WITHIN).await {
+        return elsewhere(core, dock, "config.replace");
+    }
     let edition = config.edition.0;
-    let change = Change::Config(Config { edition, body });
-    match core.change(&change, WITHIN).await {
-        Ok(Came::Taken { holds }) => {
+    let within = CHANGE_WITHIN + CHANGE_PER_ROUTE * config.routes() as u32;
+    match core.change(&Change::Config(Config { edition, body }), within).await {
+        Ok(ChangeResult::Taken { holds }) => {
             let body = serde_json::json!({ "edition": format!("{holds:08x}") });
             json(StatusCode::OK, body.to_string())
         }
+        Ok(ChangeResult::Conflict { holds }) => {
+            let why =
+                format!("edition: found {holds:08x} with other content than is held, expected a higher one");
+            info!(target: "operator", "Refused a configuration: {why}.");
+            wrong(StatusCode::CONFLICT, &why)
+        }
         Ok(_) => wrong(StatusCode::INTERNAL_SERVER_ERROR, "chain: an answer to another question"),
         // Perhaps taken, perhaps not: no promise.
         Err(why) => wrong(StatusCode::GATEWAY_TIMEOUT, &format!("{why:#}")),
     }
 }
 
-async fn read(core: &Core) -> Answer {
+async fn read(core: &Core, dock: SocketAddr) -> Answer {
+    if !core.wait_for_contact(CONTACT_WITHIN).await {
+        return elsewhere(core, dock, "config.read");
+    }
     match core.change(&Change::Read, READ_WITHIN).await {
-        Ok(Came::Config(Some(config))) => json(StatusCode::OK, config.body),
-        Ok(Came::Config(None)) => wrong(StatusCode::NOT_FOUND, "no configuration yet"),
+        Ok(ChangeResult::Config(Some(config))) => json(StatusCode::OK, config.body),
+        Ok(ChangeResult::Config(None)) => wrong(StatusCode::NOT_FOUND, "no configuration yet"),
         Ok(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "chain: an answer to another question"),
         Err(why) => wrong(StatusCode::GATEWAY_TIMEOUT, &format!("{why:#}")),
     }
--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -1,5 +1,6 @@
 //! The program: settings, disk, sockets.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -9,23 +10,25 @@
 use log::{error, info, warn};
 use sloeline_admin_http::control;
 use sloeline_admin_http::reload::{self, SettingsWatch};
-use sloeline_chain_replication::Kept;
-use sloeline_discovery::{Record, Version};
+use sloeline_chain_replication::{DurableState, Rows, VoterSet};
+use sloeline_discovery::{News, Pull, Record, Version};
+use sloeline_idempotency::Update;
 use sloeline_process_settings::Settings;
 use sloeline_route_config::model::MOST_BYTES;
-use sloeline_rpc::exchange::Exchange;
+use sloeline_rpc::exchange::{Exchange, Following};
 use sloeline_rpc::serve::serve;
 use sloeline_rpc::{Ask, Told};
-use sloeline_storage::{Rows, Store};
+use sloeline_storage::Store;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-use crate::core::Core;
+use crate::core::{self, Core};
 use crate::disk::Disk;
 use crate::operator;
-use crate::tables::{Came, Change};
+use crate::status::status;
+use crate::tables::{Change, ChangeResult};
 
 /// How long balancers wait for what they ask of an operation; the answer must be there before.
 const OPERATION: Duration = Duration::from_millis(1500);
@@ -33,6 +36,12 @@
 const OPEN_AGAIN: Duration = Duration::from_millis(250);
 /// How long core machines hold each other's pulls.
 const HOLD: Duration = Duration::from_secs(3);
+/// How often it is looked which core machines are known.
+const FOLLOW: Duration = Duration::from_millis(500);
+/// How long a balancer's call waits for contact with a majority.
+const CONTACT_WITHIN: Duration = Duration::from_millis(200);
+/// Time between the end of leaving and the kill.
+const MARGIN: Duration = Duration::from_millis(500);
 
 /// Runs a core machine until it is told to stop.
 pub fn run(path: &Path) -> Result<()> {
@@ -43,11 +52,15 @@
 
 /// The store of this machine, made if there is none. One that can't be opened now is tried again for good: only a file that
 /// is spoilt counts as a lost disk.
-async fn open(settings: &Settings, me: SocketAddr, founders: &[SocketAddr]) -> Result<(Store, Kept, Rows)> {
+async fn open(
+    settings: &Settings,
+    me: SocketAddr,
+    seeds: &[SocketAddr],
+) -> Result<(Store, DurableState, Rows)> {
     let folder = settings.data_path.as_deref().context("data_path: found nothing, expected a folder")?;
     let mut spoilt = false;
     while sloeline_storage::exists(folder)? {
-        match Store::open(folder) {
+        match open_existing(folder) {
             Ok(opened) => return Ok(opened),
             // What it has promised is in doubt, so it counts as lost: the others take this machine in again.
             Err(why) if sloeline_storage::is_spoilt(&why) => {
@@ -55,35 +68,57 @@
                 sloeline_storage::set_aside(folder)?;
                 spoilt = true;
             }
+            Err(why) if sloeline_storage::is_other_format(&why) => return Err(why),
             Err(why) => {
                 warn!(target: "disk", "Does not open now: {why:#}.");
                 sleep(OPEN_AGAIN).await;
             }
         }
     }
+    let founder = settings.first_boot && !spoilt && seeds.contains(&me);
+    let durable = if founder { DurableState::founder(VoterSet::founders(seeds)) } else { learner()? };
+    let store = Store::create(folder, &durable)?;
+    let what = if founder { "the system begins" } else { "it learns from the others" };
+    info!(target: "disk", "New for {me}: {what}.");
+    Ok((store, durable, Rows::default()))
+}
+
+fn open_existing(folder: &Path) -> Result<(Store, DurableState, Rows)> {
+    let (store, durable, rows) = Store::open(folder)?;
+    let rows: Rows = rows.into_iter().collect();
+    if rows.digest() != durable.digest {
+        return Err(sloeline_storage::Spoilt).context("digest: the rows are not those that were written");
+    }
+    Ok((store, durable, rows))
+}
+
+/// A disk with a number of its own, which nobody else has.
+fn learner() -> Result<DurableState> {
     let mut drawn = [0; 8];
     getrandom::fill(&mut drawn).map_err(|e| anyhow::anyhow!("draw the disk's number: {e}"))?;
-    let kept = Kept::new(founders.to_vec(), u64::from_le_bytes(drawn), settings.first_boot && !spoilt);
-    let store = Store::create(folder, &kept)?;
-    let what = if kept.remembers { "the system begins" } else { "an earlier one was lost" };
-    info!(target: "disk", "New for {me}: {what}.");
-    Ok((store, kept, Rows::new()))
+    Ok(DurableState::learner(u64::from_le_bytes(drawn).max(1)))
+}
+
+/// Where core machines may be, as the settings have it. A machine that knows of no other is the whole core.
+fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let mut seeds: Vec<SocketAddr> =
+        settings.seed_nodes.iter().map(|seed| settings.mesh_address_of(*seed)).collect();
+    if seeds.is_empty() {
+        seeds.push(settings.mesh_address());
+    }
+    seeds.sort_unstable();
+    seeds.dedup();
+    seeds
 }
 
 /// The whole life of one, by its settings.
 pub async fn work(watched: SettingsWatch) -> Result<()> {
     let settings = Settings::clone(&watched.borrow());
     let me = settings.mesh_address();
-    let mut founders: Vec<SocketAddr> =
-        settings.seed_nodes.iter().map(|seed| settings.mesh_address_of(*seed)).collect();
-    if founders.is_empty() {
-        founders.push(me);
-    }
-    founders.sort_unstable();
-    founders.dedup();
-    let (store, kept, rows) = open(&settings, me, &founders).await?;
+    let seeds = seeds(&settings);
+    let (store, durable, rows) = open(&settings, me, &seeds).await?;
     let folder = settings.data_path.clone().unwrap_or_default();
-    let (writes, told) = Disk::start(store, folder)?.split();
+    let (writes, events) = Disk::start(store, folder)?.split();
     let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
     let own = Record {
         source: settings.node_name.clone(),
@@ -96,9 +131,11 @@
         upstream: None,
     };
     let exchange = Exchange::new(own);
-    let key_window = settings.guarantees()?.key_window.millis();
-    let others: Vec<SocketAddr> = kept.founders.iter().copied().filter(|p| *p != me).collect();
-    let core = Core::new(me, kept, rows, key_window, writes, exchange.clone());
+    let guarantees = settings.guarantees()?;
+    let key_window = guarantees.key_window.millis();
+    let machine_loss = settings.tolerance.machine_loss as usize;
+    let chain = core::settings(me, seeds, machine_loss);
+    let core = Core::new(chain, durable, rows, key_window, writes, exchange.clone());
     let listener = TcpListener::bind(me).await.with_context(|| format!("listen at {me}"))?;
     spawn_local(serve(listener, {
         let (core, exchange) = (core.clone(), exchange.clone());
@@ -108,55 +145,96 @@
         let listener = TcpListener::bind(dock).await.with_context(|| format!("listen at {dock}"))?;
         let core = core.clone();
         spawn_local(control::serve(listener, MOST_BYTES, move |call, _| {
-            operator::answer(core.clone(), call)
+            operator::answer(core.clone(), dock, call)
         }));
     }
-    let _following: Vec<_> = others.into_iter().map(|peer| exchange.follow(peer, HOLD)).collect();
+    spawn_local(follow_settings(watched, core.clone()));
+    spawn_local(follow_core(core.clone(), exchange.clone()));
     info!(target: "start", "{} serves control at {me}.", settings.node_name);
     let mut stop = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
+    let stopping = async {
+        stop.recv().await;
+        info!(target: "stop", "Told to stop.");
+        exchange.announce(|own| own.leaving = true);
+        core.leave(guarantees.grace.duration().saturating_sub(MARGIN)).await;
+        info!(target: "stop", "Ends.");
+    };
     tokio::select! {
-        ended = core.run(told) => ended,
-        _ = stop.recv() => {
-            info!(target: "start", "Told to stop.");
-            Ok(())
+        ended = core.clone().run(events) => ended,
+        () = stopping => Ok(()),
+    }
+}
+
+/// Hands the seeds on as the settings file changes.
+async fn follow_settings(mut watched: SettingsWatch, core: Rc<Core>) {
+    while watched.changed().await.is_ok() {
+        let settings = watched.borrow_and_update().clone();
+        core.set_seeds(seeds(&settings));
+    }
+}
+
+/// Follows all other core machines that are known, as they come and go; never returns.
+async fn follow_core(core: Rc<Core>, exchange: Rc<Exchange>) {
+    let mut following: HashMap<SocketAddr, Following> = HashMap::new();
+    loop {
+        let known = core.look(|node, _| node.known_peers());
+        following.retain(|peer, _| known.contains(peer));
+        for peer in known {
+            following.entry(peer).or_insert_with(|| exchange.follow(peer, HOLD));
         }
+        sleep(FOLLOW).await;
+    }
+}
+
+/// Answers a pull as soon as there is news, or contact with the majority is lost.
+async fn answer_pull(core: &Core, exchange: &Exchange, pull: Pull) -> News {
+    if !core.in_contact() {
+        return out_of_contact(exchange, pull).await;
+    }
+    let lost = pull.clone();
+    tokio::select! {
+        news = exchange.answer(pull) => match core.in_contact() {
+            true => news,
+            false => News { config: None, core: None, out_of_contact: true, ..news },
+        },
+        () = core.contact_lost() => out_of_contact(exchange, lost).await,
+    }
+}
+
+/// Who exists is told by its sources and can't be wrong, only late; a configuration and a list of the core could be old.
+async fn out_of_contact(exchange: &Exchange, pull: Pull) -> News {
+    let news = exchange.answer(Pull { hold: 0, ..pull }).await;
+    News { config: None, core: None, out_of_contact: true, ..news }
+}
+
+async fn answer_operation(core: &Core, update: Update) -> Told {
+    if !core.wait_for_contact(CONTACT_WITHIN).await {
+        return Told::Unable("chain: out of contact with a majority".to_owned());
+    }
+    match core.change(&Change::Key(update), OPERATION).await {
+        Ok(ChangeResult::Key(outcome)) => Told::Operation(outcome),
+        Ok(_) => Told::Unable("chain: an answer to another question".to_owned()),
+        Err(why) => Told::Unable(format!("{why:#}")),
     }
 }
 
 async fn answer(core: Rc<Core>, exchange: Rc<Exchange>, ask: Ask) -> Option<Told> {
     match ask {
         Ask::Chain { from, message } => {
-            core.receive(from, message);
+            core.receive(from, *message);
             None
         }
-        Ask::Pull(pull) => Some(Told::News(exchange.answer(pull).await)),
+        Ask::Pull(pull) => Some(Told::News(answer_pull(&core, &exchange, pull).await)),
+        Ask::Compare { .. } if !core.in_contact() => {
+            Some(Told::Unable("chain: out of contact with a majority".to_owned()))
+        }
         Ask::Compare { digest } => Some(exchange.compare(digest)),
         Ask::Tell(records) => {
             exchange.told(records);
             Some(Told::Done)
         }
-        Ask::Operation(update) => Some(match core.change(&Change::Key(update), OPERATION).await {
-            Ok(Came::Key(outcome)) => Told::Operation(outcome),
-            Ok(_) => Told::Unable("chain: an answer to another question".to_owned()),
-            Err(why) => Told::Unable(format!("{why:#}")),
-        }),
+        Ask::Operation(update) => Some(answer_operation(&core, update).await),
         Ask::Recall { .. } | Ask::Keep { .. } => Some(Told::Unable("core machines run nothing".to_owned())),
         Ask::Status => Some(Told::Status(status(&core).to_string().into())),
     }
 }
-
-/// How this machine is.
-fn status(core: &Core) -> serde_json::Value {
-    core.look(|node| {
-        let members = node.view().map(|v| v.members.iter().map(|m| m.peer.to_string()).collect::<Vec<_>>());
-        serde_json::json!({
-            "view": node.view().map(|v| v.ballot.number),
-            "chain": members,
-            "at_work": node.active(),
-            "held": node.held().sequence,
-            "committed": node.committed(),
-            "configuration": node.tables().config().map(|c| format!("{:08x}", c.edition)),
-            "keys": node.tables().keys().len(),
-        })
-    })
-}
--- /dev/null
+++ b/mesh/control-plane/src/status.rs
@@ -0,0 +1,57 @@
+//! How a core machine is, for operators.
+
+use serde_json::{Value, json};
+use sloeline_chain_replication::{Heartbeat, Node, Replica, VoterSet};
+
+use crate::core::Core;
+use crate::tables::State;
+
+/// The status of this machine and what it hears of the others.
+pub fn status(core: &Core) -> Value {
+    core.look(|node, now| {
+        let view = node.known_view();
+        let heartbeats = node.heartbeats();
+        let is_voter = |replica: &Replica| view.is_some_and(|view| view.voters.contains(replica));
+        let learners: Vec<Value> =
+            heartbeats.iter().filter(|h| !is_voter(&h.replica)).map(|h| other(node, h)).collect();
+        let voters: Vec<Value> =
+            heartbeats.iter().filter(|h| is_voter(&h.replica)).map(|h| other(node, h)).collect();
+        json!({
+            "replica": replica(&node.replica()),
+            "view": view.map(|view| view.number.round),
+            "established": node.established(),
+            "active": node.active(),
+            "in_contact": node.in_contact(now),
+            "voter": is_voter(&node.replica()),
+            "voter_set": view.map(|view| voter_set(&view.voters)),
+            "outgoing_voter_set": view.and_then(|view| view.outgoing.as_ref().map(voter_set)),
+            "chain": view.map(|view| view.chain.iter().map(replica).collect::<Vec<_>>()),
+            "position": node.position().sequence,
+            "committed": node.committed(),
+            "configuration": node.tables().config().map(|config| format!("{:08x}", config.edition)),
+            "keys": node.tables().keys().len(),
+            "voters_heard": voters,
+            "learners_heard": learners,
+        })
+    })
+}
+
+fn replica(replica: &Replica) -> Value {
+    json!({ "address": replica.peer.to_string(), "disk": format!("{:016x}", replica.disk) })
+}
+
+fn voter_set(voters: &VoterSet) -> Value {
+    json!({ "number": voters.number, "replicas": voters.replicas.iter().map(replica).collect::<Vec<_>>() })
+}
+
+fn other(node: &Node<State>, heartbeat: &Heartbeat) -> Value {
+    json!({
+        "replica": replica(&heartbeat.replica),
+        "active": heartbeat.active,
+        "in_contact": heartbeat.in_contact,
+        "healthy": heartbeat.healthy,
+        "leaving": heartbeat.leaving,
+        "caught_up": heartbeat.caught_up || heartbeat.active,
+        "lacks": node.position().sequence.saturating_sub(heartbeat.position.sequence),
+    })
+}
--- a/mesh/control-plane/src/tables.rs
+++ b/mesh/control-plane/src/tables.rs
@@ -2,7 +2,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
-use sloeline_chain_replication::{Applied, Row, Tables};
+use sloeline_chain_replication::{Applied, Row, Rows, Tables};
 use sloeline_discovery::Config;
 use sloeline_idempotency::{Claim, Claims, Outcome, Update};
 
@@ -33,12 +33,17 @@
 
 /// What came of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Came {
+pub enum ChangeResult {
     /// The configuration is taken, or a higher one holds.
     Taken {
         /// The version that holds.
         holds: u32,
     },
+    /// Another content holds under this version.
+    Conflict {
+        /// The version.
+        holds: u32,
+    },
     /// Of a keyed operation.
     Key(Outcome),
     /// The configuration that holds.
@@ -64,6 +69,25 @@
         self.config.as_ref()
     }
 
+    /// All rows, made anew from the state: for checks against those that were written one by one.
+    pub fn rows(&self) -> Rows {
+        let config = self.config.iter().map(|config| (Bytes::from_static(CONFIG), encoded(config)));
+        config.chain(self.keys.all().map(|(key, claim)| (key_row(key), encoded(claim)))).collect()
+    }
+
+    /// The highest version holds; under one version there is one content.
+    fn replace(&mut self, config: Config, rows: &mut Vec<Row>) -> ChangeResult {
+        if let Some(held) = self.config.as_ref().filter(|held| held.edition >= config.edition) {
+            let conflict = held.edition == config.edition && held.body != config.body;
+            let holds = held.edition;
+            return if conflict { ChangeResult::Conflict { holds } } else { ChangeResult::Taken { holds } };
+        }
+        let holds = config.edition;
+        rows.push((Bytes::from_static(CONFIG), Some(encoded(&config))));
+        self.config = Some(config);
+        ChangeResult::Taken { holds }
+    }
+
     /// The keyed operations.
     pub fn keys(&self) -> &Claims {
         &self.keys
@@ -84,42 +108,31 @@
 impl Tables for State {
     fn apply(&mut self, stamp: u64, update: &Bytes) -> Applied {
         let Ok(change) = rmp_serde::from_slice::<Change>(update) else {
-            return Applied { result: encoded(&Came::Unknown), rows: Vec::new() };
+            return Applied { result: encoded(&ChangeResult::Unknown), rows: Vec::new() };
         };
         let mut rows: Vec<Row> = Vec::new();
-        let came = match change {
-            Change::Config(config) => {
-                if self.config.as_ref().is_none_or(|c| c.edition < config.edition) {
-                    rows.push((Bytes::from_static(CONFIG), Some(encoded(&config))));
-                    self.config = Some(config);
-                }
-                Came::Taken { holds: self.config.as_ref().map_or(0, |c| c.edition) }
-            }
+        let result = match change {
+            Change::Config(config) => self.replace(config, &mut rows),
             Change::Key(update) => {
                 let (outcome, changed) = self.keys.apply(stamp, &update);
                 let row =
                     |(key, record): (Bytes, Option<Claim>)| (key_row(&key), record.map(|r| encoded(&r)));
                 rows.extend(changed.into_iter().map(row));
-                Came::Key(outcome)
+                ChangeResult::Key(outcome)
             }
-            Change::Read => Came::Config(self.config.clone()),
+            Change::Read => ChangeResult::Config(self.config.clone()),
         };
-        Applied { result: encoded(&came), rows }
-    }
-
-    fn dump(&self) -> Vec<(Bytes, Bytes)> {
-        let config = self.config.iter().map(|c| (Bytes::from_static(CONFIG), encoded(c)));
-        config.chain(self.keys.all().map(|(key, claim)| (key_row(key), encoded(claim)))).collect()
+        Applied { result: encoded(&result), rows }
     }
 
-    fn load(&mut self, rows: Vec<(Bytes, Bytes)>) {
+    fn load(&mut self, rows: &Rows) {
         self.config = None;
         let mut claims = Vec::new();
-        for (key, value) in rows {
+        for (key, value) in rows.iter() {
             if key.as_ref() == CONFIG {
-                self.config = rmp_serde::from_slice(&value).ok();
+                self.config = rmp_serde::from_slice(value).ok();
             } else if key.first() == Some(&KEY)
-                && let Ok(claim) = rmp_serde::from_slice(&value)
+                && let Ok(claim) = rmp_serde::from_slice(value)
             {
                 claims.push((key.slice(1..), claim));
             }
--- a/mesh/control-plane/tests/tables.rs
+++ b/mesh/control-plane/tests/tables.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use quickcheck::quickcheck;
 use sloeline_chain_replication::Tables;
-use sloeline_control_plane::tables::{Came, Change, State};
+use sloeline_control_plane::tables::{Change, ChangeResult, State};
 use sloeline_discovery::Config;
 use sloeline_idempotency::{Outcome, Update};
 
@@ -19,6 +19,10 @@
     }
 }
 
+fn by_key(state: &State) -> BTreeMap<Bytes, Bytes> {
+    state.rows().iter().map(|(key, value)| (key.clone(), value.clone())).collect()
+}
+
 quickcheck! {
     fn rows_written_one_by_one_make_the_state_that_is_dumped(changes: Vec<(u8, u8, u64, u8)>) -> bool {
         let (mut state, mut disk, mut stamp) = (State::new(100), BTreeMap::new(), 0);
@@ -31,37 +35,39 @@
                 };
             }
         }
-        let dumped: BTreeMap<Bytes, Bytes> = state.dump().into_iter().collect();
+        let dumped = by_key(&state);
         let mut loaded = State::new(100);
-        loaded.load(disk.clone().into_iter().collect());
-        let again: BTreeMap<Bytes, Bytes> = loaded.dump().into_iter().collect();
-        dumped == disk && again == disk
+        loaded.load(&disk.clone().into_iter().collect());
+        dumped == disk && by_key(&loaded) == disk
     }
 
     fn bytes_that_are_no_change_change_nothing(bytes: Vec<u8>) -> bool {
         let mut state = State::new(100);
-        let before = state.dump();
+        let before = by_key(&state);
         let applied = state.apply(1, &Bytes::from(bytes.clone()));
-        rmp_serde::from_slice::<Change>(&bytes).is_ok() || (applied.rows.is_empty() && state.dump() == before)
+        rmp_serde::from_slice::<Change>(&bytes).is_ok() || (applied.rows.is_empty() && by_key(&state) == before)
     }
 }
 
-fn came(state: &mut State, stamp: u64, change: &Change) -> Came {
+fn came(state: &mut State, stamp: u64, change: &Change) -> ChangeResult {
     rmp_serde::from_slice(&state.apply(stamp, &change.encoded()).result).expect("a result")
 }
 
 #[test]
-fn the_highest_configuration_holds_and_lower_or_equal_ones_change_nothing() {
+fn the_highest_configuration_holds_and_under_one_version_there_is_one_content() {
     let mut state = State::new(100);
     let put =
         |edition, body: &'static [u8]| Change::Config(Config { edition, body: Bytes::from_static(body) });
-    assert_eq!(came(&mut state, 1, &Change::Read), Came::Config(None));
-    assert_eq!(came(&mut state, 1, &put(5, b"five")), Came::Taken { holds: 5 });
-    for (edition, body) in [(4, &b"four"[..]), (5, b"another five")] {
-        assert_eq!(came(&mut state, 1, &put(edition, body)), Came::Taken { holds: 5 });
+    assert_eq!(came(&mut state, 1, &Change::Read), ChangeResult::Config(None));
+    assert_eq!(came(&mut state, 1, &put(5, b"five")), ChangeResult::Taken { holds: 5 });
+    // An older one, and the same again after a lost answer, are acknowledged and change nothing.
+    for (edition, body) in [(4, &b"four"[..]), (5, b"five")] {
+        assert_eq!(came(&mut state, 1, &put(edition, body)), ChangeResult::Taken { holds: 5 });
     }
+    // Of two operators with different content under one version, one is told that the other was first.
+    assert_eq!(came(&mut state, 1, &put(5, b"another five")), ChangeResult::Conflict { holds: 5 });
     assert_eq!(state.config().map(|c| c.body.as_ref()), Some(&b"five"[..]));
-    assert_eq!(came(&mut state, 1, &put(9, b"nine")), Came::Taken { holds: 9 });
+    assert_eq!(came(&mut state, 1, &put(9, b"nine")), ChangeResult::Taken { holds: 9 });
 }
 
 #[test]
@@ -69,8 +75,8 @@
     let mut state = State::new(60_000);
     let claim =
         |run| Change::Key(Update::Claim { key: Bytes::from_static(b"k"), run, holder: "m".to_owned() });
-    assert_eq!(came(&mut state, 0, &claim(1)), Came::Key(Outcome::Granted));
-    let held = Came::Key(Outcome::Held { run: 1, holder: "m".to_owned() });
+    assert_eq!(came(&mut state, 0, &claim(1)), ChangeResult::Key(Outcome::Granted));
+    let held = ChangeResult::Key(Outcome::Held { run: 1, holder: "m".to_owned() });
     assert_eq!(came(&mut state, 69_000, &claim(2)), held);
-    assert_eq!(came(&mut state, 71_000, &claim(2)), Came::Key(Outcome::Granted));
+    assert_eq!(came(&mut state, 71_000, &claim(2)), ChangeResult::Key(Outcome::Granted));
 }
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -1,7 +1,7 @@
 //! The program: settings, sockets, and how it begins and ends.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -184,6 +184,7 @@
         exchange: exchange.clone(),
         keys,
         now: RefCell::default(),
+        reached: Cell::new(false),
         since: Instant::now(),
     };
     spawn_local(follow(following, callers.clone(), ground, places, guarantees.grace.duration()));
@@ -266,6 +267,7 @@
     exchange: Rc<Exchange>,
     keys: Rc<Keys>,
     now: RefCell<HashMap<SocketAddr, Following>>,
+    reached: Cell<bool>,
     since: Instant,
 }
 
@@ -276,11 +278,7 @@
         let records = self.exchange.board().records();
         let settings = self.settings.borrow().clone();
         let me = settings.node_name.as_str();
-        let mut core: Vec<SocketAddr> =
-            settings.seed_nodes.iter().map(|s| settings.mesh_address_of(*s)).collect();
-        core.extend(records.values().filter(|r| r.core).map(|r| r.mesh));
-        core.sort_unstable();
-        core.dedup();
+        let mut core = self.core_machines(&settings, &records);
         let weigh = |address: &SocketAddr| {
             let zone = records.values().find(|r| r.mesh == *address).map(|r| r.zone.as_str());
             let far = zone != Some(settings.zone_name.as_str());
@@ -318,8 +316,33 @@
         }
     }
 
+    /// The core machines that serve, by the newest list of theirs. Without one, or when none of the list answers: all that
+    /// anything names.
+    fn core_machines(&self, settings: &Settings, records: &BTreeMap<String, Rc<Record>>) -> Vec<SocketAddr> {
+        let now = self.now.borrow();
+        let answers = |address: &SocketAddr| {
+            now.get(address).and_then(Following::reached).is_some_and(|at| at.elapsed() < STALE)
+        };
+        if let Some(list) = self.exchange.board().core()
+            && list.machines.iter().any(answers)
+        {
+            return list.machines.clone();
+        }
+        let seeds = settings.seed_nodes.iter().map(|seed| settings.mesh_address_of(*seed));
+        let records = records.values().filter(|record| record.core && !record.leaving).map(|r| r.mesh);
+        let list = self.exchange.board().core();
+        let listed = list.iter().flat_map(|list| list.machines.iter().copied());
+        let mut core: Vec<SocketAddr> = seeds.chain(records).chain(listed).collect();
+        core.sort_unstable();
+        core.dedup();
+        core
+    }
+
+    /// Some other process has told what it knows in this life.
     fn reached(&self) -> bool {
-        self.now.borrow().values().any(|f| f.reached().is_some())
+        let reached = self.reached.get() || self.now.borrow().values().any(|f| f.reached().is_some());
+        self.reached.set(reached);
+        reached
     }
 }
 
--- a/mesh/discovery/src/board.rs
+++ b/mesh/discovery/src/board.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -22,6 +23,15 @@
     pub body: Bytes,
 }
 
+/// The core machines that serve, as of a view of theirs: the higher round holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoreList {
+    /// The round of that view.
+    pub round: u64,
+    /// Where processes of the mesh reach them.
+    pub machines: Vec<SocketAddr>,
+}
+
 /// Asks for what is lacking.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pull {
@@ -31,6 +41,8 @@
     pub vector: Vector,
     /// The version of its configuration, where it has one.
     pub edition: Option<u32>,
+    /// The round of its list of core machines, where it has one.
+    pub core_round: Option<u64>,
     /// What the asker believes that the other lacks.
     pub told: Vec<Record>,
     /// How long the other may wait for news, in milliseconds.
@@ -44,14 +56,19 @@
     pub records: Vec<Record>,
     /// A newer configuration.
     pub config: Option<Config>,
+    /// A newer list of core machines.
+    pub core: Option<CoreList>,
     /// What the other has of the asker.
     pub yours: Option<Version>,
+    /// The other is of the core and has not heard a majority lately: what it knows may be old, and its configuration is
+    /// left out.
+    pub out_of_contact: bool,
 }
 
 impl News {
     /// There are none.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.config.is_none()
+        self.records.is_empty() && self.config.is_none() && self.core.is_none()
     }
 }
 
@@ -60,6 +77,7 @@
 pub struct Board {
     records: Rc<BTreeMap<String, Rc<Record>>>,
     config: Option<Rc<Config>>,
+    core: Option<Rc<CoreList>>,
 }
 
 impl Board {
@@ -73,6 +91,20 @@
         self.config.clone()
     }
 
+    /// The newest list of core machines.
+    pub fn core(&self) -> Option<Rc<CoreList>> {
+        self.core.clone()
+    }
+
+    /// Takes a list of core machines if it is newer; tells whether it was.
+    pub fn take_core(&mut self, core: CoreList) -> bool {
+        let newer = self.core.as_ref().is_none_or(|known| known.round < core.round);
+        if newer {
+            self.core = Some(Rc::new(core));
+        }
+        newer
+    }
+
     /// The versions that are here.
     pub fn vector(&self) -> Vector {
         self.records.iter().map(|(source, record)| (source.clone(), record.version)).collect()
@@ -87,6 +119,7 @@
             hasher.write_u64(record.version.change);
         }
         hasher.write_u64(self.config.as_ref().map_or(0, |c| u64::from(c.edition) + 1));
+        hasher.write_u64(self.core.as_ref().map_or(0, |core| core.round + 1));
         hasher.finish()
     }
 
@@ -128,7 +161,9 @@
         };
         let records = self.records.values().filter(lacks).map(|r| (**r).clone()).collect();
         let config = self.config.as_deref().filter(|c| pull.edition.is_none_or(|e| e < c.edition)).cloned();
+        let newer = |core: &&CoreList| pull.core_round.is_none_or(|round| round < core.round);
+        let core = self.core.as_deref().filter(newer).cloned();
         let yours = self.records.get(&pull.source).map(|r| r.version);
-        News { records, config, yours }
+        News { records, config, core, yours, out_of_contact: false }
     }
 }
--- a/mesh/discovery/src/lib.rs
+++ b/mesh/discovery/src/lib.rs
@@ -6,5 +6,5 @@
 pub mod record;
 pub mod rendezvous;
 
-pub use board::{Board, Config, News, Pull};
+pub use board::{Board, Config, CoreList, News, Pull};
 pub use record::{Condition, Record, Upstream, Vector, Version};
--- a/mesh/discovery/tests/boards.rs
+++ b/mesh/discovery/tests/boards.rs
@@ -20,7 +20,14 @@
 
 fn pull(board: &Board, source: &str) -> Pull {
     let edition = board.config().map(|c| c.edition);
-    Pull { source: source.to_owned(), vector: board.vector(), edition, told: Vec::new(), hold: 0 }
+    Pull {
+        source: source.to_owned(),
+        vector: board.vector(),
+        edition,
+        core_round: None,
+        told: Vec::new(),
+        hold: 0,
+    }
 }
 
 quickcheck! {
--- a/mesh/route-config/src/model.rs
+++ b/mesh/route-config/src/model.rs
@@ -29,6 +29,13 @@
     pub depots: Vec<Service>,
 }
 
+impl Config {
+    /// How many routes there are.
+    pub fn routes(&self) -> usize {
+        self.gateways.iter().map(|gateway| gateway.regulations.len()).sum()
+    }
+}
+
 /// A version: eight hexadecimal digits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Edition(pub u32);
--- a/mesh/rpc/src/exchange.rs
+++ b/mesh/rpc/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sloeline_discovery::{Board, Config, News, Pull, Record, Version};
+use sloeline_discovery::{Board, Config, CoreList, News, Pull, Record, Version};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -101,6 +101,36 @@
         }
     }
 
+    /// Takes a list of the core machines that serve.
+    pub fn take_core(&self, core: CoreList) {
+        if self.board.borrow_mut().take_core(core) {
+            self.changed.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Asks for what is lacking here.
+    fn pull_for(&self, told: Vec<Record>, hold: Duration) -> Pull {
+        let board = self.board.borrow();
+        Pull {
+            source: self.own.borrow().source.clone(),
+            vector: board.vector(),
+            edition: board.config().map(|config| config.edition),
+            core_round: board.core().map(|core| core.round),
+            told,
+            hold: hold.as_millis() as u64,
+        }
+    }
+
+    fn take_news(&self, news: News) {
+        if let Some(config) = news.config {
+            self.take_config(config);
+        }
+        if let Some(core) = news.core {
+            self.take_core(core);
+        }
+        self.take(news.records);
+    }
+
     /// Forgets sources.
     pub fn forget(&self, gone: impl Fn(&Record) -> bool) {
         self.board.borrow_mut().forget(gone);
@@ -155,18 +185,10 @@
                 reached.set(Some(Instant::now()));
             } else {
                 first = false;
-                let own = self.own();
-                let (vector, edition) = {
-                    let board = self.board.borrow();
-                    (board.vector(), board.config().map(|c| c.edition))
-                };
-                let pull = Pull { source: own.source.clone(), vector, edition, told: vec![own], hold: 0 };
+                let pull = self.pull_for(vec![self.own()], Duration::ZERO);
                 if let Ok(Told::News(news)) = link.ask(&Ask::Pull(pull), LATE).await {
-                    reached.set(Some(Instant::now()));
-                    if let Some(config) = news.config {
-                        self.take_config(config);
-                    }
-                    self.take(news.records);
+                    reached.set((!news.out_of_contact).then(Instant::now));
+                    self.take_news(news);
                 }
             }
             sleep(every).await;
@@ -190,12 +212,7 @@
             announced.mark_unchanged();
             let own = self.own();
             let told = if theirs == Some(own.version) { Vec::new() } else { vec![own.clone()] };
-            let (vector, edition) = {
-                let board = self.board.borrow();
-                (board.vector(), board.config().map(|c| c.edition))
-            };
-            let pull = Pull { source: own.source, vector, edition, told, hold: patience.as_millis() as u64 };
-            let ask = Ask::Pull(pull);
+            let ask = Ask::Pull(self.pull_for(told, patience));
             let mut asking = std::pin::pin!(link.ask(&ask, patience + LATE));
             let answer = loop {
                 tokio::select! {
@@ -206,13 +223,14 @@
             };
             match answer {
                 Ok(Told::News(news)) => {
-                    reached.set(Some(Instant::now()));
+                    let out_of_contact = news.out_of_contact;
+                    reached.set((!out_of_contact).then(Instant::now));
                     theirs = news.yours;
-                    patience = hold;
-                    if let Some(config) = news.config {
-                        self.take_config(config);
+                    patience = if out_of_contact { Duration::ZERO } else { hold };
+                    self.take_news(news);
+                    if out_of_contact {
+                        sleep(PAUSE).await;
                     }
-                    self.take(news.records);
                 }
                 _ => {
                     theirs = None;
--- a/mesh/rpc/src/lib.rs
+++ b/mesh/rpc/src/lib.rs
@@ -47,7 +47,7 @@
         /// Who sends it.
         from: std::net::SocketAddr,
         /// What.
-        message: Message,
+        message: Box<Message>,
     },
     /// How the asked process is, as JSON.
     Status,
--- a/mesh/storage/src/lib.rs
+++ b/mesh/storage/src/lib.rs
@@ -1,7 +1,7 @@
 //! What a core machine keeps on disk: one `redb` file with the rows of the state and what must not be forgotten of
 //! promises and views. Each [`Store::write`] is one transaction: all of it is there after a loss of power, or nothing.
 //!
-//! Format 1: table `meta` holds under `format` the number 1 and under `kept` a [`Kept`] as MessagePack; table `rows` holds
+//! Format 2: table `meta` holds under `format` the number 2 and under `durable` a [`DurableState`] as MessagePack; table `rows` holds
 //! the state's rows as they are. A file is made under another name, synced, renamed and its folder synced, so that a file
 //! of this name is never half made.
 
@@ -17,11 +17,11 @@
     Builder, Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, StorageBackend,
     StorageError, TableDefinition, TableError,
 };
-use sloeline_chain_replication::{Kept, Write};
+use sloeline_chain_replication::{DurableState, Write};
 
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const ROWS: TableDefinition<&[u8], &[u8]> = TableDefinition::new("rows");
-const FORMAT: &[u8] = &[1];
+const FORMAT: &[u8] = &[2];
 const FILE: &str = "signals.redb";
 const NEW: &str = "signals.new";
 const DOUBTFUL: &str = "signals.doubtful";
@@ -59,6 +59,27 @@
 
 impl std::error::Error for Spoilt {}
 
+/// The file is a store of another format, made by another release.
+#[derive(Debug)]
+pub struct OtherFormat(u8);
+
+impl fmt::Display for OtherFormat {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "format: found {}, expected {}: move the file away to start as a new machine",
+            self.0, FORMAT[0]
+        )
+    }
+}
+
+impl std::error::Error for OtherFormat {}
+
+/// Whether an error says that the store is of another format.
+pub fn is_other_format(why: &anyhow::Error) -> bool {
+    why.chain().any(|cause| cause.is::<OtherFormat>())
+}
+
 /// Whether an error says that the file is spoilt.
 pub fn is_spoilt(why: &anyhow::Error) -> bool {
     let corrupted = |e: &StorageError| match e {
@@ -93,7 +114,7 @@
 
 impl Store {
     /// Makes the file, which must not be there.
-    pub fn create(folder: &Path, kept: &Kept) -> Result<Store> {
+    pub fn create(folder: &Path, durable: &DurableState) -> Result<Store> {
         fs::create_dir_all(folder).with_context(|| format!("make {}", folder.display()))?;
         let (new, path): (PathBuf, PathBuf) = (folder.join(NEW), folder.join(FILE));
         match fs::remove_file(&new) {
@@ -101,60 +122,67 @@
             _ => {}
         }
         let store = Store { database: open(&new)? };
-        store.begin(kept)?;
+        store.begin(durable)?;
         drop(store);
         fs::rename(&new, &path).with_context(|| format!("rename to {}", path.display()))?;
         File::open(folder).and_then(|f| f.sync_all()).context("sync the folder")?;
         Ok(Store { database: open(&path)? })
     }
 
-    fn begin(&self, kept: &Kept) -> Result<()> {
+    fn begin(&self, durable: &DurableState) -> Result<()> {
         let transaction = self.database.begin_write().context("begin the first write")?;
         {
             let mut meta = transaction.open_table(META)?;
             meta.insert("format", FORMAT)?;
-            meta.insert("kept", rmp_serde::to_vec(kept)?.as_slice())?;
+            meta.insert("durable", rmp_serde::to_vec(durable)?.as_slice())?;
             transaction.open_table(ROWS)?;
         }
         transaction.commit().context("commit the first write")
     }
 
     /// A new store on something else than a file.
-    pub fn create_on(backend: impl StorageBackend, kept: &Kept) -> Result<Store> {
+    pub fn create_on(backend: impl StorageBackend, durable: &DurableState) -> Result<Store> {
         let store = Store { database: builder().create_with_backend(backend).context("open the backend")? };
-        store.begin(kept)?;
+        store.begin(durable)?;
         Ok(store)
     }
 
     /// Opens what [`create_on`](Store::create_on) made and reads all of it.
-    pub fn open_on(backend: impl StorageBackend) -> Result<(Store, Kept, Rows)> {
+    pub fn open_on(backend: impl StorageBackend) -> Result<(Store, DurableState, Rows)> {
         guarded(|| Store::read(builder().create_with_backend(backend).context("open the backend")?))
     }
 
     /// Opens the file and reads all of it.
-    pub fn open(folder: &Path) -> Result<(Store, Kept, Rows)> {
+    pub fn open(folder: &Path) -> Result<(Store, DurableState, Rows)> {
         let path = folder.join(FILE);
         guarded(|| Store::read(builder().create(&path).with_context(|| format!("open {}", path.display()))?))
     }
 
-    fn read(database: Database) -> Result<(Store, Kept, Rows)> {
+    fn read(database: Database) -> Result<(Store, DurableState, Rows)> {
         let store = Store { database };
         let transaction = store.database.begin_read().context("begin to read")?;
         let meta = transaction.open_table(META).context("read the table meta")?;
         let format = meta.get("format")?.map(|v| v.value().to_vec());
-        if format.as_deref() != Some(FORMAT) {
-            return Err(Spoilt).with_context(|| format!("format: found {format:?}, expected {FORMAT:?}"));
+        match format.as_deref() {
+            Some(format) if format == FORMAT => {}
+            // It may hold what was acknowledged: it is neither read nor set aside.
+            Some(&[other]) => return Err(OtherFormat(other).into()),
+            _ => {
+                return Err(Spoilt).with_context(|| format!("format: found {format:?}, expected {FORMAT:?}"));
+            }
         }
-        let kept =
-            meta.get("kept")?.context("kept: found nothing, expected what this machine has promised")?;
-        let kept = rmp_serde::from_slice(kept.value()).context("read kept")?;
+        let durable = meta
+            .get("durable")?
+            .context("durable: found nothing, expected what this machine has promised")?;
+        let durable: DurableState =
+            rmp_serde::from_slice(durable.value()).context("read the durable state")?;
         let mut rows = Rows::new();
         for row in transaction.open_table(ROWS).context("read the table rows")?.iter()? {
             let (key, value) = row?;
             rows.push((Bytes::copy_from_slice(key.value()), Bytes::copy_from_slice(value.value())));
         }
         drop(transaction);
-        Ok((store, kept, rows))
+        Ok((store, durable, rows))
     }
 
     /// Writes all of these, in order, and syncs once. With an error nothing of them counts as kept, and the store is to be
@@ -165,7 +193,7 @@
         transaction.set_durability(Durability::Immediate).context("set durability")?;
         {
             let mut meta = transaction.open_table(META)?;
-            meta.insert("kept", rmp_serde::to_vec(&last.kept)?.as_slice())?;
+            meta.insert("durable", rmp_serde::to_vec(&last.durable)?.as_slice())?;
             let from = writes.iter().rposition(|w| w.replace);
             if from.is_some() {
                 transaction.delete_table(ROWS)?;
--- a/mesh/storage/tests/torn.rs
+++ b/mesh/storage/tests/torn.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use redb::StorageBackend;
-use sloeline_chain_replication::{Kept, Write};
+use sloeline_chain_replication::{DurableState, VoterSet, Write};
 use sloeline_storage::{Store, exists, is_spoilt};
 
 struct Folder(PathBuf);
@@ -29,8 +29,8 @@
     }
 }
 
-fn kept() -> Kept {
-    Kept::new(vec![([10, 0, 0, 1], 1).into()], 7, true)
+fn durable() -> DurableState {
+    DurableState::founder(VoterSet::founders(&[([10, 0, 0, 1], 1).into()]))
 }
 
 fn row(key: &str, value: &str) -> (Bytes, Option<Bytes>) {
@@ -39,16 +39,16 @@
 }
 
 fn write(token: u64, rows: Vec<(Bytes, Option<Bytes>)>, replace: bool) -> Write {
-    let mut kept = kept();
-    kept.held.sequence = token;
-    Write { token, kept, rows, replace }
+    let mut durable = durable();
+    durable.position.sequence = token;
+    Write { token, durable, rows, replace }
 }
 
 #[test]
 fn writes_are_there_in_their_order_and_a_replacement_takes_all_others_away() {
     let folder = Folder::new("order");
     assert!(!exists(folder.path()).expect("a look"));
-    let store = Store::create(folder.path(), &kept()).expect("a store");
+    let store = Store::create(folder.path(), &durable()).expect("a store");
     assert!(exists(folder.path()).expect("a look"));
     store
         .write(&[
@@ -59,9 +59,9 @@
         ])
         .expect("a write");
     drop(store);
-    let (_, kept, rows) = Store::open(folder.path()).expect("the store");
+    let (_, durable, rows) = Store::open(folder.path()).expect("the store");
     let names: Vec<&[u8]> = rows.iter().map(|(key, _)| key.as_ref()).collect();
-    assert_eq!((kept.held.sequence, names), (4, vec![&b"c"[..], b"d"]));
+    assert_eq!((durable.position.sequence, names), (4, vec![&b"c"[..], b"d"]));
 }
 
 /// A disk that loses power: what was synced is there, of each later write all, nothing, or a first part.
@@ -158,7 +158,7 @@
     for seed in 0..150 {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut disk = Disk::default();
-        let mut store = Store::create_on(disk.clone(), &kept()).expect("a store");
+        let mut store = Store::create_on(disk.clone(), &durable()).expect("a store");
         let mut synced = 0;
         for round in 0..6 {
             let first = synced + 1;
@@ -176,9 +176,9 @@
             let (least, image) = images.swap_remove(rng.usize(..images.len()));
             // The library's own end writes too; it is not heard of here.
             std::mem::forget(store);
-            let (again, kept, rows) =
+            let (again, durable, rows) =
                 Store::open_on(image.clone()).unwrap_or_else(|e| panic!("seed {seed}, round {round}: {e:#}"));
-            let held = kept.held.sequence;
+            let held = durable.position.sequence;
             assert!(held >= least && held <= last, "seed {seed}: {held} of {least} to {last}");
             let expected = if held == 0 { 0 } else { 3 };
             assert_eq!(rows.len(), expected, "seed {seed}");
@@ -193,7 +193,7 @@
 #[test]
 fn a_file_that_is_spoilt_is_told_from_none_and_can_be_set_aside() {
     let folder = Folder::new("spoilt");
-    drop(Store::create(folder.path(), &kept()).expect("a store"));
+    drop(Store::create(folder.path(), &durable()).expect("a store"));
     let path = folder.path().join("signals.redb");
     let good = fs::read(&path).expect("the file");
     for (what, bytes) in [
@@ -213,7 +213,7 @@
 #[test]
 fn a_file_that_another_process_still_has_is_not_taken_for_a_spoilt_one() {
     let folder = Folder::new("open");
-    let store = Store::create(folder.path(), &kept()).expect("a store");
+    let store = Store::create(folder.path(), &durable()).expect("a store");
     let why = Store::open(folder.path()).err().expect("it is open");
     assert!(!is_spoilt(&why), "{why:#}");
     drop(store);
--- a/mesh/testbed/examples/slopes.rs
+++ b/mesh/testbed/examples/slopes.rs
@@ -6,9 +6,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use sloeline_chain_replication::{Kept, Message, Node, Output, Settings, Tables};
-use sloeline_control_plane::tables::{Change, State as Kept3};
-use sloeline_data_plane::gate::{Arrival, Gate, State};
+use sloeline_chain_replication::{DurableState, Message, Node, Output, Rows, VoterSet};
+use sloeline_control_plane::tables::{Change, State};
+use sloeline_data_plane::gate::{Arrival, Gate, State as GateState};
 use sloeline_discovery::{Board, Condition, Pull, Record, Upstream, Version};
 use sloeline_idempotency::Update;
 use sloeline_route_config::model::Config;
@@ -47,8 +47,14 @@
         let mut board = Board::default();
         board.take((0..count).map(record).collect());
         let vector = board.vector();
-        let pull =
-            Pull { source: "asker".to_owned(), vector, edition: Some(7), told: Vec::new(), hold: 2000 };
+        let pull = Pull {
+            source: "asker".to_owned(),
+            vector,
+            edition: Some(7),
+            core_round: None,
+            told: Vec::new(),
+            hold: 2000,
+        };
         let asked = encode(Kind::Ask, 1, &Ask::Pull(pull.clone())).map_or(0, |b| b.len());
         let all: Vec<Record> = board.records().values().map(|r| (**r).clone()).collect();
         let one = encode(Kind::Answer, 1, &Told::Done).map_or(0, |b| b.len());
@@ -73,16 +79,16 @@
 
 fn chain() {
     let peers: Vec<SocketAddr> = (1..=3).map(|i| ([10, 0, 0, i], 1).into()).collect();
-    let mut nodes: Vec<Node<Kept3>> = peers
+    let mut nodes: Vec<Node<State>> = peers
         .iter()
         .map(|me| {
-            let settings = Settings { me: *me, founders: peers.clone(), beat: 100, silence: 700, again: 200 };
-            let kept = Kept::new(peers.clone(), u64::from(me.port()) + 7, true);
-            Node::new(settings, kept, Kept3::new(60_000), 0)
+            let settings = sloeline_control_plane::core::settings(*me, peers.clone(), 1);
+            let durable = DurableState::founder(VoterSet::founders(&peers));
+            Node::new(settings, durable, Rows::default(), State::new(60_000), 0)
         })
         .collect();
     let (mut now, mut bytes, mut messages) = (0, 0, 0);
-    let run = |nodes: &mut Vec<Node<Kept3>>, now: u64, bytes: &mut usize, messages: &mut usize| {
+    let run = |nodes: &mut Vec<Node<State>>, now: u64, bytes: &mut usize, messages: &mut usize| {
         let mut results = 0;
         loop {
             let mut quiet = true;
@@ -93,8 +99,8 @@
                     match output {
                         Output::Send { to, message } => {
                             let from = peers[at];
-                            let ask = Ask::Chain { from, message: message.clone() };
-                            if !matches!(message, Message::Standing(_)) {
+                            let ask = Ask::Chain { from, message: Box::new(message.clone()) };
+                            if !matches!(message, Message::Heartbeat(_)) {
                                 *bytes += encode(Kind::Tell, 0, &ask).map_or(0, |b| b.len());
                                 *messages += 1;
                             }
@@ -141,8 +147,8 @@
             messages as f64 / f64::from(all)
         );
     }
-    let rows = nodes[0].tables().dump();
-    let held: usize = rows.iter().map(|(k, v)| k.len() + v.len()).sum();
+    let rows = nodes[0].rows();
+    let held: usize = rows.iter().map(|(key, value)| key.len() + value.len()).sum();
     println!("{} claims are {} bytes as rows", rows.len(), held);
 }
 
@@ -188,7 +194,7 @@
 
 fn gate() {
     let mut gate = Gate::default();
-    gate.set(State::Open, 6);
+    gate.set(GateState::Open, 6);
     println!("\nrequests that wait at a gate   arrive and leave, us");
     for waiting in [0, 16, 90] {
         let arrival = Arrival { kind: 1, aim: 900_000_000, left: 3_000_000_000, hold: 1_400_000_000 };
