--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -208,7 +208,7 @@
     warm_after: Micros,
     /// See [`Core::refuse_unsent`].
     refuses_unsent: bool,
-    /// See [`Core::stop_cutting`].
+    /// See [`Core::set_cutting`].
     keeps: bool,
     /// Upstreams that are cold.
     cold: HashMap<ServerId, Cold>,
@@ -386,9 +386,10 @@
         self.refuses_unsent = true;
     }
 
-    /// From now on no attempt is cut short: one whose upstream is at work has what is left of its client's time.
-    pub fn stop_cutting(&mut self) {
-        self.keeps = true;
+    /// Whether attempts are cut short from now on. One that is not, and whose upstream is at work, has what is left of its
+    /// client's time.
+    pub fn set_cutting(&mut self, cuts: bool) {
+        self.keeps = !cuts;
     }
 
     // Requests.
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -380,9 +380,9 @@
         self.core.borrow_mut().refuse_unsent();
     }
 
-    /// See [`Core::stop_cutting`].
-    pub fn stop_cutting(&self) {
-        self.core.borrow_mut().stop_cutting();
+    /// See [`Core::set_cutting`].
+    pub fn set_cutting(&self, cuts: bool) {
+        self.core.borrow_mut().set_cutting(cuts);
     }
 
     /// See [`Core::begin`].
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -343,7 +343,7 @@
             let asking = engine.ask(asked(4_000_000));
             let out = fake.take();
             if stops {
-                engine.stop_cutting();
+                engine.set_cutting(false);
             }
             tokio::time::sleep(Duration::from_millis(3900)).await;
             // Without the order the attempt is over by now: its limit was a few of the usual milliseconds.
@@ -355,6 +355,27 @@
     }
 }
 
+#[test]
+fn a_process_that_has_just_started_cuts_again_once_it_may() {
+    with(async move |fake, engine| {
+        fake.ran.set(true);
+        teach(&fake, &engine).await;
+        engine.set_cutting(false);
+        let kept = engine.ask(asked(4_000_000));
+        let out = fake.take();
+        tokio::time::sleep(Duration::from_millis(1000)).await;
+        assert_eq!(fake.aborted.get(), 0);
+        out.end(Outcome::Ok, None, Some(9));
+        assert_eq!(kept.answer().await, Answer::Served(9));
+        engine.set_cutting(true);
+        let cut = engine.ask(asked(4_000_000));
+        let _out = fake.take();
+        tokio::time::sleep(Duration::from_millis(3900)).await;
+        assert_eq!(fake.aborted.get(), 1);
+        assert_eq!(cut.answer().await, Answer::Failed(Failure::Time));
+    });
+}
+
 #[test]
 fn what_surely_never_ran_is_refused_where_that_is_asked_for() {
     for (outcome, refuses, refused) in [
@@ -369,7 +390,7 @@
             }
             teach(&fake, &engine).await;
             // So that the attempt is still out when too little time is left for another, or for a new try of the client's.
-            engine.stop_cutting();
+            engine.set_cutting(false);
             let asking = engine.ask(asked(300_000));
             tokio::time::sleep(Duration::from_micros(289_700)).await;
             fake.take().end(outcome, None, None);
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -66,6 +66,8 @@
 const STILL: Duration = Duration::from_millis(2600);
 /// Time between the last answer and the kill.
 const MARGIN: Duration = Duration::from_millis(400);
+/// A start may follow an order to stop. Until `grace` and so much more are over, requests are finished as if it held still.
+const AFTER_GRACE: Duration = Duration::from_millis(1500);
 /// Most bytes of a beat.
 const MOST_BEAT: usize = 64 << 10;
 
@@ -357,6 +359,7 @@
     let exchange = follow.exchange.clone();
     let mut changes = exchange.changes();
     let mut services = Services::default();
+    services.set_cutting(false);
     let mut planned = None;
     loop {
         changes.mark_unchanged();
@@ -384,9 +387,7 @@
         }
         services.list(&records);
         let leaving = exchange.own().leaving;
-        if leaving {
-            services.stop_cutting();
-        }
+        services.set_cutting(!leaving && follow.since.elapsed() > grace + AFTER_GRACE);
         callers.front().set_ready(!leaving && planned.is_some() && services.listed() && follow.reached());
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -169,6 +169,8 @@
 #[derive(Default)]
 pub struct Services {
     by_group: BTreeMap<Group, Rc<Service>>,
+    /// Attempts are not cut short now.
+    keeps: bool,
 }
 
 /// Where a route leads.
@@ -220,6 +222,7 @@
                 }
                 None => {
                     let service = start(line, settings, &zones, ground, assigned.slots)?;
+                    service.engine.set_cutting(!self.keeps);
                     self.by_group.insert(group, Rc::new(service));
                 }
             }
@@ -272,9 +275,11 @@
         }
     }
 
-    /// Ends no attempt whose upstream may be at work: this balancer has been told to stop, and is to finish what it has.
-    pub fn stop_cutting(&self) {
-        self.by_group.values().for_each(|s| s.engine.stop_cutting());
+    /// Whether attempts are cut short whose upstreams may be at work. Not while this balancer is to finish what it has: after
+    /// it was told to stop, and for as long after its start as clients may still count on its former life.
+    pub fn set_cutting(&mut self, cuts: bool) {
+        self.keeps = !cuts;
+        self.by_group.values().for_each(|service| service.engine.set_cutting(cuts));
     }
 
     /// Each has an upstream.
