--- a/mesh/admin-http/src/program.rs
+++ b/mesh/admin-http/src/program.rs
@@ -15,6 +15,16 @@
     pub about: &'static str,
     /// Serves by a settings file until it is told to stop.
     pub run: fn(&Path) -> Result<()>,
+    /// What it can do besides.
+    pub more: Vec<Subcommand>,
+}
+
+/// A subcommand of one program alone. All of them take `--settings`.
+pub struct Subcommand {
+    /// Its name, help and arguments.
+    pub command: Command,
+    /// Does it, by the settings and its arguments.
+    pub act: fn(&Path, &ArgMatches) -> Result<ExitCode>,
 }
 
 impl Program {
@@ -36,30 +46,36 @@
             .version(clap::crate_version!())
             .subcommand_required(true)
             .subcommand(Command::new("run").about("Serves until SIGTERM").arg(settings.clone()).arg(log))
-            .subcommand(Command::new("check").about("Checks a settings file").arg(settings))
+            .subcommand(Command::new("check").about("Checks a settings file").arg(settings.clone()))
+            .subcommands(self.more.iter().map(|more| more.command.clone().arg(settings.clone())))
     }
 
-    fn act(&self, matches: &ArgMatches) -> Result<()> {
+    fn act(&self, matches: &ArgMatches) -> Result<ExitCode> {
         let path = |matches: &ArgMatches| matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
         match matches.subcommand() {
             Some(("run", matches)) => {
                 let filter = matches.get_one::<String>("log").map_or("info", String::as_str);
                 let _logging = crate::logging::start(filter)?;
-                (self.run)(&path(matches))
+                (self.run)(&path(matches))?;
+                Ok(ExitCode::SUCCESS)
             }
             Some(("check", matches)) => {
                 Settings::read(&path(matches))?;
                 println!("fine");
-                Ok(())
+                Ok(ExitCode::SUCCESS)
             }
-            _ => Ok(()),
+            Some((name, matches)) => match self.more.iter().find(|more| more.command.get_name() == name) {
+                Some(more) => (more.act)(&path(matches), matches),
+                None => Ok(ExitCode::FAILURE),
+            },
+            None => Ok(ExitCode::SUCCESS),
         }
     }
 
     /// Does what the command line says; an error is one line on standard error.
     pub fn main(&self) -> ExitCode {
         match self.act(&self.command().get_matches()) {
-            Ok(()) => ExitCode::SUCCESS,
+            Ok(code) => code,
             Err(why) => {
                 eprintln!("{}: {why:#}", self.name);
                 ExitCode::FAILURE
--- a/mesh/chain-replication/src/node/mod.rs
+++ b/mesh/chain-replication/src/node/mod.rs
@@ -23,6 +23,9 @@
 /// A machine that nothing names is forgotten after so many milliseconds of silence.
 const FORGET_STRANGERS: u64 = 30_000;
 
+/// How far numbers go up when a core is restored from one disk: above all that the lost ones may have known.
+const RESTORE_STEP: u64 = 1 << 32;
+
 /// What a machine is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -84,6 +87,22 @@
             digest: Digest::default(),
         }
     }
+
+    /// What this disk is to hold so that its machine alone is the whole core, under a new identity: for a core of which a
+    /// majority of disks is gone for good. What only those disks held is lost. Nothing of the former voters may be alive
+    /// that could still acknowledge anything.
+    pub fn restored(&self, peer: Peer, disk: u64) -> DurableState {
+        let former = self.view.as_ref();
+        let round = former.map_or(0, |view| view.number.round).max(self.promised.round) + RESTORE_STEP;
+        let number = ViewNumber { round, proposer: peer };
+        let replica = Replica { peer, disk };
+        let voters = VoterSet {
+            number: former.map_or(0, |view| view.voters.number) + RESTORE_STEP,
+            replicas: vec![replica],
+        };
+        let view = View { number, chain: vec![replica], voters, outgoing: None };
+        DurableState { disk, promised: number, view: Some(view), established: true, ..self.clone() }
+    }
 }
 
 /// What is to be written, in one piece and in order.
--- a/mesh/chain-replication/tests/world/doctored.rs
+++ b/mesh/chain-replication/tests/world/doctored.rs
@@ -40,7 +40,7 @@
             Message::Supplied { supply: Supply::Piece { id, rows, last: true }, .. },
         ) => {
             rows.pop();
-            let rows: Rows = rows.to_vec().into_iter().collect();
+            let rows: Rows = rows.iter().cloned().collect();
             id.digest = rows.digest();
         }
         (Doctored::OldMajorityIgnored, Message::Heartbeat(heartbeat)) if heartbeat.active => {
--- a/mesh/chain-replication/tests/world/mod.rs
+++ b/mesh/chain-replication/tests/world/mod.rs
@@ -171,7 +171,8 @@
         began + self.now * rate / 1000 - self.machines[at].set_back.min(began)
     }
 
-    fn fail(&mut self, why: String) {
+    /// Something does not agree with the specification.
+    pub fn fail(&mut self, why: String) {
         let now = self.now;
         self.wrong.get_or_insert_with(|| format!("at {now} ms: {why}"));
     }
@@ -196,6 +197,11 @@
 
     /// Everything heals; a read must come through and see all that was acknowledged.
     pub fn calm(&mut self) {
+        self.calm_for(CALM);
+    }
+
+    /// The same, in so many milliseconds.
+    pub fn calm_for(&mut self, span: u64) {
         self.heal_at = 0;
         self.cut.clear();
         for machine in &mut self.machines {
@@ -203,7 +209,7 @@
             machine.up_at = machine.up_at.min(self.now);
             machine.disk.slow = 3;
         }
-        let calm = self.now + CALM;
+        let calm = self.now + span;
         let mut read = false;
         while self.now < calm && self.wrong.is_none() {
             if self.now + 2_500 > calm && !read {
@@ -392,7 +398,30 @@
         }
     }
 
-    /// The disk comes back empty.
+    /// It never comes back.
+    pub fn lose_for_good(&mut self, at: usize) {
+        self.kill(at, true, 0);
+        self.machines[at].gone = true;
+    }
+
+    /// It is told to end and never comes back; its successor is there already.
+    pub fn leave_for_good(&mut self, at: usize) {
+        let clock = self.clock(at);
+        self.machines[at].leaves = Some((self.now + 2_500, None));
+        if let Some(node) = &mut self.machines[at].node {
+            node.set_leaving(clock);
+        }
+    }
+
+    /// It comes back after `span` with an empty disk.
+    pub fn lose_disk(&mut self, at: usize, span: u64) {
+        self.kill(at, true, span);
+        let disk = self.rng.u64(1_000..);
+        self.machines[at].disk.durable = DurableState::learner(disk);
+        self.machines[at].disk.rows.clear();
+    }
+
+    /// The disk comes back empty, and others may lose power with it.
     fn wipe(&mut self, at: usize, span: u64) {
         self.kill(at, true, span);
         let disk = self.rng.u64(1_000..);
--- /dev/null
+++ b/mesh/control-plane/src/commands.rs
@@ -0,0 +1,149 @@
+//! What operators type: `status` of a running core machine, and `restore` of a core that has lost a majority of its disks.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use serde_json::Value;
+use sloeline_admin_http::program::Subcommand;
+use sloeline_chain_replication::{Rows, Write};
+use sloeline_process_settings::Settings;
+use sloeline_rpc::link::Link;
+use sloeline_rpc::{Ask, Told};
+use sloeline_storage::Store;
+use tokio::task::LocalSet;
+
+/// How long a machine is waited for.
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Exit code of `status` when the machine answers and is out of contact with a majority.
+const OUT_OF_CONTACT: u8 = 2;
+
+/// All of them.
+pub fn all() -> Vec<Subcommand> {
+    let at = Arg::new("at")
+        .long("at")
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(SocketAddr))
+        .help("Where the machine is reached by the others: its address and the first port of port_range");
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue).help("As JSON, in one line");
+    let status = Command::new("status")
+        .about("Voters, learners, view and lease of a core machine; exit code 2 when it is out of contact")
+        .arg(at)
+        .arg(json);
+    let yes = Arg::new("give-up-the-others")
+        .long("give-up-the-others")
+        .action(ArgAction::SetTrue)
+        .required(true)
+        .help("What only the other disks held is lost; no other voter may be running");
+    let restore = Command::new("restore")
+        .about("Makes this machine's disk the whole core, when a majority of disks is gone for good")
+        .long_about(
+            "Makes this machine's disk the whole core, when a majority of disks is gone for good. Run it on the machine \
+             whose `status` showed the highest position, while the process is stopped; then start it, and start the \
+             others with empty disks. Lost is what was acknowledged and reached only the other disks.",
+        )
+        .arg(yes);
+    vec![
+        Subcommand { command: status, act: print_status },
+        Subcommand { command: restore, act: |settings, _| restore_alone(settings) },
+    ]
+}
+
+fn print_status(path: &Path, matches: &ArgMatches) -> Result<ExitCode> {
+    let at = match matches.get_one::<SocketAddr>("at") {
+        Some(at) => *at,
+        None => Settings::read(path)?.mesh_address(),
+    };
+    let status = ask_status(at)?;
+    if matches.get_flag("json") {
+        println!("{status}");
+    } else {
+        print!("{}", text(&status));
+    }
+    let in_contact = status["in_contact"].as_bool().unwrap_or(false);
+    Ok(if in_contact { ExitCode::SUCCESS } else { ExitCode::from(OUT_OF_CONTACT) })
+}
+
+fn ask_status(at: SocketAddr) -> Result<Value> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context("start the runtime")?;
+    LocalSet::new().block_on(&runtime, async move {
+        match Link::new(at).ask(&Ask::Status, ANSWER_WITHIN).await? {
+            Told::Status(status) => serde_json::from_slice(&status).context("read the status"),
+            _ => bail!("status of {at}: found an answer to another question"),
+        }
+    })
+}
+
+/// The status as lines for people.
+pub fn text(status: &Value) -> String {
+    let plain = |value: &Value| match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "none".to_owned(),
+        other => other.to_string(),
+    };
+    let names = |replicas: &Value| {
+        let addresses = replicas.as_array().into_iter().flatten().map(|replica| plain(&replica["address"]));
+        addresses.collect::<Vec<_>>().join(" ")
+    };
+    let mut lines = vec![
+        format!("machine        {}", plain(&status["replica"]["address"])),
+        format!("in contact     {}", plain(&status["in_contact"])),
+        format!("view           {}, established {}", plain(&status["view"]), plain(&status["established"])),
+        format!("chain          {}", names(&status["chain"])),
+        format!(
+            "voters         set {}: {}",
+            plain(&status["voter_set"]["number"]),
+            names(&status["voter_set"]["replicas"])
+        ),
+        format!("position       {}, committed {}", plain(&status["position"]), plain(&status["committed"])),
+        format!("configuration  {}", plain(&status["configuration"])),
+        format!("keys           {}", plain(&status["keys"])),
+    ];
+    if !status["outgoing_voter_set"].is_null() {
+        lines.push(format!("outgoing       {}", names(&status["outgoing_voter_set"]["replicas"])));
+    }
+    for (what, list) in [("voter", &status["voters_heard"]), ("learner", &status["learners_heard"])] {
+        for other in list.as_array().into_iter().flatten() {
+            lines.push(format!(
+                "{what:<8}{:>22}  lacks {}, caught up {}, in contact {}, leaving {}",
+                plain(&other["replica"]["address"]),
+                plain(&other["lacks"]),
+                plain(&other["caught_up"]),
+                plain(&other["in_contact"]),
+                plain(&other["leaving"])
+            ));
+        }
+    }
+    for balancer in status["balancers"].as_array().into_iter().flatten() {
+        lines.push(format!(
+            "balancer{:>22}  configuration {}",
+            plain(&balancer["name"]),
+            plain(&balancer["configuration"])
+        ));
+    }
+    lines.join("\n") + "\n"
+}
+
+fn restore_alone(path: &Path) -> Result<ExitCode> {
+    let settings = Settings::read(path)?;
+    let folder = settings.data_path.as_deref().context("data_path: found nothing, expected a folder")?;
+    if !sloeline_storage::exists(folder)? {
+        bail!("restore: found no store in {}, expected this machine's disk", folder.display());
+    }
+    let (store, durable, rows) = Store::open(folder)?;
+    let rows: Rows = rows.into_iter().collect();
+    if rows.digest() != durable.digest {
+        bail!("restore: the rows in {} are not those that were written", folder.display());
+    }
+    let disk = crate::program::draw_disk()?;
+    let restored = durable.restored(settings.mesh_address(), disk);
+    store.write(&[Write { token: 0, durable: restored, rows: Vec::new(), replace: false }])?;
+    let position = durable.position.sequence;
+    println!("restored: {} is the whole core, at position {position}", settings.mesh_address());
+    println!("start this machine, then the others with empty disks");
+    Ok(ExitCode::SUCCESS)
+}
--- a/mesh/control-plane/src/core.rs
+++ b/mesh/control-plane/src/core.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use crate::disk::{DiskEvent, Order};
+use crate::followers::Followers;
 use crate::links::Links;
 use crate::tables::{Change, ChangeResult, State};
 
@@ -47,6 +48,8 @@
 
 /// A core machine at work.
 pub struct Core {
+    /// The balancers that pull here, for the status.
+    pub followers: Followers,
     node: RefCell<Node<State>>,
     settings: RefCell<Settings>,
     key_window: u64,
@@ -86,6 +89,7 @@
         let request = u64::from_le_bytes(drawn) >> 1;
         let node = Node::new(settings.clone(), durable, rows, State::new(key_window), 0);
         Rc::new(Core {
+            followers: Followers::default(),
             node: RefCell::new(node),
             links: Links::new(settings.me),
             settings: RefCell::new(settings),
--- a/mesh/control-plane/src/main.rs
+++ b/mesh/control-plane/src/main.rs
@@ -6,5 +6,6 @@
 
 fn main() -> ExitCode {
     let about = "Control plane of a sloeline mesh: configuration, keyed operations, who exists";
-    Program { name: "sloeline-control-plane", about, run: sloeline_control_plane::program::run }.main()
+    let more = sloeline_control_plane::commands::all();
+    Program { name: "sloeline-control-plane", about, run: sloeline_control_plane::program::run, more }.main()
 }
--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -76,7 +76,7 @@
         }
     }
     let founder = settings.first_boot && !spoilt && seeds.contains(&me);
-    let durable = if founder { DurableState::founder(VoterSet::founders(seeds)) } else { learner()? };
+    let durable = if founder { DurableState::founder(VoterSet::founders(seeds)) } else { DurableState::learner(draw_disk()?) };
     let store = Store::create(folder, &durable)?;
     let what = if founder { "the system begins" } else { "it learns from the others" };
     info!(target: "disk", "New for {me}: {what}.");
@@ -92,11 +92,11 @@
     Ok((store, durable, rows))
 }
 
-/// A disk with a number of its own, which nobody else has.
-fn learner() -> Result<DurableState> {
+/// A number for a disk, which no other has.
+pub(crate) fn draw_disk() -> Result<u64> {
     let mut drawn = [0; 8];
     getrandom::fill(&mut drawn).map_err(|e| anyhow::anyhow!("draw the disk's number: {e}"))?;
-    Ok(DurableState::learner(u64::from_le_bytes(drawn).max(1)))
+    Ok(u64::from_le_bytes(drawn).max(sloeline_chain_replication::FOUNDER_DISK + 1))
 }
 
 /// Where core machines may be, as the settings have it. A machine that knows of no other is the whole core.
@@ -224,7 +224,10 @@
             core.receive(from, *message);
             None
         }
-        Ask::Pull(pull) => Some(Told::News(answer_pull(&core, &exchange, pull).await)),
+        Ask::Pull(pull) => {
+            core.followers.pulled(&pull);
+            Some(Told::News(answer_pull(&core, &exchange, pull).await))
+        }
         Ask::Compare { .. } if !core.in_contact() => {
             Some(Told::Unable("chain: out of contact with a majority".to_owned()))
         }
--- a/mesh/control-plane/src/status.rs
+++ b/mesh/control-plane/src/status.rs
@@ -8,6 +8,10 @@
 
 /// The status of this machine and what it hears of the others.
 pub fn status(core: &Core) -> Value {
+    let balancer = |(name, edition): (String, Option<u32>)| {
+        json!({ "name": name, "configuration": edition.map(|edition| format!("{edition:08x}")) })
+    };
+    let balancers: Vec<Value> = core.followers.lately().into_iter().map(balancer).collect();
     core.look(|node, now| {
         let view = node.known_view();
         let heartbeats = node.heartbeats();
@@ -32,6 +36,7 @@
             "keys": node.tables().keys().len(),
             "voters_heard": voters,
             "learners_heard": learners,
+            "balancers": balancers,
         })
     })
 }
