Between balancers: an answer must echo the number of its attempt; tests of breaks there and of the core

Cause, found by a test: a far balancer's surplus answer was taken for the answer to the next request. Change: each attempt carries X-Mesh-Attempt, numbered from a random start in each life of the pool; an answer without it belongs to another attempt and its connection is closed. Tests: the connection between balancers breaks before, during and after the work, by close, reset, a half answer and silence: what may not be repeated is sent once.

--- a/http/src/pool.rs
+++ b/http/src/pool.rs
@@ -194,6 +194,8 @@
     connect_timeout: Cell<Duration>,
     filled: Notify,
     changed: Notify,
+    /// Numbers attempts, from a start that is drawn anew in each life of the process.
+    attempts: Cell<u64>,
 }
 
 impl Pool {
@@ -207,6 +209,7 @@
             connect_timeout: Cell::default(),
             filled: Notify::new(),
             changed: Notify::new(),
+            attempts: Cell::new(fastrand::u64(..)),
         };
         pool.set(limits);
         pool
@@ -220,6 +223,13 @@
         self.changed.notify_one();
     }
 
+    /// The number of the next attempt.
+    pub fn next_attempt(&self) -> u64 {
+        let number = self.attempts.get().wrapping_add(1);
+        self.attempts.set(number);
+        number
+    }
+
     /// Connections that are open.
     #[cfg(test)]
     pub fn open(&self) -> usize {
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -42,6 +42,8 @@
     pub forwards: bool,
     /// The answer of an upstream that failed goes to the caller, where nothing better comes.
     pub errors: bool,
+    /// A header that numbers each attempt and that its answer must echo: one that does not belongs to another.
+    pub echo: Option<HeaderName>,
 }
 
 impl Dialect {
@@ -57,6 +59,7 @@
             held: HELD,
             forwards: false,
             errors: false,
+            echo: None,
         }
     }
 
@@ -91,7 +94,13 @@
 }
 
 impl Call {
-    fn request(&self, address: SocketAddr, limit: Option<Micros>, dialect: &Dialect) -> Request<Outgoing> {
+    fn request(
+        &self,
+        address: SocketAddr,
+        limit: Option<Micros>,
+        dialect: &Dialect,
+        number: u64,
+    ) -> Request<Outgoing> {
         let mut request = Request::new(self.body.outgoing());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -105,6 +114,9 @@
         if let (Some(limit), Some(name)) = (limit, &dialect.deadline) {
             headers.insert(name.clone(), HeaderValue::from(limit.div_ceil(1000)));
         }
+        if let Some(name) = &dialect.echo {
+            headers.insert(name.clone(), HeaderValue::from(number));
+        }
         // RFC 9110 section 8.6: those that expect a body say so though it is empty.
         if let Some(length) = self.body.length()
             && (length > 0 || [Method::POST, Method::PUT, Method::PATCH].contains(&self.method))
@@ -353,8 +365,9 @@
         };
         flight.begin(&conn);
         let left = limit.map(|l| l.saturating_sub(start.elapsed().as_micros() as Micros));
-        match conn.sender.try_send_request(call.request(to.address, left, dialect)).await {
-            Ok(response) => return read(response, conn, dialect).await,
+        let number = pool.next_attempt();
+        match conn.sender.try_send_request(call.request(to.address, left, dialect, number)).await {
+            Ok(response) => return read(response, conn, dialect, number).await,
             Err(mut e) => {
                 let untouched = e.take_message().is_some();
                 if untouched && reused {
@@ -392,8 +405,14 @@
 }
 
 /// Reads an answer as far as it is held and tells what it means; the connection is kept only if it was read whole.
-async fn read(response: Response<Incoming>, conn: Conn, dialect: &Dialect) -> Exchanged {
-    let (head, mut body) = response.into_parts();
+async fn read(response: Response<Incoming>, conn: Conn, dialect: &Dialect, number: u64) -> Exchanged {
+    let (mut head, mut body) = response.into_parts();
+    // Guards against an answer that belongs to another attempt: it says nothing of this one, and its connection is closed.
+    if let Some(name) = &dialect.echo
+        && head.headers.remove(name) != Some(HeaderValue::from(number))
+    {
+        return Outcome::Reset.into();
+    }
     let declined = dialect.declines(head.status, &head.headers);
     let load = head.headers.get("srv-load").and_then(|v| v.to_str().ok()).map(load);
     let served = !declined && dialect.served(head.status);
--- a/mesh/chain-replication/src/node/mod.rs
+++ b/mesh/chain-replication/src/node/mod.rs
@@ -323,9 +323,12 @@
         view.is_some_and(|view| self.leases.holds(now, &me, view, self.durable.established))
     }
 
-    /// Another machine that is in contact with a quorum and works, where one is heard: its tail for choice.
+    /// Another machine that is in contact with a quorum, where one is heard.
     pub fn peer_in_contact(&self, now: u64) -> Option<Peer> {
-        let good = |h: &&Heartbeat| h.in_contact && h.healthy && !h.leaving;
+        // Two heartbeats may be late, not more: a caller is sent there.
+        let lately =
+            |h: &Heartbeat| self.peers.silent_for(now, h.replica.peer) <= 3 * self.settings.heartbeat;
+        let good = |h: &&Heartbeat| h.in_contact && h.healthy && !h.leaving && lately(h);
         let newest = self.peers.all(now).filter(good).max_by_key(|h| (h.view, h.replica.peer));
         newest.map(|h| h.replica.peer)
     }
--- a/mesh/control-plane/src/commands.rs
+++ b/mesh/control-plane/src/commands.rs
@@ -128,7 +128,8 @@
     lines.join("\n") + "\n"
 }
 
-fn restore_alone(path: &Path) -> Result<ExitCode> {
+/// Makes the store that the settings name the whole core. Fails without a store, or on one that does not open.
+pub fn restore_alone(path: &Path) -> Result<ExitCode> {
     let settings = Settings::read(path)?;
     let folder = settings.data_path.as_deref().context("data_path: found nothing, expected a folder")?;
     if !sloeline_storage::exists(folder)? {
--- a/mesh/control-plane/src/core.rs
+++ b/mesh/control-plane/src/core.rs
@@ -145,8 +145,8 @@
             return true;
         }
         let mut contact = self.contact.subscribe();
-        let waits = async { contact.wait_for(|in_contact| *in_contact).await.is_ok() };
-        timeout(within, waits).await.unwrap_or(false)
+        let _ = timeout(within, contact.wait_for(|in_contact| *in_contact)).await;
+        self.in_contact()
     }
 
     /// Another core machine that is in contact, where one is heard.
--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -76,7 +76,11 @@
         }
     }
     let founder = settings.first_boot && !spoilt && seeds.contains(&me);
-    let durable = if founder { DurableState::founder(VoterSet::founders(seeds)) } else { DurableState::learner(draw_disk()?) };
+    let durable = if founder {
+        DurableState::founder(VoterSet::founders(seeds))
+    } else {
+        DurableState::learner(draw_disk()?)
+    };
     let store = Store::create(folder, &durable)?;
     let what = if founder { "the system begins" } else { "it learns from the others" };
     info!(target: "disk", "New for {me}: {what}.");
--- a/mesh/control-plane/src/status.rs
+++ b/mesh/control-plane/src/status.rs
@@ -8,9 +8,7 @@
 
 /// The status of this machine and what it hears of the others.
 pub fn status(core: &Core) -> Value {
-    let balancer = |(name, edition): (String, Option<u32>)| {
-        json!({ "name": name, "configuration": edition.map(|edition| format!("{edition:08x}")) })
-    };
+    let balancer = |(name, edition): (String, Option<u32>)| json!({ "name": name, "configuration": edition.map(|edition| format!("{edition:08x}")) });
     let balancers: Vec<Value> = core.followers.lately().into_iter().map(balancer).collect();
     core.look(|node, now| {
         let view = node.known_view();
--- a/mesh/data-plane/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -141,6 +141,7 @@
             header_names::AIM,
             header_names::LIMIT,
             header_names::HOLD,
+            header_names::ATTEMPT,
         ] {
             headers.remove(own);
         }
--- a/mesh/data-plane/src/header_names.rs
+++ b/mesh/data-plane/src/header_names.rs
@@ -28,3 +28,5 @@
 pub const AIM: HeaderName = HeaderName::from_static("x-mesh-aim");
 /// Between balancers: milliseconds that the request may still wait anywhere before it is offered to an upstream.
 pub const HOLD: HeaderName = HeaderName::from_static("x-mesh-hold");
+/// Between balancers: the number of an attempt, which its answer echoes.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("x-mesh-attempt");
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -132,6 +132,7 @@
         held: 64 << 10,
         forwards: true,
         errors: false,
+        echo: None,
     };
     let limits = fs::Limits { idle_close: 8_000_000, ..fs::Settings::new(Vec::new()).limits };
     let to_upstream = Upstreams::new(&limits, connections.clone(), dialect);
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -236,13 +236,25 @@
         let _ = stream.set_nodelay(true);
         let service = service_fn(move |request| {
             let receiver = self.clone();
-            async move { Ok::<_, Infallible>(receiver.respond(request).await) }
+            async move { Ok::<_, Infallible>(receiver.respond_numbered(request).await) }
         });
         let mut builder = http1::Builder::new();
         builder.max_buf_size(64 << 10);
         let _ = builder.serve_connection(TokioIo::new(stream), service).await;
     }
 
+    /// Each answer says which attempt it belongs to.
+    async fn respond_numbered(self: Rc<Self>, request: Request<Incoming>) -> Answered {
+        let attempt = request.headers().get(header_names::ATTEMPT).cloned();
+        let mut answer = self.respond(request).await;
+        // An upstream's own header of this name says nothing here.
+        answer.headers_mut().remove(header_names::ATTEMPT);
+        if let Some(attempt) = attempt {
+            answer.headers_mut().insert(header_names::ATTEMPT, attempt);
+        }
+        answer
+    }
+
     async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Answered {
         let came = self.now();
         let (head, body) = request.into_parts();
@@ -278,6 +290,7 @@
             header_names::AIM,
             header_names::LIMIT,
             header_names::HOLD,
+            header_names::ATTEMPT,
         ] {
             headers.remove(own);
         }
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -147,6 +147,7 @@
         held: HELD,
         forwards: false,
         errors: true,
+        echo: Some(header_names::ATTEMPT),
     }
 }
 
--- a/mesh/testbed/src/machine.rs
+++ b/mesh/testbed/src/machine.rs
@@ -78,6 +78,7 @@
 const READINESS: u16 = 8302;
 const OUTGOING: u16 = 8304;
 const DOCK: u16 = 8306;
+const MESH: u16 = 7620;
 
 impl Plan {
     /// A net of 127/8 from 1 to 250, so many core machines, and where their disks are.
@@ -116,10 +117,14 @@
     }
 
     fn settings(&self, machine: u8, first: bool, rest: &str) -> Result<Settings> {
+        Settings::parse(&self.settings_text(machine, first, rest))
+    }
+
+    fn settings_text(&self, machine: u8, first: bool, rest: &str) -> String {
         let seeds: Vec<String> = (0..self.cores).map(|c| format!("\"{}\"", self.operator(c))).collect();
         let ip = self.ip(machine);
         let text = format!(
-            "node_name = \"m-{machine}\"\nip_addr = \"{ip}\"\nzone_name = \"a\"\nport_range = [7620,7635]\n\
+            "node_name = \"m-{machine}\"\nip_addr = \"{ip}\"\nzone_name = \"a\"\nport_range = [{MESH},7635]\n\
              seed_nodes = [{}]\nfirst_boot = {first}\n\
              guarantees = [\"grace=6s\",\"key_window=60s\",\"drain=2000ms\"]\n{rest}\n\
              [zones]\na = \"r\"\n[size_limits]\nfile_handles = 2000\nmemory_mb = 64\n\
@@ -129,14 +134,38 @@
         let docks = format!(
             "incoming = \"{ip}:{INCOMING}\"\noutgoing = \"{ip}:{OUTGOING}\"\nreadiness = \"{ip}:{READINESS}\"\n"
         );
-        Settings::parse(&if machine < 200 { text + &docks } else { text })
+        if machine < 200 { text + &docks } else { text }
     }
 
-    /// Starts a core machine, from 0.
-    pub fn core(&self, core: u8, first: bool) -> Result<Machine> {
+    /// Where processes of the mesh reach a core machine, from 0.
+    pub fn core_mesh(&self, core: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(200 + core), MESH)
+    }
+
+    /// Where processes of the mesh reach a balancer, from 1.
+    pub fn balancer_mesh(&self, balancer: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(balancer), MESH)
+    }
+
+    /// The settings of a core machine, from 0.
+    pub fn core_settings(&self, core: u8, first: bool) -> Result<String> {
         let folder = self.folder.join(format!("core-{core}"));
-        let settings =
-            self.settings(200 + core, first, &format!("data_path = {:?}", folder.display().to_string()))?;
+        Ok(self.settings_text(200 + core, first, &format!("data_path = {:?}", folder.display().to_string())))
+    }
+
+    /// Starts a core machine, from 0. One that is not of the plan's first machines is a new one.
+    pub fn core(&self, core: u8, first: bool) -> Result<Machine> {
+        self.start_core(core, Settings::parse(&self.core_settings(core, first)?)?)
+    }
+
+    /// Starts a new core machine whose settings name these.
+    pub fn new_core(&self, core: u8, seeds: &[u8]) -> Result<Machine> {
+        let mut settings = Settings::parse(&self.core_settings(core, false)?)?;
+        settings.seed_nodes = seeds.iter().map(|seed| self.operator(*seed)).collect();
+        self.start_core(core, settings)
+    }
+
+    fn start_core(&self, core: u8, settings: Settings) -> Result<Machine> {
         Machine::start(&format!("core-{core}"), move || {
             sloeline_control_plane::program::work(fixed(settings))
         })
--- /dev/null
+++ b/mesh/testbed/tests/between_balancers.rs
@@ -0,0 +1,176 @@
+//! The connection between two balancers breaks before, during and after the work: what may not be repeated is sent once, and
+//! an answer reaches only the request that asked.
+
+#[allow(dead_code)]
+mod mesh;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mesh::{Mesh, play, status, until};
+use sloeline_discovery::{Condition, Record, Upstream, Version};
+use sloeline_rpc::Ask;
+use sloeline_rpc::link::Link;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// What the far balancer does with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Break {
+    /// It answers.
+    Never,
+    /// It closes the connection before it takes the request up.
+    Before,
+    /// It reads the request whole and closes a little later.
+    During,
+    /// It resets the connection while it works.
+    Reset,
+    /// It breaks off within its answer.
+    After,
+    /// It answers, and then once more.
+    Surplus,
+    /// It says nothing.
+    Silent,
+}
+
+/// A far balancer with a mind of its own.
+struct FarBalancer {
+    breaks: Cell<Break>,
+    /// `X-Try-Id` of each request that was read whole.
+    read: RefCell<Vec<String>>,
+}
+
+impl FarBalancer {
+    async fn serve(self: Rc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(self.clone().connection(stream));
+        }
+    }
+
+    async fn connection(self: Rc<Self>, mut stream: TcpStream) {
+        let mut bytes = Vec::new();
+        loop {
+            let Some((id, attempt)) = read_request(&mut stream, &mut bytes).await else { return };
+            if self.breaks.get() == Break::Before {
+                return;
+            }
+            self.read.borrow_mut().push(id.clone());
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nX-Try-Id: {id}\r\nX-Postmark: mark-{id}\r\nX-Mesh-Attempt: {attempt}\r\n\
+                 Content-Length: 8\r\n\r\nanswered"
+            );
+            match self.breaks.get() {
+                Break::Never => _ = stream.write_all(answer.as_bytes()).await,
+                Break::Before => return,
+                Break::During => {
+                    sleep(Duration::from_millis(30)).await;
+                    return;
+                }
+                Break::Reset => {
+                    sleep(Duration::from_millis(30)).await;
+                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    return;
+                }
+                Break::After => {
+                    let _ = stream.write_all(&answer.as_bytes()[..answer.len() - 3]).await;
+                    return;
+                }
+                Break::Surplus => {
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+                Break::Silent => sleep(Duration::from_secs(30)).await,
+            }
+        }
+    }
+}
+
+/// The id and the attempt's number of the next request, once all of it is here.
+async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<(String, String)> {
+    loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
+            bytes.drain(..end + 4);
+            let value = |name: &str| head.lines().find_map(|line| line.strip_prefix(name).map(str::to_owned));
+            return Some((value("x-try-id: ")?, value("x-mesh-attempt: ")?));
+        }
+        if stream.read_buf(bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+/// A far balancer that the mesh takes for one of its own, with the only upstream of service `one`.
+async fn far_balancer(mesh: &Mesh, net: u8) -> Rc<FarBalancer> {
+    let incoming: SocketAddr = SocketAddr::from(([127, 1, net, 9], 8300));
+    let listener = TcpListener::bind(incoming).await.expect("a listener");
+    let far = Rc::new(FarBalancer { breaks: Cell::new(Break::Never), read: RefCell::default() });
+    spawn_local(far.clone().serve(listener));
+    let record = Record {
+        source: "m-9".to_owned(),
+        version: Version { life: 1, change: 1 },
+        mesh: SocketAddr::from(([127, 1, net, 9], 7620)),
+        zone: "a".to_owned(),
+        core: false,
+        leaving: false,
+        incoming: Some(incoming),
+        upstream: Some(Upstream {
+            id: "i-far".to_owned(),
+            service: "one".to_owned(),
+            edition: "v1".to_owned(),
+            slots: 4,
+            condition: Condition::Accepting,
+            cold_until: None,
+        }),
+    };
+    let link = Link::new(mesh.plan.core_mesh(0));
+    link.ask(&Ask::Tell(vec![record]), Duration::from_secs(1)).await.expect("the core takes it");
+    far
+}
+
+#[test]
+fn what_may_not_be_repeated_is_sent_once_whenever_the_connection_breaks() {
+    play(async || {
+        let mesh = Mesh::without_upstream(45, 1).await;
+        let far = far_balancer(&mesh, 45).await;
+        let well = until(|| mesh.request("/once/a", "well", None), |a| status(a) == 200).await;
+        assert_eq!(status(&well), 200, "{well:?}");
+        for breaks in [Break::Before, Break::During, Break::Reset, Break::After, Break::Silent] {
+            far.breaks.set(Break::Never);
+            let id = format!("trust-{breaks:?}").to_ascii_lowercase();
+            let trusted = until(|| mesh.request("/once/a", &id, None), |a| status(a) == 200).await;
+            assert_eq!(status(&trusted), 200, "{breaks:?} {trusted:?}");
+            far.breaks.set(breaks);
+            let id = format!("once-{breaks:?}").to_ascii_lowercase();
+            let answer = mesh.request("/once/a", &id, None).await.expect("an answer");
+            let sent = far.read.borrow().iter().filter(|read| **read == id).count();
+            // Before anything was read it surely never ran; after that nobody can tell.
+            let expected: &[u16] = if breaks == Break::Before { &[502, 503] } else { &[502, 504] };
+            assert!(expected.contains(&answer.status), "{breaks:?} {answer:?}");
+            assert_eq!(sent, usize::from(breaks != Break::Before), "{breaks:?}");
+        }
+    });
+}
+
+#[test]
+fn what_may_be_repeated_is_repeated_and_a_surplus_answer_reaches_nobody() {
+    play(async || {
+        let mesh = Mesh::without_upstream(46, 1).await;
+        let far = far_balancer(&mesh, 46).await;
+        let well = until(|| mesh.request("/safe/a", "well", None), |a| status(a) == 200).await;
+        assert_eq!(status(&well), 200, "{well:?}");
+        far.breaks.set(Break::Surplus);
+        for n in 0..20 {
+            let id = format!("t-{n}");
+            let answer = mesh.request("/safe/a", &id, None).await.expect("an answer");
+            if answer.status == 200 {
+                assert_eq!(answer.header("x-try-id"), Some(id.as_str()), "{answer:?}");
+                assert_eq!(answer.header("x-postmark"), Some(format!("mark-{id}").as_str()), "{answer:?}");
+            }
+        }
+    });
+}
--- a/mesh/testbed/tests/loopback.rs
+++ b/mesh/testbed/tests/loopback.rs
@@ -1,117 +1,14 @@
 //! Requests through two balancers on loopback sockets, with upstreams that break off before, during and after their work,
 //! and with core machines that are lost.
 
-use std::path::PathBuf;
-use std::time::{Duration, Instant};
+#[allow(dead_code)]
+mod mesh;
 
-use sloeline_testbed::client::{Answer, ask};
-use sloeline_testbed::machine::{Machine, Plan};
-use sloeline_testbed::standin::{Manner, Standin};
-use tokio::task::LocalSet;
+use std::time::Duration;
 
-const WITHIN: Duration = Duration::from_secs(10);
-
-struct Folder(PathBuf);
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-/// A mesh with one upstream, which is beside balancer 2; clients call at balancer 1.
-struct Mesh {
-    plan: Plan,
-    standin: Standin,
-    cores: Vec<Option<Machine>>,
-    _machines: Vec<Machine>,
-    _folder: Folder,
-}
-
-fn config(edition: u32, timeout: &str) -> String {
-    format!(
-        r#"{{"edition":"{edition:08x}","gateways":[{{"station":"h.example","regulations":[
-        {{"name":"s","route_kind":"safe","target":"300ms","precedence":2,"sort_by":{{"lane_prefix":"/safe/"}},
-          "dispatch":{{"line":"one","timeout":"{timeout}","tries":2}}}},
-        {{"name":"u","route_kind":"unsafe","target":"300ms","precedence":2,"sort_by":{{"lane_prefix":"/once/"}},
-          "dispatch":{{"line":"one","timeout":"{timeout}","tries":2}}}},
-        {{"name":"k","route_kind":"tracked","target":"300ms","precedence":1,"sort_by":{{"lane_prefix":"/key/"}},
-          "dispatch":{{"line":"one","timeout":"{timeout}","tries":2}}}}]}}],
-        "depots":[{{"name":"one"}}]}}"#
-    )
-}
-
-/// Asks until it is as wanted; what it was last, where it never is.
-async fn until<T, F: Future<Output = T>>(ask: impl Fn() -> F, wanted: impl Fn(&T) -> bool) -> T {
-    let start = Instant::now();
-    loop {
-        let got = ask().await;
-        if wanted(&got) || start.elapsed() > WITHIN {
-            return got;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
-fn status(answer: &anyhow::Result<Answer>) -> u16 {
-    answer.as_ref().map_or(0, |a| a.status)
-}
-
-impl Mesh {
-    async fn start(net: u8, cores: u8) -> Mesh {
-        let folder = std::env::temp_dir().join(format!("sloeline-loopback-{}-{net}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        let plan = Plan::new(net, cores, folder.clone());
-        let cores = (0..cores).map(|c| Some(plan.core(c, true).expect("a core machine"))).collect();
-        let standin = Standin::default();
-        standin.book().works = Duration::from_millis(5);
-        let machines = vec![
-            plan.balancer(1, "front").expect("a balancer"),
-            plan.balancer(2, "one").expect("a balancer"),
-            plan.standin(2, "one", &standin, 2).expect("an upstream"),
-        ];
-        let mesh = Mesh { plan, standin, cores, _machines: machines, _folder: Folder(folder) };
-        let first = config(1, "2s");
-        let put = until(|| mesh.put(0, &first), |a| status(a) == 200).await;
-        assert_eq!(status(&put), 200, "{put:?}");
-        let ready = mesh.plan.readiness(1);
-        let ready = until(|| ask(ready, "GET", "/-/ready", &[], b"", WITHIN), |a| status(a) == 200).await;
-        assert_eq!(status(&ready), 200, "{ready:?}");
-        mesh
-    }
-
-    async fn put(&self, core: u8, config: &str) -> anyhow::Result<Answer> {
-        let to = self.plan.operator(core);
-        ask(to, "POST", "/-/rpc?call=config.replace", &[], config.as_bytes(), Duration::from_secs(5)).await
-    }
-
-    async fn read(&self, core: u8) -> anyhow::Result<Answer> {
-        let to = self.plan.operator(core);
-        ask(to, "POST", "/-/rpc?call=config.read", &[], b"", Duration::from_secs(5)).await
-    }
-
-    /// A request of a client at balancer 1.
-    async fn request(&self, path: &str, id: &str, key: Option<&str>) -> anyhow::Result<Answer> {
-        let mut headers = vec![("Host", "h.example"), ("X-Try-Id", id), ("X-Time-Left", "1500")];
-        // What clients say of themselves here is not believed.
-        headers.extend([("X-Sender", "somebody"), ("X-Addressee", "i-other"), ("X-Mesh-Keyed", "1")]);
-        headers.extend(key.map(|k| ("X-Operation-Key", k)));
-        let method = if path.starts_with("/safe") { "GET" } else { "POST" };
-        ask(self.plan.outgoing(1), method, path, &headers, b"", WITHIN).await
-    }
-
-    fn set(&self, manner: Manner) {
-        self.standin.book().manner = manner;
-    }
-}
-
-fn play(test: impl AsyncFnOnce()) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async {
-        let ended = tokio::time::timeout(Duration::from_secs(60), test()).await;
-        assert!(ended.is_ok(), "it waits for what never comes");
-    });
-}
+use mesh::{Mesh, WITHIN, config, play, status, until};
+use sloeline_testbed::client::ask;
+use sloeline_testbed::standin::Manner;
 
 #[test]
 fn a_request_passes_two_balancers_and_what_breaks_off_is_told_as_it_is() {
@@ -226,7 +123,7 @@
         let fourth = config(4, "1s");
         let put = until(|| mesh.put(1, &fourth), |a| status(a) == 200).await;
         assert_eq!(status(&put), 200, "{put:?}");
-        std::fs::remove_dir_all(mesh._folder.0.join("core-0")).expect("its disk");
+        std::fs::remove_dir_all(mesh.folder.0.join("core-0")).expect("its disk");
         mesh.cores[0] = Some(mesh.plan.core(0, false).expect("a core machine"));
         // It is taken in again, and answers what was acknowledged without it.
         let read = until(|| mesh.read(0), |a| status(a) == 200).await.expect("an answer");
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -116,6 +116,7 @@
         held: pool.held(),
         forwards: false,
         errors: false,
+        echo: None,
     })
 }
 
