--- a/mesh/chain-replication/src/node/replication.rs
+++ b/mesh/chain-replication/src/node/replication.rs
@@ -221,7 +221,14 @@
         if !self.is_tail() {
             // All of the chain hold what the view began with.
             self.resend(self.committed.max(self.first_of_view - 1));
-        } else if let (Some(before), Some(view)) = (self.previous(), self.view_number()) {
+        } else {
+            self.ask_previous();
+        }
+    }
+
+    /// Asks the replica before for what comes after the own position.
+    pub(super) fn ask_previous(&mut self) {
+        if let (Some(before), Some(view)) = (self.previous(), self.view_number()) {
             let sequence = self.durable.position.sequence;
             self.send(before, Message::Behind { view, sequence });
         }
--- a/mesh/chain-replication/src/node/view_change.rs
+++ b/mesh/chain-replication/src/node/view_change.rs
@@ -191,6 +191,9 @@
         if self.is_head() {
             // Once this one is kept, so is all that the view began with.
             self.enter(self.settings.me, 0, bytes::Bytes::new());
+        } else {
+            // What the replica before has sent meanwhile was not taken.
+            self.ask_previous();
         }
         self.submitted.values_mut().for_each(|submitted| submitted.sent = None);
         self.submit_due();
--- a/mesh/control-plane/src/core.rs
+++ b/mesh/control-plane/src/core.rs
@@ -62,6 +62,8 @@
     opened: Cell<u64>,
     /// It takes no writes.
     failed: Cell<bool>,
+    /// This machine is about to end.
+    leaving: Cell<bool>,
     start: Instant,
     /// Writes that are not synced: since when the oldest waits.
     unsynced: RefCell<VecDeque<(u64, Instant)>>,
@@ -100,6 +102,7 @@
             kick: Notify::new(),
             opened: Cell::new(0),
             failed: Cell::new(false),
+            leaving: Cell::new(false),
             start: Instant::now(),
             unsynced: RefCell::default(),
             exchange,
@@ -163,6 +166,7 @@
     /// This machine is about to end: it serves no longer, and the others go on without it. Waits until they do, or until
     /// `within` is over.
     pub async fn leave(&self, within: Duration) {
+        self.leaving.set(true);
         self.with(|node, now| node.set_leaving(now));
         let until = Instant::now() + within;
         while self.is_needed() && Instant::now() < until {
@@ -246,6 +250,9 @@
         self.unsynced.borrow_mut().clear();
         let settings = self.settings.borrow().clone();
         *self.node.borrow_mut() = Node::new(settings, durable, rows, State::new(self.key_window), self.now());
+        if self.leaving.get() {
+            self.with(|node, now| node.set_leaving(now));
+        }
         self.coming.set(None);
         self.opened.set(self.opened.get() + 1);
         // What was asked of the machine before is asked again by whoever waits for it.
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -1,7 +1,5 @@
 //! The program: settings, sockets, and how it begins and ends.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -14,7 +12,7 @@
 use log::{info, warn};
 use sloeline_admin_http::control::{self, Answer, Call, json, plain, wrong};
 use sloeline_admin_http::reload::{self, SettingsWatch};
-use sloeline_discovery::{Record, Version, rendezvous};
+use sloeline_discovery::{Record, Version};
 use sloeline_engine::clock::Clock;
 use sloeline_http::callers::{Callers, Phase, Room};
 use sloeline_http::gate::Pace;
@@ -24,7 +22,7 @@
 use sloeline_process_settings::Settings;
 use sloeline_route_config::model::{Config, SizeLimits};
 use sloeline_route_config::table::Table;
-use sloeline_rpc::exchange::{Exchange, Following};
+use sloeline_rpc::exchange::Exchange;
 use sloeline_rpc::serve::serve;
 use sloeline_rpc::{Ask, Told};
 use tokio::net::TcpListener;
@@ -34,24 +32,15 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::beats::Beat;
+use crate::follow::Follow;
 use crate::front::{Outgoing, Routes};
 use crate::header_names;
 use crate::keys::Keys;
 use crate::receive::Receiver;
 use crate::services::{Ground, Services};
 
-/// How long a core machine holds a pull for want of news.
-const CORE_HOLD: Duration = Duration::from_millis(1000);
-/// How long another balancer does.
-const PEER_HOLD: Duration = Duration::from_secs(5);
-/// How often another core machine is looked at.
-const LOOK: Duration = Duration::from_millis(700);
-/// Whoever has not answered for so long is not counted on. Longer than a pull is held.
-const STALE: Duration = Duration::from_millis(1700);
 /// How often it is looked whom to follow.
 const CHOOSE: Duration = Duration::from_millis(500);
-/// Balancers that each one follows.
-const PEERS: usize = 2;
 /// Descriptors for listeners, the mesh's own connections, the runtime and standard streams.
 const RESERVED: u64 = 300;
 /// Part of the other descriptors that callers may hold.
@@ -182,15 +171,15 @@
         clock,
         connections,
     };
-    let following = Follow {
-        settings: watched,
-        exchange: exchange.clone(),
-        keys,
-        now: RefCell::default(),
-        reached: Cell::new(false),
-        since: Instant::now(),
-    };
-    spawn_local(follow(following, callers.clone(), ground, places, guarantees.grace.duration()));
+    let following = Follow::new(watched, exchange.clone(), keys);
+    spawn_local(follow(
+        following,
+        exchange.clone(),
+        callers.clone(),
+        ground,
+        places,
+        guarantees.grace.duration(),
+    ));
     info!(target: "start", "{} serves at {}.", settings.node_name, settings.mesh_address());
 
     let mut stop = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
@@ -264,100 +253,15 @@
     }
 }
 
-/// Whom this balancer follows.
-struct Follow {
-    settings: SettingsWatch,
-    exchange: Rc<Exchange>,
-    keys: Rc<Keys>,
-    now: RefCell<HashMap<SocketAddr, Following>>,
-    reached: Cell<bool>,
-    since: Instant,
-}
-
-impl Follow {
-    /// Follows the nearest core machine that answers and looks at others, as rendezvous hashing names them; other balancers
-    /// only while no core machine answers.
-    fn choose(&self) {
-        let records = self.exchange.board().records();
-        let settings = self.settings.borrow().clone();
-        let me = settings.node_name.as_str();
-        let mut core = self.core_machines(&settings, &records);
-        let weigh = |address: &SocketAddr| {
-            let zone = records.values().find(|r| r.mesh == *address).map(|r| r.zone.as_str());
-            let far = zone != Some(settings.zone_name.as_str());
-            (far, std::cmp::Reverse(rendezvous::weight(me, &address.to_string())))
-        };
-        core.sort_by_key(weigh);
-        self.keys.set_core(&core);
-        let mut now = self.now.borrow_mut();
-        let fresh = |address: &SocketAddr| {
-            now.get(address).and_then(Following::reached).is_some_and(|at| at.elapsed() < STALE)
-        };
-        // As many as may be lost, and one more.
-        let few = (settings.tolerance.machine_loss as usize + 1).min(core.len());
-        let answers = core.iter().take(few).any(fresh);
-        let nearest = core.iter().take(few).find(|a| fresh(a)).or(core.first()).copied();
-        let mut wanted: Vec<(SocketAddr, Option<Duration>)> = core[..few]
-            .iter()
-            .map(|address| (*address, (Some(*address) == nearest).then_some(CORE_HOLD)))
-            .collect();
-        if !answers && self.since.elapsed() > STALE {
-            wanted.extend(core[few..].iter().map(|address| (*address, None)));
-            let others = records.values().filter(|r| !r.core && !r.leaving).map(|r| r.source.as_str());
-            let peers = rendezvous::picks(me, others, PEERS);
-            let met = peers.iter().filter_map(|p| records.get(*p));
-            wanted.extend(met.map(|r| (r.mesh, Some(PEER_HOLD))));
-        }
-        now.retain(|address, following| {
-            wanted.iter().any(|(w, hold)| w == address && *hold == following.hold())
-        });
-        for (address, hold) in wanted {
-            now.entry(address).or_insert_with(|| match hold {
-                Some(hold) => self.exchange.follow(address, hold),
-                None => self.exchange.look_at(address, LOOK),
-            });
-        }
-    }
-
-    /// The core machines that serve, by the newest list of theirs. Without one, or when none of the list answers: all that
-    /// anything names.
-    fn core_machines(&self, settings: &Settings, records: &BTreeMap<String, Rc<Record>>) -> Vec<SocketAddr> {
-        let now = self.now.borrow();
-        let answers = |address: &SocketAddr| {
-            now.get(address).and_then(Following::reached).is_some_and(|at| at.elapsed() < STALE)
-        };
-        if let Some(list) = self.exchange.board().core()
-            && list.machines.iter().any(answers)
-        {
-            return list.machines.clone();
-        }
-        let seeds = settings.seed_nodes.iter().map(|seed| settings.mesh_address_of(*seed));
-        let records = records.values().filter(|record| record.core && !record.leaving).map(|r| r.mesh);
-        let list = self.exchange.board().core();
-        let listed = list.iter().flat_map(|list| list.machines.iter().copied());
-        let mut core: Vec<SocketAddr> = seeds.chain(records).chain(listed).collect();
-        core.sort_unstable();
-        core.dedup();
-        core
-    }
-
-    /// Some other process has told what it knows in this life.
-    fn reached(&self) -> bool {
-        let reached = self.reached.get() || self.now.borrow().values().any(|f| f.reached().is_some());
-        self.reached.set(reached);
-        reached
-    }
-}
-
 /// Goes by every change of what is known; never returns.
 async fn follow(
     follow: Follow,
+    exchange: Rc<Exchange>,
     callers: Rc<Callers<Outgoing>>,
     ground: Ground,
     places: usize,
     grace: Duration,
 ) {
-    let exchange = follow.exchange.clone();
     let mut changes = exchange.changes();
     let mut services = Services::default();
     services.set_cutting(false);
@@ -388,7 +292,7 @@
         }
         services.list(&records);
         let leaving = exchange.own().leaving;
-        services.set_cutting(!leaving && follow.since.elapsed() > grace + AFTER_GRACE);
+        services.set_cutting(!leaving && follow.age() > grace + AFTER_GRACE);
         callers.front().set_ready(!leaving && planned.is_some() && services.listed() && follow.reached());
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
