Core: after a loss of power of all, the core waits for all voters in place of a lease

Change: no proposal without all voters while such a lease may run, and none is waited for of a machine that says that it is not at work in the same view; the first heartbeat of a peer in a view is echoed at once; pulls wait 200 ms for contact before they are told there is none.

--- a/mesh/chain-replication/src/lease.rs
+++ b/mesh/chain-replication/src/lease.rs
@@ -34,6 +34,11 @@
         Leases { former_until: if was_member { now + GRANTED } else { 0 }, ..Leases::default() }
     }
 
+    /// Until when an earlier life of this process may have granted something.
+    pub fn former_until(&self) -> u64 {
+        self.former_until
+    }
+
     /// Until when no view may be entered that leaves a peer out.
     pub fn granted_until(&self, peer: Peer) -> u64 {
         let heard = self.heard.get(&peer).map_or(0, |at| at + GRANTED);
--- a/mesh/chain-replication/src/node/mod.rs
+++ b/mesh/chain-replication/src/node/mod.rs
@@ -194,6 +194,8 @@
     outputs: Vec<Output>,
     heartbeat_at: u64,
     proposal: Option<Proposal>,
+    /// Those that were heard at work in this machine's view.
+    met: Vec<Replica>,
     /// The view that this machine is to enter once it holds its beginning.
     entering: Option<Entering>,
     catch_up: CatchUp,
@@ -251,6 +253,7 @@
             outputs: Vec::new(),
             heartbeat_at: now,
             proposal: None,
+            met: Vec::new(),
             entering: None,
             catch_up: CatchUp::default(),
             snapshots: OpenSnapshots::default(),
@@ -504,6 +507,15 @@
 
     fn heartbeat_came(&mut self, heartbeat: Heartbeat) {
         self.leases.heard(self.now, self.settings.me, &heartbeat);
+        if self.active
+            && heartbeat.active
+            && heartbeat.view == self.view_number()
+            && !self.met.contains(&heartbeat.replica)
+        {
+            // The first one of it in this view: it has its lease the sooner.
+            self.met.push(heartbeat.replica);
+            self.send_heartbeats();
+        }
         if let Some(view) = &heartbeat.details
             && self.known_view.as_ref().is_none_or(|known| known.number < view.number)
         {
--- a/mesh/chain-replication/src/node/view_change.rs
+++ b/mesh/chain-replication/src/node/view_change.rs
@@ -128,7 +128,12 @@
 
     /// When no replica that the new view leaves out can hold a lease of this machine's any more.
     fn lease_ends_for(&self, view: &View) -> u64 {
-        let gave_up = |peer: Peer| self.peers.heartbeat(self.now, peer).is_some_and(|h| h.leaving);
+        // Whoever has accepted the same view and is not at work in it never is again: it is at work only in a later one.
+        let mine = self.view_number();
+        let gave_up = |peer: Peer| {
+            let heartbeat = self.peers.heartbeat(self.now, peer);
+            heartbeat.is_some_and(|h| h.leaving || !h.active && h.view >= mine)
+        };
         let left_out = |replica: &&Replica| !view.chain.contains(replica) && !gave_up(replica.peer);
         let ends =
             self.chain().iter().filter(left_out).map(|replica| self.leases.granted_until(replica.peer));
@@ -175,6 +180,7 @@
         self.dirty = true;
         self.active = true;
         self.active_since = self.now;
+        self.met.clear();
         self.first_of_view = first;
         self.proposal = None;
         self.wrong_since = None;
@@ -197,7 +203,8 @@
         }
         self.submitted.values_mut().for_each(|submitted| submitted.sent = None);
         self.submit_due();
-        self.heartbeat_at = self.now;
+        self.send_heartbeats();
+        self.heartbeat_at = self.now + self.settings.heartbeat;
     }
 
     /// Sees to the view.
@@ -220,6 +227,10 @@
         if !votes || !self.healthy || self.entering.as_ref().is_some_and(|e| now < e.not_before) {
             return;
         }
+        // A view without somebody can't begin before what an earlier life granted is over: the others may come by then.
+        if now < self.leases.former_until() && !self.all_voters_are_fit() {
+            return;
+        }
         let wrong = self.is_wrong();
         self.wrong_since = if wrong { Some(self.wrong_since.unwrap_or(now)) } else { None };
         let change = if wrong { None } else { self.due_change() };
@@ -241,6 +252,12 @@
         self.quiet_until = self.now + self.settings.retry * (2 + before);
     }
 
+    fn all_voters_are_fit(&self) -> bool {
+        let me = self.settings.me;
+        let fit = |replica: &Replica| replica.peer == me || self.peers.fit(self.now, replica.peer);
+        self.durable.view.as_ref().is_some_and(|view| view.voters.replicas.iter().all(fit))
+    }
+
     /// A quorum can be reached.
     fn reaches_quorum(&self) -> bool {
         let me = self.replica();
--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -192,7 +192,8 @@
 
 /// Answers a pull as soon as there is news, or contact with the majority is lost.
 async fn answer_pull(core: &Core, exchange: &Exchange, pull: Pull) -> News {
-    if !core.in_contact() {
+    // Whoever waits hears of the contact as soon as it is there.
+    if !core.wait_for_contact(CONTACT_WITHIN).await {
         return out_of_contact(exchange, pull).await;
     }
     let lost = pull.clone();
--- a/mesh/control-plane/tests/catch_up.rs
+++ b/mesh/control-plane/tests/catch_up.rs
@@ -161,9 +161,7 @@
 
     /// Makes changes at the first machine, a few at a time.
     fn change(&mut self, changes: impl Iterator<Item = Change>) {
-        let mut request = self.now << 32;
-        for change in changes {
-            request += 1;
+        for (request, change) in ((self.now << 32) + 1..).zip(changes) {
             let before = self.results;
             self.act(0, |node, now| node.submit(now, request, change.encoded()));
             self.run_until(5_000, |core| core.results > before);
--- a/mesh/rpc/src/exchange.rs
+++ b/mesh/rpc/src/exchange.rs
@@ -19,6 +19,8 @@
 const LATE: Duration = Duration::from_millis(1000);
 /// Pause after a pull that failed.
 const PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a pull from a machine of the core that is out of contact: it has waited a moment itself.
+const OUT_OF_CONTACT: Duration = Duration::from_millis(50);
 
 /// What is known here.
 pub struct Exchange {
@@ -229,7 +231,7 @@
                     patience = if out_of_contact { Duration::ZERO } else { hold };
                     self.take_news(news);
                     if out_of_contact {
-                        sleep(PAUSE).await;
+                        sleep(OUT_OF_CONTACT).await;
                     }
                 }
                 _ => {
