Balancer: after a start attempts are kept for 4.6 s, not 7.5

Cause: after a loss of power of all, seven requests failed where one did before: attempts were cut short by nobody for longer than a former SIGTERM can matter. A process ends 2.6 s after its order at the earliest, so what is left of grace and a second is enough.

--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -55,8 +55,9 @@
 const STILL: Duration = Duration::from_millis(2600);
 /// Time between the last answer and the kill.
 const MARGIN: Duration = Duration::from_millis(400);
-/// A start may follow an order to stop. Until `grace` and so much more are over, requests are finished as if it held still.
-const AFTER_GRACE: Duration = Duration::from_millis(1500);
+/// A start may follow an order to stop, which came at least [`STILL`] before. Until `grace` and so much more are over since
+/// the order, requests are finished as if it held still.
+const AFTER_GRACE: Duration = Duration::from_millis(1200);
 /// Most bytes of a beat.
 const MOST_BEAT: usize = 64 << 10;
 
@@ -292,7 +293,7 @@
         }
         services.list(&records);
         let leaving = exchange.own().leaving;
-        services.set_cutting(!leaving && follow.age() > grace + AFTER_GRACE);
+        services.set_cutting(!leaving && follow.age() > (grace + AFTER_GRACE).saturating_sub(STILL));
         callers.front().set_ready(!leaving && planned.is_some() && services.listed() && follow.reached());
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
