--- a/mesh/control-plane/src/core.rs
+++ b/mesh/control-plane/src/core.rs
@@ -188,8 +188,8 @@
         self.with(|node, now| node.receive(now, from, message));
     }
 
-    /// Has a change made, kept by all of the chain, and tells what came of it. With an error it may have been made. Ends
-    /// at once when contact with the majority is lost.
+    /// Has a change made, kept by all of the chain, and tells what came of it within `within`. With an error it may have been
+    /// made. A change of view on the way does not end it: contact comes and goes with each.
     pub async fn change(&self, change: &Change, within: Duration) -> Result<ChangeResult> {
         let request = self.request.get() + 1;
         self.request.set(request);
