--- a/mesh/testbed/tests/core.rs
+++ b/mesh/testbed/tests/core.rs
@@ -5,11 +5,11 @@
 
 use std::time::{Duration, Instant};
 
-use mesh::{Mesh, config, play, status, until};
+use mesh::{Mesh, WITHIN, config, play, status, until};
 use sloeline_discovery::{News, Pull};
 use sloeline_rpc::link::Link;
 use sloeline_rpc::{Ask, Told};
-use sloeline_testbed::client::Answer;
+use sloeline_testbed::client::{Answer, ask};
 
 /// Whoever can't serve an order says so within half a second.
 const AT_ONCE: Duration = Duration::from_millis(500);
@@ -118,6 +118,24 @@
     });
 }
 
+#[test]
+fn a_machine_that_stands_by_sends_orders_on_to_one_in_contact() {
+    play(async || {
+        let mesh = Mesh::start(47, 3).await;
+        let _spare = mesh.plan.new_core(3, &[0, 1, 2]).expect("a core machine");
+        let target = "/-/rpc?call=config.replace";
+        let (to, order) = (mesh.plan.operator(3), config(6, "2s"));
+        let put = || ask(to, "POST", target, &[], order.as_bytes(), WITHIN);
+        let sent_on = until(put, |a| status(a) == 307).await.expect("an answer");
+        let location = sent_on.header("location").expect("where to").to_owned();
+        let there = (0..3).any(|core| location == format!("http://{}{target}", mesh.plan.operator(core)));
+        assert!(there, "{sent_on:?}");
+        // Whoever follows it is acknowledged.
+        let put = until(|| mesh.put(3, &order), |a| status(a) == 200).await;
+        assert_eq!(status(&put), 200, "{put:?}");
+    });
+}
+
 #[test]
 fn the_same_order_is_acknowledged_again_everywhere_and_another_content_is_not() {
     play(async || {
