--- a/mesh/control-plane/src/core.rs
+++ b/mesh/control-plane/src/core.rs
@@ -20,6 +20,7 @@
 use crate::disk::{DiskEvent, Order};
 use crate::followers::Followers;
 use crate::links::Links;
+use crate::metrics;
 use crate::tables::{Change, ChangeResult, State};
 
 /// How often the time is told.
@@ -184,6 +185,7 @@
 
     /// A message of another core machine.
     pub fn receive(&self, from: SocketAddr, message: Message) {
+        metrics::CHAIN_MESSAGES.increment();
         self.links.heard(from);
         self.with(|node, now| node.receive(now, from, message));
     }
@@ -191,6 +193,8 @@
     /// Has a change made, kept by all of the chain, and tells what came of it within `within`. With an error it may have been
     /// made. A change of view on the way does not end it: contact comes and goes with each.
     pub async fn change(&self, change: &Change, within: Duration) -> Result<ChangeResult> {
+        metrics::CHANGES.increment();
+        let _open = metrics::CHANGES_OPEN.hold();
         let request = self.request.get() + 1;
         self.request.set(request);
         let (sender, result) = oneshot::channel();
@@ -225,6 +229,12 @@
         let known = self.look(|node, _| node.known_peers());
         self.links.tend(&known);
         let in_contact = self.in_contact();
+        metrics::IN_CONTACT.set(in_contact.into());
+        self.look(|node, _| {
+            metrics::VIEW_ROUND.set(node.view().map_or(0, |view| view.number.round));
+            metrics::POSITION.set(node.position().sequence);
+            metrics::COMMITTED.set(node.committed());
+        });
         self.contact.send_if_modified(|before| std::mem::replace(before, in_contact) != in_contact);
     }
 
--- a/mesh/control-plane/src/lib.rs
+++ b/mesh/control-plane/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 pub mod followers;
 pub mod links;
+pub mod metrics;
 pub mod operator;
 pub mod program;
 pub mod status;
--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -26,6 +26,7 @@
 
 use crate::core::{self, Core};
 use crate::disk::Disk;
+use crate::metrics;
 use crate::operator;
 use crate::status::status;
 use crate::tables::{Change, ChangeResult};
@@ -152,6 +153,8 @@
             operator::answer(core.clone(), dock, call)
         }));
     }
+    let figures = vec![metrics::METRICS, sloeline_rpc::metrics::METRICS];
+    spawn_local(sloeline_admin_http::metrics::serve(settings.ip_addr, figures));
     spawn_local(follow_settings(watched, core.clone()));
     spawn_local(follow_core(core.clone(), exchange.clone()));
     info!(target: "start", "{} serves control at {me}.", settings.node_name);
--- a/mesh/data-plane/src/keys.rs
+++ b/mesh/data-plane/src/keys.rs
@@ -15,6 +15,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
+use crate::metrics;
+
 /// How long one core machine is waited for before another is asked.
 const PATIENCE: Duration = Duration::from_millis(600);
 /// How long a claim may take in all.
@@ -61,12 +63,14 @@
                 if left.is_zero() {
                     return Err(last);
                 }
+                metrics::KEY_CALLS.increment();
                 match link.ask(&ask, left.min(PATIENCE)).await {
                     Ok(Told::Operation(outcome)) => return Ok(outcome),
                     Ok(Told::Unable(why)) => last = anyhow!("core {}: {why}", link.address()),
                     Ok(_) => bail!("core {}: an answer to another question", link.address()),
                     Err(why) => last = why,
                 }
+                metrics::KEY_CALLS_FAILED.increment();
                 // The next one is asked first from now on.
                 self.links.borrow_mut().rotate_left(usize::from(links.len() > 1));
             }
@@ -117,6 +121,7 @@
     fn record(self: &Rc<Self>, update: Update) {
         let keys = self.clone();
         spawn_local(async move {
+            let _open = metrics::KEY_RELEASES_OPEN.hold();
             if let Err(why) = keys.ask(&update, RECORD).await {
                 debug!(target: "keys", "A claim is not taken back: {why:#}.");
             }
--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gate;
 pub mod header_names;
 pub mod keys;
+pub mod metrics;
 pub mod program;
 pub mod receive;
 pub mod services;
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -36,6 +36,7 @@
 use crate::front::{Outgoing, Routes};
 use crate::header_names;
 use crate::keys::Keys;
+use crate::metrics;
 use crate::receive::Receiver;
 use crate::services::{Ground, Services};
 
@@ -166,6 +167,8 @@
             async move { answer }
         }
     }));
+    let figures = vec![metrics::METRICS, sloeline_rpc::metrics::METRICS];
+    spawn_local(sloeline_admin_http::metrics::serve(settings.ip_addr, figures));
     let ground = Ground {
         zone: settings.zone_name.clone(),
         zones: settings.zones.len().max(1) as u32,
@@ -280,6 +283,7 @@
                     let limits = table.limits();
                     match services.plan(&table, &ground) {
                         Ok(leads) => {
+                            metrics::VERSION_IN_FORCE.set(config.edition.into());
                             info!(target: "routes", "Configuration {:08x} is in force.", config.edition);
                             callers.front().swap(Routes { table, leads });
                             callers.resize(room(places, limits, grace));
--- a/mesh/rpc/src/exchange.rs
+++ b/mesh/rpc/src/exchange.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::link::Link;
+use crate::metrics;
 use crate::{Ask, Told};
 
 /// Longest that a pull is held for want of news, whatever it asks.
@@ -98,7 +99,9 @@
 
     /// Takes a configuration that is in force.
     pub fn take_config(&self, config: Config) {
+        let version = config.edition;
         if self.board.borrow_mut().take_config(config) {
+            metrics::CONFIGURATION_VERSION.set(version.into());
             self.changed.send_modify(|n| *n += 1);
         }
     }
@@ -188,7 +191,9 @@
             } else {
                 first = false;
                 let pull = self.pull_for(vec![self.own()], Duration::ZERO);
-                if let Ok(Told::News(news)) = link.ask(&Ask::Pull(pull), LATE).await {
+                let answer = link.ask(&Ask::Pull(pull), LATE).await;
+                count_pull(&answer);
+                if let Ok(Told::News(news)) = answer {
                     reached.set((!news.out_of_contact).then(Instant::now));
                     self.take_news(news);
                 }
@@ -224,6 +229,7 @@
                     _ = announced.changed() => link.tell(&Ask::Tell(vec![self.own()])),
                 }
             };
+            count_pull(&answer);
             match answer {
                 Ok(Told::News(news)) => {
                     let out_of_contact = news.out_of_contact;
@@ -245,6 +251,14 @@
     }
 }
 
+fn count_pull(answer: &anyhow::Result<Told>) {
+    match answer {
+        Ok(Told::News(news)) if news.out_of_contact => metrics::PULLS_OUT_OF_CONTACT.increment(),
+        Ok(Told::News(_)) => metrics::PULLS_ANSWERED.increment(),
+        _ => metrics::PULLS_FAILED.increment(),
+    }
+}
+
 /// A process that is followed; dropped, it is not.
 pub struct Following {
     task: AbortHandle,
--- a/mesh/rpc/src/lib.rs
+++ b/mesh/rpc/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod exchange;
 pub mod frame;
 pub mod link;
+pub mod metrics;
 pub mod serve;
 
 use bytes::Bytes;
--- a/mesh/rpc/src/link.rs
+++ b/mesh/rpc/src/link.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::frame::{self, Kind};
+use crate::metrics;
 use crate::{Ask, Told};
 
 /// How long a connection may take to come up.
@@ -94,8 +95,10 @@
 
     /// Sends something that has no answer; it may be lost.
     pub fn tell(&self, message: &Ask) {
-        if let Ok(bytes) = frame::encode(Kind::Tell, 0, message) {
-            let _ = self.queue.try_send(bytes);
+        if let Ok(bytes) = frame::encode(Kind::Tell, 0, message)
+            && self.queue.try_send(bytes).is_err()
+        {
+            metrics::DROPPED_FRAMES.increment();
         }
     }
 
@@ -113,6 +116,7 @@
         let body = match answered {
             Ok(body) => body.map_err(|_| anyhow!("ask {}: the connection broke", self.address))?,
             Err(_) => {
+                metrics::TIMED_OUT.increment();
                 self.reset();
                 bail!("ask {}: no answer within {} ms", self.address, within.as_millis());
             }
@@ -182,9 +186,11 @@
 ) -> Result<()> {
     let (mut from, mut to) = stream.into_split();
     let write = async {
+        metrics::SENT_BYTES.add(first.len() as u64);
         to.write_all(&first).await?;
         let mut some = Vec::new();
         while frames.recv_many(&mut some, 64).await > 0 {
+            metrics::SENT_BYTES.add(some.iter().map(|frame| frame.len() as u64).sum());
             match some.as_slice() {
                 [one] => to.write_all(one).await?,
                 many => to.write_all(&many.concat()).await?,
@@ -202,9 +208,11 @@
                     let _ = waits.send(frame.body);
                 }
             }
-            if from.read_buf(&mut come).await? == 0 {
+            let bytes = from.read_buf(&mut come).await?;
+            if bytes == 0 {
                 bail!("closed");
             }
+            metrics::RECEIVED_BYTES.add(bytes as u64);
         }
     };
     tokio::select! {
--- a/mesh/rpc/src/serve.rs
+++ b/mesh/rpc/src/serve.rs
@@ -13,6 +13,7 @@
 
 use crate::frame::{self, Kind};
 use crate::link::tune;
+use crate::metrics;
 use crate::{Ask, Told};
 
 /// Answers that wait for a peer that does not read; beyond, its connection is closed.
@@ -47,6 +48,7 @@
     let write = async move {
         let mut some = Vec::new();
         while answers.recv_many(&mut some, 64).await > 0 {
+            metrics::SERVED_BYTES.add(some.iter().map(|answer| answer.len() as u64).sum());
             if to.write_all(&some.concat()).await.is_err() {
                 return;
             }
@@ -61,12 +63,16 @@
                     Ok(Some(frame)) => {
                         let Ok(ask) = frame::decode::<Ask>(&frame.body) else { return };
                         let (answering, sender) = (answer(ask), sender.clone());
+                        metrics::SERVED_CALLS.increment();
                         spawn_local(async move {
+                            let _open = metrics::SERVED_CALLS_OPEN.hold();
                             let Some(told) = answering.await.filter(|_| frame.kind == Kind::Ask) else {
                                 return;
                             };
-                            if let Ok(bytes) = frame::encode(Kind::Answer, frame.number, &told) {
-                                let _ = sender.try_send(bytes);
+                            if let Ok(bytes) = frame::encode(Kind::Answer, frame.number, &told)
+                                && sender.try_send(bytes).is_err()
+                            {
+                                metrics::DROPPED_FRAMES.increment();
                             }
                         });
                     }
