Configurations travel as transfers: differences, in pieces, from one holder at a time

On a link of 5.3 Mbit/s 3 x 292 KB never arrive in time; what had come was thrown away and asked for again, for ever, which kept the link full. Change: a pull tells a version number; whoever lacks it fetches a transfer (zstd, as the difference to the version it has where the holder still knows that one) in pieces of 2 to 128 KiB, resumed after each loss and with any holder. Invariants: pieces continue where the last ended, and what arrives has the announced digest.

--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -153,7 +153,8 @@
             operator::answer(core.clone(), dock, call)
         }));
     }
-    let figures = vec![metrics::METRICS, sloeline_rpc::metrics::METRICS];
+    let figures =
+        vec![metrics::METRICS, sloeline_rpc::metrics::METRICS, sloeline_config_transfer::metrics::METRICS];
     spawn_local(sloeline_admin_http::metrics::serve(settings.ip_addr, figures));
     spawn_local(follow_settings(watched, core.clone()));
     spawn_local(follow_core(core.clone(), exchange.clone()));
@@ -203,7 +204,7 @@
     tokio::select! {
         news = exchange.answer(pull) => match core.in_contact() {
             true => news,
-            false => News { config: None, core: None, out_of_contact: true, ..news },
+            false => News { offered: None, core: None, out_of_contact: true, ..news },
         },
         () = core.contact_lost() => out_of_contact(exchange, lost).await,
     }
@@ -212,7 +213,7 @@
 /// Who exists is told by its sources and can't be wrong, only late; a configuration and a list of the core could be old.
 async fn out_of_contact(exchange: &Exchange, pull: Pull) -> News {
     let news = exchange.answer(Pull { hold: 0, ..pull }).await;
-    News { config: None, core: None, out_of_contact: true, ..news }
+    News { offered: None, core: None, out_of_contact: true, ..news }
 }
 
 async fn answer_operation(core: &Core, update: Update) -> Told {
@@ -240,6 +241,10 @@
             Some(Told::Unable("chain: out of contact with a majority".to_owned()))
         }
         Ask::Compare { digest } => Some(exchange.compare(digest)),
+        Ask::ConfigPiece(request) if request.begun.is_none() && !core.in_contact() => {
+            Some(Told::Unable("chain: out of contact with a majority".to_owned()))
+        }
+        Ask::ConfigPiece(request) => Some(Told::ConfigPiece(exchange.piece(&request))),
         Ask::Tell(records) => {
             exchange.told(records);
             Some(Told::Done)
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -167,7 +167,8 @@
             async move { answer }
         }
     }));
-    let figures = vec![metrics::METRICS, sloeline_rpc::metrics::METRICS];
+    let figures =
+        vec![metrics::METRICS, sloeline_rpc::metrics::METRICS, sloeline_config_transfer::metrics::METRICS];
     spawn_local(sloeline_admin_http::metrics::serve(settings.ip_addr, figures));
     let ground = Ground {
         zone: settings.zone_name.clone(),
@@ -214,6 +215,7 @@
     match ask {
         Ask::Pull(pull) => Some(Told::News(exchange.answer(pull).await)),
         Ask::Compare { digest } => Some(exchange.compare(digest)),
+        Ask::ConfigPiece(request) => Some(Told::ConfigPiece(exchange.piece(&request))),
         Ask::Tell(records) => {
             exchange.told(records);
             Some(Told::Done)
--- a/mesh/discovery/src/board.rs
+++ b/mesh/discovery/src/board.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use sloeline_config_transfer::Config;
 
 use crate::record::{Record, Vector, Version};
 use crate::rendezvous::Fnv;
@@ -14,15 +14,6 @@
 /// Most records that are kept. Guards the memory against a stranger that makes names up.
 const MOST_RECORDS: usize = 1 << 16;
 
-/// A configuration, as it was taken: the higher version holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Config {
-    /// Its version.
-    pub edition: u32,
-    /// As the operator sent it.
-    pub body: Bytes,
-}
-
 /// The core machines that serve, as of a view of theirs: the higher round holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CoreList {
@@ -41,6 +32,8 @@
     pub vector: Vector,
     /// The version of its configuration, where it has one.
     pub edition: Option<u32>,
+    /// The newest version that the other has told of.
+    pub offered: Option<u32>,
     /// The round of its list of core machines, where it has one.
     pub core_round: Option<u64>,
     /// What the asker believes that the other lacks.
@@ -54,21 +47,22 @@
 pub struct News {
     /// Records.
     pub records: Vec<Record>,
-    /// A newer configuration.
-    pub config: Option<Config>,
+    /// The version of a newer configuration. Its content is fetched in pieces: a message that must come within a time limit
+    /// holds nothing that grows without bound.
+    pub offered: Option<u32>,
     /// A newer list of core machines.
     pub core: Option<CoreList>,
     /// What the other has of the asker.
     pub yours: Option<Version>,
     /// The other is of the core and has not heard a majority lately: what it knows may be old, and its configuration is
-    /// left out.
+    /// not offered.
     pub out_of_contact: bool,
 }
 
 impl News {
     /// There are none.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.config.is_none() && self.core.is_none()
+        self.records.is_empty() && self.offered.is_none() && self.core.is_none()
     }
 }
 
@@ -160,10 +154,12 @@
             r.source != pull.source && pull.vector.get(&r.source).is_none_or(|v| *v < r.version)
         };
         let records = self.records.values().filter(lacks).map(|r| (**r).clone()).collect();
-        let config = self.config.as_deref().filter(|c| pull.edition.is_none_or(|e| e < c.edition)).cloned();
+        let known = pull.edition.max(pull.offered);
+        let offered =
+            self.config.as_ref().map(|config| config.edition).filter(|edition| known < Some(*edition));
         let newer = |core: &&CoreList| pull.core_round.is_none_or(|round| round < core.round);
         let core = self.core.as_deref().filter(newer).cloned();
         let yours = self.records.get(&pull.source).map(|r| r.version);
-        News { records, config, core, yours, out_of_contact: false }
+        News { records, offered, core, yours, out_of_contact: false }
     }
 }
--- a/mesh/rpc/src/exchange.rs
+++ b/mesh/rpc/src/exchange.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use log::warn;
+use sloeline_config_transfer::{Fetch, PieceAnswer, PieceRequest, Progress, Source};
 use sloeline_discovery::{Board, Config, CoreList, News, Pull, Record, Version};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
@@ -12,6 +14,7 @@
 
 use crate::link::Link;
 use crate::metrics;
+use crate::offers::Offers;
 use crate::{Ask, Told};
 
 /// Longest that a pull is held for want of news, whatever it asks.
@@ -22,11 +25,20 @@
 const PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a pull from a machine of the core that is out of contact: it has waited a moment itself.
 const OUT_OF_CONTACT: Duration = Duration::from_millis(50);
+/// How long a piece of a configuration may take. One that does not come costs the piece, not what has arrived before.
+const PIECE_WITHIN: Duration = Duration::from_millis(1000);
 
 /// What is known here.
 pub struct Exchange {
     board: RefCell<Board>,
     own: RefCell<Record>,
+    /// Configurations as they are handed on.
+    source: RefCell<Source>,
+    /// A configuration as it arrives.
+    fetch: RefCell<Fetch>,
+    offers: RefCell<Offers>,
+    /// A task fetches what is offered.
+    fetching: Cell<bool>,
     /// Counts up with everything that is new here.
     changed: watch::Sender<u64>,
     /// Counts up with every change of the own record.
@@ -41,6 +53,10 @@
         Rc::new(Exchange {
             board: RefCell::new(board),
             own: RefCell::new(own),
+            source: RefCell::default(),
+            fetch: RefCell::default(),
+            offers: RefCell::default(),
+            fetching: Cell::new(false),
             changed: watch::Sender::new(0),
             announced: watch::Sender::new(0),
         })
@@ -102,6 +118,10 @@
         let version = config.edition;
         if self.board.borrow_mut().take_config(config) {
             metrics::CONFIGURATION_VERSION.set(version.into());
+            if let Some(config) = self.board.borrow().config() {
+                self.source.borrow_mut().hold(config.clone());
+                self.fetch.borrow_mut().held(config);
+            }
             self.changed.send_modify(|n| *n += 1);
         }
     }
@@ -114,21 +134,22 @@
     }
 
     /// Asks for what is lacking here.
-    fn pull_for(&self, told: Vec<Record>, hold: Duration) -> Pull {
+    fn pull_for(&self, told: Vec<Record>, hold: Duration, offered: Option<u32>) -> Pull {
         let board = self.board.borrow();
         Pull {
             source: self.own.borrow().source.clone(),
             vector: board.vector(),
             edition: board.config().map(|config| config.edition),
+            offered,
             core_round: board.core().map(|core| core.round),
             told,
             hold: hold.as_millis() as u64,
         }
     }
 
-    fn take_news(&self, news: News) {
-        if let Some(config) = news.config {
-            self.take_config(config);
+    fn take_news(self: &Rc<Self>, news: News, from: &Rc<Link>) {
+        if let Some(version) = news.offered {
+            self.take_offer(version, from);
         }
         if let Some(core) = news.core {
             self.take_core(core);
@@ -136,6 +157,55 @@
         self.take(news.records);
     }
 
+    /// Somebody has a newer configuration. Core machines get theirs through the chain.
+    fn take_offer(self: &Rc<Self>, version: u32, from: &Rc<Link>) {
+        if self.own.borrow().core {
+            return;
+        }
+        self.offers.borrow_mut().add(from, version);
+        if !self.fetching.replace(true) {
+            spawn_local(self.clone().fetch_offered());
+        }
+    }
+
+    /// Fetches what is offered, piece by piece and from one process at a time, until nothing newer is.
+    async fn fetch_offered(self: Rc<Self>) {
+        loop {
+            let held = self.board.borrow().config().map(|config| config.edition);
+            let best = self.offers.borrow_mut().best(held);
+            let Some(link) = best else { break };
+            let request = self.fetch.borrow().request();
+            match link.ask(&Ask::ConfigPiece(request), PIECE_WITHIN).await {
+                Ok(Told::ConfigPiece(answer)) => self.take_piece(answer, &link),
+                _ => {
+                    self.fetch.borrow_mut().lost();
+                    self.offers.borrow_mut().defer(&link);
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        self.fetching.set(false);
+    }
+
+    fn take_piece(&self, answer: PieceAnswer, from: &Rc<Link>) {
+        let progress = self.fetch.borrow_mut().answered(answer);
+        match progress {
+            Ok(Progress::More) => {}
+            Ok(Progress::Complete(config)) => self.take_config(config),
+            Ok(Progress::NothingNewer) => self.offers.borrow_mut().withdraw(from),
+            Err(why) => {
+                warn!(target: "config", "Not taken from {}: {why:#}.", from.address());
+                self.offers.borrow_mut().defer(from);
+            }
+        }
+    }
+
+    /// The next piece of a configuration for somebody who lacks it. Whatever is held here was committed, and nobody takes a
+    /// version below its own: a process out of contact may hand on what it has.
+    pub fn piece(&self, request: &PieceRequest) -> PieceAnswer {
+        self.source.borrow_mut().answer(request)
+    }
+
     /// Forgets sources.
     pub fn forget(&self, gone: impl Fn(&Record) -> bool) {
         self.board.borrow_mut().forget(gone);
@@ -183,6 +253,7 @@
     async fn look(self: Rc<Self>, address: SocketAddr, every: Duration, reached: Rc<Cell<Option<Instant>>>) {
         let link = Link::new(address);
         let mut first = true;
+        let mut offered = None;
         loop {
             let digest = self.board.borrow().digest();
             let same = !first && matches!(link.ask(&Ask::Compare { digest }, LATE).await, Ok(Told::Done));
@@ -190,12 +261,13 @@
                 reached.set(Some(Instant::now()));
             } else {
                 first = false;
-                let pull = self.pull_for(vec![self.own()], Duration::ZERO);
+                let pull = self.pull_for(vec![self.own()], Duration::ZERO, offered);
                 let answer = link.ask(&Ask::Pull(pull), LATE).await;
                 count_pull(&answer);
                 if let Ok(Told::News(news)) = answer {
                     reached.set((!news.out_of_contact).then(Instant::now));
-                    self.take_news(news);
+                    offered = offered.max(news.offered);
+                    self.take_news(news, &link);
                 }
             }
             // Until it has told something once it is asked more often: whoever has just started waits for it.
@@ -213,6 +285,7 @@
     async fn pull(self: Rc<Self>, address: SocketAddr, hold: Duration, reached: Rc<Cell<Option<Instant>>>) {
         let link = Link::new(address);
         let mut theirs: Option<Version> = None;
+        let mut offered = None;
         let mut announced = self.announced.subscribe();
         // The first answer comes at once: whoever has just started waits for it.
         let mut patience = Duration::ZERO;
@@ -220,7 +293,7 @@
             announced.mark_unchanged();
             let own = self.own();
             let told = if theirs == Some(own.version) { Vec::new() } else { vec![own.clone()] };
-            let ask = Ask::Pull(self.pull_for(told, patience));
+            let ask = Ask::Pull(self.pull_for(told, patience, offered));
             let mut asking = std::pin::pin!(link.ask(&ask, patience + LATE));
             let answer = loop {
                 tokio::select! {
@@ -235,8 +308,9 @@
                     let out_of_contact = news.out_of_contact;
                     reached.set((!out_of_contact).then(Instant::now));
                     theirs = news.yours;
+                    offered = offered.max(news.offered);
                     patience = if out_of_contact { Duration::ZERO } else { hold };
-                    self.take_news(news);
+                    self.take_news(news, &link);
                     if out_of_contact {
                         sleep(OUT_OF_CONTACT).await;
                     }
--- a/mesh/rpc/src/frame.rs
+++ b/mesh/rpc/src/frame.rs
@@ -5,7 +5,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 /// The version of all messages. A process of another version is not understood and says so.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Most bytes of a frame.
 pub const MOST_FRAME: usize = 32 << 20;
 const HEAD: usize = 10;
--- a/mesh/rpc/src/lib.rs
+++ b/mesh/rpc/src/lib.rs
@@ -5,11 +5,13 @@
 pub mod frame;
 pub mod link;
 pub mod metrics;
+mod offers;
 pub mod serve;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use sloeline_chain_replication::Message;
+use sloeline_config_transfer::{PieceAnswer, PieceRequest};
 use sloeline_discovery::{News, Pull, Record};
 use sloeline_idempotency::{Answer, Outcome, Update};
 
@@ -23,6 +25,8 @@
         /// Of the asker's board.
         digest: u64,
     },
+    /// The next piece of a newer configuration.
+    ConfigPiece(PieceRequest),
     /// The asker's own news.
     Tell(Vec<Record>),
     /// Something of a keyed operation; only the core answers.
@@ -59,6 +63,8 @@
 pub enum Told {
     /// The news.
     News(News),
+    /// The piece.
+    ConfigPiece(PieceAnswer),
     /// Done.
     Done,
     /// What came of the operation.
--- a/mesh/rpc/tests/slow_links.rs
+++ b/mesh/rpc/tests/slow_links.rs
@@ -20,6 +20,7 @@
     match ask {
         Ask::Pull(pull) => Some(Told::News(exchange.answer(pull).await)),
         Ask::Compare { digest } => Some(exchange.compare(digest)),
+        Ask::ConfigPiece(request) => Some(Told::ConfigPiece(exchange.piece(&request))),
         _ => None,
     }
 }
@@ -35,6 +36,7 @@
         let _following = balancer.follow(address, HOLD);
         core.take_config(config.clone());
         let arrived = has(&balancer, &config, Duration::from_secs(20)).await;
+        assert!(bandwidth.carried() > 20_000, "it was to take longer than a second");
         assert!(arrived, "not here after 20 s, {} bytes of {}", bandwidth.carried(), config.body.len());
     });
 }
--- a/mesh/testbed/examples/slopes.rs
+++ b/mesh/testbed/examples/slopes.rs
@@ -51,6 +51,7 @@
             source: "asker".to_owned(),
             vector,
             edition: Some(7),
+            offered: None,
             core_round: None,
             told: Vec::new(),
             hold: 2000,
