Gate: the more urgent goes first among those in time, and among those late

A route's precedence was carried nowhere. Change: X-Mesh-Rank; the gate's order is late, rank, moment. Tests: two in gate.rs.

--- a/mesh/data-plane/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -136,6 +136,7 @@
             header_names::SENDER,
             header_names::KEYED,
             header_names::KIND,
+            header_names::RANK,
             header_names::NOT_RUN,
             header_names::ROOM_IN,
             header_names::AIM,
@@ -147,6 +148,7 @@
         }
         headers.insert(header_names::SENDER, self.sender.clone());
         headers.insert(header_names::KIND, lead.kind.clone());
+        headers.insert(header_names::RANK, HeaderValue::from(route.precedence));
         let (now, time_left) = (self.clock.now(), waits.min(route.dispatch.timeout.0));
         headers.insert(header_names::AIM, HeaderValue::from(now.saturating_add(route.target.0)));
         let hold = (time_left as f64 * HELD) as Micros;
--- a/mesh/data-plane/src/gate.rs
+++ b/mesh/data-plane/src/gate.rs
@@ -48,6 +48,8 @@
 pub struct Arrival {
     /// Requests of one kind take about as long: what its route says of it.
     pub kind: u64,
+    /// What its route says of its urgency; 0 is the highest.
+    pub rank: u8,
     /// How long until its aim.
     pub aim: Micros,
     /// How long its sender waits.
@@ -60,14 +62,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Waiting {
     kind: usize,
+    rank: u8,
     /// When it must be let through to be in time for its aim.
     aim: Micros,
     /// When it is turned away.
     last: Micros,
 }
 
-/// In time for their aims go before those that are late; among each, the one that must go first.
-type Place = (bool, Micros, u64);
+/// In time for their aims go before those that are late; among each, the more urgent, then the one that must go first.
+type Place = (bool, u8, Micros, u64);
 
 /// The gate.
 #[derive(Debug)]
@@ -162,25 +165,25 @@
             self.working += 1;
             return Verdict::Go;
         }
-        let kind = self.kind(arrival.kind);
+        let (kind, rank) = (self.kind(arrival.kind), arrival.rank);
         let mean = self.mean(kind);
         let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
         let aim = now + arrival.aim.saturating_sub(mean as Micros);
-        let in_time = self.wait(self.ahead((false, aim, u64::MAX)));
+        let in_time = self.wait(self.ahead((false, rank, aim, u64::MAX)));
         // Whoever is late for its aim waits behind all that are not; but what is short beside the others delays nobody,
         // and a request of another service may wait for it.
         let late = in_time + mean > arrival.aim as f64 && mean > SHORT * longest;
         let behind = arrival.left;
-        let wait = if late { self.wait(self.ahead((true, now + behind, u64::MAX))) } else { in_time };
+        let wait = if late { self.wait(self.ahead((true, rank, now + behind, u64::MAX))) } else { in_time };
         let last = arrival.left.saturating_sub(WORD.max((mean * LEAST_LEFT) as Micros)).min(arrival.hold);
         if wait > last as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
             return Verdict::Full((wait as Micros).max(1_000));
         }
         let number = self.next;
         self.next += 1;
-        let waiting = Waiting { kind, aim, last: now + last };
+        let waiting = Waiting { kind, rank, aim, last: now + last };
         let first = if late { waiting.last } else { aim };
-        self.queue.insert((late, first, number), waiting);
+        self.queue.insert((late, rank, first, number), waiting);
         Verdict::Wait(number)
     }
 
@@ -207,11 +210,11 @@
         while self.has_room() && self.state != State::Absent {
             let Some(place) = self.queue.keys().next().copied() else { break };
             let Some(waiting) = self.queue.remove(&place) else { break };
-            let (late, _, number) = place;
+            let (late, .., number) = place;
             let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
             if !late && waiting.aim < now && self.mean(waiting.kind) > SHORT * longest {
                 // Too late for its aim by now: behind those that are not.
-                self.queue.insert((true, waiting.last, number), waiting);
+                self.queue.insert((true, waiting.rank, waiting.last, number), waiting);
                 continue;
             }
             if waiting.last <= now {
--- a/mesh/data-plane/src/header_names.rs
+++ b/mesh/data-plane/src/header_names.rs
@@ -20,6 +20,8 @@
 pub const KEYED: HeaderName = HeaderName::from_static("x-mesh-keyed");
 /// Between balancers: what requests that take about as long have in common.
 pub const KIND: HeaderName = HeaderName::from_static("x-mesh-kind");
+/// Between balancers: how urgent the route is, from 0, the highest.
+pub const RANK: HeaderName = HeaderName::from_static("x-mesh-rank");
 /// Between balancers: milliseconds until there is room.
 pub const ROOM_IN: HeaderName = HeaderName::from_static("x-mesh-room-in");
 /// Between balancers: milliseconds that the near one waits for this attempt.
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -266,7 +266,8 @@
         let limit =
             text(&header_names::LIMIT).and_then(number).map_or(left, |ms| ms.saturating_mul(1000).min(left));
         let hold = text(&header_names::HOLD).and_then(number).map_or(limit, |ms| ms.saturating_mul(1000));
-        let arrival = Arrival { kind: kind(&head.headers), aim, left: limit.min(LONGEST), hold };
+        let rank = text(&header_names::RANK).and_then(|rank| rank.parse().ok()).unwrap_or(u8::MAX);
+        let arrival = Arrival { kind: kind(&head.headers), rank, aim, left: limit.min(LONGEST), hold };
         let (id, address) = {
             let beats = self.beats.borrow();
             match (beats.upstream(), beats.address()) {
@@ -287,6 +288,7 @@
         for own in [
             header_names::KEYED,
             header_names::KIND,
+            header_names::RANK,
             header_names::AIM,
             header_names::LIMIT,
             header_names::HOLD,
@@ -327,7 +329,7 @@
             return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "too little time left", None));
         }
         let kind = arrival.kind;
-        let verdict = self.gate.borrow_mut().arrive(now, Arrival { kind, aim, left, hold });
+        let verdict = self.gate.borrow_mut().arrive(now, Arrival { aim, left, hold, ..arrival });
         let place = || Place { receiver: self.clone(), kind, since: self.now(), told: false };
         match verdict {
             Verdict::Go => Ok(place()),
--- a/mesh/data-plane/tests/gate.rs
+++ b/mesh/data-plane/tests/gate.rs
@@ -7,7 +7,7 @@
 const MS: u64 = 1_000;
 
 fn arrival(kind: u64, aim: u64, left: u64) -> Arrival {
-    Arrival { kind, aim: aim * MS, left: left * MS, hold: left * MS * 45 / 100 }
+    Arrival { kind, rank: 2, aim: aim * MS, left: left * MS, hold: left * MS * 45 / 100 }
 }
 
 /// A gate of two slots that has learned how long two kinds take: 100 ms and 10 ms.
@@ -52,6 +52,30 @@
     assert_eq!(order, [short, pressed, relaxed, late]);
 }
 
+#[test]
+fn what_is_more_urgent_goes_first_among_those_in_time_and_among_those_late() {
+    let mut gate = full();
+    let ranked = |rank: u8, aim: u64| Arrival { rank, ..arrival(1, aim, 2000) };
+    let late = waits(&mut gate, 0, ranked(2, 40));
+    let late_urgent = waits(&mut gate, 0, ranked(0, 40));
+    let pressed = waits(&mut gate, 0, ranked(2, 500));
+    let urgent = waits(&mut gate, 0, ranked(0, 900));
+    let mut order = Vec::new();
+    while order.len() < 4 {
+        order.extend(gate.leave(MS, 1, None));
+    }
+    assert_eq!(order, [urgent, pressed, late_urgent, late]);
+}
+
+#[test]
+fn an_urgent_request_is_not_turned_away_for_those_that_it_goes_before() {
+    let mut gate = full();
+    while matches!(gate.arrive(0, arrival(1, 300, 2000)), Verdict::Wait(_)) {}
+    let urgent = Arrival { rank: 0, ..arrival(1, 1000, 1000) };
+    let number = waits(&mut gate, 0, urgent);
+    assert_eq!(gate.leave(MS, 1, None), [number]);
+}
+
 #[test]
 fn what_is_short_beside_the_others_is_never_put_behind_them() {
     let mut gate = full();
