Keys: one call at a time probes a core that does not answer; claims are taken back one by one

Claims are taken back by one task, for 60 s instead of 20. A call out of time closes its connection only where nothing has come on it since. A core machine refuses operations beyond 1,024 that wait.

--- a/mesh/control-plane/src/core.rs
+++ b/mesh/control-plane/src/core.rs
@@ -153,6 +153,11 @@
         self.in_contact()
     }
 
+    /// Changes that were submitted here and have no result yet.
+    pub fn open_changes(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
     /// Another core machine that is in contact, where one is heard.
     pub fn peer_in_contact(&self) -> Option<SocketAddr> {
         self.look(|node, now| node.peer_in_contact(now))
--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -33,6 +33,9 @@
 
 /// How long balancers wait for what they ask of an operation; the answer must be there before.
 const OPERATION: Duration = Duration::from_millis(1500);
+/// Changes that may wait for their result; balancers' calls beyond are refused at once, so that a machine that falls behind
+/// spends its time on those that it has.
+const MOST_OPEN_CHANGES: usize = 1024;
 /// Pause before a store that does not open is tried again.
 const OPEN_AGAIN: Duration = Duration::from_millis(250);
 /// How long core machines hold each other's pulls.
@@ -217,6 +220,9 @@
 }
 
 async fn answer_operation(core: &Core, update: Update) -> Told {
+    if core.open_changes() >= MOST_OPEN_CHANGES {
+        return Told::Unable("chain: too many changes wait for their result".to_owned());
+    }
     if !core.wait_for_contact(CONTACT_WITHIN).await {
         return Told::Unable("chain: out of contact with a majority".to_owned());
     }
--- a/mesh/data-plane/src/keys.rs
+++ b/mesh/data-plane/src/keys.rs
@@ -1,35 +1,49 @@
-//! Keyed operations as the core keeps them: asked of one core machine, and of another when that one does not answer.
+//! Keyed operations as the core keeps them: claims, and claims that are taken back.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::{Result, anyhow, bail};
+use anyhow::{Result, bail};
 use bytes::Bytes;
 use log::debug;
 use sloeline_idempotency::{Answer, Outcome, Update};
 use sloeline_rpc::link::Link;
 use sloeline_rpc::{Ask, Told};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
+use crate::core_client::CoreClient;
 use crate::metrics;
 
-/// How long one core machine is waited for before another is asked.
-const PATIENCE: Duration = Duration::from_millis(600);
 /// How long a claim may take in all.
 pub const CLAIM: Duration = Duration::from_millis(1300);
-/// How long it is tried to take a claim back.
-const RECORD: Duration = Duration::from_secs(20);
+/// How long whoever takes a claim back waits for that to be known.
+const RELEASE: Duration = Duration::from_millis(600);
+/// How long it is tried to take a claim back in the background.
+const RELEASE_LATER: Duration = Duration::from_secs(60);
+/// Most claims that wait to be taken back; the oldest are given up for those beyond.
+const MOST_RELEASES: usize = 8192;
+/// How long the holder of an answer is waited for.
+const RECALL: Duration = Duration::from_millis(600);
 /// Most connections for answers that are kept.
 const MOST_HOLDERS: usize = 64;
-const PAUSE: Duration = Duration::from_millis(100);
 
-/// The way to the core.
+/// A claim that is to be taken back.
+struct Release {
+    update: Update,
+    until: Instant,
+}
+
+/// Claims, and answers that are kept elsewhere.
 pub struct Keys {
-    links: RefCell<Vec<Rc<Link>>>,
+    core: CoreClient,
+    /// Claims that wait to be taken back, one after the other.
+    releases: RefCell<VecDeque<Release>>,
+    /// A task takes them back.
+    releasing: Cell<bool>,
     /// Other balancers that were asked for answers.
     holders: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     holder: String,
@@ -38,55 +52,33 @@
 impl Keys {
     /// No core machine is known yet; `holder` is this machine's name.
     pub fn new(holder: String) -> Rc<Keys> {
-        Rc::new(Keys { links: RefCell::default(), holders: RefCell::default(), holder })
+        Rc::new(Keys {
+            core: CoreClient::default(),
+            releases: RefCell::default(),
+            releasing: Cell::new(false),
+            holders: RefCell::default(),
+            holder,
+        })
     }
 
     /// The core machines, the nearest first.
     pub fn set_core(&self, addresses: &[SocketAddr]) {
-        let mut links = self.links.borrow_mut();
-        let known = std::mem::take(&mut *links);
-        let link = |address: &SocketAddr| {
-            let found = known.iter().find(|l| l.address() == *address);
-            found.cloned().unwrap_or_else(|| Link::new(*address))
-        };
-        *links = addresses.iter().map(link).collect();
+        self.core.set_machines(addresses);
     }
 
-    async fn ask(&self, update: &Update, within: Duration) -> Result<Outcome> {
-        let until = Instant::now() + within;
-        let ask = Ask::Operation(update.clone());
-        let mut last = anyhow!("core: no machine of it is known");
-        loop {
-            let links = self.links.borrow().clone();
-            for link in &links {
-                let left = until.saturating_duration_since(Instant::now());
-                if left.is_zero() {
-                    return Err(last);
-                }
-                metrics::KEY_CALLS.increment();
-                match link.ask(&ask, left.min(PATIENCE)).await {
-                    Ok(Told::Operation(outcome)) => return Ok(outcome),
-                    Ok(Told::Unable(why)) => last = anyhow!("core {}: {why}", link.address()),
-                    Ok(_) => bail!("core {}: an answer to another question", link.address()),
-                    Err(why) => last = why,
-                }
-                metrics::KEY_CALLS_FAILED.increment();
-                // The next one is asked first from now on.
-                self.links.borrow_mut().rotate_left(usize::from(links.len() > 1));
-            }
-            if Instant::now() + PAUSE >= until {
-                return Err(last);
-            }
-            sleep(PAUSE).await;
+    async fn ask(&self, update: Update, until: Instant) -> Result<Outcome> {
+        match self.core.call(&Ask::Operation(update), until).await? {
+            Told::Operation(outcome) => Ok(outcome),
+            _ => bail!("core: an answer to another question"),
         }
     }
 
     /// Claims a key for a run. With an error the run must not go, and its claim is taken back.
     pub async fn claim(self: &Rc<Self>, key: &Bytes, run: u64, within: Duration) -> Result<Outcome> {
         let claim = Update::Claim { key: key.clone(), run, holder: self.holder.clone() };
-        let outcome = self.ask(&claim, within.min(CLAIM)).await;
+        let outcome = self.ask(claim, Instant::now() + within.min(CLAIM)).await;
         if outcome.is_err() {
-            self.record(Update::Release { key: key.clone(), run });
+            self.release_later(Update::Release { key: key.clone(), run });
         }
         outcome
     }
@@ -94,15 +86,15 @@
     /// Takes a claim back: the run never went. Waits a moment until that is known.
     pub async fn release(self: &Rc<Self>, key: &Bytes, run: u64) {
         let release = Update::Release { key: key.clone(), run };
-        if self.ask(&release, PATIENCE).await.is_err() {
-            self.record(release);
+        if self.ask(release.clone(), Instant::now() + RELEASE).await.is_err() {
+            self.release_later(release);
         }
     }
 
     /// Asks a holder of an answer what came of a run.
     pub async fn recall(&self, holder: SocketAddr, key: &Bytes, run: u64) -> Result<Told> {
         let link = self.holder(holder);
-        link.ask(&Ask::Recall { key: key.clone(), run }, PATIENCE).await
+        link.ask(&Ask::Recall { key: key.clone(), run }, RECALL).await
     }
 
     /// Gives an answer to another machine, in case this one forgets it.
@@ -118,13 +110,28 @@
         holders.entry(address).or_insert_with(|| Link::new(address)).clone()
     }
 
-    fn record(self: &Rc<Self>, update: Update) {
-        let keys = self.clone();
-        spawn_local(async move {
-            let _open = metrics::KEY_RELEASES_OPEN.hold();
-            if let Err(why) = keys.ask(&update, RECORD).await {
+    /// Takes a claim back in the background: one call at a time, however many wait.
+    fn release_later(self: &Rc<Self>, update: Update) {
+        let mut releases = self.releases.borrow_mut();
+        if releases.len() >= MOST_RELEASES {
+            releases.pop_front();
+        }
+        releases.push_back(Release { update, until: Instant::now() + RELEASE_LATER });
+        metrics::KEY_RELEASES_WAITING.set(releases.len() as u64);
+        if !self.releasing.replace(true) {
+            spawn_local(self.clone().take_back());
+        }
+    }
+
+    async fn take_back(self: Rc<Self>) {
+        loop {
+            let next = self.releases.borrow_mut().pop_front();
+            let Some(Release { update, until }) = next else { break };
+            if let Err(why) = self.ask(update, until).await {
                 debug!(target: "keys", "A claim is not taken back: {why:#}.");
             }
-        });
+            metrics::KEY_RELEASES_WAITING.set(self.releases.borrow().len() as u64);
+        }
+        self.releasing.set(false);
     }
 }
--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -3,6 +3,7 @@
 //! only forwards what [`gate`] lets through. [`beats`] and [`gate`] are without I/O.
 
 pub mod beats;
+pub mod core_client;
 pub mod follow;
 pub mod front;
 pub mod gate;
--- a/mesh/data-plane/src/metrics.rs
+++ b/mesh/data-plane/src/metrics.rs
@@ -15,9 +15,9 @@
     "sloeline_key_calls_failed_total",
     "Calls to core machines about keyed operations that were refused or not answered.",
 );
-/// Claims that are being taken back in the background.
-pub static KEY_RELEASES_OPEN: Gauge =
-    Gauge::new("sloeline_key_releases_open", "Claims that are being taken back in the background.");
+/// Claims that wait to be taken back.
+pub static KEY_RELEASES_WAITING: Gauge =
+    Gauge::new("sloeline_key_releases_waiting", "Claims that wait to be taken back in the background.");
 
 /// All of them.
-pub static METRICS: Metrics = &[&VERSION_IN_FORCE, &KEY_CALLS, &KEY_CALLS_FAILED, &KEY_RELEASES_OPEN];
+pub static METRICS: Metrics = &[&VERSION_IN_FORCE, &KEY_CALLS, &KEY_CALLS_FAILED, &KEY_RELEASES_WAITING];
--- a/mesh/rpc/src/link.rs
+++ b/mesh/rpc/src/link.rs
@@ -40,6 +40,8 @@
     number: Cell<u64>,
     reset: Rc<Notify>,
     up: Rc<Cell<Option<Instant>>>,
+    /// When something came from the peer.
+    heard: Rc<Cell<Option<Instant>>>,
     /// Since when a connection has been coming up.
     connecting: Rc<Cell<Option<Instant>>>,
     connect_again: Rc<Notify>,
@@ -62,6 +64,7 @@
             number: Cell::new(0),
             reset: Rc::new(Notify::new()),
             up: Rc::default(),
+            heard: Rc::default(),
             connecting: Rc::default(),
             connect_again: Rc::new(Notify::new()),
         });
@@ -102,8 +105,11 @@
         }
     }
 
-    /// Asks, and waits so long for the answer. One that does not come ends the connection.
+    /// Asks, and waits so long for the answer. The connection is closed where nothing at all has come on it meanwhile; a peer
+    /// that answers others is slow, and the calls of others are not to fail with this one. An answer that comes late
+    /// belongs to no call.
     pub async fn ask(&self, message: &Ask, within: Duration) -> Result<Told> {
+        let asked = Instant::now();
         let number = self.number.get() + 1;
         self.number.set(number);
         let bytes = frame::encode(Kind::Ask, number, message)?;
@@ -117,7 +123,9 @@
             Ok(body) => body.map_err(|_| anyhow!("ask {}: the connection broke", self.address))?,
             Err(_) => {
                 metrics::TIMED_OUT.increment();
-                self.reset();
+                if self.heard.get().is_none_or(|heard| heard < asked) {
+                    self.reset();
+                }
                 bail!("ask {}: no answer within {} ms", self.address, within.as_millis());
             }
         };
@@ -142,13 +150,14 @@
         let (address, waiting, reset, up) =
             (strong.address, strong.waiting.clone(), strong.reset.clone(), strong.up.clone());
         let (connecting, again) = (strong.connecting.clone(), strong.connect_again.clone());
+        let heard = strong.heard.clone();
         drop(strong);
         match connect(address, &connecting, &again).await {
             Some(stream) => {
                 tune(&stream);
                 up.set(Some(Instant::now()));
                 tokio::select! {
-                    _ = carry(stream, first, &mut frames, &waiting) => {}
+                    _ = carry(stream, first, &mut frames, &waiting, &heard) => {}
                     () = reset.notified() => {}
                 }
                 up.set(None);
@@ -183,6 +192,7 @@
     first: Bytes,
     frames: &mut mpsc::Receiver<Bytes>,
     waiting: &Waiting,
+    heard: &Cell<Option<Instant>>,
 ) -> Result<()> {
     let (mut from, mut to) = stream.into_split();
     let write = async {
@@ -212,6 +222,7 @@
             if bytes == 0 {
                 bail!("closed");
             }
+            heard.set(Some(Instant::now()));
             metrics::RECEIVED_BYTES.add(bytes as u64);
         }
     };
