Failing test of GONE; a soak of real processes; processes may listen behind a relay

GONE: after a start (4.6 s) and after an order to stop, attempts are kept whose upstreams may be at work. Kept are also those of callers that have left: they wait on at the far balancer and reach the upstream later.

--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -45,10 +45,6 @@
     }
 }
 
-fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
-    engine_of(fake, fs::Effect::Unsafe)
-}
-
 fn engine_of(fake: &Fake, effect: fs::Effect) -> Rc<Engine<Fake>> {
     let second = 1_000_000;
     let class = fs::Class {
@@ -83,10 +79,14 @@
 
 /// On a paused clock, with the timers running.
 fn with(test: impl AsyncFnOnce(Fake, Rc<Engine<Fake>>)) {
+    with_effect(fs::Effect::Unsafe, test);
+}
+
+fn with_effect(effect: fs::Effect, test: impl AsyncFnOnce(Fake, Rc<Engine<Fake>>)) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let fake = Fake::default();
-        let engine = engine(&fake);
+        let engine = engine_of(&fake, effect);
         spawn_local(engine.clone().run());
         let ended = tokio::time::timeout(Duration::from_secs(60), test(fake, engine)).await;
         assert!(ended.is_ok(), "it waits for what never comes");
@@ -371,6 +371,21 @@
     });
 }
 
+#[test]
+fn nothing_goes_on_for_a_caller_that_has_left_though_attempts_are_kept() {
+    for effect in [fs::Effect::Safe, fs::Effect::Unsafe] {
+        with_effect(effect, async move |fake, engine| {
+            teach(&fake, &engine).await;
+            engine.set_cutting(false);
+            let left = engine.ask(asked(4_000_000));
+            let _out = fake.take();
+            drop(left);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            assert_eq!(fake.aborted.get(), 1, "{effect:?}");
+        });
+    }
+}
+
 #[test]
 fn what_surely_never_ran_is_refused_where_that_is_asked_for() {
     for (outcome, refuses, refused) in [
--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -144,7 +144,8 @@
     let machine_loss = settings.tolerance.machine_loss as usize;
     let chain = core::settings(me, seeds, machine_loss);
     let core = Core::new(chain, durable, rows, key_window, writes, exchange.clone());
-    let listener = TcpListener::bind(me).await.with_context(|| format!("listen at {me}"))?;
+    let bind = settings.mesh_bind_address();
+    let listener = TcpListener::bind(bind).await.with_context(|| format!("listen at {bind}"))?;
     spawn_local(serve(listener, {
         let (core, exchange) = (core.clone(), exchange.clone());
         move |ask| answer(core.clone(), exchange.clone(), ask)
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -138,7 +138,7 @@
     let first = room(places, SizeLimits::default(), guarantees.grace.duration());
     let callers = Callers::new(Outgoing::new(sender, bodies, clock.clone()), first, phase);
 
-    let mesh = TcpListener::bind(settings.mesh_address()).await.context("listen for the mesh")?;
+    let mesh = TcpListener::bind(settings.mesh_bind_address()).await.context("listen for the mesh")?;
     let incoming = listen("incoming", settings.docks.incoming).await?;
     let outgoing = listen("outgoing", settings.docks.outgoing).await?;
     let readiness = listen("readiness", settings.docks.readiness).await?;
--- a/mesh/process-settings/src/lib.rs
+++ b/mesh/process-settings/src/lib.rs
@@ -28,6 +28,9 @@
     pub serves_role: Vec<String>,
     /// Its address.
     pub ip_addr: std::net::IpAddr,
+    /// Where this process listens for others of the mesh, if not at `ip_addr`: they reach it there through something between.
+    #[serde(default)]
+    pub mesh_bind_addr: Option<std::net::IpAddr>,
     /// Its zone.
     #[validate(length(min = 1, max = 255, message = "expected 1 to 255 bytes"))]
     pub zone_name: String,
@@ -205,6 +208,11 @@
         SocketAddr::new(self.ip_addr, self.port_range.0)
     }
 
+    /// Where this process listens for others of the mesh.
+    pub fn mesh_bind_address(&self) -> SocketAddr {
+        SocketAddr::new(self.mesh_bind_addr.unwrap_or(self.ip_addr), self.port_range.0)
+    }
+
     /// Where processes of the mesh reach a machine that is named by another address of its own: ports are alike on all.
     pub fn mesh_address_of(&self, address: SocketAddr) -> SocketAddr {
         SocketAddr::new(address.ip(), self.port_range.0)
--- a/mesh/testbed/src/machine.rs
+++ b/mesh/testbed/src/machine.rs
@@ -71,6 +71,8 @@
     net: u8,
     cores: u8,
     folder: PathBuf,
+    /// Processes of the mesh reach each other through relays.
+    relayed: bool,
 }
 
 const INCOMING: u16 = 8300;
@@ -83,7 +85,17 @@
 impl Plan {
     /// A net of 127/8 from 1 to 250, so many core machines, and where their disks are.
     pub fn new(net: u8, cores: u8, folder: PathBuf) -> Plan {
-        Plan { net, cores, folder }
+        Plan { net, cores, folder, relayed: false }
+    }
+
+    /// The same with processes that listen for each other at [`Plan::bind`] and are reached through relays.
+    pub fn relayed(self) -> Plan {
+        Plan { relayed: true, ..self }
+    }
+
+    /// Where a machine listens for others of the mesh where relays are between.
+    pub fn bind(&self, machine: u8) -> SocketAddr {
+        SocketAddr::new(Ipv4Addr::new(127, 2, self.net, machine).into(), MESH)
     }
 
     fn ip(&self, machine: u8) -> IpAddr {
@@ -116,10 +128,6 @@
         }
     }
 
-    fn settings(&self, machine: u8, first: bool, rest: &str) -> Result<Settings> {
-        Settings::parse(&self.settings_text(machine, first, rest))
-    }
-
     fn settings_text(&self, machine: u8, first: bool, rest: &str) -> String {
         let seeds: Vec<String> = (0..self.cores).map(|c| format!("\"{}\"", self.operator(c))).collect();
         let ip = self.ip(machine);
@@ -134,7 +142,18 @@
         let docks = format!(
             "incoming = \"{ip}:{INCOMING}\"\noutgoing = \"{ip}:{OUTGOING}\"\nreadiness = \"{ip}:{READINESS}\"\n"
         );
-        if machine < 200 { text + &docks } else { text }
+        let text = if machine < 200 { text + &docks } else { text };
+        if self.relayed { format!("mesh_bind_addr = \"{}\"\n{text}", self.bind(machine).ip()) } else { text }
+    }
+
+    /// Where a machine serves its figures.
+    pub fn metrics(&self, machine: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(machine), sloeline_admin_http::metrics::PORT)
+    }
+
+    /// The number of a core machine, from 0, among all machines.
+    pub fn core_machine(&self, core: u8) -> u8 {
+        200 + core
     }
 
     /// Where processes of the mesh reach a core machine, from 0.
@@ -171,11 +190,15 @@
         })
     }
 
+    /// The settings of a balancer, from 1.
+    pub fn balancer_settings(&self, balancer: u8, service: &str) -> String {
+        let app = SocketAddr::new(self.ip(balancer), APP);
+        self.settings_text(balancer, true, &format!("app_addr = \"{app}\"\nline = \"{service}\""))
+    }
+
     /// Starts a balancer, from 1.
     pub fn balancer(&self, balancer: u8, service: &str) -> Result<Machine> {
-        let app = SocketAddr::new(self.ip(balancer), APP);
-        let settings =
-            self.settings(balancer, true, &format!("app_addr = \"{app}\"\nline = \"{service}\""))?;
+        let settings = Settings::parse(&self.balancer_settings(balancer, service))?;
         Machine::start(&format!("balancer-{balancer}"), move || {
             sloeline_data_plane::program::work(fixed(settings))
         })
--- a/mesh/testbed/src/main.rs
+++ b/mesh/testbed/src/main.rs
@@ -1,13 +1,17 @@
-//! `sloeline-testbed demo`: a whole mesh on loopback for some seconds, with a core machine lost on the way, and an account at the end.
+//! `sloeline-testbed demo`: a whole mesh on loopback for some seconds, with a core machine lost on the way, and an account at
+//! the end. `sloeline-testbed soak`: real processes under troubles that overlap, for many seeds.
 
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail};
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use sloeline_testbed::client::ask;
 use sloeline_testbed::machine::Plan;
+use sloeline_testbed::process::Program;
+use sloeline_testbed::soak;
 use sloeline_testbed::standin::Standin;
 use tokio::task::{JoinSet, LocalSet};
 
@@ -22,13 +26,43 @@
         .about("A whole sloeline mesh on this machine, with stand-in upstreams")
         .version(clap::crate_version!())
         .subcommand_required(true)
-        .subcommand(Command::new("demo").about("Plays and closes with an account").arg(seconds))
+        .subcommand(Command::new("demo").about("Plays and closes with an account").arg(seconds.clone()))
+        .subcommand(soak_command(seconds))
+        .subcommand(process_command())
+}
+
+fn soak_command(seconds: Arg) -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .value_parser(value_parser!(u64))
+            .default_value(default)
+            .help(help)
+    };
+    Command::new("soak")
+        .about("Real processes under kills, pauses, cuts and lost answers; exit code 1 if anything was wrong")
+        .arg(number("first", "1", "The first seed"))
+        .arg(number("seeds", "10", "How many seeds, one after the other"))
+        .arg(number("net", "90", "The net 127.1.N, 1 to 250; two soaks at a time want two"))
+        .arg(seconds.default_value("20").help("How long troubles are made, for each seed"))
+}
+
+fn process_command() -> Command {
+    let program = Arg::new("program").value_parser(["control-plane", "data-plane"]).required(true);
+    let settings = Arg::new("settings").long("settings").value_parser(value_parser!(PathBuf)).required(true);
+    Command::new("process").about("Runs either program of the mesh, for soaks").arg(program).arg(settings)
 }
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let seconds = matches.subcommand_matches("demo").and_then(|m| m.get_one::<u64>("seconds")).copied();
-    match demo(Duration::from_secs(seconds.unwrap_or(6))) {
+    let done = match matches.subcommand() {
+        Some(("demo", matches)) => demo(Duration::from_secs(number(matches, "seconds"))),
+        Some(("soak", matches)) => soak(matches),
+        Some(("process", matches)) => process(matches),
+        _ => Ok(()),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("sloeline-testbed: {why:#}");
@@ -37,6 +71,48 @@
     }
 }
 
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+fn process(matches: &ArgMatches) -> Result<()> {
+    let program = matches.get_one::<String>("program").and_then(|name| Program::named(name));
+    let settings =
+        matches.get_one::<PathBuf>("settings").context("settings: found nothing, expected a file")?;
+    let _logging = sloeline_admin_http::logging::start("info")?;
+    match program.context("program: expected control-plane or data-plane")? {
+        Program::ControlPlane => sloeline_control_plane::program::run(settings),
+        Program::DataPlane => sloeline_data_plane::program::run(settings),
+    }
+}
+
+fn soak(matches: &ArgMatches) -> Result<()> {
+    let (first, seeds) = (number(matches, "first"), number(matches, "seeds"));
+    let net = u8::try_from(number(matches, "net")).context("net: expected 1 to 250")?;
+    let span = Duration::from_secs(number(matches, "seconds"));
+    let testbed = std::env::current_exe().context("find this program's own file")?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let mut wrong = 0;
+    for seed in first..first.saturating_add(seeds) {
+        let folder = std::env::temp_dir().join(format!("sloeline-soak-{net}-{seed}"));
+        let played = soak::play(net, seed, span, &testbed, &folder);
+        let report = LocalSet::new().block_on(&runtime, played)?;
+        println!("seed {seed}: {} wrong; {:?}", report.violations.len(), report.counts);
+        report.violations.iter().for_each(|violation| println!("  {violation}"));
+        if report.violations.is_empty() {
+            let _ = std::fs::remove_dir_all(&folder);
+        } else {
+            println!("  logs are kept in {}", folder.display());
+            wrong += 1;
+        }
+    }
+    println!("{seeds} seeds, {wrong} with something wrong");
+    if wrong > 0 {
+        bail!("{wrong} of {seeds} seeds found something wrong");
+    }
+    Ok(())
+}
+
 const CONFIG: &str = r#"{"edition":"00000001","gateways":[{"station":"shop.example","regulations":[
  {"name":"read","route_kind":"safe","target":"300ms","precedence":2,"sort_by":{"lane_prefix":"/read/"},
   "dispatch":{"line":"goods","timeout":"2s","tries":2}},
--- /dev/null
+++ b/mesh/testbed/src/process.rs
@@ -0,0 +1,143 @@
+//! Real processes of the mesh: started, killed, paused, and started again over the same settings.
+
+use std::fs::{File, OpenOptions};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use anyhow::{Context, Result};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Which program a process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Program {
+    /// The control plane.
+    ControlPlane,
+    /// The data plane.
+    DataPlane,
+}
+
+impl Program {
+    /// As the command line has it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Program::ControlPlane => "control-plane",
+            Program::DataPlane => "data-plane",
+        }
+    }
+
+    /// By its name on the command line.
+    pub fn named(name: &str) -> Option<Program> {
+        [Program::ControlPlane, Program::DataPlane].into_iter().find(|program| program.name() == name)
+    }
+}
+
+/// A process, and what it takes to start it again.
+pub struct Process {
+    program: Program,
+    /// `sloeline-testbed`, which runs either program under `process`.
+    testbed: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    ended_by_itself: u32,
+}
+
+impl Process {
+    /// Writes the settings into the folder and starts the process; its log goes there too.
+    pub fn start(
+        program: Program,
+        testbed: &Path,
+        folder: &Path,
+        name: &str,
+        settings: &str,
+    ) -> Result<Process> {
+        let mut process = Process {
+            program,
+            testbed: testbed.to_owned(),
+            settings: folder.join(format!("{name}.toml")),
+            log: folder.join(format!("{name}.log")),
+            child: None,
+            ended_by_itself: 0,
+        };
+        process.set_settings(settings)?;
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Writes other settings, for the next start or as the process notices.
+    pub fn set_settings(&self, settings: &str) -> Result<()> {
+        std::fs::write(&self.settings, settings).with_context(|| format!("write {}", self.settings.display()))
+    }
+
+    /// Starts it, where it does not run.
+    pub fn restart(&mut self) -> Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = open_log(&self.log)?;
+        let child = Command::new(&self.testbed)
+            .args(["process", self.program.name(), "--settings"])
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("start {}", self.testbed.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether it runs, paused or not.
+    pub fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// How often it had ended by itself when it was to be killed.
+    pub fn ended_by_itself(&self) -> u32 {
+        self.ended_by_itself
+    }
+
+    /// Ends it at once, as a loss of power does but for what the kernel has of its files.
+    pub fn kill(&mut self) {
+        if !self.is_running() && self.child.is_some() {
+            self.ended_by_itself += 1;
+        }
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Stops its clockwork until [`Process::resume`].
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn open_log(path: &Path) -> Result<File> {
+    let opened = OpenOptions::new().create(true).append(true).open(path);
+    opened.with_context(|| format!("open {}", path.display()))
+}
--- /dev/null
+++ b/mesh/testbed/src/soak/mod.rs
@@ -0,0 +1,143 @@
+//! A soak: real processes on real sockets under troubles that overlap, with all invariants on.
+//!
+//! Three core machines and three balancers with an upstream each, behind relays. An operator changes the configuration all the
+//! time and loses some answers, clients send keyed requests again and again, probes look at what is in force. Meanwhile
+//! processes are killed and paused, disks are lost, links are cut, reset, slowed and lose answers, up to three at a time.
+//! At the end all is well for a while. What must hold:
+//!
+//! - a read gives no version below one acknowledged before, and only what was sent under its number;
+//! - within one life a balancer never goes back; in touch, it is at most two seconds behind;
+//! - an order is never refused that is valid;
+//! - at the end everybody has the newest acknowledged version;
+//! - no key runs twice;
+//! - no process counts a violation of an invariant, logs a defect, or ends by itself.
+
+pub mod account;
+pub mod fleet;
+pub mod load;
+pub mod troubles;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Result, bail};
+use fastrand::Rng;
+use tokio::time::{Instant, sleep};
+
+use self::account::Account;
+use self::fleet::{BALANCERS, CORES, Fleet};
+use self::load::Load;
+use crate::client::ask;
+
+/// How long the beginning may take.
+const BEGIN_WITHIN: Duration = Duration::from_secs(15);
+/// How long after the last trouble everybody must have everything.
+const RECOVER_WITHIN: Duration = Duration::from_secs(10);
+
+/// What a soak found.
+pub struct Report {
+    /// What was wrong.
+    pub violations: Vec<String>,
+    /// How often what was done and seen.
+    pub counts: BTreeMap<&'static str, u64>,
+}
+
+/// Plays one seed for so long, in this net of 127/8 and this folder.
+pub async fn play(net: u8, seed: u64, span: Duration, testbed: &Path, folder: &Path) -> Result<Report> {
+    let _ = std::fs::remove_dir_all(folder);
+    std::fs::create_dir_all(folder)?;
+    let mut rng = Rng::with_seed(seed);
+    let fleet = Rc::new(Fleet::start(net, testbed, folder).await?);
+    let account = Rc::new(RefCell::new(Account::default()));
+    let begin = Instant::now();
+    let beginning = Load { fleet: fleet.clone(), account: account.clone(), until: begin + BEGIN_WITHIN };
+    if !beginning.order(1, &mut rng).await {
+        bail!("soak: no configuration is taken within {BEGIN_WITHIN:?}");
+    }
+    fleet.begun()?;
+    all_have_the_newest(&beginning).await;
+    let until = Instant::now() + span;
+    let load = Load { fleet: fleet.clone(), account: account.clone(), until };
+    load.start(&mut rng);
+    troubles::play(fleet.clone(), account.clone(), folder, rng.fork(), until).await;
+    let end = Load { until: Instant::now() + RECOVER_WITHIN, ..load };
+    sleep(load::EDITION_TIME).await;
+    if !all_have_the_newest(&end).await {
+        let newest = account.borrow().newest_acknowledged();
+        account
+            .borrow_mut()
+            .violate(format!("not everybody has {newest:?} {RECOVER_WITHIN:?} after the last trouble"));
+    }
+    check_keys(&fleet, &account);
+    check_processes(&fleet, &account).await;
+    let account = account.borrow();
+    Ok(Report { violations: account.violations.clone(), counts: account.counts().clone() })
+}
+
+/// Waits until all core machines read back, and all balancers go by, the newest version; tells whether they came to.
+async fn all_have_the_newest(load: &Load) -> bool {
+    while Instant::now() < load.until {
+        let newest = load.account.borrow().newest_acknowledged();
+        let mut behind = 0;
+        for core in 0..CORES {
+            behind += u32::from(load.read(core).await < newest);
+        }
+        for balancer in 1..=BALANCERS {
+            behind += u32::from(load.in_force(balancer).await < newest);
+        }
+        if behind == 0 {
+            return true;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    false
+}
+
+fn check_keys(fleet: &Fleet, account: &RefCell<Account>) {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for standin in &fleet.standins {
+        for (key, count) in &standin.book().keys {
+            *runs.entry(key.clone()).or_default() += count;
+        }
+    }
+    for (key, count) in runs.iter().filter(|(_, count)| **count > 1) {
+        account.borrow_mut().violate(format!("key {key} ran {count} times"));
+    }
+}
+
+async fn check_processes(fleet: &Fleet, account: &RefCell<Account>) {
+    for node in fleet.nodes() {
+        let machine = node.machine;
+        if !node.process.borrow_mut().is_running() {
+            account.borrow_mut().violate(format!("machine {machine} has ended by itself"));
+        }
+        let by_itself = node.process.borrow().ended_by_itself();
+        if by_itself > 0 {
+            account.borrow_mut().violate(format!("machine {machine} ended by itself {by_itself} times"));
+        }
+        let log = node.process.borrow().log();
+        for line in log.lines().filter(|line| line.contains("defect") || line.contains("panicked")) {
+            account.borrow_mut().violate(format!("machine {machine} logged: {line}"));
+        }
+        let figures =
+            ask(fleet.plan.metrics(machine), "GET", "/metrics", &[], b"", Duration::from_secs(2)).await;
+        let Ok(figures) = figures else {
+            account.borrow_mut().violate(format!("machine {machine} tells no figures"));
+            continue;
+        };
+        for line in String::from_utf8_lossy(&figures.body).lines().filter(|line| violated(line)) {
+            account.borrow_mut().violate(format!("machine {machine} counts {line}"));
+        }
+    }
+}
+
+/// A figure of an invariant that is not zero.
+fn violated(line: &str) -> bool {
+    !line.starts_with('#')
+        && line
+            .split_once(' ')
+            .is_some_and(|(name, value)| name.ends_with("_violations_total") && value != "0")
+}
--- /dev/null
+++ b/mesh/testbed/src/soak/troubles.rs
@@ -0,0 +1,138 @@
+//! Troubles of a soak: drawn by the seed, on any process, two or three at a time.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use super::account::Account;
+use super::fleet::{CORES, Fleet, Node};
+use crate::relay::Fault;
+
+/// Most troubles at a time.
+const MOST_AT_ONCE: usize = 3;
+/// Time between the beginnings of two.
+const GAP_MS: std::ops::Range<u64> = 150..700;
+/// How long a core machine that was lost counts as lost after its return.
+const SYNC_TIME: Duration = Duration::from_secs(4);
+
+/// One trouble.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// The process is killed and starts again after so long.
+    Kill(Duration),
+    /// All core machines are killed at once.
+    KillCore(Duration),
+    /// A core machine is killed and comes back with an empty disk.
+    Wipe(Duration),
+    /// The process stands still.
+    Pause(Duration),
+    /// The relay before it does something.
+    Link(Fault, Duration),
+}
+
+/// Draws troubles until the moment, then waits until all are over.
+pub async fn play(
+    fleet: Rc<Fleet>,
+    account: Rc<std::cell::RefCell<Account>>,
+    folder: &Path,
+    mut rng: Rng,
+    until: Instant,
+) {
+    let mut at_work = JoinSet::new();
+    while Instant::now() < until {
+        sleep(Duration::from_millis(rng.u64(GAP_MS))).await;
+        while at_work.try_join_next().is_some() {}
+        if at_work.len() >= MOST_AT_ONCE {
+            continue;
+        }
+        let nodes: Vec<Rc<Node>> = fleet.nodes().cloned().collect();
+        let node = nodes[rng.usize(..nodes.len())].clone();
+        let trouble = draw(&mut rng, &fleet, &node);
+        account.borrow_mut().count(trouble.name());
+        let (fleet, folder) = (fleet.clone(), folder.to_owned());
+        // Its troubles count from now on, not from when the task is first run.
+        let troubled = trouble.troubles(&fleet, &node);
+        troubled.iter().for_each(|node| node.disturb());
+        at_work.spawn_local(async move {
+            trouble.run(&node, &troubled, &folder).await;
+            troubled.iter().for_each(|node| node.calm());
+        });
+    }
+    while at_work.join_next().await.is_some() {}
+}
+
+fn draw(rng: &mut Rng, fleet: &Fleet, node: &Node) -> Trouble {
+    let span = Duration::from_millis(rng.u64(100..2500));
+    let is_core = node.machine == fleet.plan.core_machine(0) || node.machine > fleet.plan.core_machine(0);
+    // A disk may be lost only while every other core machine has been well for long enough.
+    let others = fleet.cores.iter().filter(|core| core.machine != node.machine);
+    let may_wipe =
+        is_core && node.troubles.get() == 0 && others.clone().all(|core| core.is_calm_for(SYNC_TIME));
+    match rng.u32(..10) {
+        0 | 1 => Trouble::Kill(span),
+        2 => Trouble::KillCore(span / 2),
+        3 if may_wipe => Trouble::Wipe(span),
+        3 | 4 => Trouble::Pause(span),
+        5 => Trouble::Link(Fault::Hold, span),
+        6 => Trouble::Link(Fault::HoldAnswers, span),
+        7 => Trouble::Link(Fault::Reset, span / 4),
+        8 => Trouble::Link(Fault::Slow(rng.u32(4_000..60_000)), span * 2),
+        _ => Trouble::Pause(span / 4),
+    }
+}
+
+impl Trouble {
+    fn name(self) -> &'static str {
+        match self {
+            Trouble::Kill(_) => "kill",
+            Trouble::KillCore(_) => "kill of the core",
+            Trouble::Wipe(_) => "lost disk",
+            Trouble::Pause(_) => "pause",
+            Trouble::Link(Fault::Hold, _) => "cut",
+            Trouble::Link(Fault::HoldAnswers, _) => "lost answers",
+            Trouble::Link(Fault::Reset, _) => "resets",
+            Trouble::Link(..) => "slow link",
+        }
+    }
+
+    /// Whom it troubles.
+    fn troubles(self, fleet: &Fleet, node: &Rc<Node>) -> Vec<Rc<Node>> {
+        match self {
+            Trouble::KillCore(_) => fleet.cores.iter().take(usize::from(CORES)).cloned().collect(),
+            _ => vec![node.clone()],
+        }
+    }
+
+    async fn run(self, node: &Node, troubled: &[Rc<Node>], folder: &Path) {
+        match self {
+            Trouble::Kill(span) | Trouble::KillCore(span) => {
+                troubled.iter().for_each(|node| node.process.borrow_mut().kill());
+                sleep(span).await;
+                troubled.iter().for_each(|node| _ = node.restart());
+            }
+            Trouble::Wipe(span) => {
+                node.process.borrow_mut().kill();
+                let core = usize::from(node.machine).saturating_sub(200);
+                let _ = std::fs::remove_dir_all(folder.join(format!("core-{core}")));
+                sleep(span).await;
+                let _ = node.restart();
+                // Lost for as long as it may take to have everything again.
+                sleep(SYNC_TIME).await;
+            }
+            Trouble::Pause(span) => {
+                node.process.borrow().pause();
+                sleep(span).await;
+                node.process.borrow().resume();
+            }
+            Trouble::Link(fault, span) => {
+                node.relay.set(fault);
+                sleep(span).await;
+                node.relay.set(Fault::None);
+            }
+        }
+    }
+}
