Requests end with their callers, also while attempts are kept (GONE)

Cause: the module only forgets a request whose client has left; its attempt ran to its limit, and one that queued at the far balancer reached the upstream later. Change: in the mesh the engine calls off all attempts of a caller that leaves; what must not run twice is finished at the far balancer once it is with its upstream. An attempt that is kept to the end of its client's time is no defect of the module any more.

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -208,6 +208,8 @@
     warm_after: Micros,
     /// See [`Core::refuse_unsent`].
     refuses_unsent: bool,
+    /// See [`Core::end_for_gone`].
+    ends_for_gone: bool,
     /// See [`Core::set_cutting`].
     keeps: bool,
     /// Upstreams that are cold.
@@ -277,6 +279,7 @@
             cause: "",
             warm_after,
             refuses_unsent: false,
+            ends_for_gone: false,
             keeps: false,
             cold: HashMap::new(),
             cold_looked: 0,
@@ -386,6 +389,12 @@
         self.refuses_unsent = true;
     }
 
+    /// Attempts end with the caller that leaves, also while attempts are kept: nobody waits for them, and one that still queues
+    /// somewhere must not reach its upstream.
+    pub fn end_for_gone(&mut self) {
+        self.ends_for_gone = true;
+    }
+
     /// Whether attempts are cut short from now on. One that is not, and whose upstream is at work, has what is left of its
     /// client's time.
     pub fn set_cutting(&mut self, cuts: bool) {
@@ -446,11 +455,12 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let left = std::mem::replace(&mut open.waits, false);
         // Its body can never come whole, and no limit would end it.
-        let cut = open.out.iter().map(|o| o.attempt).find(|_| open.coming);
+        let ends = open.coming || left && self.ends_for_gone;
+        let cut: Vec<u32> = open.out.iter().filter(|_| ends).map(|out| out.attempt).collect();
         if left {
             self.feed(now, Event::Gone { request: id });
         }
-        if let Some(attempt) = cut {
+        for attempt in cut {
             self.call_off(id, attempt, Outcome::Cancelled);
         }
         self.settle(id);
@@ -542,7 +552,11 @@
         if early || !std::mem::replace(&mut open.waits, false) {
             return;
         }
-        tell!(DEFECT, what = %"unanswered"; "defect: the module left request {id} unanswered; failed just before its time");
+        // An attempt that is kept goes on to the end of its client's time: the module has left nothing.
+        let kept = self.keeps && !open.out.is_empty();
+        if !kept {
+            tell!(DEFECT, what = %"unanswered"; "defect: the module left request {id} unanswered; failed just before its time");
+        }
         self.outputs.push_back(Output::Answer { request: id, answer: Answer::Failed(Failure::Time) });
         self.feed(now, Event::Gone { request: id });
         self.settle(id);
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -375,6 +375,11 @@
         self.core.borrow_mut().reconfigure(settings, learned)
     }
 
+    /// See [`Core::end_for_gone`].
+    pub fn end_for_gone(&self) {
+        self.core.borrow_mut().end_for_gone();
+    }
+
     /// See [`Core::refuse_unsent`].
     pub fn refuse_unsent(&self) {
         self.core.borrow_mut().refuse_unsent();
--- a/mesh/data-plane/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -137,6 +137,7 @@
             header_names::KEYED,
             header_names::KIND,
             header_names::RANK,
+            header_names::ONCE,
             header_names::NOT_RUN,
             header_names::ROOM_IN,
             header_names::AIM,
@@ -154,6 +155,9 @@
         let hold = (time_left as f64 * HELD) as Micros;
         headers.insert(header_names::HOLD, HeaderValue::from(now.saturating_add(hold)));
         headers.insert(header_names::TIME_LEFT, HeaderValue::from(now.saturating_add(time_left)));
+        if route.route_kind == RouteKind::Unsafe {
+            headers.insert(header_names::ONCE, HeaderValue::from_static("1"));
+        }
         if keyed {
             headers.insert(header_names::KEYED, HeaderValue::from_static("1"));
         }
--- a/mesh/data-plane/src/header_names.rs
+++ b/mesh/data-plane/src/header_names.rs
@@ -20,6 +20,8 @@
 pub const KEYED: HeaderName = HeaderName::from_static("x-mesh-keyed");
 /// Between balancers: what requests that take about as long have in common.
 pub const KIND: HeaderName = HeaderName::from_static("x-mesh-kind");
+/// Between balancers: the route's requests run at most once, so that one that is with its upstream is not broken off.
+pub const ONCE: HeaderName = HeaderName::from_static("x-mesh-once");
 /// Between balancers: how urgent the route is, from 0, the highest.
 pub const RANK: HeaderName = HeaderName::from_static("x-mesh-rank");
 /// Between balancers: milliseconds until there is room.
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -289,6 +289,7 @@
             header_names::KEYED,
             header_names::KIND,
             header_names::RANK,
+            header_names::ONCE,
             header_names::AIM,
             header_names::LIMIT,
             header_names::HOLD,
@@ -305,8 +306,10 @@
         let call = Call { method, uri, headers, body };
         let target = Target { server: 0, address };
         let try_id = head.headers.get(header_names::TRY_ID).cloned();
+        let once = head.headers.contains_key(header_names::ONCE);
         let going = Going { call, id: try_id, target, came, until, arrival, upstream: id };
         match key {
+            None if once => self.forward_once(going).await,
             None => self.forward(going).await,
             // Once it is under way it goes on, whoever still waits for it.
             Some(key) => {
@@ -391,6 +394,23 @@
         }
     }
 
+    /// Forwards what must not run again: once it is with its upstream it is not broken off, whoever still waits for it.
+    async fn forward_once(self: Rc<Self>, going: Going) -> Answered {
+        let place = match self.place(going.arrival, going.came).await {
+            Ok(place) => place,
+            Err(answer) => return answer,
+        };
+        let (sender, answer) = oneshot::channel();
+        spawn_local(async move {
+            let answer = match self.run(&going, place).await {
+                Ran::Not(answer) | Ran::Unknown(answer) => answer,
+                Ran::Answered(reply) => passed(reply),
+            };
+            let _ = sender.send(answer);
+        });
+        answer.await.unwrap_or_else(|_| plain(StatusCode::BAD_GATEWAY, "the run broke off"))
+    }
+
     async fn forward(self: Rc<Self>, going: Going) -> Answered {
         let place = match self.place(going.arrival, going.came).await {
             Ok(place) => place,
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -328,6 +328,7 @@
         Engine::new(settings, zones, fastrand::u64(..), rails).map_err(|e| anyhow!("{name}: {e}"))?;
     let tasks = vec![spawn_local(tend).abort_handle(), spawn_local(engine.clone().run()).abort_handle()];
     engine.refuse_unsent();
+    engine.end_for_gone();
     engine.begin();
     Ok(Service {
         name: name.to_owned(),
