--- /dev/null
+++ b/mesh/rpc/tests/late_connections.rs
@@ -0,0 +1,50 @@
+//! Connections that take long to come up, as over a link that is full: they are kept once they are there.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sloeline_rpc::link::Link;
+use sloeline_rpc::serve::serve;
+use sloeline_rpc::{Ask, Told};
+use socket2::{Domain, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Connections that are begun to fill the queue of a listener.
+const FILLERS: usize = 8;
+
+/// A listener whose queue is full: opening packets are dropped until somebody accepts.
+async fn full_listener() -> (TcpListener, SocketAddr, Vec<tokio::task::JoinHandle<()>>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("an address");
+    socket.listen(0).expect("it listens");
+    socket.set_nonblocking(true).expect("as the runtime wants it");
+    let listener = TcpListener::from_std(socket.into()).expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    let fillers = (0..FILLERS)
+        .map(|_| {
+            spawn_local(async move {
+                let _kept = TcpStream::connect(address).await;
+                std::future::pending::<()>().await;
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    (listener, address, fillers)
+}
+
+#[test]
+fn a_connection_that_comes_up_late_is_not_closed_for_a_call_that_ended_before() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let (listener, address, fillers) = full_listener().await;
+        let link = Link::new(address);
+        let ask = Ask::Compare { digest: 1 };
+        assert!(link.ask(&ask, Duration::from_millis(300)).await.is_err(), "nobody accepts yet");
+        fillers.iter().for_each(|filler| filler.abort());
+        spawn_local(serve(listener, |_| async { Some(Told::Done) }));
+        let answer = link.ask(&ask, Duration::from_secs(5)).await;
+        assert!(matches!(answer, Ok(Told::Done)), "{answer:?}");
+        assert!(link.up().is_some());
+    });
+}
--- a/mesh/testbed/src/soak/load.rs
+++ b/mesh/testbed/src/soak/load.rs
@@ -142,15 +142,13 @@
         let node = &self.fleet.balancers[usize::from(balancer) - 1];
         let life = node.life.get();
         for version in (1..=newest).rev() {
-            match self.has_route(balancer, version).await? {
-                true => {
-                    if life == node.life.get() {
-                        self.account.borrow_mut().shows(balancer, life, version, began);
-                    }
-                    return Some(version);
-                }
-                false => {}
+            if !self.has_route(balancer, version).await? {
+                continue;
+            }
+            if life == node.life.get() {
+                self.account.borrow_mut().shows(balancer, life, version, began);
             }
+            return Some(version);
         }
         None
     }
