Links: attempts to connect beside each other, kept for 4 s; a connection is closed only for calls made on it

Cause: over a link that is full a connection attempt was given up after 400 ms and begun anew behind what waited; and the notice to close, left by a call that ended while nothing stood, closed the next connection at once. Change: up to four attempts, 400 ms apart, the first that stands is used; notices are forgotten when a connection comes up; sent bytes may stay unacknowledged for 4 s (2), a pull may be late by 2 s (1): whom a balancer follows is decided by who answers lately, not by these.

--- a/mesh/rpc/src/exchange.rs
+++ b/mesh/rpc/src/exchange.rs
@@ -20,7 +20,7 @@
 /// Longest that a pull is held for want of news, whatever it asks.
 const MOST_HOLD: Duration = Duration::from_secs(10);
 /// An answer may come so much later than the hold ends.
-const LATE: Duration = Duration::from_millis(1000);
+const LATE: Duration = Duration::from_millis(2000);
 /// Pause after a pull that failed.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a pull from a machine of the core that is out of contact: it has waited a moment itself.
--- a/mesh/rpc/src/link.rs
+++ b/mesh/rpc/src/link.rs
@@ -12,21 +12,26 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::frame::{self, Kind};
 use crate::metrics;
 use crate::{Ask, Told};
 
 /// How long a connection may take to come up.
-const CONNECT: Duration = Duration::from_millis(400);
+const CONNECT: Duration = Duration::from_millis(4000);
+/// So long after an attempt another one is begun beside it: the first may have met a machine without power, or its opening
+/// packet may wait in a full link, where a new one would wait behind it. The first that stands is used.
+const CONNECT_BESIDE: Duration = Duration::from_millis(400);
+/// Most attempts beside each other.
+const MOST_ATTEMPTS: usize = 4;
 /// A connection to a peer that is there comes up sooner.
 const CONNECTS_AT_ONCE: Duration = Duration::from_millis(50);
 /// Pause after one that did not.
 const PAUSE: Duration = Duration::from_millis(100);
 /// How long sent bytes may stay without an acknowledgement.
-pub(crate) const UNACKNOWLEDGED: Duration = Duration::from_millis(2000);
+pub(crate) const UNACKNOWLEDGED: Duration = Duration::from_millis(4000);
 /// Most frames that wait for the connection; those beyond are dropped.
 const MOST_WAITING: usize = 4096;
 
@@ -123,7 +128,9 @@
             Ok(body) => body.map_err(|_| anyhow!("ask {}: the connection broke", self.address))?,
             Err(_) => {
                 metrics::TIMED_OUT.increment();
-                if self.heard.get().is_none_or(|heard| heard < asked) {
+                // One that came up since is another than this call was meant for.
+                let stood = self.up.get().is_some_and(|up| up <= asked);
+                if stood && self.heard.get().is_none_or(|heard| heard < asked) {
                     self.reset();
                 }
                 bail!("ask {}: no answer within {} ms", self.address, within.as_millis());
@@ -156,6 +163,8 @@
             Some(stream) => {
                 tune(&stream);
                 up.set(Some(Instant::now()));
+                // What was meant for the connection before.
+                forget_notice(&reset).await;
                 tokio::select! {
                     _ = carry(stream, first, &mut frames, &waiting, &heard) => {}
                     () = reset.notified() => {}
@@ -170,21 +179,38 @@
     }
 }
 
-/// A connection, if it comes up in time; begun anew when the peer is known to be there.
+/// Forgets a notice that nobody has waited for.
+async fn forget_notice(notify: &Notify) {
+    tokio::select! {
+        biased;
+        () = notify.notified() => {}
+        () = std::future::ready(()) => {}
+    }
+}
+
+/// A connection, if one comes up in time. Attempts are begun beside each other, and one more when the peer is known to be
+/// there.
 async fn connect(
     address: SocketAddr,
     connecting: &Cell<Option<Instant>>,
     again: &Notify,
 ) -> Option<TcpStream> {
-    loop {
+    let until = Instant::now() + CONNECT;
+    let mut attempts = JoinSet::new();
+    let connected = loop {
+        if attempts.len() < MOST_ATTEMPTS {
+            attempts.spawn_local(TcpStream::connect(address));
+        }
         connecting.set(Some(Instant::now()));
-        let connected = tokio::select! {
-            connected = timeout(CONNECT, TcpStream::connect(address)) => connected,
-            () = again.notified() => continue,
-        };
-        connecting.set(None);
-        return connected.ok().and_then(Result::ok);
-    }
+        let next = (Instant::now() + CONNECT_BESIDE).min(until);
+        tokio::select! {
+            Some(connected) = attempts.join_next() => break connected.ok().and_then(Result::ok),
+            () = again.notified() => {}
+            () = sleep_until(next) => if next == until { break None },
+        }
+    };
+    connecting.set(None);
+    connected
 }
 
 async fn carry(
