Links hold at most 8 MB that wait; the chain submits again after twice as long each time

Change: the queue of a link is bounded in bytes too; submissions wait 200, 400, 800, 1,600 ms, from the start in each view.

--- a/mesh/chain-replication/src/node/mod.rs
+++ b/mesh/chain-replication/src/node/mod.rs
@@ -151,6 +151,8 @@
 struct Submitted {
     update: Bytes,
     sent: Option<u64>,
+    /// How often it was sent in this view: each time it waits for longer.
+    times: u32,
 }
 
 /// A core machine.
--- a/mesh/chain-replication/src/node/replication.rs
+++ b/mesh/chain-replication/src/node/replication.rs
@@ -7,11 +7,14 @@
 use crate::message::Message;
 use crate::{Applied, Tables};
 
+/// How often the time is doubled after which an update is submitted again.
+const MOST_DOUBLINGS: u32 = 3;
+
 impl<T: Tables> Node<T> {
     /// Submits an update under a number of the caller's. It is sent again until [`forget`](Node::forget) or its result.
     pub fn submit(&mut self, now: u64, request: u64, update: Bytes) {
         self.now = now;
-        self.submitted.insert(request, Submitted { update, sent: None });
+        self.submitted.insert(request, Submitted { update, sent: None, times: 0 });
         self.send_to_head(request);
     }
 
@@ -30,6 +33,7 @@
         }
         let Some(submitted) = self.submitted.get_mut(&request) else { return };
         submitted.sent = Some(self.now);
+        submitted.times += 1;
         let update = submitted.update.clone();
         if mine {
             self.enter(self.settings.me, request, update);
@@ -41,7 +45,11 @@
     /// Submits what was not answered in time again.
     pub(super) fn submit_due(&mut self) {
         let (now, retry) = (self.now, self.settings.retry);
-        let due = |submitted: &Submitted| submitted.sent.is_none_or(|at| now.saturating_sub(at) >= retry);
+        // Twice as long each time: a chain that is slow is not to be given the same work again and again.
+        let wait = |times: u32| retry << times.saturating_sub(1).min(MOST_DOUBLINGS);
+        let due = |submitted: &Submitted| {
+            submitted.sent.is_none_or(|at| now.saturating_sub(at) >= wait(submitted.times))
+        };
         let mut requests: Vec<u64> =
             self.submitted.iter().filter(|(_, s)| due(s)).map(|(request, _)| *request).collect();
         requests.sort_unstable();
--- a/mesh/chain-replication/src/node/view_change.rs
+++ b/mesh/chain-replication/src/node/view_change.rs
@@ -201,7 +201,7 @@
             // What the replica before has sent meanwhile was not taken.
             self.ask_previous();
         }
-        self.submitted.values_mut().for_each(|submitted| submitted.sent = None);
+        self.submitted.values_mut().for_each(|submitted| (submitted.sent, submitted.times) = (None, 0));
         self.submit_due();
         self.send_heartbeats();
         self.heartbeat_at = self.now + self.settings.heartbeat;
--- a/mesh/rpc/src/link.rs
+++ b/mesh/rpc/src/link.rs
@@ -35,12 +35,16 @@
 /// Most frames that wait for the connection; those beyond are dropped.
 const MOST_WAITING: usize = 4096;
 
+/// Bytes of frames that wait for the connection; a frame beyond is dropped, but for one that finds the queue empty.
+const MOST_WAITING_BYTES: usize = 8 << 20;
+
 type Waiting = RefCell<HashMap<u64, oneshot::Sender<Bytes>>>;
 
 /// A connection to one process.
 pub struct Link {
     address: SocketAddr,
     queue: mpsc::Sender<Bytes>,
+    queued_bytes: Rc<Cell<usize>>,
     waiting: Rc<Waiting>,
     number: Cell<u64>,
     reset: Rc<Notify>,
@@ -65,6 +69,7 @@
         let link = Rc::new(Link {
             address,
             queue,
+            queued_bytes: Rc::default(),
             waiting: Rc::default(),
             number: Cell::new(0),
             reset: Rc::new(Notify::new()),
@@ -103,11 +108,20 @@
 
     /// Sends something that has no answer; it may be lost.
     pub fn tell(&self, message: &Ask) {
-        if let Ok(bytes) = frame::encode(Kind::Tell, 0, message)
-            && self.queue.try_send(bytes).is_err()
-        {
+        if let Ok(bytes) = frame::encode(Kind::Tell, 0, message) {
+            let _ = self.enqueue(bytes);
+        }
+    }
+
+    fn enqueue(&self, bytes: Bytes) -> Result<()> {
+        let (queued, length) = (self.queued_bytes.get(), bytes.len());
+        let fits = queued == 0 || queued + length <= MOST_WAITING_BYTES;
+        if !fits || self.queue.try_send(bytes).is_err() {
             metrics::DROPPED_FRAMES.increment();
+            bail!("ask {}: too much waits", self.address);
         }
+        self.queued_bytes.set(queued + length);
+        Ok(())
     }
 
     /// Asks, and waits so long for the answer. The connection is closed where nothing at all has come on it meanwhile; a peer
@@ -121,7 +135,7 @@
         let (sender, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, sender);
         let forget = Forget { waiting: &self.waiting, number };
-        self.queue.try_send(bytes).map_err(|_| anyhow!("ask {}: too much waits", self.address))?;
+        self.enqueue(bytes)?;
         let answered = timeout(within, answer).await;
         drop(forget);
         let body = match answered {
@@ -157,7 +171,7 @@
         let (address, waiting, reset, up) =
             (strong.address, strong.waiting.clone(), strong.reset.clone(), strong.up.clone());
         let (connecting, again) = (strong.connecting.clone(), strong.connect_again.clone());
-        let heard = strong.heard.clone();
+        let (heard, queued) = (strong.heard.clone(), strong.queued_bytes.clone());
         drop(strong);
         match connect(address, &connecting, &again).await {
             Some(stream) => {
@@ -166,7 +180,7 @@
                 // What was meant for the connection before.
                 forget_notice(&reset).await;
                 tokio::select! {
-                    _ = carry(stream, first, &mut frames, &waiting, &heard) => {}
+                    _ = carry(stream, first, &mut frames, &waiting, &heard, &queued) => {}
                     () = reset.notified() => {}
                 }
                 up.set(None);
@@ -175,6 +189,7 @@
         }
         // What waited for it is old; whoever asked is told at once.
         while frames.try_recv().is_ok() {}
+        queued.set(0);
         waiting.borrow_mut().clear();
     }
 }
@@ -219,19 +234,23 @@
     frames: &mut mpsc::Receiver<Bytes>,
     waiting: &Waiting,
     heard: &Cell<Option<Instant>>,
+    queued: &Cell<usize>,
 ) -> Result<()> {
     let (mut from, mut to) = stream.into_split();
     let write = async {
         metrics::SENT_BYTES.add(first.len() as u64);
         to.write_all(&first).await?;
+        queued.set(queued.get().saturating_sub(first.len()));
         let mut some = Vec::new();
         while frames.recv_many(&mut some, 64).await > 0 {
-            metrics::SENT_BYTES.add(some.iter().map(|frame| frame.len() as u64).sum());
+            let bytes: usize = some.iter().map(Bytes::len).sum();
+            metrics::SENT_BYTES.add(bytes as u64);
             match some.as_slice() {
                 [one] => to.write_all(one).await?,
                 many => to.write_all(&many.concat()).await?,
             }
             some.clear();
+            queued.set(queued.get().saturating_sub(bytes));
         }
         Ok::<_, anyhow::Error>(())
     };
