--- a/mesh/rpc/src/link.rs
+++ b/mesh/rpc/src/link.rs
@@ -40,10 +40,17 @@
 
 type Waiting = RefCell<HashMap<u64, oneshot::Sender<Bytes>>>;
 
+/// A frame that waits for the connection.
+struct Queued {
+    /// The call that it asks for; nothing for what has no answer.
+    call: Option<u64>,
+    bytes: Bytes,
+}
+
 /// A connection to one process.
 pub struct Link {
     address: SocketAddr,
-    queue: mpsc::Sender<Bytes>,
+    queue: mpsc::Sender<Queued>,
     queued_bytes: Rc<Cell<usize>>,
     waiting: Rc<Waiting>,
     number: Cell<u64>,
@@ -109,14 +116,14 @@
     /// Sends something that has no answer; it may be lost.
     pub fn tell(&self, message: &Ask) {
         if let Ok(bytes) = frame::encode(Kind::Tell, 0, message) {
-            let _ = self.enqueue(bytes);
+            let _ = self.enqueue(Queued { call: None, bytes });
         }
     }
 
-    fn enqueue(&self, bytes: Bytes) -> Result<()> {
-        let (queued, length) = (self.queued_bytes.get(), bytes.len());
+    fn enqueue(&self, frame: Queued) -> Result<()> {
+        let (queued, length) = (self.queued_bytes.get(), frame.bytes.len());
         let fits = queued == 0 || queued + length <= MOST_WAITING_BYTES;
-        if !fits || self.queue.try_send(bytes).is_err() {
+        if !fits || self.queue.try_send(frame).is_err() {
             metrics::DROPPED_FRAMES.increment();
             bail!("ask {}: too much waits", self.address);
         }
@@ -135,7 +142,7 @@
         let (sender, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, sender);
         let forget = Forget { waiting: &self.waiting, number };
-        self.enqueue(bytes)?;
+        self.enqueue(Queued { call: Some(number), bytes })?;
         let answered = timeout(within, answer).await;
         drop(forget);
         let body = match answered {
@@ -165,7 +172,7 @@
     }
 }
 
-async fn drive(link: Weak<Link>, mut frames: mpsc::Receiver<Bytes>) {
+async fn drive(link: Weak<Link>, mut frames: mpsc::Receiver<Queued>) {
     while let Some(first) = frames.recv().await {
         let Some(strong) = link.upgrade() else { return };
         let (address, waiting, reset, up) =
@@ -220,7 +227,8 @@
         let next = (Instant::now() + CONNECT_BESIDE).min(until);
         tokio::select! {
             Some(connected) = attempts.join_next() => break connected.ok().and_then(Result::ok),
-            () = again.notified() => {}
+            // What was sent before the peer was there is sent again only after a second.
+            () = again.notified() => attempts = JoinSet::new(),
             () = sleep_until(next) => if next == until { break None },
         }
     };
@@ -230,27 +238,29 @@
 
 async fn carry(
     stream: TcpStream,
-    first: Bytes,
-    frames: &mut mpsc::Receiver<Bytes>,
+    first: Queued,
+    frames: &mut mpsc::Receiver<Queued>,
     waiting: &Waiting,
     heard: &Cell<Option<Instant>>,
     queued: &Cell<usize>,
 ) -> Result<()> {
     let (mut from, mut to) = stream.into_split();
     let write = async {
-        metrics::SENT_BYTES.add(first.len() as u64);
-        to.write_all(&first).await?;
-        queued.set(queued.get().saturating_sub(first.len()));
-        let mut some = Vec::new();
-        while frames.recv_many(&mut some, 64).await > 0 {
-            let bytes: usize = some.iter().map(Bytes::len).sum();
-            metrics::SENT_BYTES.add(bytes as u64);
-            match some.as_slice() {
+        let mut some = vec![first];
+        loop {
+            let taken: usize = some.iter().map(|frame| frame.bytes.len()).sum();
+            // A call that nobody waits for any more must not be made: what it asks for may have been taken back since.
+            some.retain(|frame| frame.call.is_none_or(|call| waiting.borrow().contains_key(&call)));
+            let parts: Vec<Bytes> = some.drain(..).map(|frame| frame.bytes).collect();
+            metrics::SENT_BYTES.add(parts.iter().map(|part| part.len() as u64).sum());
+            match parts.as_slice() {
                 [one] => to.write_all(one).await?,
                 many => to.write_all(&many.concat()).await?,
             }
-            some.clear();
-            queued.set(queued.get().saturating_sub(bytes));
+            queued.set(queued.get().saturating_sub(taken));
+            if frames.recv_many(&mut some, 64).await == 0 {
+                break;
+            }
         }
         Ok::<_, anyhow::Error>(())
     };
--- a/mesh/rpc/tests/late_connections.rs
+++ b/mesh/rpc/tests/late_connections.rs
@@ -1,6 +1,8 @@
 //! Connections that take long to come up, as over a link that is full: they are kept once they are there.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use sloeline_rpc::link::Link;
@@ -35,6 +37,7 @@
 
 #[test]
 fn a_connection_that_comes_up_late_is_not_closed_for_a_call_that_ended_before() {
+    let calls = Rc::new(Cell::new(0));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let (listener, address, fillers) = full_listener().await;
@@ -42,9 +45,14 @@
         let ask = Ask::Compare { digest: 1 };
         assert!(link.ask(&ask, Duration::from_millis(300)).await.is_err(), "nobody accepts yet");
         fillers.iter().for_each(|filler| filler.abort());
-        spawn_local(serve(listener, |_| async { Some(Told::Done) }));
+        let served = calls.clone();
+        spawn_local(serve(listener, move |_| {
+            served.set(served.get() + 1);
+            async { Some(Told::Done) }
+        }));
         let answer = link.ask(&ask, Duration::from_secs(5)).await;
         assert!(matches!(answer, Ok(Told::Done)), "{answer:?}");
         assert!(link.up().is_some());
+        assert_eq!(calls.get(), 1, "a call that has ended is not made later");
     });
 }
