Engine: a request with an attempt out at the end of its time is no defect of the module

Cause: an attempt whose limit is all of the client's time ends in the same moment as the last resort, which is set earlier and so comes first.

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -552,9 +552,8 @@
         if early || !std::mem::replace(&mut open.waits, false) {
             return;
         }
-        // An attempt that is kept goes on to the end of its client's time: the module has left nothing.
-        let kept = self.keeps && !open.out.is_empty();
-        if !kept {
+        // An attempt that is out may go on until now: the module has left nothing.
+        if open.out.is_empty() {
             tell!(DEFECT, what = %"unanswered"; "defect: the module left request {id} unanswered; failed just before its time");
         }
         self.outputs.push_back(Output::Answer { request: id, answer: Answer::Failed(Failure::Time) });
