--- a/mesh/process-settings/tests/settings.rs
+++ b/mesh/process-settings/tests/settings.rs
@@ -32,6 +32,7 @@
 fn a_settings_file_is_read_and_what_is_not_known_is_passed_over() {
     let settings = Settings::parse(GOOD).expect("good settings");
     assert_eq!(settings.mesh_address().to_string(), "10.1.0.8:7620");
+    assert_eq!(settings.mesh_bind_address(), settings.mesh_address());
     assert_eq!(settings.mesh_address_of(settings.seed_nodes[0]).to_string(), "10.1.0.13:7620");
     let guarantees = settings.guarantees().expect("good guarantees");
     assert_eq!((guarantees.key_window, guarantees.retry_ratio), (Span::from_millis(60_000), 0.2));
@@ -95,3 +96,12 @@
     std::fs::remove_file(&path).expect("the file");
     assert!(file.reload(true).is_err(), "a file that is gone");
 }
+
+#[test]
+fn a_process_may_listen_elsewhere_than_where_it_is_reached() {
+    let text = "node_name = \"m\"\nip_addr = \"10.1.0.8\"\nmesh_bind_addr = \"10.9.0.8\"\nzone_name = \"a\"\nport_range = [7620,7635]\n";
+    let settings = Settings::parse(text).expect("good settings");
+    assert_eq!(settings.mesh_address().to_string(), "10.1.0.8:7620");
+    assert_eq!(settings.mesh_bind_address().to_string(), "10.9.0.8:7620");
+    assert!(Settings::parse(&text.replace("10.9.0.8", "no address")).is_err());
+}
