--- a/mesh/rpc/tests/late_connections.rs
+++ b/mesh/rpc/tests/late_connections.rs
@@ -11,9 +11,12 @@
 use socket2::{Domain, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 
 /// Connections that are begun to fill the queue of a listener.
 const FILLERS: usize = 8;
+/// A connection on loopback that takes so long waits for room.
+const HANGS: Duration = Duration::from_millis(100);
 
 /// A listener whose queue is full: opening packets are dropped until somebody accepts.
 async fn full_listener() -> (TcpListener, SocketAddr, Vec<tokio::task::JoinHandle<()>>) {
@@ -31,7 +34,8 @@
             })
         })
         .collect();
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    // Full once a further attempt hangs for as long as no connection on loopback takes.
+    while timeout(HANGS, TcpStream::connect(address)).await.is_ok() {}
     (listener, address, fillers)
 }
 
