--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -36,6 +36,7 @@
 use crate::gate::{Arrival, Gate, Micros, State, Verdict};
 use crate::header_names;
 use crate::keys::Keys;
+use crate::metrics;
 
 /// Longest time that a request is taken for, whatever it says: a day.
 const LONGEST: Micros = 86_400_000_000;
@@ -84,7 +85,9 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let now = self.receiver.now();
-        let took = self.told.then(|| now.saturating_sub(self.since));
+        let held = now.saturating_sub(self.since);
+        metrics::GATE_HELD.add(held);
+        let took = self.told.then_some(held);
         let go = self.receiver.gate.borrow_mut().leave(now, self.kind, took);
         self.receiver.wake(go, true);
         self.receiver.changed.notify_one();
@@ -333,10 +336,18 @@
         }
         let kind = arrival.kind;
         let verdict = self.gate.borrow_mut().arrive(now, Arrival { aim, left, hold, ..arrival });
-        let place = || Place { receiver: self.clone(), kind, since: self.now(), told: false };
+        let place = || {
+            let since = self.now();
+            metrics::GATE_ADMITTED.increment();
+            metrics::GATE_WAIT.add(since.saturating_sub(now));
+            Place { receiver: self.clone(), kind, since, told: false }
+        };
         match verdict {
             Verdict::Go => Ok(place()),
-            Verdict::Full(wait) => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room", Some(wait))),
+            Verdict::Full(wait) => {
+                metrics::GATE_REFUSED.increment();
+                Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room", Some(wait)))
+            }
             Verdict::Closed => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream leaves", None)),
             Verdict::Wait(number) => {
                 let (sender, go) = oneshot::channel();
@@ -347,7 +358,11 @@
                 drop(waits);
                 match go {
                     Ok(true) => Ok(place()),
-                    _ => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room in time", None)),
+                    _ => {
+                        metrics::GATE_EXPIRED.increment();
+                        metrics::GATE_EXPIRED_WAIT.add(self.now().saturating_sub(now));
+                        Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room in time", None))
+                    }
                 }
             }
         }
@@ -387,7 +402,11 @@
             Relayed::Answered(mut reply) => {
                 place.done();
                 if let Payload::Passing(passing) = &mut reply.body {
-                    passing.at_end(move |_| drop(place));
+                    let (receiver, begun) = (self.clone(), self.now());
+                    passing.at_end(move |_| {
+                        metrics::GATE_HELD_PASSING.add(receiver.now().saturating_sub(begun));
+                        drop(place);
+                    });
                 }
                 Ran::Answered(reply)
             }
