--- a/mesh/data-plane/tests/gate.rs
+++ b/mesh/data-plane/tests/gate.rs
@@ -86,6 +86,23 @@
     assert_eq!(gate.leave(MS, 1, None), [long]);
 }
 
+/// Whoever waits for a short one holds a place elsewhere for as long.
+#[test]
+fn what_is_short_goes_before_longer_ones_however_pressed_they_are() {
+    let mut gate = full();
+    let mut pressed = Vec::new();
+    while let Verdict::Wait(number) = gate.arrive(0, arrival(1, 320, 2000)) {
+        pressed.push(number);
+        if pressed.len() == 4 {
+            break;
+        }
+    }
+    // Their aims leave them 220 ms to begin, this one's 90 ms from now.
+    let short = waits(&mut gate, 200 * MS, arrival(2, 100, 250));
+    assert_eq!(gate.leave(201 * MS, 1, None), [short]);
+    assert_eq!(gate.leave(202 * MS, 2, None), pressed[..1]);
+}
+
 #[test]
 fn whoever_would_wait_too_long_is_told_at_once_when_there_may_be_room() {
     let mut gate = full();
--- a/mesh/testbed/src/machine.rs
+++ b/mesh/testbed/src/machine.rs
@@ -112,6 +112,11 @@
         SocketAddr::new(self.ip(balancer), OUTGOING)
     }
 
+    /// Where other balancers send requests for a balancer's upstream, from 1.
+    pub fn incoming(&self, balancer: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(balancer), INCOMING)
+    }
+
     /// Where a balancer tells whether it is ready.
     pub fn readiness(&self, balancer: u8) -> SocketAddr {
         SocketAddr::new(self.ip(balancer), READINESS)
@@ -198,7 +203,18 @@
 
     /// Starts a balancer, from 1.
     pub fn balancer(&self, balancer: u8, service: &str) -> Result<Machine> {
-        let settings = Settings::parse(&self.balancer_settings(balancer, service))?;
+        self.start_balancer(balancer, &self.balancer_settings(balancer, service))
+    }
+
+    /// Starts a balancer, from 1, whose machine has a link of so many megabits a second.
+    pub fn balancer_on_link(&self, balancer: u8, service: &str, link_mbps: f64) -> Result<Machine> {
+        let size = format!("[size_limits]\nlink_mbps = {link_mbps:?}\n");
+        let settings = self.balancer_settings(balancer, service).replace("[size_limits]\n", &size);
+        self.start_balancer(balancer, &settings)
+    }
+
+    fn start_balancer(&self, balancer: u8, settings: &str) -> Result<Machine> {
+        let settings = Settings::parse(settings)?;
         Machine::start(&format!("balancer-{balancer}"), move || {
             sloeline_data_plane::program::work(fixed(settings))
         })
--- a/mesh/testbed/src/standin.rs
+++ b/mesh/testbed/src/standin.rs
@@ -46,6 +46,8 @@
     pub manner: Manner,
     /// How long it works.
     pub works: Duration,
+    /// Bytes of its answers to requests whose path holds `large`.
+    pub large: usize,
     /// It says that it is closing.
     pub closing: bool,
     /// How often it ran each try.
@@ -165,9 +167,9 @@
     let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
     let (id, key, sender) = (text("x-try-id"), text("x-operation-key"), text("x-sender"));
     let body = timeout(Duration::from_secs(5), body.collect()).await.ok()?.ok()?.to_bytes();
-    let (manner, works) = {
+    let (manner, works, large) = {
         let book = standin.book();
-        (book.manner, book.works)
+        (book.manner, book.works, book.large)
     };
     match manner {
         Manner::CutBefore => return None,
@@ -194,7 +196,10 @@
     let stamp = format!("{id}.{}", standin.ran());
     let answer = |length: Option<&str>| {
         let id = if manner == Manner::Mixes { "another" } else { id.as_str() };
-        let said = format!("{} {} ran {}", head.method, head.uri, String::from_utf8_lossy(&body));
+        let said = match head.uri.path().contains("large") {
+            true => "l".repeat(large),
+            false => format!("{} {} ran {}", head.method, head.uri, String::from_utf8_lossy(&body)),
+        };
         let status = if manner == Manner::Fails { 500 } else { 200 };
         let builder = Response::builder().status(status).header("x-try-id", id).header("x-postmark", &stamp);
         let builder = length.into_iter().fold(builder, |b, l| b.header("content-length", l));
--- a/mesh/testbed/tests/between_balancers.rs
+++ b/mesh/testbed/tests/between_balancers.rs
@@ -42,6 +42,8 @@
     breaks: Cell<Break>,
     /// `X-Try-Id` of each request that was read whole.
     read: RefCell<Vec<String>>,
+    /// How long the last one had until its aim, in milliseconds.
+    aim: Cell<u64>,
 }
 
 impl FarBalancer {
@@ -54,11 +56,12 @@
     async fn connection(self: Rc<Self>, mut stream: TcpStream) {
         let mut bytes = Vec::new();
         loop {
-            let Some((id, attempt)) = read_request(&mut stream, &mut bytes).await else { return };
+            let Some(Read { id, attempt, aim }) = read_request(&mut stream, &mut bytes).await else { return };
             if self.breaks.get() == Break::Before {
                 return;
             }
             self.read.borrow_mut().push(id.clone());
+            self.aim.set(aim);
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nX-Try-Id: {id}\r\nX-Postmark: mark-{id}\r\nX-Mesh-Attempt: {attempt}\r\n\
                  Content-Length: 8\r\n\r\nanswered"
@@ -89,14 +92,22 @@
     }
 }
 
-/// The id and the attempt's number of the next request, once all of it is here.
-async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<(String, String)> {
+/// A request as the far balancer reads it.
+struct Read {
+    id: String,
+    attempt: String,
+    aim: u64,
+}
+
+/// The next request, once all of it is here.
+async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<Read> {
     loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
             bytes.drain(..end + 4);
             let value = |name: &str| head.lines().find_map(|line| line.strip_prefix(name).map(str::to_owned));
-            return Some((value("x-try-id: ")?, value("x-mesh-attempt: ")?));
+            let aim = value("x-mesh-aim: ")?.parse().ok()?;
+            return Some(Read { id: value("x-try-id: ")?, attempt: value("x-mesh-attempt: ")?, aim });
         }
         if stream.read_buf(bytes).await.ok()? == 0 {
             return None;
@@ -108,7 +119,8 @@
 async fn far_balancer(mesh: &Mesh, net: u8) -> Rc<FarBalancer> {
     let incoming: SocketAddr = SocketAddr::from(([127, 1, net, 9], 8300));
     let listener = TcpListener::bind(incoming).await.expect("a listener");
-    let far = Rc::new(FarBalancer { breaks: Cell::new(Break::Never), read: RefCell::default() });
+    let far =
+        Rc::new(FarBalancer { breaks: Cell::new(Break::Never), read: RefCell::default(), aim: Cell::new(0) });
     spawn_local(far.clone().serve(listener));
     let record = Record {
         source: "m-9".to_owned(),
@@ -174,3 +186,26 @@
         }
     });
 }
+
+/// The aim counts from a client's first try; only the time that it still waits tells a later one from that.
+#[test]
+fn the_aim_of_a_later_try_counts_from_the_first() {
+    play(async || {
+        let mesh = Mesh::without_upstream(48, 1).await;
+        let far = far_balancer(&mesh, 48).await;
+        let well = until(|| mesh.request("/safe/a", "well", None), |a| status(a) == 200).await;
+        assert_eq!(status(&well), 200, "{well:?}");
+        for n in 0..40 {
+            let first = mesh.request("/safe/a", &format!("first-{n}"), None).await;
+            assert_eq!(status(&first), 200, "{first:?}");
+        }
+        // The route's target is 300 ms, and clients wait for 1500.
+        assert!((200..=300).contains(&far.aim.get()), "{} ms left of the first try's aim", far.aim.get());
+        let second = mesh.request_with("/safe/a", "second", None, 1350).await;
+        assert_eq!(status(&second), 200, "{second:?}");
+        assert!((50..=150).contains(&far.aim.get()), "{} ms left 150 ms later", far.aim.get());
+        let third = mesh.request_with("/safe/a", "third", None, 1000).await;
+        assert_eq!(status(&third), 200, "{third:?}");
+        assert_eq!(far.aim.get(), 0, "ms left 500 ms later");
+    });
+}
--- a/mesh/testbed/tests/mesh/mod.rs
+++ b/mesh/testbed/tests/mesh/mod.rs
@@ -118,7 +118,19 @@
 
     /// A request of a client at balancer 1.
     pub async fn request(&self, path: &str, id: &str, key: Option<&str>) -> anyhow::Result<Answer> {
-        let mut headers = vec![("Host", "h.example"), ("X-Try-Id", id), ("X-Time-Left", "1500")];
+        self.request_with(path, id, key, 1500).await
+    }
+
+    /// One of a client that still waits for so many milliseconds.
+    pub async fn request_with(
+        &self,
+        path: &str,
+        id: &str,
+        key: Option<&str>,
+        left: u64,
+    ) -> anyhow::Result<Answer> {
+        let left = left.to_string();
+        let mut headers = vec![("Host", "h.example"), ("X-Try-Id", id), ("X-Time-Left", left.as_str())];
         // What clients say of themselves here is not believed.
         headers.extend([("X-Sender", "somebody"), ("X-Addressee", "i-other"), ("X-Mesh-Keyed", "1")]);
         headers.extend(key.map(|k| ("X-Operation-Key", k)));
