Gate: short requests go before longer ones of their urgency

Cause: the gate ordered by the moment at which each must begin for its aim, so that an inner call waited behind, or was turned away for, client requests that had waited long; each that fails costs its parent's run. Change: among equal urgency what is short beside the others goes first; the queue's place is a struct with named fields.

--- a/mesh/data-plane/src/gate.rs
+++ b/mesh/data-plane/src/gate.rs
@@ -62,15 +62,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Waiting {
     kind: usize,
-    rank: u8,
     /// When it must be let through to be in time for its aim.
     aim: Micros,
     /// When it is turned away.
     last: Micros,
 }
 
-/// In time for their aims go before those that are late; among each, the more urgent, then the one that must go first.
-type Place = (bool, u8, Micros, u64);
+/// Where a request stands in the queue: the fields are compared one after the other, and the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    /// Those in time for their aims go before those that are late.
+    late: bool,
+    /// The more urgent goes first.
+    rank: u8,
+    /// What is short beside the others goes before them: whoever waits for it holds a place elsewhere.
+    long: bool,
+    /// When it must go.
+    by: Micros,
+    /// Its number, in the order of arrival.
+    number: u64,
+}
 
 /// The gate.
 #[derive(Debug)]
@@ -145,6 +156,15 @@
         self.kinds.get(kind).map_or(0.0, |(_, mean)| *mean)
     }
 
+    fn longest(&self) -> f64 {
+        self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max)
+    }
+
+    /// It is not short beside the others.
+    fn is_long(&self, kind: usize) -> bool {
+        self.mean(kind) > SHORT * self.longest()
+    }
+
     fn has_room(&self) -> bool {
         self.working < self.slots
     }
@@ -152,8 +172,7 @@
     /// About how long until a request is let through that has so much work before it.
     fn wait(&self, work: f64) -> f64 {
         // One of those at work ends after its part of a mean; all means are taken for alike there.
-        let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
-        (work + 0.5 * longest) / self.slots as f64
+        (work + 0.5 * self.longest()) / self.slots as f64
     }
 
     /// A request arrives.
@@ -167,23 +186,23 @@
         }
         let (kind, rank) = (self.kind(arrival.kind), arrival.rank);
         let mean = self.mean(kind);
-        let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
+        let long = self.is_long(kind);
         let aim = now + arrival.aim.saturating_sub(mean as Micros);
-        let in_time = self.wait(self.ahead((false, rank, aim, u64::MAX)));
-        // Whoever is late for its aim waits behind all that are not; but what is short beside the others delays nobody,
-        // and a request of another service may wait for it.
-        let late = in_time + mean > arrival.aim as f64 && mean > SHORT * longest;
-        let behind = arrival.left;
-        let wait = if late { self.wait(self.ahead((true, rank, now + behind, u64::MAX))) } else { in_time };
+        let in_time = Place { late: false, rank, long, by: aim, number: u64::MAX };
+        let wait_in_time = self.wait(self.ahead(in_time));
+        // Whoever is late for its aim waits behind all that are not; but what is short beside the others delays nobody.
+        let late = long && wait_in_time + mean > arrival.aim as f64;
+        let behind = Place { late: true, by: now + arrival.left, ..in_time };
+        let wait = if late { self.wait(self.ahead(behind)) } else { wait_in_time };
         let last = arrival.left.saturating_sub(WORD.max((mean * LEAST_LEFT) as Micros)).min(arrival.hold);
         if wait > last as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
             return Verdict::Full((wait as Micros).max(1_000));
         }
         let number = self.next;
         self.next += 1;
-        let waiting = Waiting { kind, rank, aim, last: now + last };
-        let first = if late { waiting.last } else { aim };
-        self.queue.insert((late, rank, first, number), waiting);
+        let waiting = Waiting { kind, aim, last: now + last };
+        let by = if late { waiting.last } else { aim };
+        self.queue.insert(Place { late, rank, long, by, number }, waiting);
         Verdict::Wait(number)
     }
 
@@ -210,11 +229,9 @@
         while self.has_room() && self.state != State::Absent {
             let Some(place) = self.queue.keys().next().copied() else { break };
             let Some(waiting) = self.queue.remove(&place) else { break };
-            let (late, .., number) = place;
-            let longest = self.kinds.iter().map(|(_, mean)| *mean).fold(0.0, f64::max);
-            if !late && waiting.aim < now && self.mean(waiting.kind) > SHORT * longest {
+            if !place.late && waiting.aim < now && self.is_long(waiting.kind) {
                 // Too late for its aim by now: behind those that are not.
-                self.queue.insert((true, waiting.rank, waiting.last, number), waiting);
+                self.queue.insert(Place { late: true, by: waiting.last, ..place }, waiting);
                 continue;
             }
             if waiting.last <= now {
@@ -223,7 +240,7 @@
                 break;
             }
             self.working += 1;
-            go.push(number);
+            go.push(place.number);
         }
         go
     }
@@ -234,12 +251,12 @@
         let late = |w: &Waiting| gone || w.last <= now;
         let places: Vec<Place> = self.queue.iter().filter(|(_, w)| late(w)).map(|(key, _)| *key).collect();
         self.queue.retain(|_, w| !late(w));
-        places.into_iter().map(|(.., number)| number).collect()
+        places.into_iter().map(|place| place.number).collect()
     }
 
     /// Whoever waited under this number has left.
     pub fn forget(&mut self, number: u64) {
-        let place = self.queue.keys().find(|(.., n)| *n == number).copied();
+        let place = self.queue.keys().find(|place| place.number == number).copied();
         place.and_then(|place| self.queue.remove(&place));
     }
 
