Aims count from a client's first try

Cause: each try was given a whole new aim, so that under refusals what was too late already stood among what was in time, and held it up. Change: balancers learn by kind of request how long clients wait in all (the longest common X-Time-Left); a try with less is so much older. Where clients' times have nothing in common nobody is taken for old.

--- a/mesh/data-plane/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -17,6 +17,7 @@
 use sloeline_route_config::table::Table;
 
 use crate::header_names;
+use crate::patience::Patiences;
 use crate::services::{Lead, Rails};
 
 /// What a refused client is told where nothing better is known, in seconds.
@@ -42,16 +43,20 @@
     bodies: Rc<Share>,
     clock: Rc<Clock>,
     ready: Cell<bool>,
+    /// By kind of request, how long clients wait in all.
+    patiences: RefCell<Patiences>,
 }
 
 impl Outgoing {
     /// No configuration yet. `sender` is the service of this machine; bodies take of the share.
     pub fn new(sender: HeaderValue, bodies: Rc<Share>, clock: Rc<Clock>) -> Outgoing {
-        Outgoing { routes: RefCell::default(), sender, bodies, clock, ready: Cell::new(false) }
+        let (routes, ready, patiences) = (RefCell::default(), Cell::new(false), RefCell::default());
+        Outgoing { routes, sender, bodies, clock, ready, patiences }
     }
 
     /// Takes the next request by these routes.
     pub fn swap(&self, routes: Routes) {
+        self.patiences.borrow_mut().keep(routes.leads.iter().map(|lead| &lead.kind));
         *self.routes.borrow_mut() = Some(Rc::new(routes));
     }
 
@@ -151,7 +156,13 @@
         headers.insert(header_names::KIND, lead.kind.clone());
         headers.insert(header_names::RANK, HeaderValue::from(route.precedence));
         let (now, time_left) = (self.clock.now(), waits.min(route.dispatch.timeout.0));
-        headers.insert(header_names::AIM, HeaderValue::from(now.saturating_add(route.target.0)));
+        // The aim counts from the client's first try.
+        let age = match waits {
+            Micros::MAX => 0,
+            _ => self.patiences.borrow_mut().age(&lead.kind, now / 1000, waits / 1000) * 1000,
+        };
+        let aim = now.saturating_add(route.target.0).saturating_sub(age);
+        headers.insert(header_names::AIM, HeaderValue::from(aim));
         let hold = (time_left as f64 * HELD) as Micros;
         headers.insert(header_names::HOLD, HeaderValue::from(now.saturating_add(hold)));
         headers.insert(header_names::TIME_LEFT, HeaderValue::from(now.saturating_add(time_left)));
--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The data plane: the balancer beside each application instance. Requests of this machine go out through [`front`] and
 //! [`services`], which decide by the module; requests for this machine's upstream come in through [`receive`], which
-//! only forwards what [`gate`] lets through. [`beats`] and [`gate`] are without I/O.
+//! only forwards what [`gate`] lets through. [`beats`], [`gate`] and [`patience`] are without
+//! I/O.
 
 pub mod beats;
 pub mod core_client;
@@ -10,6 +11,7 @@
 pub mod header_names;
 pub mod keys;
 pub mod metrics;
+pub mod patience;
 pub mod program;
 pub mod receive;
 pub mod services;
