Long answers leave one after the other, no faster than the machine's link carries them

Change: a shaper for the answers of the far balancer (link_mbps of the settings), the gate counts what waits for the link, answers up to 256 KB are read whole before they leave.

--- a/mesh/data-plane/src/gate.rs
+++ b/mesh/data-plane/src/gate.rs
@@ -56,6 +56,17 @@
     pub left: Micros,
     /// How long it may wait here.
     pub hold: Micros,
+    /// How long its answer will wait for the link; zero for a short one.
+    pub link_wait: Micros,
+    /// How long its answer then takes on the link; zero for a short one.
+    pub link_time: Micros,
+}
+
+impl Arrival {
+    /// How long its answer is on its way.
+    fn on_link(&self) -> Micros {
+        self.link_wait.saturating_add(self.link_time)
+    }
 }
 
 /// A request that waits.
@@ -180,21 +191,29 @@
         if self.state != State::Open {
             return Verdict::Closed;
         }
+        let (kind, rank) = (self.kind(arrival.kind), arrival.rank);
+        let mean = self.mean(kind);
+        let on_link = arrival.on_link();
+        // An answer that the link would carry too late takes it from those that are in time: one without a chance is
+        // worked on only where next to nothing waits for the link.
+        let too_late = mean as Micros + on_link > arrival.aim && arrival.link_wait > arrival.link_time;
+        if too_late || on_link > arrival.left {
+            return Verdict::Full(arrival.link_wait.max(1_000));
+        }
         if self.queue.is_empty() && self.has_room() {
             self.working += 1;
             return Verdict::Go;
         }
-        let (kind, rank) = (self.kind(arrival.kind), arrival.rank);
-        let mean = self.mean(kind);
         let long = self.is_long(kind);
-        let aim = now + arrival.aim.saturating_sub(mean as Micros);
+        let aim = now + arrival.aim.saturating_sub(mean as Micros + on_link);
         let in_time = Place { late: false, rank, long, by: aim, number: u64::MAX };
         let wait_in_time = self.wait(self.ahead(in_time));
         // Whoever is late for its aim waits behind all that are not; but what is short beside the others delays nobody.
-        let late = long && wait_in_time + mean > arrival.aim as f64;
+        let late = long && wait_in_time + mean + on_link as f64 > arrival.aim as f64;
         let behind = Place { late: true, by: now + arrival.left, ..in_time };
         let wait = if late { self.wait(self.ahead(behind)) } else { wait_in_time };
-        let last = arrival.left.saturating_sub(WORD.max((mean * LEAST_LEFT) as Micros)).min(arrival.hold);
+        let needed = WORD.max((mean * LEAST_LEFT) as Micros) + on_link;
+        let last = arrival.left.saturating_sub(needed).min(arrival.hold);
         if wait > last as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
             return Verdict::Full((wait as Micros).max(1_000));
         }
--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -1,6 +1,6 @@
 //! The data plane: the balancer beside each application instance. Requests of this machine go out through [`front`] and
 //! [`services`], which decide by the module; requests for this machine's upstream come in through [`receive`], which
-//! only forwards what [`gate`] lets through. [`beats`], [`gate`] and [`patience`] are without
+//! only forwards what [`gate`] lets through; its answers share the link by [`link_shaper`]. [`beats`], [`gate`] and [`patience`] are without
 //! I/O.
 
 pub mod beats;
@@ -10,8 +10,10 @@
 pub mod gate;
 pub mod header_names;
 pub mod keys;
+pub mod link_shaper;
 pub mod metrics;
 pub mod patience;
 pub mod program;
 pub mod receive;
 pub mod services;
+pub mod shaped_body;
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -36,6 +36,7 @@
 use crate::front::{Outgoing, Routes};
 use crate::header_names;
 use crate::keys::Keys;
+use crate::link_shaper::LinkShaper;
 use crate::metrics;
 use crate::receive::Receiver;
 use crate::services::{Ground, Services};
@@ -59,6 +60,9 @@
 /// A start may follow an order to stop, which came at least [`STILL`] before. Until `grace` and so much more are over since
 /// the order, requests are finished as if it held still.
 const AFTER_GRACE: Duration = Duration::from_millis(1200);
+/// Answers of the upstream up to here are read whole before they leave, so that its slot is free while they wait for the
+/// link; longer ones pass through.
+const HELD: usize = 256 << 10;
 /// Most bytes of a beat.
 const MOST_BEAT: usize = 64 << 10;
 
@@ -120,7 +124,7 @@
         only_ok: false,
         declined: None,
         most_answer: 1 << 30,
-        held: 64 << 10,
+        held: HELD,
         forwards: true,
         errors: false,
         echo: None,
@@ -130,7 +134,10 @@
     spawn_local(to_upstream.tend());
     let window = guarantees.key_window.millis() + LEDGER_LONGER;
     let ledger = Ledger::new(window, (memory * ANSWERS) as usize);
-    let receiver = Receiver::new(to_upstream, keys.clone(), ledger, exchange.clone(), guarantees.drain.0);
+    let link = LinkShaper::new(settings.size_limits.link_mbps);
+    spawn_local(link.clone().tend());
+    let receiver =
+        Receiver::new(to_upstream, keys.clone(), ledger, exchange.clone(), guarantees.drain.0, link);
     spawn_local(receiver.clone().tend());
 
     let clock = Rc::new(Clock::new());
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -13,7 +13,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, StatusCode, Uri, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming};
 use hyper_util::rt::TokioIo;
 use log::debug;
 use sloeline_discovery::Condition;
@@ -36,7 +36,9 @@
 use crate::gate::{Arrival, Gate, Micros, State, Verdict};
 use crate::header_names;
 use crate::keys::Keys;
+use crate::link_shaper::{Expected, LinkShaper};
 use crate::metrics;
+use crate::shaped_body::{LONG, ShapedBody};
 
 /// Longest time that a request is taken for, whatever it says: a day.
 const LONGEST: Micros = 86_400_000_000;
@@ -51,6 +53,10 @@
 /// An answer's way back.
 const WAY_BACK: Micros = 3_000;
 const PAUSE: Duration = Duration::from_millis(20);
+/// Weight of the newest figure in the mean length of answers.
+const NEWEST: f64 = 0.1;
+/// Most kinds of requests whose answers' lengths are known.
+const MOST_KINDS: usize = 64;
 
 /// The way in.
 pub struct Receiver {
@@ -63,6 +69,10 @@
     exchange: Rc<Exchange>,
     /// How long after its word that it closes the upstream is still sent what waits.
     drain: Micros,
+    /// The link on which answers leave.
+    link: Rc<LinkShaper>,
+    /// Mean length of the answers to each kind of request, in bytes.
+    lengths: RefCell<HashMap<u64, f64>>,
     start: Instant,
     changed: Notify,
 }
@@ -73,12 +83,15 @@
     kind: u64,
     since: Micros,
     told: bool,
+    /// What its answer will have for the link.
+    expected: Option<Expected>,
 }
 
 impl Place {
     /// The upstream has answered: how long that took tells something.
     fn done(&mut self) {
         self.told = true;
+        self.expected = None;
     }
 }
 
@@ -146,6 +159,7 @@
         ledger: Ledger,
         exchange: Rc<Exchange>,
         drain: Micros,
+        link: Rc<LinkShaper>,
     ) -> Rc<Receiver> {
         Rc::new(Receiver {
             gate: RefCell::default(),
@@ -156,6 +170,8 @@
             ledger: RefCell::new(ledger),
             exchange,
             drain: drain / 2,
+            link,
+            lengths: RefCell::default(),
             start: Instant::now(),
             changed: Notify::new(),
         })
@@ -247,15 +263,16 @@
     }
 
     /// Each answer says which attempt it belongs to.
-    async fn respond_numbered(self: Rc<Self>, request: Request<Incoming>) -> Answered {
+    async fn respond_numbered(self: Rc<Self>, request: Request<Incoming>) -> Response<ShapedBody> {
         let attempt = request.headers().get(header_names::ATTEMPT).cloned();
+        let link = self.link.clone();
         let mut answer = self.respond(request).await;
         // An upstream's own header of this name says nothing here.
         answer.headers_mut().remove(header_names::ATTEMPT);
         if let Some(attempt) = attempt {
             answer.headers_mut().insert(header_names::ATTEMPT, attempt);
         }
-        answer
+        answer.map(|body| ShapedBody::new(body, link))
     }
 
     async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Answered {
@@ -270,7 +287,8 @@
             text(&header_names::LIMIT).and_then(number).map_or(left, |ms| ms.saturating_mul(1000).min(left));
         let hold = text(&header_names::HOLD).and_then(number).map_or(limit, |ms| ms.saturating_mul(1000));
         let rank = text(&header_names::RANK).and_then(|rank| rank.parse().ok()).unwrap_or(u8::MAX);
-        let arrival = Arrival { kind: kind(&head.headers), rank, aim, left: limit.min(LONGEST), hold };
+        let kind = kind(&head.headers);
+        let arrival = Arrival { kind, rank, aim, left: limit.min(LONGEST), hold, link_wait: 0, link_time: 0 };
         let (id, address) = {
             let beats = self.beats.borrow();
             match (beats.upstream(), beats.address()) {
@@ -326,6 +344,26 @@
         }
     }
 
+    /// Mean length of the answers to a kind of request where they are long, in bytes.
+    fn long_answer(&self, kind: u64) -> Option<u64> {
+        let length = self.lengths.borrow().get(&kind).copied().unwrap_or(0.0) as u64;
+        (length > LONG).then_some(length)
+    }
+
+    /// How long the answer to such a request will wait for the link and then take there.
+    fn outlook(&self, kind: u64) -> (Micros, Micros) {
+        self.long_answer(kind).map_or((0, 0), |length| self.link.outlook(length))
+    }
+
+    /// Learns from the length of an answer.
+    fn learn_length(&self, kind: u64, length: u64) {
+        let mut lengths = self.lengths.borrow_mut();
+        if lengths.len() < MOST_KINDS || lengths.contains_key(&kind) {
+            let mean = lengths.entry(kind).or_insert(length as f64);
+            *mean += NEWEST * (length as f64 - *mean);
+        }
+    }
+
     /// A place with the upstream, or the answer where there is none.
     async fn place(self: &Rc<Self>, arrival: Arrival, came: Micros) -> Result<Place, Answered> {
         let now = self.now();
@@ -335,12 +373,15 @@
             return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "too little time left", None));
         }
         let kind = arrival.kind;
+        let (link_wait, link_time) = self.outlook(kind);
+        let arrival = Arrival { link_wait, link_time, ..arrival };
         let verdict = self.gate.borrow_mut().arrive(now, Arrival { aim, left, hold, ..arrival });
+        let expected = self.long_answer(kind).map(|length| self.link.expect(length));
         let place = || {
             let since = self.now();
             metrics::GATE_ADMITTED.increment();
             metrics::GATE_WAIT.add(since.saturating_sub(now));
-            Place { receiver: self.clone(), kind, since, told: false }
+            Place { receiver: self.clone(), kind, since, told: false, expected }
         };
         match verdict {
             Verdict::Go => Ok(place()),
@@ -401,6 +442,9 @@
             }
             Relayed::Answered(mut reply) => {
                 place.done();
+                if let (true, Some(length)) = (reply.status.is_success(), reply.body.size_hint().exact()) {
+                    self.learn_length(going.arrival.kind, length);
+                }
                 if let Payload::Passing(passing) = &mut reply.body {
                     let (receiver, begun) = (self.clone(), self.now());
                     passing.at_end(move |_| {
--- a/mesh/data-plane/tests/gate.rs
+++ b/mesh/data-plane/tests/gate.rs
@@ -7,7 +7,15 @@
 const MS: u64 = 1_000;
 
 fn arrival(kind: u64, aim: u64, left: u64) -> Arrival {
-    Arrival { kind, rank: 2, aim: aim * MS, left: left * MS, hold: left * MS * 45 / 100 }
+    Arrival {
+        kind,
+        rank: 2,
+        aim: aim * MS,
+        left: left * MS,
+        hold: left * MS * 45 / 100,
+        link_wait: 0,
+        link_time: 0,
+    }
 }
 
 /// A gate of two slots that has learned how long two kinds take: 100 ms and 10 ms.
--- a/mesh/process-settings/src/lib.rs
+++ b/mesh/process-settings/src/lib.rs
@@ -106,11 +106,14 @@
     /// Descriptors.
     #[validate(range(min = 64, max = 1_048_576, message = "expected 64 to 1048576"))]
     pub file_handles: u64,
+    /// Megabits a second that its link carries.
+    #[validate(range(min = 0.1, max = 1e6, message = "expected 0.1 to 1000000"))]
+    pub link_mbps: f64,
 }
 
 impl Default for Size {
     fn default() -> Size {
-        Size { cpu_share: 1.0, memory_mb: 256, file_handles: 1024 }
+        Size { cpu_share: 1.0, memory_mb: 256, file_handles: 1024, link_mbps: 1000.0 }
     }
 }
 
--- a/mesh/testbed/examples/slopes.rs
+++ b/mesh/testbed/examples/slopes.rs
@@ -236,8 +236,15 @@
     gate.set(GateState::Open, 6);
     println!("\nrequests that wait at a gate   arrive and leave, us");
     for waiting in [0, 16, 90] {
-        let arrival =
-            Arrival { kind: 1, rank: 1, aim: 900_000_000, left: 3_000_000_000, hold: 1_400_000_000 };
+        let arrival = Arrival {
+            kind: 1,
+            rank: 1,
+            aim: 900_000_000,
+            left: 3_000_000_000,
+            hold: 1_400_000_000,
+            link_wait: 0,
+            link_time: 0,
+        };
         while gate.waiting() < waiting || gate.working() < 6 {
             gate.arrive(0, arrival);
         }
