--- a/mesh/testbed/src/standin.rs
+++ b/mesh/testbed/src/standin.rs
@@ -3,12 +3,15 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::Poll;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, body::Incoming};
@@ -143,6 +146,38 @@
     }
 }
 
+/// The body of an answer.
+struct Said {
+    text: Option<Bytes>,
+    /// After its text the connection is closed, whatever was promised.
+    breaks: bool,
+}
+
+impl Body for Said {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut std::task::Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        let broken = || std::io::Error::other("cut as told");
+        Poll::Ready(match self.text.take() {
+            Some(text) => Some(Ok(Frame::data(text))),
+            None => self.breaks.then(|| Err(broken())),
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        !self.breaks && self.text.as_ref().is_none_or(Bytes::is_empty)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let length = self.text.as_ref().map_or(0, |text| text.len() as u64);
+        if self.breaks { SizeHint::default() } else { SizeHint::with_exact(length) }
+    }
+}
+
 /// Counts a request that is at work until it is dropped.
 struct Working(Standin);
 
@@ -162,7 +197,7 @@
 }
 
 /// The answer, or nothing where the connection is to be cut.
-async fn respond(standin: Standin, request: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+async fn respond(standin: Standin, request: Request<Incoming>) -> Option<Response<Said>> {
     let (head, body) = request.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
     let (id, key, sender) = (text("x-try-id"), text("x-operation-key"), text("x-sender"));
@@ -174,7 +209,7 @@
     match manner {
         Manner::CutBefore => return None,
         Manner::Sheds => {
-            let mut response = Response::new(Full::default());
+            let mut response = Response::new(Said { text: Some(Bytes::new()), breaks: false });
             *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
             response.headers_mut().insert("x-not-run", hyper::header::HeaderValue::from_static("1"));
             response.headers_mut().insert("x-try-id", id.parse().ok()?);
@@ -203,7 +238,7 @@
         let status = if manner == Manner::Fails { 500 } else { 200 };
         let builder = Response::builder().status(status).header("x-try-id", id).header("x-postmark", &stamp);
         let builder = length.into_iter().fold(builder, |b, l| b.header("content-length", l));
-        builder.body(Full::from(said)).ok()
+        builder.body(Said { text: Some(said.into()), breaks: manner == Manner::CutAfter }).ok()
     };
     match manner {
         Manner::CutDuring => None,
