Gate: late requests are told at once while those in time take all places

Change: the part of late requests that get through is learned; under a half they are turned away but for one at a time. Result: the test of it passes.

--- a/mesh/data-plane/src/gate.rs
+++ b/mesh/data-plane/src/gate.rs
@@ -16,6 +16,10 @@
 const WORD: Micros = 20_000;
 /// Part of the longest mean under which a kind of request is short.
 const SHORT: f64 = 0.4;
+/// Weight of the newest outcome in the part of late requests that are let through in the end.
+const NEWEST_LATE: f64 = 0.1;
+/// Under this part late requests are turned away at once, but for one that shows whether there is room for them again.
+const LEAST_LATE: f64 = 0.5;
 /// Part of the mean that is left to a request at the least when it is let through.
 const LEAST_LEFT: f64 = 1.3;
 
@@ -104,6 +108,8 @@
     queue: BTreeMap<Place, Waiting>,
     /// Kinds and their mean time with the upstream.
     kinds: Vec<(u64, f64)>,
+    /// Part of the late requests that are let through, of late.
+    late_through: f64,
 }
 
 impl Default for Gate {
@@ -115,6 +121,7 @@
             next: 0,
             queue: BTreeMap::new(),
             kinds: Vec::new(),
+            late_through: 1.0,
         }
     }
 }
@@ -214,7 +221,9 @@
         let wait = if late { self.wait(self.ahead(behind)) } else { wait_in_time };
         let needed = WORD.max((mean * LEAST_LEFT) as Micros) + on_link;
         let last = arrival.left.saturating_sub(needed).min(arrival.hold);
-        if wait > last as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
+        // What comes in time takes all places for now: a late one would wait in vain.
+        let in_vain = late && self.late_through < LEAST_LATE && self.queue.keys().any(|place| place.late);
+        if in_vain || wait > last as f64 || last == 0 || self.queue.len() >= MOST_WAITING * self.slots {
             return Verdict::Full((wait as Micros).max(1_000));
         }
         let number = self.next;
@@ -259,6 +268,7 @@
                 break;
             }
             self.working += 1;
+            self.learn_late(place, true);
             go.push(place.number);
         }
         go
@@ -270,9 +280,17 @@
         let late = |w: &Waiting| gone || w.last <= now;
         let places: Vec<Place> = self.queue.iter().filter(|(_, w)| late(w)).map(|(key, _)| *key).collect();
         self.queue.retain(|_, w| !late(w));
+        places.iter().for_each(|place| self.learn_late(*place, false));
         places.into_iter().map(|place| place.number).collect()
     }
 
+    /// A request that stood here was let through, or waited in vain.
+    fn learn_late(&mut self, place: Place, through: bool) {
+        if place.late {
+            self.late_through += NEWEST_LATE * (f64::from(u8::from(through)) - self.late_through);
+        }
+    }
+
     /// Whoever waited under this number has left.
     pub fn forget(&mut self, number: u64) {
         let place = self.queue.keys().find(|place| place.number == number).copied();
--- a/mesh/data-plane/tests/gate.rs
+++ b/mesh/data-plane/tests/gate.rs
@@ -94,6 +94,39 @@
     assert_eq!(gate.leave(MS, 1, None), [long]);
 }
 
+/// Two slots, all of whose places go to requests in time: late ones wait in vain, and are told so at once after a while.
+#[test]
+fn late_requests_are_turned_away_at_once_while_those_in_time_take_all_places() {
+    let mut gate = full();
+    let late = |now: u64| (now, arrival(1, 0, 1000));
+    let (mut waited, mut refused) = (0, 0);
+    for round in 1..100 {
+        let now = round * 50 * MS;
+        waits(&mut gate, now, arrival(1, 400, 2000));
+        let (at, request) = late(now);
+        match gate.arrive(at, request) {
+            Verdict::Wait(_) => waited += 1,
+            Verdict::Full(_) => refused += 1,
+            other => panic!("{other:?}"),
+        }
+        gate.expire(now);
+        assert_eq!(gate.leave(now, 1, None).len(), 1, "the one in time");
+    }
+    assert!(refused > 2 * waited, "{waited} late ones waited, {refused} were told at once");
+    // There is room again: whoever waits to see that goes, and others after it.
+    let mut now = 6_000 * MS;
+    for _ in 0..20 {
+        gate.expire(now);
+        let (at, request) = late(now);
+        if let Verdict::Wait(number) = gate.arrive(at, request) {
+            assert_eq!(gate.leave(now, 1, None), [number]);
+        }
+        now += 50 * MS;
+    }
+    let numbers = [late(now), late(now)].map(|(at, request)| waits(&mut gate, at, request));
+    assert_eq!(numbers.len(), 2);
+}
+
 /// Whoever waits for a short one holds a place elsewhere for as long.
 #[test]
 fn what_is_short_goes_before_longer_ones_however_pressed_they_are() {
