--- a/mesh/data-plane/tests/gate.rs
+++ b/mesh/data-plane/tests/gate.rs
@@ -127,6 +127,25 @@
     assert_eq!(numbers.len(), 2);
 }
 
+#[test]
+fn a_long_answer_is_only_begun_where_the_link_can_carry_it_in_time() {
+    let long = |link_wait: u64, aim: u64| Arrival {
+        link_wait: link_wait * MS,
+        link_time: 50 * MS,
+        ..arrival(1, aim, 2000)
+    };
+    // Ready after 100 ms, and sent 50 ms later or as soon as the link is free.
+    let told = |arrival| learned().arrive(0, arrival);
+    assert_eq!(told(long(0, 200)), Verdict::Go);
+    assert_eq!(told(long(90, 200)), Verdict::Go, "the link frees up while the upstream works");
+    assert_eq!(told(long(300, 400)), Verdict::Go);
+    assert_eq!(told(long(300, 340)), Verdict::Full(300 * MS));
+    // Late whatever happens: only where nothing else waits for the link.
+    assert_eq!(told(long(20, 0)), Verdict::Go);
+    assert_eq!(told(long(60, 0)), Verdict::Full(60 * MS));
+    assert_eq!(told(long(1990, 5000)), Verdict::Full(1990 * MS), "its sender waits for less");
+}
+
 /// Whoever waits for a short one holds a place elsewhere for as long.
 #[test]
 fn what_is_short_goes_before_longer_ones_however_pressed_they_are() {
