Soak: kept connections, planned stops, settings told, orders that overlap

Cause: the soak's clients made a connection for each request, no process was ever told to stop, and orders came one after the other. Change: six clients that keep their connections until the process is gone, SIGTERM with a kill after grace, SIGHUP, three orders under way at once; checked besides: answers on kept connections are the ones asked for, and none is missing around planned stops.

--- a/mesh/testbed/src/client.rs
+++ b/mesh/testbed/src/client.rs
@@ -71,6 +71,50 @@
     parse(&come)
 }
 
+/// A connection that is kept for one request after the other.
+pub struct Kept {
+    stream: TcpStream,
+    come: Vec<u8>,
+}
+
+impl Kept {
+    /// Connects.
+    pub async fn connect(to: SocketAddr) -> Result<Kept> {
+        let stream = TcpStream::connect(to).await.with_context(|| format!("connect to {to}"))?;
+        Ok(Kept { stream, come: Vec::new() })
+    }
+
+    /// Sends a request as it stands and reads its answer, which must tell its length.
+    pub async fn ask(&mut self, request: &str) -> Result<Answer> {
+        self.stream.write_all(request.as_bytes()).await?;
+        loop {
+            if let Some(length) = whole_length(&self.come)? {
+                let answer = parse(&self.come[..length])?;
+                self.come.drain(..length);
+                return Ok(answer);
+            }
+            if self.come.len() > MOST {
+                bail!("answer: longer than {MOST} bytes");
+            }
+            if self.stream.read_buf(&mut self.come).await? == 0 {
+                bail!("answer: the connection ended");
+            }
+        }
+    }
+}
+
+/// The length in bytes of the answer that what has come begins with, where all of it is here.
+fn whole_length(come: &[u8]) -> Result<Option<usize>> {
+    let Some(head) = come.windows(4).position(|window| window == b"\r\n\r\n") else { return Ok(None) };
+    let text = std::str::from_utf8(&come[..head]).context("answer: its head is no text")?;
+    let text = text.to_ascii_lowercase();
+    let length = text.lines().find_map(|line| line.strip_prefix("content-length:"));
+    let length = length.and_then(|length| length.trim().parse::<usize>().ok());
+    let length = length.context("answer: found no content-length, expected one")?;
+    let end = head + 4 + length;
+    Ok((come.len() >= end).then_some(end))
+}
+
 fn parse(come: &[u8]) -> Result<Answer> {
     let end = come.windows(4).position(|w| w == b"\r\n\r\n").context("answer: no head")?;
     let head = std::str::from_utf8(&come[..end]).context("answer: its head is no text")?;
--- a/mesh/testbed/src/process.rs
+++ b/mesh/testbed/src/process.rs
@@ -40,6 +40,7 @@
     log: PathBuf,
     child: Option<Child>,
     ended_by_itself: u32,
+    told_to_stop: bool,
 }
 
 impl Process {
@@ -58,6 +59,7 @@
             log: folder.join(format!("{name}.log")),
             child: None,
             ended_by_itself: 0,
+            told_to_stop: false,
         };
         process.set_settings(settings)?;
         process.restart()?;
@@ -84,6 +86,7 @@
             .spawn()
             .with_context(|| format!("start {}", self.testbed.display()))?;
         self.child = Some(child);
+        self.told_to_stop = false;
         Ok(())
     }
 
@@ -99,7 +102,7 @@
 
     /// Ends it at once, as a loss of power does but for what the kernel has of its files.
     pub fn kill(&mut self) {
-        if !self.is_running() && self.child.is_some() {
+        if !self.is_running() && self.child.is_some() && !self.told_to_stop {
             self.ended_by_itself += 1;
         }
         if let Some(mut child) = self.child.take() {
@@ -108,6 +111,17 @@
         }
     }
 
+    /// Tells it to stop.
+    pub fn stop(&mut self) {
+        self.told_to_stop = true;
+        self.signal(Signal::TERM);
+    }
+
+    /// Tells it that its settings have changed.
+    pub fn tell_settings(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Stops its clockwork until [`Process::resume`].
     pub fn pause(&self) {
         self.signal(Signal::STOP);
--- a/mesh/testbed/src/soak/fleet.rs
+++ b/mesh/testbed/src/soak/fleet.rs
@@ -37,18 +37,32 @@
     pub troubles: Cell<u32>,
     /// When the last of them ended.
     pub calm_since: Cell<Instant>,
+    /// Those of them that nobody has planned.
+    pub unplanned: Cell<u32>,
+    /// When the last of those ended.
+    pub unplanned_until: Cell<Instant>,
 }
 
 impl Node {
     /// A trouble begins.
-    pub fn disturb(&self) {
+    pub fn disturb(&self, planned: bool) {
         self.troubles.set(self.troubles.get() + 1);
+        self.unplanned.set(self.unplanned.get() + u32::from(!planned));
     }
 
     /// It ends.
-    pub fn calm(&self) {
+    pub fn calm(&self, planned: bool) {
         self.troubles.set(self.troubles.get() - 1);
         self.calm_since.set(Instant::now());
+        if !planned {
+            self.unplanned.set(self.unplanned.get() - 1);
+            self.unplanned_until.set(Instant::now());
+        }
+    }
+
+    /// Nothing unplanned has troubled it for so long.
+    pub fn is_free_of_unplanned_for(&self, span: Duration) -> bool {
+        self.unplanned.get() == 0 && self.unplanned_until.get().elapsed() >= span
     }
 
     /// Nothing has troubled it for so long.
@@ -131,5 +145,7 @@
         life: Cell::new(1),
         troubles: Cell::new(0),
         calm_since: Cell::new(Instant::now()),
+        unplanned: Cell::new(0),
+        unplanned_until: Cell::new(Instant::now()),
     }
 }
--- /dev/null
+++ b/mesh/testbed/src/soak/kept.rs
@@ -0,0 +1,77 @@
+//! Clients that keep a connection and use it for one request after the other, until the process at its other end is gone.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::fleet::BALANCERS;
+use super::load::{CONTACT, Load};
+use crate::client::{Answer, Kept};
+
+/// A process that has read a request whole answers it, but for one that it closed on within this time: it may not have read it.
+const LOST_SLACK: Duration = Duration::from_millis(200);
+/// How long an answer is waited for.
+const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
+
+impl Load {
+    /// Uses connections to any balancer, one after the other, until the end.
+    pub async fn keep(self, client: u32, mut rng: Rng) {
+        while Instant::now() < self.until {
+            let balancer = rng.u8(1..=BALANCERS);
+            let connected = timeout(ANSWER_WITHIN, Kept::connect(self.fleet.plan.outgoing(balancer))).await;
+            if let Ok(Ok(connection)) = connected {
+                self.use_up(connection, balancer, client, &mut rng).await;
+            }
+            sleep(Duration::from_millis(rng.u64(5..50))).await;
+        }
+    }
+
+    /// Sends requests on one connection until it ends.
+    async fn use_up(&self, mut connection: Kept, balancer: u8, client: u32, rng: &mut Rng) {
+        while Instant::now() < self.until {
+            let id = format!("kept-{client}-{:x}", rng.u64(..));
+            let sent_at = Instant::now();
+            let answered = timeout(ANSWER_WITHIN, connection.ask(&request(&id))).await;
+            match answered {
+                Ok(Ok(answer)) => {
+                    self.check_answer(balancer, &id, &answer);
+                    if answer.header("connection").is_some_and(|value| value == "close") {
+                        return;
+                    }
+                }
+                Ok(Err(_)) => return self.check_lost(balancer, &id, sent_at),
+                Err(_) => return self.account.borrow_mut().count("kept without an answer in time"),
+            }
+            sleep(Duration::from_millis(rng.u64(1..60))).await;
+        }
+    }
+
+    /// A success belongs to the request that it answers.
+    fn check_answer(&self, balancer: u8, id: &str, answer: &Answer) {
+        let mut account = self.account.borrow_mut();
+        if answer.status != 200 {
+            return account.count("kept not served");
+        }
+        account.count("kept served");
+        let (whose, stamp) = (answer.header("x-try-id"), answer.header("x-postmark"));
+        if whose != Some(id) || !stamp.is_some_and(|stamp| stamp.starts_with(id)) {
+            account.violate(format!("balancer {balancer} answered {id} with {whose:?}, {stamp:?}"));
+        }
+    }
+
+    /// Whatever else is planned, a request that was read is answered before its connection ends.
+    fn check_lost(&self, balancer: u8, id: &str, sent_at: Instant) {
+        let node = &self.fleet.balancers[usize::from(balancer) - 1];
+        let open = sent_at.elapsed();
+        let mut account = self.account.borrow_mut();
+        account.count("kept connections ended");
+        if open > LOST_SLACK && node.is_free_of_unplanned_for(CONTACT + open) {
+            account.violate(format!("balancer {balancer} left {id} without an answer after {open:?}"));
+        }
+    }
+}
+
+fn request(id: &str) -> String {
+    format!("GET /v/1/x HTTP/1.1\r\nHost: shop.example\r\nX-Try-Id: {id}\r\nX-Time-Left: 2000\r\n\r\n")
+}
--- a/mesh/testbed/src/soak/load.rs
+++ b/mesh/testbed/src/soak/load.rs
@@ -29,6 +29,10 @@
 /// Clients, and the keys that each uses over and over.
 const CLIENTS: u32 = 4;
 const KEYS: u32 = 400;
+/// Clients that keep their connections.
+const KEPT: u32 = 6;
+/// Orders that the operator has under way at once.
+const ORDERS: u32 = 3;
 
 /// What the load works on.
 #[derive(Clone)]
@@ -100,14 +104,14 @@
         None
     }
 
-    /// Changes the configuration until the end.
-    pub async fn operate(self, mut rng: Rng) {
-        for edition in 2.. {
+    /// Changes the configuration until the end, by orders that overlap: one in so many versions is this one's.
+    pub async fn operate(self, first: u32, mut rng: Rng) {
+        for edition in (first..).step_by(ORDERS as usize) {
             if Instant::now() >= self.until {
                 return;
             }
             self.order(edition, &mut rng).await;
-            sleep(Duration::from_millis(rng.u64(50..500))).await;
+            sleep(Duration::from_millis(rng.u64(50..900))).await;
         }
     }
 
@@ -210,7 +214,8 @@
 
     /// Starts all of it.
     pub fn start(&self, rng: &mut Rng) {
-        spawn_local(self.clone().operate(rng.fork()));
+        (0..ORDERS).for_each(|order| _ = spawn_local(self.clone().operate(2 + order, rng.fork())));
+        (0..KEPT).for_each(|client| _ = spawn_local(self.clone().keep(client, rng.fork())));
         spawn_local(self.clone().read_often(rng.fork()));
         (1..=BALANCERS).for_each(|balancer| _ = spawn_local(self.clone().probe(balancer)));
         (0..CLIENTS).for_each(|client| _ = spawn_local(self.clone().call(client, rng.fork())));
--- a/mesh/testbed/src/soak/mod.rs
+++ b/mesh/testbed/src/soak/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Three core machines and three balancers with an upstream each, behind relays. An operator changes the configuration all the
 //! time and loses some answers, clients send keyed requests again and again, probes look at what is in force. Meanwhile
-//! processes are killed and paused, disks are lost, links are cut, reset, slowed and lose answers, up to three at a time.
+//! processes are killed, paused, told to stop and started again, or told of their settings, disks are lost, links are cut,
+//! reset, slowed and lose answers, up to three at a time. Some clients keep their connections until the process is gone.
 //! At the end all is well for a while. What must hold:
 //!
 //! - a read gives no version below one acknowledged before, and only what was sent under its number;
@@ -10,10 +11,12 @@
 //! - an order is never refused that is valid;
 //! - at the end everybody has the newest acknowledged version;
 //! - no key runs twice;
+//! - an answer on a kept connection is the one to its request, and around planned stops no request is left without one;
 //! - no process counts a violation of an invariant, logs a defect, or ends by itself.
 
 pub mod account;
 pub mod fleet;
+pub mod kept;
 pub mod load;
 pub mod troubles;
 
--- a/mesh/testbed/src/soak/troubles.rs
+++ b/mesh/testbed/src/soak/troubles.rs
@@ -19,6 +19,10 @@
 /// How long a core machine that was lost counts as lost after its return.
 const SYNC_TIME: Duration = Duration::from_secs(4);
 
+/// How long a process has from the order to stop until it is killed, and how often it is looked at.
+const GRACE: Duration = Duration::from_secs(6);
+const LOOK: Duration = Duration::from_millis(20);
+
 /// One trouble.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -28,6 +32,10 @@
     KillCore(Duration),
     /// A core machine is killed and comes back with an empty disk.
     Wipe(Duration),
+    /// The process is told to stop, is killed if it has not ended within `grace`, and starts again after so long.
+    Stop(Duration),
+    /// The process is told that its settings have changed.
+    Settings,
     /// The process stands still.
     Pause(Duration),
     /// The relay before it does something.
@@ -56,10 +64,11 @@
         let (fleet, folder) = (fleet.clone(), folder.to_owned());
         // Its troubles count from now on, not from when the task is first run.
         let troubled = trouble.troubles(&fleet, &node);
-        troubled.iter().for_each(|node| node.disturb());
+        let planned = trouble.is_planned();
+        troubled.iter().for_each(|node| node.disturb(planned));
         at_work.spawn_local(async move {
             trouble.run(&node, &troubled, &folder).await;
-            troubled.iter().for_each(|node| node.calm());
+            troubled.iter().for_each(|node| node.calm(planned));
         });
     }
     while at_work.join_next().await.is_some() {}
@@ -72,7 +81,7 @@
     let others = fleet.cores.iter().filter(|core| core.machine != node.machine);
     let may_wipe =
         is_core && node.troubles.get() == 0 && others.clone().all(|core| core.is_calm_for(SYNC_TIME));
-    match rng.u32(..10) {
+    match rng.u32(..13) {
         0 | 1 => Trouble::Kill(span),
         2 => Trouble::KillCore(span / 2),
         3 if may_wipe => Trouble::Wipe(span),
@@ -81,6 +90,8 @@
         6 => Trouble::Link(Fault::HoldAnswers, span),
         7 => Trouble::Link(Fault::Reset, span / 4),
         8 => Trouble::Link(Fault::Slow(rng.u32(4_000..60_000)), span * 2),
+        9 | 10 => Trouble::Stop(span / 4),
+        11 => Trouble::Settings,
         _ => Trouble::Pause(span / 4),
     }
 }
@@ -91,6 +102,8 @@
             Trouble::Kill(_) => "kill",
             Trouble::KillCore(_) => "kill of the core",
             Trouble::Wipe(_) => "lost disk",
+            Trouble::Stop(_) => "stop",
+            Trouble::Settings => "settings told",
             Trouble::Pause(_) => "pause",
             Trouble::Link(Fault::Hold, _) => "cut",
             Trouble::Link(Fault::HoldAnswers, _) => "lost answers",
@@ -99,6 +112,11 @@
         }
     }
 
+    /// Operators do it on purpose.
+    fn is_planned(self) -> bool {
+        matches!(self, Trouble::Stop(_) | Trouble::Settings)
+    }
+
     /// Whom it troubles.
     fn troubles(self, fleet: &Fleet, node: &Rc<Node>) -> Vec<Rc<Node>> {
         match self {
@@ -123,6 +141,17 @@
                 // Lost for as long as it may take to have everything again.
                 sleep(SYNC_TIME).await;
             }
+            Trouble::Stop(span) => {
+                node.process.borrow_mut().stop();
+                let told = Instant::now();
+                while node.process.borrow_mut().is_running() && told.elapsed() < GRACE {
+                    sleep(LOOK).await;
+                }
+                node.process.borrow_mut().kill();
+                sleep(span).await;
+                let _ = node.restart();
+            }
+            Trouble::Settings => node.process.borrow().tell_settings(),
             Trouble::Pause(span) => {
                 node.process.borrow().pause();
                 sleep(span).await;
