--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -3,6 +3,8 @@
 //! only forwards what [`gate`] lets through; its answers share the link by [`link_shaper`]. [`beats`], [`gate`] and [`patience`] are without
 //! I/O.
 
+pub mod answer_lengths;
+mod answers;
 pub mod beats;
 pub mod core_client;
 pub mod follow;
--- a/mesh/data-plane/src/link_shaper.rs
+++ b/mesh/data-plane/src/link_shaper.rs
@@ -10,6 +10,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
+use crate::metrics;
+
 /// Microseconds.
 pub type Micros = u64;
 
@@ -54,11 +56,13 @@
     /// So many bytes more are to be sent.
     pub fn expect(&mut self, bytes: u64) {
         self.backlog += bytes;
+        metrics::LINK_BACKLOG.set(self.backlog);
     }
 
     /// So many of them are sent, or not to be sent after all.
     pub fn settle(&mut self, bytes: u64) {
         self.backlog = self.backlog.saturating_sub(bytes);
+        metrics::LINK_BACKLOG.set(self.backlog);
     }
 
     /// How long what is to be sent takes.
--- a/mesh/data-plane/src/metrics.rs
+++ b/mesh/data-plane/src/metrics.rs
@@ -51,6 +51,12 @@
     "Time that requests waited for a place which came too late.",
 );
 
+/// Bytes of long answers that wait for the link.
+pub static LINK_BACKLOG: Gauge = Gauge::new(
+    "sloeline_link_backlog_bytes",
+    "Bytes of long answers that are to be sent or expected from the upstream.",
+);
+
 /// All of them.
 pub static METRICS: Metrics = &[
     &VERSION_IN_FORCE,
@@ -64,4 +70,5 @@
     &GATE_REFUSED,
     &GATE_EXPIRED,
     &GATE_EXPIRED_WAIT,
+    &LINK_BACKLOG,
 ];
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use http_body_util::{BodyExt, Limited};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming};
@@ -32,20 +32,20 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::answer_lengths::AnswerLengths;
+use crate::answers::{again, not_run, passed, whole};
 use crate::beats::Beats;
 use crate::gate::{Arrival, Gate, Micros, State, Verdict};
 use crate::header_names;
 use crate::keys::Keys;
 use crate::link_shaper::{Expected, LinkShaper};
 use crate::metrics;
-use crate::shaped_body::{LONG, ShapedBody};
+use crate::shaped_body::ShapedBody;
 
 /// Longest time that a request is taken for, whatever it says: a day.
 const LONGEST: Micros = 86_400_000_000;
 /// Most bytes of a request's body.
 const MOST_BODY: usize = 64 << 20;
-/// Keyed answers up to here are kept for repeats.
-const MOST_KEPT: usize = 64 << 10;
 /// Other balancers that are asked for an answer that its holder has forgotten; the first of them is given each.
 const KEEPERS: usize = 2;
 /// Less time than this is no use.
@@ -53,10 +53,6 @@
 /// An answer's way back.
 const WAY_BACK: Micros = 3_000;
 const PAUSE: Duration = Duration::from_millis(20);
-/// Weight of the newest figure in the mean length of answers.
-const NEWEST: f64 = 0.1;
-/// Most kinds of requests whose answers' lengths are known.
-const MOST_KINDS: usize = 64;
 
 /// The way in.
 pub struct Receiver {
@@ -71,8 +67,7 @@
     drain: Micros,
     /// The link on which answers leave.
     link: Rc<LinkShaper>,
-    /// Mean length of the answers to each kind of request, in bytes.
-    lengths: RefCell<HashMap<u64, f64>>,
+    lengths: RefCell<AnswerLengths>,
     start: Instant,
     changed: Notify,
 }
@@ -121,20 +116,6 @@
     }
 }
 
-/// It never ran and never will: the near balancer may go elsewhere at once.
-fn not_run(status: StatusCode, why: &'static str, room_in: Option<Micros>) -> Answered {
-    let mut answer = plain(status, why);
-    let headers = answer.headers_mut();
-    headers.insert(header_names::NOT_RUN, HeaderValue::from_static("1"));
-    if let Some(room_in) = room_in {
-        headers.insert(header_names::ROOM_IN, HeaderValue::from(room_in.div_ceil(1000)));
-        if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", room_in as f64 / 1e6)) {
-            headers.insert(RETRY_AFTER, seconds);
-        }
-    }
-    answer
-}
-
 /// What requests are told apart by in the gate: route and class, as the sender has them.
 fn kind(headers: &HeaderMap) -> u64 {
     headers.get(header_names::KIND).map_or(0, |v| ring(v.to_str().unwrap_or_default()))
@@ -344,24 +325,10 @@
         }
     }
 
-    /// Mean length of the answers to a kind of request where they are long, in bytes.
-    fn long_answer(&self, kind: u64) -> Option<u64> {
-        let length = self.lengths.borrow().get(&kind).copied().unwrap_or(0.0) as u64;
-        (length > LONG).then_some(length)
-    }
-
     /// How long the answer to such a request will wait for the link and then take there.
     fn outlook(&self, kind: u64) -> (Micros, Micros) {
-        self.long_answer(kind).map_or((0, 0), |length| self.link.outlook(length))
-    }
-
-    /// Learns from the length of an answer.
-    fn learn_length(&self, kind: u64, length: u64) {
-        let mut lengths = self.lengths.borrow_mut();
-        if lengths.len() < MOST_KINDS || lengths.contains_key(&kind) {
-            let mean = lengths.entry(kind).or_insert(length as f64);
-            *mean += NEWEST * (length as f64 - *mean);
-        }
+        let length = self.lengths.borrow().long(kind);
+        length.map_or((0, 0), |length| self.link.outlook(length))
     }
 
     /// A place with the upstream, or the answer where there is none.
@@ -378,7 +345,7 @@
         let verdict = self.gate.borrow_mut().arrive(now, Arrival { aim, left, hold, ..arrival });
         let place = || {
             let since = self.now();
-            let expected = self.long_answer(kind).map(|length| self.link.expect(length));
+            let expected = self.lengths.borrow().long(kind).map(|length| self.link.expect(length));
             metrics::GATE_ADMITTED.increment();
             metrics::GATE_WAIT.add(since.saturating_sub(now));
             Place { receiver: self.clone(), kind, since, told: false, expected }
@@ -443,7 +410,7 @@
             Relayed::Answered(mut reply) => {
                 place.done();
                 if let (true, Some(length)) = (reply.status.is_success(), reply.body.size_hint().exact()) {
-                    self.learn_length(going.arrival.kind, length);
+                    self.lengths.borrow_mut().learn(going.arrival.kind, length);
                 }
                 if let Payload::Passing(passing) = &mut reply.body {
                     let (receiver, begun) = (self.clone(), self.now());
@@ -604,48 +571,3 @@
     /// It ran.
     Answered(Reply),
 }
-
-/// An answer as it is passed back.
-fn passed(reply: Reply) -> Answered {
-    let mut answer = Answered::new(reply.body);
-    *answer.status_mut() = reply.status;
-    *answer.headers_mut() = end_to_end(&reply.headers);
-    answer
-}
-
-/// Reads an answer to its end: what is passed back, and what is kept for repeats where it is small enough.
-async fn whole(reply: Reply) -> Result<(Answered, Option<Answer>), Answered> {
-    let (status, headers) = (reply.status, end_to_end(&reply.headers));
-    let Ok(body) = reply.body.collect().await else {
-        return Err(plain(StatusCode::BAD_GATEWAY, "the upstream broke off"));
-    };
-    let body = body.to_bytes();
-    let named = |(name, value): (&HeaderName, &HeaderValue)| {
-        (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes()))
-    };
-    let kept = (body.len() <= MOST_KEPT).then(|| Answer {
-        status: status.as_u16(),
-        headers: headers.iter().map(named).collect(),
-        body: body.clone(),
-    });
-    let mut answer = Answered::new(Payload::Whole(Full::new(body)));
-    *answer.status_mut() = status;
-    *answer.headers_mut() = headers;
-    Ok((answer, kept))
-}
-
-/// The first answer, for a repeat.
-fn again(kept: Answer, id: Option<HeaderValue>) -> Answered {
-    let mut answer = Answered::new(Payload::Whole(Full::new(kept.body)));
-    *answer.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let headers = answer.headers_mut();
-    for (name, value) in kept.headers {
-        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_bytes(&value)) {
-            headers.append(name, value);
-        }
-    }
-    if let Some(id) = id {
-        headers.insert(header_names::TRY_ID, id);
-    }
-    answer
-}
