Link: 0.82 of it for answers to others, turns of 8 KB; its backlog is added to the wait for a slot again

Change: that reckoning is taken back, its test replaced by one as strict of the one before; a smaller part of the link, smaller turns.

--- a/mesh/data-plane/src/gate.rs
+++ b/mesh/data-plane/src/gate.rs
@@ -67,9 +67,9 @@
 }
 
 impl Arrival {
-    /// When its answer has left, if the upstream has it ready by then: the link frees up meanwhile.
-    fn sent_by(&self, ready: f64) -> f64 {
-        ready.max(self.link_wait as f64) + self.link_time as f64
+    /// How long its answer is on its way.
+    fn on_link(&self) -> Micros {
+        self.link_wait.saturating_add(self.link_time)
     }
 }
 
@@ -200,10 +200,11 @@
         }
         let (kind, rank) = (self.kind(arrival.kind), arrival.rank);
         let mean = self.mean(kind);
+        let on_link = arrival.on_link();
         // An answer that the link would carry too late takes it from those that are in time: one without a chance is
         // worked on only where next to nothing waits for the link.
-        let (sent, crowded) = (arrival.sent_by(mean), arrival.link_wait > arrival.link_time);
-        if sent > arrival.left as f64 || crowded && sent > arrival.aim as f64 {
+        let too_late = mean as Micros + on_link > arrival.aim && arrival.link_wait > arrival.link_time;
+        if too_late || on_link > arrival.left {
             return Verdict::Full(arrival.link_wait.max(1_000));
         }
         if self.queue.is_empty() && self.has_room() {
@@ -211,14 +212,14 @@
             return Verdict::Go;
         }
         let long = self.is_long(kind);
-        let aim = now + arrival.aim.saturating_sub(mean as Micros + arrival.link_time);
+        let aim = now + arrival.aim.saturating_sub(mean as Micros + on_link);
         let in_time = Place { late: false, rank, long, by: aim, number: u64::MAX };
         let wait_in_time = self.wait(self.ahead(in_time));
         // Whoever is late for its aim waits behind all that are not; but what is short beside the others delays nobody.
-        let late = long && arrival.sent_by(wait_in_time + mean) > arrival.aim as f64;
+        let late = long && wait_in_time + mean + on_link as f64 > arrival.aim as f64;
         let behind = Place { late: true, by: now + arrival.left, ..in_time };
         let wait = if late { self.wait(self.ahead(behind)) } else { wait_in_time };
-        let needed = WORD.max((mean * LEAST_LEFT) as Micros) + arrival.link_time;
+        let needed = WORD.max((mean * LEAST_LEFT) as Micros) + on_link;
         let last = arrival.left.saturating_sub(needed).min(arrival.hold);
         // What comes in time takes all places for now: a late one would wait in vain.
         let in_vain = late && self.late_through < LEAST_LATE && self.queue.keys().any(|place| place.late);
--- a/mesh/data-plane/src/link_shaper.rs
+++ b/mesh/data-plane/src/link_shaper.rs
@@ -16,9 +16,10 @@
 pub type Micros = u64;
 
 /// Bytes that a long answer sends at a turn.
-pub const CHUNK: usize = 16 << 10;
-/// Part of the link that this process lays out; packets' heads and what it does not count have the rest.
-const USED: f64 = 0.92;
+pub const CHUNK: usize = 8 << 10;
+/// Part of the link that answers to other balancers may fill; answers to this machine's own clients, control and the heads of
+/// packets have the rest.
+const USED: f64 = 0.82;
 /// A link that was idle has so much to spare: timers fire late.
 const BURST: Micros = 10_000;
 
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -343,9 +343,9 @@
         let (link_wait, link_time) = self.outlook(kind);
         let arrival = Arrival { link_wait, link_time, ..arrival };
         let verdict = self.gate.borrow_mut().arrive(now, Arrival { aim, left, hold, ..arrival });
+        let expected = self.lengths.borrow().long(kind).map(|length| self.link.expect(length));
         let place = || {
             let since = self.now();
-            let expected = self.lengths.borrow().long(kind).map(|length| self.link.expect(length));
             metrics::GATE_ADMITTED.increment();
             metrics::GATE_WAIT.add(since.saturating_sub(now));
             Place { receiver: self.clone(), kind, since, told: false, expected }
--- a/mesh/data-plane/tests/gate.rs
+++ b/mesh/data-plane/tests/gate.rs
@@ -127,6 +127,7 @@
     assert_eq!(numbers.len(), 2);
 }
 
+/// The link's backlog is added to all else, on purpose: reckoned as if it shrank meanwhile it was given more than it carries.
 #[test]
 fn a_long_answer_is_only_begun_where_the_link_can_carry_it_in_time() {
     let long = |link_wait: u64, aim: u64| Arrival {
@@ -134,12 +135,11 @@
         link_time: 50 * MS,
         ..arrival(1, aim, 2000)
     };
-    // Ready after 100 ms, and sent 50 ms later or as soon as the link is free.
+    // 100 ms with the upstream, then what waits for the link, then 50 ms on it.
     let told = |arrival| learned().arrive(0, arrival);
     assert_eq!(told(long(0, 200)), Verdict::Go);
-    assert_eq!(told(long(90, 200)), Verdict::Go, "the link frees up while the upstream works");
-    assert_eq!(told(long(300, 400)), Verdict::Go);
-    assert_eq!(told(long(300, 340)), Verdict::Full(300 * MS));
+    assert_eq!(told(long(300, 450)), Verdict::Go);
+    assert_eq!(told(long(300, 440)), Verdict::Full(300 * MS));
     // Late whatever happens: only where nothing else waits for the link.
     assert_eq!(told(long(20, 0)), Verdict::Go);
     assert_eq!(told(long(60, 0)), Verdict::Full(60 * MS));
