--- a/mesh/testbed/tests/soak.rs
+++ b/mesh/testbed/tests/soak.rs
@@ -8,12 +8,12 @@
 use tokio::task::LocalSet;
 
 /// How long troubles are made, for each seed.
-const SPAN: Duration = Duration::from_secs(6);
+const SPAN: Duration = Duration::from_secs(12);
 
 #[test]
 fn real_processes_keep_their_promises_under_troubles_that_overlap() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    for seed in 1..=2 {
+    for seed in 1..=4 {
         let folder = std::env::temp_dir().join(format!("sloeline-soak-test-{}-{seed}", std::process::id()));
         let testbed = Path::new(env!("CARGO_BIN_EXE_sloeline-testbed"));
         let played = soak::play(91, seed, SPAN, testbed, &folder);
