--- a/mesh/testbed/src/machine.rs
+++ b/mesh/testbed/src/machine.rs
@@ -206,11 +206,15 @@
         self.start_balancer(balancer, &self.balancer_settings(balancer, service))
     }
 
+    /// The settings of a balancer, from 1, whose machine has a link of so many megabits a second.
+    pub fn balancer_settings_on_link(&self, balancer: u8, service: &str, link_mbps: f64) -> String {
+        let size = format!("[size_limits]\nlink_mbps = {link_mbps:?}\n");
+        self.balancer_settings(balancer, service).replace("[size_limits]\n", &size)
+    }
+
     /// Starts a balancer, from 1, whose machine has a link of so many megabits a second.
     pub fn balancer_on_link(&self, balancer: u8, service: &str, link_mbps: f64) -> Result<Machine> {
-        let size = format!("[size_limits]\nlink_mbps = {link_mbps:?}\n");
-        let settings = self.balancer_settings(balancer, service).replace("[size_limits]\n", &size);
-        self.start_balancer(balancer, &settings)
+        self.start_balancer(balancer, &self.balancer_settings_on_link(balancer, service, link_mbps))
     }
 
     fn start_balancer(&self, balancer: u8, settings: &str) -> Result<Machine> {
--- a/mesh/testbed/tests/links.rs
+++ b/mesh/testbed/tests/links.rs
@@ -4,12 +4,14 @@
 mod mesh;
 
 use std::cell::Cell;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use mesh::{WITHIN, play, status, until};
 use sloeline_testbed::client::ask;
 use sloeline_testbed::machine::Plan;
+use sloeline_testbed::process::{Process, Program};
 use sloeline_testbed::standin::Standin;
 use tokio::task::spawn_local;
 
@@ -60,3 +62,44 @@
         assert!(passed_by >= 20, "{passed_by} small answers while the downloads were on their way");
     });
 }
+
+/// Their slots are free by then: only the link still knows of them.
+#[test]
+fn a_balancer_that_is_told_to_stop_sends_what_waits_for_its_link() {
+    const SLOW_LINK_MBPS: f64 = 4.0;
+    const LARGE_BYTES: usize = 150_000;
+    play(async || {
+        let folder = std::env::temp_dir().join(format!("sloeline-links-stop-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let plan = Plan::new(50, 1, folder.clone());
+        let standin = Standin::default();
+        standin.book().works = Duration::from_millis(1);
+        standin.book().large = LARGE_BYTES;
+        let settings = plan.balancer_settings_on_link(1, "one", SLOW_LINK_MBPS);
+        let testbed = Path::new(env!("CARGO_BIN_EXE_sloeline-testbed"));
+        let started = Process::start(Program::DataPlane, testbed, &folder, "balancer", &settings);
+        let mut balancer = started.expect("a process");
+        let _upstream = plan.standin(1, "one", &standin, DOWNLOADS as u32).expect("an upstream");
+        let request = async |path: &str| {
+            let headers = [("Host", "h.example"), ("X-Try-Id", "t"), ("X-Time-Left", "9000")];
+            ask(plan.incoming(1), "GET", path, &headers, b"", WITHIN).await
+        };
+        let small = until(|| request("/small"), |a| status(a) == 200).await;
+        assert_eq!(status(&small), 200, "{small:?}");
+        let downloads = [(); DOWNLOADS].map(|()| {
+            let incoming = plan.incoming(1);
+            spawn_local(async move {
+                let headers = [("Host", "h.example"), ("X-Try-Id", "t"), ("X-Time-Left", "9000")];
+                ask(incoming, "GET", "/large", &headers, b"", WITHIN).await.map(|answer| answer.body.len())
+            })
+        });
+        let ran = until(async || standin.ran(), |ran| *ran as usize > DOWNLOADS).await;
+        assert_eq!(ran as usize, DOWNLOADS + 1, "all are with their upstream, and the small one was");
+        balancer.stop();
+        for download in downloads {
+            let length = download.await.expect("it ends");
+            assert_eq!(length.ok(), Some(LARGE_BYTES), "{}", balancer.log());
+        }
+        let _ = std::fs::remove_dir_all(folder);
+    });
+}
