--- a/mesh/data-plane/src/link_shaper.rs
+++ b/mesh/data-plane/src/link_shaper.rs
@@ -112,6 +112,11 @@
         (schedule.backlog(), schedule.time_of(bytes))
     }
 
+    /// No long answer of a known length is to be sent or expected.
+    pub fn is_idle(&self) -> bool {
+        self.schedule.borrow().backlog == 0
+    }
+
     /// A short answer goes out at once.
     pub fn sent(&self, bytes: usize) {
         let now = self.now();
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -184,9 +184,9 @@
         done
     }
 
-    /// Nothing is with the upstream, and nothing waits.
+    /// Nothing is with the upstream, and nothing waits for it or for the link.
     pub fn is_idle(&self) -> bool {
-        self.gate.borrow().is_idle()
+        self.gate.borrow().is_idle() && self.link.is_idle()
     }
 
     fn wake(&self, numbers: Vec<u64>, go: bool) {
