--- a/mesh/testbed/tests/between_balancers.rs
+++ b/mesh/testbed/tests/between_balancers.rs
@@ -117,21 +117,26 @@
 
 /// A far balancer that the mesh takes for one of its own, with the only upstream of service `one`.
 async fn far_balancer(mesh: &Mesh, net: u8) -> Rc<FarBalancer> {
-    let incoming: SocketAddr = SocketAddr::from(([127, 1, net, 9], 8300));
+    far_balancer_at(mesh, net, 9).await
+}
+
+/// One with an upstream of service `one` on this machine.
+async fn far_balancer_at(mesh: &Mesh, net: u8, machine: u8) -> Rc<FarBalancer> {
+    let incoming: SocketAddr = SocketAddr::from(([127, 1, net, machine], 8300));
     let listener = TcpListener::bind(incoming).await.expect("a listener");
     let far =
         Rc::new(FarBalancer { breaks: Cell::new(Break::Never), read: RefCell::default(), aim: Cell::new(0) });
     spawn_local(far.clone().serve(listener));
     let record = Record {
-        source: "m-9".to_owned(),
+        source: format!("m-{machine}"),
         version: Version { incarnation: 1, revision: 1 },
-        mesh_address: SocketAddr::from(([127, 1, net, 9], 7620)),
+        mesh_address: SocketAddr::from(([127, 1, net, machine], 7620)),
         zone: "a".to_owned(),
         is_core: false,
         leaving: false,
         incoming_address: Some(incoming),
         upstream: Some(Upstream {
-            id: "i-far".to_owned(),
+            id: format!("i-far-{machine}"),
             service: "one".to_owned(),
             software_version: "v1".to_owned(),
             slots: 4,
@@ -211,3 +216,57 @@
         assert_eq!(far.aim.get(), 0, "ms left 500 ms later");
     });
 }
+
+/// A configuration with safe routes of one and of three tries. Routes of `others` further classes come before them.
+fn config_of_tries(edition: u32, others: u32) -> String {
+    let route = |name: &str, target_ms: u32, tries: u32| {
+        format!(
+            r#"{{"name":"{name}","route_kind":"safe","target":"{target_ms}ms","precedence":2,"sort_by":{{"lane_prefix":"/{name}/"}},"dispatch":{{"line":"one","timeout":"2s","tries":{tries}}}}}"#
+        )
+    };
+    let mut routes: Vec<String> =
+        (0..others).map(|other| route(&format!("other{other}"), 400 + other, 2)).collect();
+    routes.extend([route("one-try", 300, 1), route("three-tries", 300, 3)]);
+    format!(
+        r#"{{"edition":"{edition:08x}","gateways":[{{"station":"h.example","regulations":[{}]}}],"depots":[{{"name":"one"}}]}}"#,
+        routes.join(",")
+    )
+}
+
+#[test]
+fn a_try_reaches_no_more_upstreams_than_its_route_allows() {
+    /// More classes than a service has engines of its own for.
+    const MANY_CLASSES: u32 = 40;
+    const REQUESTS: u32 = 12;
+    play(async || {
+        let mesh = Mesh::without_upstream(52, 1).await;
+        let far = [far_balancer_at(&mesh, 52, 9).await, far_balancer_at(&mesh, 52, 10).await];
+        for (edition, others) in [(2, 0), (3, MANY_CLASSES)] {
+            assert_eq!(status(&mesh.put(0, &config_of_tries(edition, others)).await), 200);
+            if let Some(last) = others.checked_sub(1) {
+                let path = format!("/other{last}/a");
+                let applied = until(|| mesh.request(&path, "applied", None), |a| status(a) == 200).await;
+                assert_eq!(status(&applied), 200, "{applied:?}");
+            }
+            let mut repeated = 0;
+            for number in 0..REQUESTS {
+                for (path, tries) in [("/one-try/a", 1), ("/three-tries/a", 3)] {
+                    far.iter().for_each(|far| far.breaks.set(Break::Never));
+                    let id = format!("trust-{others}-{tries}-{number}");
+                    let trusted = until(|| mesh.request(path, &id, None), |a| status(a) == 200).await;
+                    assert_eq!(status(&trusted), 200, "{trusted:?}");
+                    far.iter().for_each(|far| far.breaks.set(Break::During));
+                    let id = format!("broken-{others}-{tries}-{number}");
+                    let _ = mesh.request(path, &id, None).await;
+                    let sent: usize = far
+                        .iter()
+                        .map(|far| far.read.borrow().iter().filter(|read| **read == id).count())
+                        .sum();
+                    assert!((1..=tries).contains(&sent), "{path}, {others} other classes: {sent} attempts");
+                    repeated += usize::from(sent > 1);
+                }
+            }
+            assert!(repeated > 0, "{others} other classes: no try was repeated");
+        }
+    });
+}
