Observability: what a shutdown leaves open, and attempts repeated after a run

The end of a shutdown now logs how many client requests are incomplete, without a response, or being answered, how many clients do not read, and whether requests of other balancers are open. sloeline_attempts_total and sloeline_attempts_repeated_total count attempts, and those after an earlier one may have run.

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -351,6 +351,11 @@
         self.open.values().any(|o| o.class == class)
     }
 
+    /// Whether an upstream may have executed an attempt of the request that did not succeed.
+    pub fn may_have_run(&self, id: RequestId) -> bool {
+        self.open.get(&id).is_some_and(|open| open.may_have_run)
+    }
+
     /// The list of upstreams as last received, or `None` before the first list.
     pub fn current_list(&self) -> Option<Vec<DiscoveryEntry>> {
         self.has_list.then(|| self.registry.listed())
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -94,6 +94,8 @@
     request: RequestId,
     /// Number of the attempt within the request.
     attempt: u32,
+    /// Whether an upstream may have executed an earlier attempt of the request.
+    follows_run: bool,
     /// Whether the end has been reported.
     reported: bool,
 }
@@ -105,6 +107,11 @@
         self.engine.report_end(self.request, self.attempt, outcome, load, reply);
     }
 
+    /// Whether an upstream may have executed an earlier attempt of the request.
+    pub fn follows_run(&self) -> bool {
+        self.follows_run
+    }
+
     /// Returns a handle to report the last byte of a streamed request body.
     pub fn body_receipt(&self) -> BodyReceipt<W> {
         BodyReceipt { engine: self.engine.clone(), request: self.request }
@@ -241,7 +248,9 @@
                 else {
                     return;
                 };
-                let report = AttemptReport { engine: self.clone(), request, attempt, reported: false };
+                let follows_run = self.core.borrow().may_have_run(request);
+                let report =
+                    AttemptReport { engine: self.clone(), request, attempt, follows_run, reported: false };
                 let handle = self.transport.send(to, call, limit, report);
                 if let Some(handles) = self.requests.borrow_mut().get_mut(&request) {
                     handles.attempts.push((attempt, handle));
--- a/http/src/client_io.rs
+++ b/http/src/client_io.rs
@@ -90,9 +90,41 @@
     HeadTooLarge,
 }
 
-/// The idle client connections, ordered from the one that has been idle longest.
+/// Number of client connections by what they wait for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// Without an open request.
+    pub idle: usize,
+    /// A part of a request was received.
+    pub receiving: usize,
+    /// The whole request was received and has no response yet.
+    pub awaiting_response: usize,
+    /// The response is being streamed.
+    pub responding: usize,
+    /// The client does not read what is written to it. These connections are counted by their stage as well.
+    pub write_blocked: usize,
+}
+
+impl ConnectionCounts {
+    /// Number of connections with an open request.
+    pub fn open_requests(&self) -> usize {
+        self.receiving + self.awaiting_response + self.responding
+    }
+
+    fn of_stage(&mut self, stage: Stage) -> &mut usize {
+        match stage {
+            Stage::Idle => &mut self.idle,
+            Stage::Head | Stage::Body => &mut self.receiving,
+            Stage::AwaitingResponse => &mut self.awaiting_response,
+            Stage::Responding => &mut self.responding,
+        }
+    }
+}
+
+/// The idle client connections, ordered from the one that has been idle longest, and the counts of all connections.
 pub struct IdleConnections {
     timeouts: Cell<StageTimeouts>,
+    counts: Cell<ConnectionCounts>,
     idle: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
     next_key: Cell<u64>,
 }
@@ -102,6 +134,7 @@
     pub fn new(timeouts: StageTimeouts) -> Rc<IdleConnections> {
         Rc::new(IdleConnections {
             timeouts: Cell::new(timeouts),
+            counts: Cell::default(),
             idle: RefCell::default(),
             next_key: Cell::default(),
         })
@@ -112,6 +145,17 @@
         self.timeouts.set(timeouts);
     }
 
+    /// Number of connections by what they wait for.
+    pub fn counts(&self) -> ConnectionCounts {
+        self.counts.get()
+    }
+
+    fn update_counts(&self, update: impl FnOnce(&mut ConnectionCounts)) {
+        let mut counts = self.counts.get();
+        update(&mut counts);
+        self.counts.set(counts);
+    }
+
     /// Closes the connection that has been idle longest. The error is the time at which it may be closed, or `None`
     /// if no connection is idle. A new connection is not closed at once because its first request may be in transit.
     pub fn close_oldest(&self) -> Result<(), Option<Instant>> {
@@ -156,10 +200,11 @@
     /// Creates the state of a new connection.
     pub fn new(idle_connections: Rc<IdleConnections>) -> Rc<ConnectionState> {
         let now = Instant::now();
+        idle_connections.update_counts(|counts| *counts.of_stage(Stage::Idle) += 1);
         Rc::new(ConnectionState {
             idle_connections,
             task: RefCell::default(),
-            stage: Cell::new(Stage::AwaitingResponse),
+            stage: Cell::new(Stage::Idle),
             stage_since: Cell::new(now),
             first_byte_at: Cell::new(now),
             received_bytes: Cell::default(),
@@ -197,7 +242,11 @@
             self.max_queue_wait.set(Duration::ZERO);
         }
         self.blocked_since.set(None);
-        self.stage.set(stage);
+        let previous = self.stage.replace(stage);
+        self.idle_connections.update_counts(|counts| {
+            *counts.of_stage(previous) -= 1;
+            *counts.of_stage(stage) += 1;
+        });
         self.stage_since.set(now);
         self.leave_idle();
         if let (Stage::Idle, Some(task)) = (stage, &*self.task.borrow()) {
@@ -310,6 +359,15 @@
         self.unread_input.get()
     }
 
+    fn set_write_blocked(&self, blocked: bool) {
+        let was_blocked = self.write_blocked.replace(blocked);
+        self.idle_connections.update_counts(|counts| match (was_blocked, blocked) {
+            (false, true) => counts.write_blocked += 1,
+            (true, false) => counts.write_blocked -= 1,
+            _ => {}
+        });
+    }
+
     /// Returns whether an earlier response is not fully written. No error response can follow it.
     pub fn is_write_blocked(&self) -> bool {
         self.write_blocked.get()
@@ -319,6 +377,8 @@
 impl Drop for ConnectionState {
     fn drop(&mut self) {
         self.leave_idle();
+        self.set_write_blocked(false);
+        self.idle_connections.update_counts(|counts| *counts.of_stage(self.stage.get()) -= 1);
     }
 }
 
@@ -464,7 +524,7 @@
 impl ClientIo {
     /// Records whether a write succeeded or is blocked.
     fn record_write<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        self.state.write_blocked.set(written.is_pending());
+        self.state.set_write_blocked(written.is_pending());
         if matches!(written, Poll::Ready(Ok(_))) {
             self.state.last_write_at.set(Instant::now());
         }
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -28,7 +28,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::client_io::{ClientIo, ConnectionState, IdleConnections, RequestError, Stage, StageTimeouts};
+use crate::client_io::{
+    ClientIo, ConnectionCounts, ConnectionState, IdleConnections, RequestError, Stage, StageTimeouts,
+};
 use crate::frontend::{Admission, ClientResponse, Frontend, end_to_end_headers, text_response};
 use crate::payload::{BodyEnd, Payload};
 use crate::upload::{RequestBody, StreamingUpload};
@@ -258,6 +260,11 @@
         state.attach_task(task.abort_handle());
     }
 
+    /// Number of client connections by what they wait for.
+    pub fn connection_counts(&self) -> ConnectionCounts {
+        self.idle_connections.counts()
+    }
+
     /// Waits until all connections are closed.
     pub async fn wait_closed(&self) {
         let _ = self.connection_slots.acquire_many(self.max_connections() as u32).await;
--- a/mesh/data-plane/src/metrics.rs
+++ b/mesh/data-plane/src/metrics.rs
@@ -19,6 +19,15 @@
 pub static KEY_RELEASES_WAITING: Gauge =
     Gauge::new("sloeline_key_releases_waiting", "Claims that wait to be taken back in the background.");
 
+/// Number of attempts sent to other balancers.
+pub static ATTEMPTS: Counter =
+    Counter::new("sloeline_attempts_total", "Attempts of requests sent to the balancers of upstreams.");
+/// Number of attempts sent after an earlier attempt of the request may have been executed.
+pub static ATTEMPTS_REPEATED: Counter = Counter::new(
+    "sloeline_attempts_repeated_total",
+    "Attempts sent after an upstream may have run an earlier one of the same request.",
+);
+
 /// Number of requests that admission control admitted to the upstream.
 pub static GATE_ADMITTED: Counter =
     Counter::new("sloeline_gate_admitted_total", "Requests that were given a place with the upstream.");
@@ -64,6 +73,8 @@
     &KEY_CALLS,
     &KEY_CALLS_FAILED,
     &KEY_RELEASES_WAITING,
+    &ATTEMPTS,
+    &ATTEMPTS_REPEATED,
     &GATE_ADMITTED,
     &GATE_WAIT,
     &GATE_HELD,
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -16,7 +16,7 @@
 use sloeline_admin_http::reload::{self, SettingsWatch};
 use sloeline_discovery::{Record, Version};
 use sloeline_engine::clock::Clock;
-use sloeline_http::client_io::StageTimeouts;
+use sloeline_http::client_io::{ConnectionCounts, StageTimeouts};
 use sloeline_http::server::{HttpServer, Phase, ServerLimits};
 use sloeline_http::upstream::{UpstreamProtocol, Upstreams};
 use sloeline_idempotency::Ledger;
@@ -224,10 +224,29 @@
         }
     };
     let _ = timeout(deadline.saturating_duration_since(Instant::now()), drained).await;
-    info!(target: "stop", "Stopped.");
+    log_stopped(&callers.connection_counts(), receiver.is_idle());
     Ok(())
 }
 
+/// Logs what is left open at the end of a shutdown.
+fn log_stopped(clients: &ConnectionCounts, receiver_idle: bool) {
+    if clients.open_requests() == 0 && clients.write_blocked == 0 && receiver_idle {
+        info!(target: "stop", "Stopped.");
+        return;
+    }
+    warn!(
+        target: "stop",
+        "Stopped with {} open requests of clients: {} incomplete, {} without a response, {} being answered; \
+         {} clients did not read; requests of other balancers {}.",
+        clients.open_requests(),
+        clients.receiving,
+        clients.awaiting_response,
+        clients.responding,
+        clients.write_blocked,
+        if receiver_idle { "finished" } else { "open" }
+    );
+}
+
 /// Answers a request from another process of the mesh.
 async fn answer_rpc(
     exchange: Rc<Exchange>,
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -25,6 +25,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use crate::header_names;
+use crate::metrics;
 
 /// Time limit for connecting to another balancer.
 const CONNECT_TIMEOUT_MICROS: Micros = 300_000;
@@ -62,6 +63,10 @@
     type Attempt = Attempt;
 
     fn send(&self, to: Target, call: Rc<Call>, limit: Micros, report: AttemptReport<Self>) -> Attempt {
+        metrics::ATTEMPTS.increment();
+        if report.follows_run() {
+            metrics::ATTEMPTS_REPEATED.increment();
+        }
         let mut headers = call.headers.clone();
         if let Some(id) = self.upstream_ids.borrow().get(&to.address) {
             headers.insert(header_names::ADDRESSEE, id.clone());
--- a/mesh/testbed/tests/shutdown.rs
+++ b/mesh/testbed/tests/shutdown.rs
@@ -27,7 +27,7 @@
     standin: Standin,
     front: Process,
     _machines: Vec<Machine>,
-    folder: mesh::Folder,
+    _folder: mesh::Folder,
 }
 
 impl Fleet {
@@ -55,7 +55,7 @@
         let ready = until(ready, |a| status(a) == 200).await;
         assert_eq!(status(&ready), 200, "{ready:?}");
         let front = front.expect("a process");
-        Fleet { plan, standin, front, _machines: machines, folder: mesh::Folder(folder) }
+        Fleet { plan, standin, front, _machines: machines, _folder: mesh::Folder(folder) }
     }
 
     /// A connection that has had an answer.
