BUDGET: a try runs on no more upstreams than its own route allows

Cause: the module knew no route's tries. An engine got the largest of the whole table, and retry_or_finish sends any repeatable request once more after an attempt that may have run. Routes that differ in tries alone even had one class.

Change: a class has max_runs, the servers that may run one request; Class::is_repeatable decides on retries, on reserved retries, on the limit of an attempt (no P99 cut without a retry to follow) and on stale connections. The data plane's classes take it from the route, in their names too; the kind that other balancers know stays without it. Other programs set no bound: nothing changes for them.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -34,6 +34,7 @@
     fn new(servers: u32, balancers: u32) -> Simulation {
         let class = Class {
             effect: Effect::Keyed { group: DedupGroup::All, window: 10_000 * MS },
+            max_runs: u32::MAX,
             latency_target: 6_000 * MS,
             target_per_work: 0.0,
             deadline: 6_000 * MS,
--- a/config/src/sections.rs
+++ b/config/src/sections.rs
@@ -365,6 +365,7 @@
     section.finish();
     let class = Class {
         effect: effect?,
+        max_runs: u32::MAX,
         latency_target: aim.filter(|a| *a > 0)?,
         target_per_work: 0.0,
         deadline: deadline.filter(|d| *d > 0)?,
--- a/emulator/src/world.rs
+++ b/emulator/src/world.rs
@@ -395,6 +395,7 @@
                 Effect::Unsafe => fs::Effect::Unsafe,
                 Effect::Keyed => fs::Effect::Keyed { group: c.group.of(), window: c.window.0 },
             },
+            max_runs: u32::MAX,
             latency_target: c.aim.0,
             target_per_work: 0.0,
             deadline: c.deadline.0,
--- a/engine/src/engine/tests.rs
+++ b/engine/src/engine/tests.rs
@@ -57,6 +57,7 @@
     let second = 1_000_000;
     let class = fs::Class {
         effect,
+        max_runs: u32::MAX,
         latency_target: 4 * second,
         target_per_work: 0.0,
         deadline: 4 * second,
--- a/engine/src/slots.rs
+++ b/engine/src/slots.rs
@@ -71,6 +71,7 @@
     fn slot(name: &str, effect: Effect, deadline: u64) -> ClassSlot {
         let class = Class {
             effect,
+            max_runs: u32::MAX,
             latency_target: 1,
             target_per_work: 0.0,
             deadline,
--- a/http/tests/admission.rs
+++ b/http/tests/admission.rs
@@ -44,6 +44,7 @@
 fn class(effect: Effect) -> fs::Class {
     fs::Class {
         effect,
+        max_runs: u32::MAX,
         latency_target: SECOND,
         target_per_work: 0.0,
         deadline: 4 * SECOND,
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -131,6 +131,17 @@
     }
 }
 
+/// Name shared by the routes whose requests have similar processing times and deadlines.
+fn kind_name(route: &Route) -> String {
+    let (target, deadline) = latency_limits(route);
+    format!("{:?}/{}/{target}/{deadline}", route.route_kind, route.precedence)
+}
+
+/// Latency target and deadline of a route's requests, in microseconds.
+fn latency_limits(route: &Route) -> (Micros, Micros) {
+    (route.target.0.max(1_000), route.dispatch.timeout.0)
+}
+
 /// The request class of a route. Routes with equal settings have equal classes.
 fn slot(route: &Route) -> ClassSlot {
     let effect = match route.route_kind {
@@ -144,9 +155,11 @@
         1 => 2.0,
         _ => 1.0,
     };
-    let (target, deadline) = (route.target.0.max(1_000), route.dispatch.timeout.0);
+    let (target, deadline) = latency_limits(route);
+    let max_runs = route.dispatch.tries;
     let class = fs::Class {
         effect,
+        max_runs,
         latency_target: target,
         target_per_work: 0.0,
         deadline,
@@ -154,8 +167,7 @@
         late_value_ratio: 0.15,
         stream: false,
     };
-    let kind = route.route_kind;
-    ClassSlot { name: format!("{kind:?}/{}/{target}/{deadline}", route.precedence), class }
+    ClassSlot { name: format!("{}/{max_runs}", kind_name(route)), class }
 }
 
 /// The HTTP conventions between balancers, for the sending side.
@@ -212,15 +224,15 @@
         // above all a request on which other requests depend must not wait because of them.
         let mut wanted: BTreeMap<(&str, String), Vec<ClassSlot>> = BTreeMap::new();
         for route in table.routes() {
-            let slot = slot(route);
+            let (slot, kind) = (slot(route), kind_name(route));
             for (service_name, _) in route.dispatch.weighted_services() {
                 let engines = wanted
                     .range((service_name, String::new())..)
                     .take_while(|((l, _), _)| *l == service_name)
                     .count();
-                let group_exists = wanted.contains_key(&(service_name, slot.name.clone()));
+                let group_exists = wanted.contains_key(&(service_name, kind.clone()));
                 let group = if group_exists || engines < MAX_ENGINES_PER_SERVICE {
-                    slot.name.clone()
+                    kind.clone()
                 } else {
                     SHARED_GROUP.to_owned()
                 };
@@ -266,7 +278,8 @@
                 let (group, number) = numbers.get(&(service_name.to_owned(), name.clone()))?;
                 Some((self.by_group.get(group)?.clone(), *number, share))
             };
-            let kind = HeaderValue::from_str(&name).unwrap_or_else(|_| HeaderValue::from_static("other"));
+            let kind = HeaderValue::from_str(&kind_name(route))
+                .unwrap_or_else(|_| HeaderValue::from_static("other"));
             RouteTarget {
                 kind,
                 splits: route.dispatch.weighted_services().into_iter().filter_map(split).collect(),
--- a/mesh/testbed/tests/between_balancers.rs
+++ b/mesh/testbed/tests/between_balancers.rs
@@ -243,6 +243,7 @@
         let far = [far_balancer_at(&mesh, 52, 9).await, far_balancer_at(&mesh, 52, 10).await];
         for (edition, others) in [(2, 0), (3, MANY_CLASSES)] {
             assert_eq!(status(&mesh.put(0, &config_of_tries(edition, others)).await), 200);
+            far.iter().for_each(|far| far.breaks.set(Break::Never));
             if let Some(last) = others.checked_sub(1) {
                 let path = format!("/other{last}/a");
                 let applied = until(|| mesh.request(&path, "applied", None), |a| status(a) == 200).await;
@@ -254,7 +255,7 @@
                     far.iter().for_each(|far| far.breaks.set(Break::Never));
                     let id = format!("trust-{others}-{tries}-{number}");
                     let trusted = until(|| mesh.request(path, &id, None), |a| status(a) == 200).await;
-                    assert_eq!(status(&trusted), 200, "{trusted:?}");
+                    assert_eq!(status(&trusted), 200, "{id}: {trusted:?}");
                     far.iter().for_each(|far| far.breaks.set(Break::During));
                     let id = format!("broken-{others}-{tries}-{number}");
                     let _ = mesh.request(path, &id, None).await;
--- a/settings/src/setup.rs
+++ b/settings/src/setup.rs
@@ -309,6 +309,7 @@
     };
     Ok(fs::Class {
         effect,
+        max_runs: u32::MAX,
         latency_target: ms_to_micros(c.target_ms),
         target_per_work: c.target_per_work,
         deadline: ms_to_micros(c.deadline_ms),
@@ -423,6 +424,7 @@
             propagates_deadline: true,
             classes: vec![fs::Class {
                 effect: fs::Effect::Keyed { group: fs::DedupGroup::Cell, window: 7_000 },
+                max_runs: u32::MAX,
                 latency_target: 8_000,
                 target_per_work: 0.5,
                 deadline: 9_000,
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -171,6 +171,7 @@
             // No route leads here yet; the module wants a class all the same.
             let class = fs::Class {
                 effect: fs::Effect::Unsafe,
+                max_runs: u32::MAX,
                 latency_target: 1_000_000,
                 target_per_work: 0.0,
                 deadline: 1_000_000,
--- a/src/api.rs
+++ b/src/api.rs
@@ -53,6 +53,8 @@
 pub struct Class {
     /// Whether and where a request may be repeated.
     pub effect: Effect,
+    /// Maximum number of servers that may run one request, whatever its effect allows; at least 1.
+    pub max_runs: u32,
     /// Latency target: an answer within this time earns the full value.
     pub latency_target: Micros,
     /// Extra latency target per unit of the request's own work, if a work hint is given.
@@ -67,6 +69,13 @@
     pub stream: bool,
 }
 
+impl Class {
+    /// Whether a request may be sent to another server after one that may have run it.
+    pub fn is_repeatable(&self) -> bool {
+        self.effect != Effect::Unsafe && self.max_runs > 1
+    }
+}
+
 /// A tenant of a shared service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tenant {
@@ -324,6 +333,7 @@
         require(self.tick > 0, "the tick is zero")?;
         for c in &self.classes {
             require(c.latency_target > 0 && c.deadline > 0, "a class without latency target or deadline")?;
+            require(c.max_runs > 0, "a class whose requests may not run")?;
             require(
                 valid(c.value) && valid(c.late_value_ratio) && valid(c.target_per_work),
                 "a class's value, late value ratio or target per work is negative or not finite",
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -788,7 +788,7 @@
             let max = (windows.max(MIN_RETRY_BUDGET_CAP) - f64::from(self.reserved_retries)).max(0.0);
             self.retry_budget = (self.retry_budget + RETRY_BUDGET_RATIO).min(max);
         }
-        let may_retry = !request.retried && self.settings.classes[request.class].effect != Effect::Unsafe;
+        let may_retry = !request.retried && self.settings.classes[request.class].is_repeatable();
         if may_retry && !request.retry_reserved && self.retry_budget >= 1.0 {
             self.retry_budget -= 1.0;
             self.reserved_retries += 1;
@@ -811,7 +811,7 @@
         let idle_for = server.idle_since.pop().map_or(0, |since| now - since) / MIN_LATENCY_US as Micros;
         let mut bucket = idle_for.checked_ilog2().unwrap_or(0) as usize;
         // Avoids connections that a middlebox may have dropped silently.
-        let unsafe_on_stale = self.settings.classes[class].effect == Effect::Unsafe
+        let unsafe_on_stale = !self.settings.classes[class].is_repeatable()
             && self.idle_failures[1][bucket] > MAX_IDLE_RESET_SHARE;
         if self.idle_failures[0][bucket] > MAX_IDLE_FAILURE_SHARE || unsafe_on_stale {
             actions.push(Action::CloseIdle { server: server.entry.id });
@@ -837,7 +837,7 @@
         }
         let limit = if request.retried {
             p.p50 * request.scale
-        } else if self.settings.classes[request.class].effect == Effect::Unsafe {
+        } else if !self.settings.classes[request.class].is_repeatable() {
             p.p99 * request.scale * UNREPEATABLE_LIMIT_P99S
         } else {
             let reserve = p.p50 * request.scale * (1.0 + RETRY_BACKOFF_P50S);
@@ -894,9 +894,9 @@
         let may_retry = if outcome.never_ran() {
             attempts_left
         } else {
-            let effect = self.settings.classes[request.class].effect;
+            let repeatable = self.settings.classes[request.class].is_repeatable();
             let in_budget = request.retry_reserved || self.retry_budget >= 1.0;
-            let may_retry = attempts_left && !request.retried && effect != Effect::Unsafe && in_budget;
+            let may_retry = attempts_left && !request.retried && repeatable && in_budget;
             if may_retry {
                 self.reserved_retries -= u32::from(request.retry_reserved);
                 self.retry_budget -= f64::from(u8::from(!request.retry_reserved));
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -173,6 +173,7 @@
 fn settings(n: u32) -> Settings {
     let class = |latency_target: Micros, value: f64, effect| Class {
         effect,
+        max_runs: u32::MAX,
         latency_target,
         target_per_work: 0.0,
         deadline: 4 * SECOND,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,6 +17,7 @@
 pub fn class(effect: Effect) -> Class {
     Class {
         effect,
+        max_runs: u32::MAX,
         latency_target: 500 * MS,
         target_per_work: 0.0,
         deadline: 2 * SECOND,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -84,6 +84,26 @@
     assert_eq!(sim.attempts.values().sum::<u32>(), 2);
 }
 
+#[test]
+fn a_class_of_one_run_is_sent_again_only_if_it_never_ran() {
+    let mut settings = settings(&[Effect::Safe]);
+    settings.classes[0].max_runs = 1;
+    for (outcome, attempts) in [(Outcome::Error, 1), (Outcome::Reset, 1), (Outcome::Full, 2)] {
+        let mut sim = Simulation::new(settings.clone(), (0..4).map(ServerEntry::new).collect(), 7);
+        serve_sequentially(&mut sim, 0, 160, 10 * MS);
+        let sent_before: u32 = sim.attempts.values().sum();
+        let id = sim.request(0);
+        let first = last_attempt(&sim);
+        // Longer than the P99 that limits attempts with a retry to follow.
+        assert!(first.limit > 13 * MS, "{}", first.limit);
+        sim.end_attempt(&first, outcome);
+        let until = sim.now + 50 * MS;
+        sim.run(until, |_| Some((10 * MS, Outcome::Ok)));
+        assert!(!sim.is_open(id));
+        assert_eq!(sim.attempts.values().sum::<u32>() - sent_before, attempts, "{outcome:?}");
+    }
+}
+
 #[test]
 fn retry_budget_limits_retries() {
     let mut sim = simulation(&[Effect::Safe], 4);
@@ -490,6 +510,7 @@
     assert!(bad(|s| s.balancers = 0).contains("balancers"));
     assert!(bad(|s| s.rules.initial_capacity_share = f64::NAN).contains("initial capacity share"));
     assert!(bad(|s| s.classes[0].value = -1.0).contains("value"));
+    assert!(bad(|s| s.classes[0].max_runs = 0).contains("may not run"));
     assert!(bad(|s| s.limits.max_attempts = 0).contains("attempts"));
     assert!(bad(|s| s.prices.waste = f64::INFINITY).contains("price"));
     assert!(bad(|s| s.goal.tail_latency = -0.1).contains("goal"));
