LOST: requests are answered before the process that shuts down ends

Cause: one deadline for two things that follow each other. Open requests were answered until 5.6 s after SIGTERM, at the earliest 5 to 10 ms before it, and the process ended at 5.6 s, whatever was left. Requests from the first 0.6 s, and from before, were answered at that very moment, so never.

Change: a ShutdownSchedule. At that moment the engine answers them itself, as at their deadline, so what never ran is refused (503) and not failed. The part of its time for which a request may queue at other balancers is taken of the time that this balancer still serves it.

--- a/engine/src/core.rs
+++ b/engine/src/core.rs
@@ -611,6 +611,12 @@
         self.attempt_ended(now, id, attempt, outcome.into());
     }
 
+    /// Answers a request that is still unanswered as if its time were over.
+    pub fn expire(&mut self, now: Micros, id: RequestId) {
+        self.answer(id, Answer::Failed);
+        self.handle_event(now, Event::ClientGone { request: id });
+    }
+
     /// Fails a request that is still unanswered just before its client's deadline. Guards against a defect in the
     /// decision module.
     fn answer_fallback(&mut self, now: Micros, id: RequestId) {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -179,8 +179,21 @@
 
 impl<W: Transport> PendingRequest<W> {
     /// Waits for the final answer.
-    pub async fn answer(mut self) -> Answer<W::Reply> {
-        (&mut self.answer).await.unwrap_or_else(|_| {
+    pub async fn answer(self) -> Answer<W::Reply> {
+        self.answer_until(std::future::pending()).await
+    }
+
+    /// Waits for the final answer. If `expiry` completes first, the request is answered as if its time were over.
+    pub async fn answer_until(mut self, expiry: impl Future<Output = ()>) -> Answer<W::Reply> {
+        let answer = tokio::select! {
+            biased;
+            answer = &mut self.answer => answer,
+            () = expiry => {
+                self.engine.with_core(|core, now| core.expire(now, self.request));
+                (&mut self.answer).await
+            }
+        };
+        answer.unwrap_or_else(|_| {
             let request = self.request;
             emit!(DEFECT, what = %"dropped"; "defect: request {request} was dropped without an answer");
             Answer::Failed(Failure::Upstream)
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -82,7 +82,8 @@
     pub timeouts: StageTimeouts,
     /// The path of the readiness check.
     pub ready_path: String,
-    /// Time from the order to stop until the last response is sent.
+    /// Time from the order to stop until requests that are still open are answered. The process must run on for a while, so
+    /// that their clients get these responses.
     pub drain_timeout: Duration,
     /// Time from the order to stop during which connections and requests are still accepted.
     pub accept_after_stop: Duration,
@@ -477,13 +478,9 @@
         let submitted_at = Instant::now();
         let pending =
             engine.submit(NewRequest { class, time_left, tenant, work, retry: is_retry, operation, call });
-        // A request that is still open when the drain timeout expires fails, so that its client gets a response
-        // before the process is killed.
-        let answer = tokio::select! {
-            biased;
-            answer = pending.answer() => answer,
-            () = self.drain_expired.notified() => Answer::Failed(Failure::DeadlineExceeded),
-        };
+        // A request that is still open when the drain timeout expires is answered, so that its client gets a response
+        // before the process ends.
+        let answer = pending.answer_until(self.drain_expired.notified()).await;
         match answer {
             Answer::Served(mut reply) => {
                 if let Some(observer) = observer {
--- a/mesh/data-plane/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use finchshift::Micros;
 use hyper::StatusCode;
@@ -51,6 +52,8 @@
     clock: Rc<Clock>,
     /// Whether this balancer reports itself as ready for requests.
     ready: Cell<bool>,
+    /// When this balancer answers all requests that are still open, while it shuts down.
+    requests_end: Cell<Option<Micros>>,
     /// Estimates how long ago the first try of a request began, by request kind.
     request_ages: RefCell<RequestAgeEstimators>,
 }
@@ -60,7 +63,7 @@
     /// bodies.
     pub fn new(sender: HeaderValue, bodies: Rc<Share>, clock: Rc<Clock>) -> Outgoing {
         let (routes, ready, request_ages) = (RefCell::default(), Cell::new(false), RefCell::default());
-        Outgoing { routes, sender, bodies, clock, ready, request_ages }
+        Outgoing { routes, sender, bodies, clock, ready, requests_end: Cell::default(), request_ages }
     }
 
     /// Replaces the routes for all further requests.
@@ -74,6 +77,12 @@
         self.ready.set(ready);
     }
 
+    /// From now on, requests wait for an upstream only as long as this balancer can still serve them: it answers all open
+    /// requests after this time.
+    pub fn limit_waits(&self, requests_end: Duration) {
+        self.requests_end.set(Some(self.clock.now().saturating_add(requests_end.as_micros() as Micros)));
+    }
+
     /// Whether this balancer reports itself as ready for requests.
     pub fn is_ready(&self) -> bool {
         self.ready.get()
@@ -176,7 +185,8 @@
         };
         let target_at = now.saturating_add(route.target.0).saturating_sub(age);
         headers.insert(header_names::AIM, HeaderValue::from(target_at));
-        let max_wait = (time_left as f64 * MAX_WAIT_SHARE) as Micros;
+        let served_for = self.requests_end.get().map_or(Micros::MAX, |end| end.saturating_sub(now));
+        let max_wait = (time_left.min(served_for) as f64 * MAX_WAIT_SHARE) as Micros;
         headers.insert(header_names::HOLD, HeaderValue::from(now.saturating_add(max_wait)));
         headers.insert(header_names::TIME_LEFT, HeaderValue::from(now.saturating_add(time_left)));
         if route.route_kind == RouteKind::Unsafe {
--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -19,3 +19,4 @@
 mod responses;
 pub mod services;
 pub mod shaped_body;
+pub mod shutdown;
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -42,6 +42,7 @@
 use crate::pull_sources::PullSources;
 use crate::receive::Receiver;
 use crate::services::{ServiceContext, Services};
+use crate::shutdown::{CLIENT_LEAVE_TIME, ShutdownSchedule};
 
 /// Maximum interval between updates of the pull sources.
 const SOURCE_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -55,12 +56,8 @@
 const STORED_RESPONSE_MEMORY_SHARE: f64 = 0.15;
 /// How much longer than the key window stored responses are kept.
 const LEDGER_EXTRA_MS: u64 = 10_000;
-/// How long clients still send requests after the process receives SIGTERM: they check readiness once per second and leave
-/// after two failed checks.
-const CLIENT_LEAVE_TIME: Duration = Duration::from_millis(2600);
-/// Time between the last response and the end of the grace period, when the process is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// The start of a process may follow the shutdown of another one, which began at least [`CLIENT_LEAVE_TIME`] earlier. Requests
+/// The start of a process may follow the shutdown of another one, which began at least
+/// [`CLIENT_LEAVE_TIME`] earlier. Requests
 /// are not cancelled until the grace period and this time have passed since the shutdown began.
 const AFTER_GRACE: Duration = Duration::from_millis(1200);
 /// Responses of the upstream up to this size are read whole before they are sent, so that the upstream's slot is free while
@@ -89,19 +86,18 @@
 }
 
 /// Limits for the connections of clients.
-fn client_limits(places: usize, limits: SizeLimits, grace: Duration) -> ServerLimits {
+fn client_limits(places: usize, limits: SizeLimits, shutdown: &ShutdownSchedule) -> ServerLimits {
     let pace = StageTimeouts {
         idle: limits.idle.duration(),
         head: limits.header.duration(),
         ..StageTimeouts::default()
     };
-    let leave_within = grace.saturating_sub(KILL_MARGIN);
     ServerLimits {
         max_connections: places,
         timeouts: pace,
         ready_path: "/-/ready".to_owned(),
-        drain_timeout: leave_within,
-        accept_after_stop: CLIENT_LEAVE_TIME.min(leave_within),
+        drain_timeout: shutdown.requests_end,
+        accept_after_stop: shutdown.accept_end,
     }
 }
 
@@ -153,7 +149,9 @@
 
     let clock = Rc::new(Clock::new());
     let (phases, phase) = watch::channel(Phase::Running);
-    let initial_limits = client_limits(max_clients, SizeLimits::default(), guarantees.grace.duration());
+    let grace = guarantees.grace.duration();
+    let shutdown = ShutdownSchedule::new(grace);
+    let initial_limits = client_limits(max_clients, SizeLimits::default(), &shutdown);
     let callers = HttpServer::new(Outgoing::new(sender, bodies, clock.clone()), initial_limits, phase);
 
     let mesh = TcpListener::bind(settings.mesh_bind_address()).await.context("listen for the mesh")?;
@@ -195,14 +193,7 @@
         connections,
     };
     let sources = PullSources::new(watched, exchange.clone(), keys);
-    spawn_local(apply_changes(
-        sources,
-        exchange.clone(),
-        callers.clone(),
-        context,
-        max_clients,
-        guarantees.grace.duration(),
-    ));
+    spawn_local(apply_changes(sources, exchange.clone(), callers.clone(), context, max_clients, grace));
     info!(target: "start", "{} is listening at {}.", settings.node_name, settings.mesh_address());
 
     let mut stop = signal(SignalKind::terminate()).context("wait for SIGTERM")?;
@@ -211,12 +202,13 @@
         let _ = stop.recv().await;
         info!(target: "stop", "Shutting down.");
         callers.frontend().set_ready(false);
+        callers.frontend().limit_waits(shutdown.requests_end);
         exchange.update_local_record(|own| own.leaving = true);
         let _ = phases.send(Phase::Stopping);
         Instant::now()
     };
     let ((), stop_time) = tokio::join!(accepting, stopping);
-    let deadline = stop_time + guarantees.grace.duration().saturating_sub(KILL_MARGIN);
+    let deadline = stop_time + shutdown.process_end;
     let drained = async {
         callers.wait_closed().await;
         while !receiver.is_idle() {
@@ -310,6 +302,7 @@
     max_clients: usize,
     grace: Duration,
 ) {
+    let shutdown = ShutdownSchedule::new(grace);
     let mut changes = exchange.subscribe();
     let mut services = Services::default();
     services.set_cancellation(false);
@@ -330,7 +323,7 @@
                             metrics::VERSION_IN_FORCE.set(config.edition.into());
                             info!(target: "routes", "Configuration {:08x} is in force.", config.edition);
                             callers.frontend().set_routes(Routes { table, targets });
-                            callers.set_limits(client_limits(max_clients, limits, grace));
+                            callers.set_limits(client_limits(max_clients, limits, &shutdown));
                         }
                         Err(error) => {
                             warn!(target: "routes", "The configuration cannot be applied: {error:#}.")
