A shutting-down balancer begins no answer that it can't finish

Change: after the order to stop such an answer is read whole first, if its length is known and memory has room for twice of it; at the moment when open requests are answered, its client gets 504 instead of a part.

a_long_answer_that_does_not_fit_into_a_shutdown_is_not_begun: without the change 'Stopped with 1 open requests ... 1 being answered', with it 504. Not covered: answers that began before the order to stop, and those of unknown length.

--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod server;
 pub mod upload;
 pub mod upstream;
+pub mod whole_body;
 
 /// Maximum size of a request or response body on the platform.
 pub const PLATFORM_MAX_BODY_BYTES: usize = 32 << 20;
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -35,6 +35,7 @@
 use crate::payload::{BodyEnd, Payload};
 use crate::upload::{RequestBody, StreamingUpload};
 use crate::upstream::Call;
+use crate::whole_body::buffer_whole;
 use crate::{MAX_BUFFERED_BYTES, MAX_READ_AHEAD_BYTES};
 
 /// Upper bound of the drain time on the platform, before [`PLATFORM_DRAIN_EXTENSION`] is added. Below this bound,
@@ -455,6 +456,7 @@
             request_id,
             guard,
             observer,
+            body_memory,
             ..
         } = admission;
         // Rejects a second request with an id that is still open, because upstreams could not distinguish the two.
@@ -490,6 +492,14 @@
                         submitted_at.elapsed().as_micros() as Micros,
                     );
                 }
+                // Once a part of a response is sent, nothing but the rest of it can follow.
+                if self.stop_ordered_at.get().is_some() {
+                    let whole = buffer_whole(reply.body, &body_memory, self.drain_expired.notified()).await;
+                    match whole {
+                        Ok(body) => reply.body = body,
+                        Err(failure) => return failed(failure),
+                    }
+                }
                 // The memory of the request body is released with the attempt, which ends with the response.
                 if let Payload::Streaming(streaming) = &mut reply.body {
                     streaming.on_end(move |_| drop(memory));
@@ -509,10 +519,7 @@
                 text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or broke off")
             }
             Answer::Refused { retry_after } => self.refused(retry_after, "refused"),
-            Answer::Failed(Failure::DeadlineExceeded) => {
-                text_response(StatusCode::GATEWAY_TIMEOUT, "out of time")
-            }
-            Answer::Failed(Failure::Upstream) => text_response(StatusCode::BAD_GATEWAY, "upstream failed"),
+            Answer::Failed(failure) => failed(failure),
         }
     }
 
@@ -527,6 +534,14 @@
     }
 }
 
+/// The response to a request that failed after it was sent to an upstream.
+fn failed(failure: Failure) -> ClientResponse {
+    match failure {
+        Failure::DeadlineExceeded => text_response(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+        Failure::Upstream => text_response(StatusCode::BAD_GATEWAY, "upstream failed"),
+    }
+}
+
 /// A request body as far as it was read.
 enum ReceivedBody {
     /// The whole body with the permits for its memory.
--- a/mesh/testbed/tests/shutdown.rs
+++ b/mesh/testbed/tests/shutdown.rs
@@ -159,6 +159,27 @@
     });
 }
 
+/// It is too long to be read whole before it is passed on.
+#[test]
+fn a_long_answer_that_does_not_fit_into_a_shutdown_is_not_begun() {
+    const DOWNLOAD_BYTES: usize = 400_000;
+    /// It carries the download in four seconds.
+    const LINK_MBPS: f64 = 1.0;
+    play(async || {
+        let mut fleet = Fleet::start(57, 2, LINK_MBPS, "15s").await;
+        let connection = fleet.connection().await;
+        fleet.standin.book().large = DOWNLOAD_BYTES;
+        fleet.front.stop();
+        let told_at = Instant::now();
+        sleep(LATE_REQUEST).await;
+        let (answer, _) = send(connection, "/safe/large", "large").await.expect("it ends");
+        let answer = answer.unwrap_or_else(|why| panic!("{why:#}, {}", fleet.front.log()));
+        assert_eq!(answer.status, 504, "{answer:?}");
+        let ended = fleet.ended(told_at).await;
+        assert!(ended < GRACE, "it takes {ended:?} to end");
+    });
+}
+
 /// Answers that the upstream has given still wait for the link of the other balancer.
 #[test]
 fn answers_that_wait_for_a_link_at_the_end_of_a_shutdown_are_answered_whole() {
