--- a/mesh/testbed/tests/between_balancers.rs
+++ b/mesh/testbed/tests/between_balancers.rs
@@ -7,7 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mesh::{Mesh, play, status, until};
 use sloeline_discovery::{Condition, Record, Upstream, Version};
@@ -271,3 +271,29 @@
         }
     });
 }
+
+#[test]
+fn a_request_is_answered_in_time_after_a_change_of_its_routes_timeout() {
+    /// The route's timeout when the request arrives.
+    const TIMEOUT: Duration = Duration::from_secs(2);
+    /// How much later than that it may be answered.
+    const LATE: Duration = Duration::from_millis(500);
+    play(async || {
+        let mesh = Mesh::without_upstream(58, 1).await;
+        let far = far_balancer(&mesh, 58).await;
+        let well = until(|| mesh.request("/safe/a", "well", None), |a| status(a) == 200).await;
+        assert_eq!(status(&well), 200, "{well:?}");
+        far.breaks.set(Break::Silent);
+        let sent_at = Instant::now();
+        let pending = mesh.request_with("/safe/a", "silent", None, 9000);
+        let changed = async {
+            sleep(Duration::from_millis(200)).await;
+            mesh.put(0, &mesh::config(2, "3s")).await
+        };
+        let (answer, changed) = tokio::join!(pending, changed);
+        let took = sent_at.elapsed();
+        assert_eq!(status(&changed), 200, "{changed:?}");
+        assert_eq!(status(&answer), 504, "after {took:?}: {answer:?}");
+        assert!(took < TIMEOUT + LATE, "after {took:?}");
+    });
+}
