LOST: requests keep their engine until they are answered, whatever a change removes

Cause: an engine belongs to a service and a class, and the class is named after its timeout too. The comment said that requests keep a reference to their service; they kept one to its engine alone.

Change: services that no route leads to any more are kept until no request is open there, are told of upstreams meanwhile, and are taken back if a later configuration wants them again.

The general daemon lets a pool go only once it is drained (Running::retire): not concerned.

--- a/http/src/frontend.rs
+++ b/http/src/frontend.rs
@@ -109,6 +109,11 @@
         AdmittedGuard { admitted: self.clone(), class }
     }
 
+    /// Returns whether no request is counted.
+    pub fn is_empty(&self) -> bool {
+        self.counts.borrow().iter().all(|count| *count == 0)
+    }
+
     /// Returns whether any request of the class is counted.
     pub fn any_open(&self, class: fs::ClassId) -> bool {
         self.counts.borrow().get(class).is_some_and(|n| *n > 0)
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -334,6 +334,7 @@
             }
             applied = Some(config.edition);
         }
+        services.end_retired();
         services.update_upstreams(&records);
         let leaving = exchange.local_record().leaving;
         services.set_cancellation(
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -125,6 +125,22 @@
     tasks: Vec<AbortHandle>,
 }
 
+impl Service {
+    /// Whether a request is open here, be it that its header has just arrived or that an attempt has not ended.
+    fn has_requests(&self) -> bool {
+        !self.admitted.is_empty() || self.engine.open_requests() > 0
+    }
+
+    /// Passes the present upstreams to the engine, if they have changed.
+    fn update_upstreams(&self, upstreams: &[DiscoveryEntry], ids: &HashMap<SocketAddr, HeaderValue>) {
+        self.engine.transport().upstream_ids.borrow_mut().clone_from(ids);
+        if *self.upstreams.borrow() != upstreams || !self.engine.has_list() {
+            *self.upstreams.borrow_mut() = upstreams.to_vec();
+            self.engine.update_list(ListKind::Complete, upstreams.to_vec());
+        }
+    }
+}
+
 impl Drop for Service {
     fn drop(&mut self) {
         self.tasks.iter().for_each(AbortHandle::abort);
@@ -205,6 +221,8 @@
 pub struct Services {
     /// Services by name and class group.
     by_group: BTreeMap<Group, Rc<Service>>,
+    /// Services that no route leads to any more, while requests are open there. A later configuration may take them back.
+    retired: BTreeMap<Group, Rc<Service>>,
     /// Whether attempts that an upstream may be processing are left to finish.
     cancellation_disabled: bool,
 }
@@ -246,6 +264,9 @@
         let mut numbers: HashMap<(String, String), (Group, fs::ClassId)> = HashMap::new();
         for ((service_name, group), slots) in &wanted {
             let group: Group = ((*service_name).to_owned(), group.clone());
+            if let Some(service) = self.retired.remove(&group) {
+                self.by_group.insert(group.clone(), service);
+            }
             let service = self.by_group.get(&group);
             let old = service.map(|s| s.slots.borrow().clone()).unwrap_or_default();
             let uses = |at| service.is_some_and(|s| s.admitted.any_open(at) || s.engine.class_in_use(at));
@@ -269,9 +290,11 @@
                 }
             }
         }
-        // Requests in progress keep a reference to their service.
-        self.by_group
-            .retain(|(service_name, group), _| wanted.contains_key(&(service_name.as_str(), group.clone())));
+        let is_wanted = |(service_name, group): &Group, _: &mut Rc<Service>| {
+            wanted.contains_key(&(service_name.as_str(), group.clone()))
+        };
+        let unwanted = self.by_group.extract_if(.., |group, service| !is_wanted(group, service));
+        self.retired.extend(unwanted);
         let target_of = |route: &Route| {
             let name = slot(route).name;
             let split = |(service_name, share): (&str, u32)| {
@@ -288,6 +311,16 @@
         Ok(table.routes().iter().map(target_of).collect())
     }
 
+    /// Ends the services that no route leads to and where no request is open any more.
+    pub fn end_retired(&mut self) {
+        self.retired.retain(|_, service| service.has_requests());
+    }
+
+    /// All services, those that still have requests of an earlier configuration among them.
+    fn all(&self) -> impl Iterator<Item = (&Group, &Rc<Service>)> {
+        self.by_group.iter().chain(&self.retired)
+    }
+
     /// Passes the upstreams in these records to the services that they belong to.
     pub fn update_upstreams(&self, records: &BTreeMap<String, Rc<Record>>) {
         let mut lists: BTreeMap<&str, Vec<DiscoveryEntry>> = BTreeMap::new();
@@ -314,13 +347,9 @@
                 started: upstream.cold_until_micros.map(|until| until.saturating_sub(WARM_AFTER_MICROS)),
             });
         }
-        for ((service_name, _), service) in &self.by_group {
-            let list = lists.get(service_name.as_str()).cloned().unwrap_or_default();
-            service.engine.transport().upstream_ids.borrow_mut().clone_from(&upstream_ids);
-            if *service.upstreams.borrow() != list || !service.engine.has_list() {
-                service.upstreams.borrow_mut().clone_from(&list);
-                service.engine.update_list(ListKind::Complete, list);
-            }
+        for ((service_name, _), service) in self.all() {
+            let list = lists.get(service_name.as_str()).map_or(&[][..], Vec::as_slice);
+            service.update_upstreams(list, &upstream_ids);
         }
     }
 
@@ -329,7 +358,7 @@
     /// on the previous process.
     pub fn set_cancellation(&mut self, enabled: bool) {
         self.cancellation_disabled = !enabled;
-        self.by_group.values().for_each(|service| service.engine.set_cancellation(enabled));
+        self.all().for_each(|(_, service)| service.engine.set_cancellation(enabled));
     }
 
     /// Whether any service has an upstream.
