A change of a timeout keeps engines, and what they and other balancers have learned

Change: a kind is the route's kind, precedence and target. Routes of a kind share an engine of a service; timeouts and tries make classes of their own there, which inherit what is learned, as in a change of a pool of the general daemon.

Evidence: a_change_of_a_timeout_keeps_the_engine_and_what_it_has_learned and routes_that_differ_in_timeout_or_tries_have_classes_of_their_own fail without the change and pass with it.

--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -147,15 +147,15 @@
     }
 }
 
-/// Name shared by the routes whose requests have similar processing times and deadlines.
+/// Name shared by the routes whose requests have similar processing times. It has no part that operators change while
+/// requests are open, as a timeout: what is learned of a kind must outlast such a change.
 fn kind_name(route: &Route) -> String {
-    let (target, deadline) = latency_limits(route);
-    format!("{:?}/{}/{target}/{deadline}", route.route_kind, route.precedence)
+    format!("{:?}/{}/{}", route.route_kind, route.precedence, latency_target(route))
 }
 
-/// Latency target and deadline of a route's requests, in microseconds.
-fn latency_limits(route: &Route) -> (Micros, Micros) {
-    (route.target.0.max(1_000), route.dispatch.timeout.0)
+/// Latency target of a route's requests, in microseconds.
+fn latency_target(route: &Route) -> Micros {
+    route.target.0.max(1_000)
 }
 
 /// The request class of a route. Routes with equal settings have equal classes.
@@ -171,19 +171,17 @@
         1 => 2.0,
         _ => 1.0,
     };
-    let (target, deadline) = latency_limits(route);
-    let max_runs = route.dispatch.tries;
     let class = fs::Class {
         effect,
-        max_runs,
-        latency_target: target,
+        max_runs: route.dispatch.tries,
+        latency_target: latency_target(route),
         target_per_work: 0.0,
-        deadline,
+        deadline: route.dispatch.timeout.0,
         value: class_value,
         late_value_ratio: 0.15,
         stream: false,
     };
-    ClassSlot { name: format!("{}/{max_runs}", kind_name(route)), class }
+    ClassSlot { name: kind_name(route), class }
 }
 
 /// The HTTP conventions between balancers, for the sending side.
@@ -261,7 +259,7 @@
             }
         }
         let tries = table.routes().iter().map(|r| r.dispatch.tries).max().unwrap_or(1);
-        let mut numbers: HashMap<(String, String), (Group, fs::ClassId)> = HashMap::new();
+        let mut class_ids: BTreeMap<Group, Vec<(ClassSlot, fs::ClassId)>> = BTreeMap::new();
         for ((service_name, group), slots) in &wanted {
             let group: Group = ((*service_name).to_owned(), group.clone());
             if let Some(service) = self.retired.remove(&group) {
@@ -271,9 +269,8 @@
             let old = service.map(|s| s.slots.borrow().clone()).unwrap_or_default();
             let uses = |at| service.is_some_and(|s| s.admitted.any_open(at) || s.engine.class_in_use(at));
             let assigned = assign(&old, slots, uses);
-            for (slot, number) in slots.iter().zip(&assigned.class_ids) {
-                numbers.insert(((*service_name).to_owned(), slot.name.clone()), (group.clone(), *number));
-            }
+            let numbered = slots.iter().cloned().zip(assigned.class_ids.iter().copied());
+            class_ids.insert(group.clone(), numbered.collect());
             let classes = assigned.slots.iter().map(|s| s.class.clone()).collect();
             let mut zones = NameTable::default();
             let settings = settings(context, &mut zones, classes, tries);
@@ -296,13 +293,15 @@
         let unwanted = self.by_group.extract_if(.., |group, service| !is_wanted(group, service));
         self.retired.extend(unwanted);
         let target_of = |route: &Route| {
-            let name = slot(route).name;
+            let (slot, kind) = (slot(route), kind_name(route));
             let split = |(service_name, share): (&str, u32)| {
-                let (group, number) = numbers.get(&(service_name.to_owned(), name.clone()))?;
-                Some((self.by_group.get(group)?.clone(), *number, share))
+                let own_group = (service_name.to_owned(), kind.clone());
+                let shared_group = (service_name.to_owned(), SHARED_GROUP.to_owned());
+                let group = if class_ids.contains_key(&own_group) { own_group } else { shared_group };
+                let (_, class_id) = class_ids.get(&group)?.iter().find(|(known, _)| *known == slot)?;
+                Some((self.by_group.get(&group)?.clone(), *class_id, share))
             };
-            let kind = HeaderValue::from_str(&kind_name(route))
-                .unwrap_or_else(|_| HeaderValue::from_static("other"));
+            let kind = HeaderValue::from_str(&kind).unwrap_or_else(|_| HeaderValue::from_static("other"));
             RouteTarget {
                 kind,
                 splits: route.dispatch.weighted_services().into_iter().filter_map(split).collect(),
