Soak: rolling stops, settings in series, changing timeouts and tries, slow requests, more balancers

Now timeouts (1 to 5 s) and tries (1 to 3) change with each version, versions come in bursts, a fourth of the requests on kept connections takes longer than any route allows, all balancers are told to stop in a row, and all processes are told of their settings in a series, overlapping with all the rest.

--- a/mesh/testbed/src/main.rs
+++ b/mesh/testbed/src/main.rs
@@ -49,6 +49,10 @@
         .about("Real processes under kills, pauses, cuts and lost answers; exit code 1 if anything was wrong")
         .arg(number("first", "1", "The first seed"))
         .arg(number("seeds", "10", "How many seeds, one after the other"))
+        .arg(
+            number("balancers", "3", "How many balancers there are")
+                .value_parser(value_parser!(u64).range(3..=u64::from(soak::fleet::MAX_BALANCERS))),
+        )
         .arg(number("net", "90", "The net 127.1.N, 1 to 250; two soaks at a time want two"))
         .arg(seconds.default_value("20").help("How long troubles are made, for each seed"))
         .arg(other)
@@ -95,6 +99,7 @@
 fn soak(matches: &ArgMatches) -> Result<()> {
     let (first, seeds) = (number(matches, "first"), number(matches, "seeds"));
     let net = u8::try_from(number(matches, "net")).context("net: expected 1 to 250")?;
+    let balancers = u8::try_from(number(matches, "balancers")).context("balancers: too many")?;
     let span = Duration::from_secs(number(matches, "seconds"));
     let testbed = std::env::current_exe().context("find this program's own file")?;
     let builds = match matches.get_one::<PathBuf>("alternate-with") {
@@ -105,7 +110,8 @@
     let mut wrong = 0;
     for seed in first..first.saturating_add(seeds) {
         let folder = std::env::temp_dir().join(format!("sloeline-soak-{net}-{seed}"));
-        let played = soak::play(net, seed, span, &builds, &folder);
+        let setup = soak::Setup { net, seed, span, balancers };
+        let played = soak::play(setup, &builds, &folder);
         let report = LocalSet::new().block_on(&runtime, played)?;
         println!("seed {seed}: {} wrong; {:?}", report.violations.len(), report.counts);
         report.violations.iter().for_each(|violation| println!("  {violation}"));
--- a/mesh/testbed/src/soak/fleet.rs
+++ b/mesh/testbed/src/soak/fleet.rs
@@ -15,13 +15,15 @@
 
 /// Core machines.
 pub const CORES: u8 = 3;
-/// Balancers, each with its upstream.
-pub const BALANCERS: u8 = 3;
+/// Most balancers: machines from 200 on are core machines.
+pub const MAX_BALANCERS: u8 = 190;
 /// The service of all upstreams.
 pub const SERVICE: &str = "goods";
 /// Requests that an upstream works on at once, and how long each takes.
 const SLOTS: u32 = 16;
 const WORK: Duration = Duration::from_millis(15);
+/// How long a slow one takes: longer than any route allows.
+const SLOW_WORK: Duration = Duration::from_secs(8);
 
 /// A process, its relay, and its troubles.
 pub struct Node {
@@ -95,8 +97,8 @@
 }
 
 impl Fleet {
-    /// Starts all processes from these builds.
-    pub async fn start(net: u8, builds: &Builds, folder: &Path) -> Result<Fleet> {
+    /// Starts all processes from these builds: the core machines and so many balancers, each with an upstream.
+    pub async fn start(net: u8, balancer_count: u8, builds: &Builds, folder: &Path) -> Result<Fleet> {
         let plan = Plan::new(net, CORES, folder.to_owned()).relayed();
         let (mut cores, mut balancers) = (Vec::new(), Vec::new());
         for core in 0..CORES {
@@ -108,7 +110,7 @@
             let relay = Relay::start(plan.core_mesh(core), plan.bind(machine)).await?;
             cores.push(Rc::new(node(machine, process, relay)));
         }
-        for balancer in 1..=BALANCERS {
+        for balancer in 1..=balancer_count {
             let settings = plan.balancer_settings(balancer, SERVICE);
             let name = format!("balancer-{balancer}-process");
             let builds = builds.for_process(usize::from(balancer));
@@ -116,10 +118,11 @@
             let relay = Relay::start(plan.balancer_mesh(balancer), plan.bind(balancer)).await?;
             balancers.push(Rc::new(node(balancer, process, relay)));
         }
-        let standins: Vec<Standin> = (0..BALANCERS).map(|_| Standin::default()).collect();
+        let standins: Vec<Standin> = (0..balancer_count).map(|_| Standin::default()).collect();
         let mut upstreams = Vec::new();
         for (balancer, standin) in (1..).zip(&standins) {
             standin.book().works = WORK;
+            standin.book().works_on_slow = SLOW_WORK;
             upstreams.push(plan.standin(balancer, SERVICE, standin, SLOTS)?);
         }
         Ok(Fleet { plan, cores, balancers, standins, _upstreams: upstreams })
@@ -133,6 +136,11 @@
         Ok(())
     }
 
+    /// The number of the last balancer; the first is 1.
+    pub fn last_balancer(&self) -> u8 {
+        self.balancers.len() as u8
+    }
+
     /// All processes.
     pub fn nodes(&self) -> impl Iterator<Item = &Rc<Node>> {
         self.cores.iter().chain(&self.balancers)
--- a/mesh/testbed/src/soak/kept.rs
+++ b/mesh/testbed/src/soak/kept.rs
@@ -5,20 +5,21 @@
 use fastrand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::fleet::BALANCERS;
 use super::load::{CONTACT, Load};
 use crate::client::{Answer, Kept};
 
 /// A process that has read a request whole answers it, but for one that it closed on within this time: it may not have read it.
 const LOST_SLACK: Duration = Duration::from_millis(200);
-/// How long an answer is waited for.
-const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
+/// How long an answer is waited for: the longest timeout of a route and half a second.
+const ANSWER_WITHIN: Duration = Duration::from_millis(5500);
+/// One request in so many is slow.
+const SLOW_EVERY: u32 = 4;
 
 impl Load {
     /// Uses connections to any balancer, one after the other, until the end.
     pub async fn keep(self, client: u32, mut rng: Rng) {
         while Instant::now() < self.until {
-            let balancer = rng.u8(1..=BALANCERS);
+            let balancer = rng.u8(1..=self.fleet.last_balancer());
             let connected = timeout(ANSWER_WITHIN, Kept::connect(self.fleet.plan.outgoing(balancer))).await;
             if let Ok(Ok(connection)) = connected {
                 self.use_up(connection, balancer, client, &mut rng).await;
@@ -32,7 +33,8 @@
         while Instant::now() < self.until {
             let id = format!("kept-{client}-{:x}", rng.u64(..));
             let sent_at = Instant::now();
-            let answered = timeout(ANSWER_WITHIN, connection.ask(&request(&id))).await;
+            let path = if rng.u32(..SLOW_EVERY) == 0 { "/slow/x" } else { "/v/1/x" };
+            let answered = timeout(ANSWER_WITHIN, connection.ask(&request(path, &id))).await;
             match answered {
                 Ok(Ok(answer)) => {
                     self.check_answer(balancer, &id, &answer);
@@ -41,7 +43,7 @@
                     }
                 }
                 Ok(Err(_)) => return self.check_lost(balancer, &id, sent_at),
-                Err(_) => return self.account.borrow_mut().count("kept without an answer in time"),
+                Err(_) => return self.check_late(balancer, &id),
             }
             sleep(Duration::from_millis(rng.u64(1..60))).await;
         }
@@ -60,6 +62,16 @@
         }
     }
 
+    /// Whatever becomes of upstreams and other balancers, a request is answered within its route's timeout.
+    fn check_late(&self, balancer: u8, id: &str) {
+        let node = &self.fleet.balancers[usize::from(balancer) - 1];
+        let mut account = self.account.borrow_mut();
+        account.count("kept without an answer in time");
+        if node.is_free_of_unplanned_for(CONTACT + ANSWER_WITHIN) {
+            account.violate(format!("balancer {balancer} has not answered {id} within {ANSWER_WITHIN:?}"));
+        }
+    }
+
     /// Whatever else is planned, a request that was read is answered before its connection ends.
     fn check_lost(&self, balancer: u8, id: &str, sent_at: Instant) {
         let node = &self.fleet.balancers[usize::from(balancer) - 1];
@@ -72,6 +84,6 @@
     }
 }
 
-fn request(id: &str) -> String {
-    format!("GET /v/1/x HTTP/1.1\r\nHost: shop.example\r\nX-Try-Id: {id}\r\nX-Time-Left: 2000\r\n\r\n")
+fn request(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Try-Id: {id}\r\nX-Time-Left: 9000\r\n\r\n")
 }
--- a/mesh/testbed/src/soak/load.rs
+++ b/mesh/testbed/src/soak/load.rs
@@ -10,13 +10,17 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::account::Account;
-use super::fleet::{BALANCERS, CORES, Fleet, SERVICE};
+use super::fleet::{CORES, Fleet, SERVICE};
 use crate::client::{Answer, ask};
 
 /// Routes of a configuration that stay as they are: together some 40 KB.
 const ROUTES: u32 = 250;
 /// Versions whose marker route a configuration has. Older markers are taken away.
 const MARKERS: u32 = 40;
+/// Timeouts of routes: one to five seconds.
+const SHORTEST_TIMEOUT_MS: u32 = 1000;
+const TIMEOUT_STEP_MS: u32 = 500;
+const TIMEOUT_STEPS: u32 = 9;
 /// How long an order and a probe are waited for.
 const ORDER_WITHIN: Duration = Duration::from_millis(2500);
 const PROBE_WITHIN: Duration = Duration::from_millis(1500);
@@ -46,10 +50,13 @@
 }
 
 /// A configuration. Version `n` has the marker routes `/v/n/`, `/v/n-1/` and so on, so that a probe tells which is in force.
+/// Timeouts and tries change with the version.
 pub fn configuration(edition: u32) -> String {
+    let (timeout_ms, tries) =
+        (SHORTEST_TIMEOUT_MS + TIMEOUT_STEP_MS * (edition % TIMEOUT_STEPS), 1 + edition % 3);
     let route = |name: String, prefix: String, kind: &str| {
         format!(
-            r#"{{"name":"{name}","route_kind":"{kind}","target":"400ms","precedence":1,"sort_by":{{"lane_prefix":"{prefix}"}},"dispatch":{{"line":"{SERVICE}","timeout":"2s","tries":2}}}}"#
+            r#"{{"name":"{name}","route_kind":"{kind}","target":"400ms","precedence":1,"sort_by":{{"lane_prefix":"{prefix}"}},"dispatch":{{"line":"{SERVICE}","timeout":"{timeout_ms}ms","tries":{tries}}}}}"#
         )
     };
     let markers = (edition.saturating_sub(MARKERS - 1)..=edition)
@@ -57,8 +64,9 @@
     let name = |number: u32| number.wrapping_mul(2_654_435_761) ^ 0x5bd1_e995;
     let fixed =
         (0..ROUTES).map(|number| route(format!("r{number}"), format!("/{:x}/", name(number)), "safe"));
-    let book = std::iter::once(route("book".to_owned(), "/book/".to_owned(), "tracked"));
-    let routes: Vec<String> = markers.chain(fixed).chain(book).collect();
+    let book = route("book".to_owned(), "/book/".to_owned(), "tracked");
+    let slow = route("slow".to_owned(), "/slow/".to_owned(), "safe");
+    let routes: Vec<String> = markers.chain(fixed).chain([book, slow]).collect();
     format!(
         r#"{{"edition":"{edition:08x}","gateways":[{{"station":"shop.example","regulations":[{}]}}],"depots":[{{"name":"{SERVICE}"}}]}}"#,
         routes.join(",")
@@ -111,7 +119,10 @@
                 return;
             }
             self.order(edition, &mut rng).await;
-            sleep(Duration::from_millis(rng.u64(50..900))).await;
+            // Now and then many changes follow one another at once.
+            if rng.u32(..3) > 0 {
+                sleep(Duration::from_millis(rng.u64(50..900))).await;
+            }
         }
     }
 
@@ -193,7 +204,7 @@
     pub async fn call(self, client: u32, mut rng: Rng) {
         while Instant::now() < self.until {
             let key = format!("k-{client}-{}", rng.u32(..KEYS));
-            let balancer = rng.u8(1..=BALANCERS);
+            let balancer = rng.u8(1..=self.fleet.last_balancer());
             let load = self.clone();
             let id = format!("try-{client}-{:x}", rng.u64(..));
             spawn_local(async move { load.keyed(balancer, &id, &key).await });
@@ -217,7 +228,7 @@
         (0..ORDERS).for_each(|order| _ = spawn_local(self.clone().operate(2 + order, rng.fork())));
         (0..KEPT).for_each(|client| _ = spawn_local(self.clone().keep(client, rng.fork())));
         spawn_local(self.clone().read_often(rng.fork()));
-        (1..=BALANCERS).for_each(|balancer| _ = spawn_local(self.clone().probe(balancer)));
+        (1..=self.fleet.last_balancer()).for_each(|balancer| _ = spawn_local(self.clone().probe(balancer)));
         (0..CLIENTS).for_each(|client| _ = spawn_local(self.clone().call(client, rng.fork())));
     }
 }
--- a/mesh/testbed/src/soak/mod.rs
+++ b/mesh/testbed/src/soak/mod.rs
@@ -1,9 +1,10 @@
 //! A soak: real processes on real sockets under troubles that overlap, with all invariants on.
 //!
-//! Three core machines and three balancers with an upstream each, behind relays. An operator changes the configuration all the
-//! time and loses some answers, clients send keyed requests again and again, probes look at what is in force. Meanwhile
-//! processes are killed, paused, told to stop and started again, or told of their settings, disks are lost, links are cut,
-//! reset, slowed and lose answers, up to three at a time. Some clients keep their connections until the process is gone.
+//! Three core machines and some balancers with an upstream each, behind relays. An operator changes the configuration all the
+//! time, timeouts and tries with it, and loses some answers, clients send keyed requests again and again, probes look at what is
+//! in force. Meanwhile processes are killed, paused, told to stop and started again, one by one or all balancers in a row, or
+//! told of their settings, disks are lost, links are cut, reset, slowed and lose answers, up to three at a time. Some clients
+//! keep their connections until the process is gone; some of their requests take longer than any route allows.
 //! At the end all is well for a while. What must hold:
 //!
 //! - a read gives no version below one acknowledged before, and only what was sent under its number;
@@ -11,7 +12,8 @@
 //! - an order is never refused that is valid;
 //! - at the end everybody has the newest acknowledged version;
 //! - no key runs twice;
-//! - an answer on a kept connection is the one to its request, and around planned stops no request is left without one;
+//! - an answer on a kept connection is the one to its request, it comes within its route's timeout and half a second, and
+//!   around planned stops no request is left without one;
 //! - no process counts a violation of an invariant, logs a defect, or ends by itself.
 
 pub mod account;
@@ -31,7 +33,7 @@
 use tokio::time::{Instant, sleep};
 
 use self::account::Account;
-use self::fleet::{BALANCERS, CORES, Fleet};
+use self::fleet::{CORES, Fleet};
 use self::load::Load;
 use crate::client::ask;
 use crate::process::Builds;
@@ -49,12 +51,26 @@
     pub counts: BTreeMap<&'static str, u64>,
 }
 
-/// Plays one seed for so long, in this net of 127/8 and this folder.
-pub async fn play(net: u8, seed: u64, span: Duration, builds: &Builds, folder: &Path) -> Result<Report> {
+/// What a soak plays.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// The net of 127/8, 1 to 250.
+    pub net: u8,
+    /// Draws troubles and load.
+    pub seed: u64,
+    /// For how long troubles are made.
+    pub span: Duration,
+    /// How many balancers there are, 3 to [`fleet::MAX_BALANCERS`].
+    pub balancers: u8,
+}
+
+/// Plays one seed in this folder.
+pub async fn play(setup: Setup, builds: &Builds, folder: &Path) -> Result<Report> {
+    let Setup { net, seed, span, balancers } = setup;
     let _ = std::fs::remove_dir_all(folder);
     std::fs::create_dir_all(folder)?;
     let mut rng = Rng::with_seed(seed);
-    let fleet = Rc::new(Fleet::start(net, builds, folder).await?);
+    let fleet = Rc::new(Fleet::start(net, balancers, builds, folder).await?);
     let account = Rc::new(RefCell::new(Account::default()));
     let begin = Instant::now();
     let beginning = Load { fleet: fleet.clone(), account: account.clone(), until: begin + BEGIN_WITHIN };
@@ -89,7 +105,7 @@
         for core in 0..CORES {
             behind += u32::from(load.read(core).await < newest);
         }
-        for balancer in 1..=BALANCERS {
+        for balancer in 1..=load.fleet.last_balancer() {
             behind += u32::from(load.in_force(balancer).await < newest);
         }
         if behind == 0 {
--- a/mesh/testbed/src/soak/troubles.rs
+++ b/mesh/testbed/src/soak/troubles.rs
@@ -23,6 +23,10 @@
 const GRACE: Duration = Duration::from_secs(6);
 const LOOK: Duration = Duration::from_millis(20);
 
+/// How often processes are told of their settings in a series, and the time between.
+const SETTINGS_SERIES: u32 = 4;
+const SETTINGS_GAP: Duration = Duration::from_millis(150);
+
 /// One trouble.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
@@ -34,8 +38,12 @@
     Wipe(Duration),
     /// The process is told to stop, is killed if it has not ended within `grace`, and starts again after so long.
     Stop(Duration),
+    /// All balancers are told to stop, this long after one another, as in an upgrade.
+    Roll(Duration),
     /// The process is told that its settings have changed.
     Settings,
+    /// All processes are told so, several times.
+    SettingsSeries,
     /// The process stands still.
     Pause(Duration),
     /// The relay before it does something.
@@ -81,7 +89,7 @@
     let others = fleet.cores.iter().filter(|core| core.machine != node.machine);
     let may_wipe =
         is_core && node.troubles.get() == 0 && others.clone().all(|core| core.is_calm_for(SYNC_TIME));
-    match rng.u32(..13) {
+    match rng.u32(..15) {
         0 | 1 => Trouble::Kill(span),
         2 => Trouble::KillCore(span / 2),
         3 if may_wipe => Trouble::Wipe(span),
@@ -92,10 +100,24 @@
         8 => Trouble::Link(Fault::Slow(rng.u32(4_000..60_000)), span * 2),
         9 | 10 => Trouble::Stop(span / 4),
         11 => Trouble::Settings,
+        12 => Trouble::Roll(span / 4),
+        13 => Trouble::SettingsSeries,
         _ => Trouble::Pause(span / 4),
     }
 }
 
+/// Tells the process to stop, kills it at the end of the grace period, and starts it again after so long.
+async fn stop_and_restart(node: &Node, span: Duration) {
+    node.process.borrow_mut().stop();
+    let told = Instant::now();
+    while node.process.borrow_mut().is_running() && told.elapsed() < GRACE {
+        sleep(LOOK).await;
+    }
+    node.process.borrow_mut().kill();
+    sleep(span).await;
+    let _ = node.restart();
+}
+
 impl Trouble {
     fn name(self) -> &'static str {
         match self {
@@ -103,7 +125,9 @@
             Trouble::KillCore(_) => "kill of the core",
             Trouble::Wipe(_) => "lost disk",
             Trouble::Stop(_) => "stop",
+            Trouble::Roll(_) => "stop of all balancers in a row",
             Trouble::Settings => "settings told",
+            Trouble::SettingsSeries => "settings told in a series",
             Trouble::Pause(_) => "pause",
             Trouble::Link(Fault::Hold, _) => "cut",
             Trouble::Link(Fault::HoldAnswers, _) => "lost answers",
@@ -114,13 +138,15 @@
 
     /// Operators do it on purpose.
     fn is_planned(self) -> bool {
-        matches!(self, Trouble::Stop(_) | Trouble::Settings)
+        matches!(self, Trouble::Stop(_) | Trouble::Roll(_) | Trouble::Settings | Trouble::SettingsSeries)
     }
 
     /// Whom it troubles.
     fn troubles(self, fleet: &Fleet, node: &Rc<Node>) -> Vec<Rc<Node>> {
         match self {
             Trouble::KillCore(_) => fleet.cores.iter().take(usize::from(CORES)).cloned().collect(),
+            Trouble::Roll(_) => fleet.balancers.clone(),
+            Trouble::SettingsSeries => fleet.nodes().cloned().collect(),
             _ => vec![node.clone()],
         }
     }
@@ -141,17 +167,23 @@
                 // Lost for as long as it may take to have everything again.
                 sleep(SYNC_TIME).await;
             }
-            Trouble::Stop(span) => {
-                node.process.borrow_mut().stop();
-                let told = Instant::now();
-                while node.process.borrow_mut().is_running() && told.elapsed() < GRACE {
-                    sleep(LOOK).await;
+            Trouble::Stop(span) => stop_and_restart(node, span).await,
+            Trouble::Roll(gap) => {
+                let mut stops = JoinSet::new();
+                for node in troubled {
+                    let node = node.clone();
+                    stops.spawn_local(async move { stop_and_restart(&node, gap).await });
+                    sleep(gap).await;
                 }
-                node.process.borrow_mut().kill();
-                sleep(span).await;
-                let _ = node.restart();
+                while stops.join_next().await.is_some() {}
             }
             Trouble::Settings => node.process.borrow().tell_settings(),
+            Trouble::SettingsSeries => {
+                for _ in 0..SETTINGS_SERIES {
+                    troubled.iter().for_each(|node| node.process.borrow().tell_settings());
+                    sleep(SETTINGS_GAP).await;
+                }
+            }
             Trouble::Pause(span) => {
                 node.process.borrow().pause();
                 sleep(span).await;
--- a/mesh/testbed/src/standin.rs
+++ b/mesh/testbed/src/standin.rs
@@ -49,6 +49,8 @@
     pub manner: Manner,
     /// How long it works.
     pub works: Duration,
+    /// How long it works on requests whose path holds `slow`.
+    pub works_on_slow: Duration,
     /// Bytes of its answers to requests whose path holds `large`.
     pub large: usize,
     /// It says that it is closing.
@@ -204,7 +206,8 @@
     let body = timeout(Duration::from_secs(5), body.collect()).await.ok()?.ok()?.to_bytes();
     let (manner, works, large) = {
         let book = standin.book();
-        (book.manner, book.works, book.large)
+        let works = if head.uri.path().contains("slow") { book.works_on_slow } else { book.works };
+        (book.manner, works, book.large)
     };
     match manner {
         Manner::CutBefore => return None,
--- a/mesh/testbed/tests/soak.rs
+++ b/mesh/testbed/tests/soak.rs
@@ -18,7 +18,8 @@
         let folder = std::env::temp_dir().join(format!("sloeline-soak-test-{}-{seed}", std::process::id()));
         let testbed = Path::new(env!("CARGO_BIN_EXE_sloeline-testbed"));
         let builds = Builds::single(testbed);
-        let played = soak::play(91, seed, SPAN, &builds, &folder);
+        let setup = soak::Setup { net: 91, seed, span: SPAN, balancers: 3 };
+        let played = soak::play(setup, &builds, &folder);
         let report = LocalSet::new().block_on(&runtime, played).expect("it begins");
         assert!(
             report.violations.is_empty(),
