--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -21,7 +21,7 @@
 use sloeline_engine::engine::Transport;
 use sloeline_engine::types::{Answer, Failure, NewRequest};
 use sloeline_limits::Permit;
-use sloeline_operations::presence::Posture;
+use sloeline_operations::client_policy::ClientPolicy;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{AcquireError, Notify, OwnedSemaphorePermit, Semaphore, watch};
@@ -120,7 +120,7 @@
     drain_expired: Notify,
     phase: watch::Receiver<Phase>,
     /// How the server treats clients, as set by operators' orders and by a successor process.
-    posture: watch::Sender<Posture>,
+    client_policy: watch::Sender<ClientPolicy>,
 }
 
 impl<F: Frontend> HttpServer<F> {
@@ -130,7 +130,7 @@
             (Arc::new(Semaphore::new(limits.max_connections)), IdleConnections::new(limits.timeouts));
         let (limits, open_request_ids) = (RefCell::new(limits), RefCell::default());
         let (stop_ordered_at, drain_expired) = (Cell::default(), Notify::new());
-        let (posture, _) = watch::channel(Posture::default());
+        let (client_policy, _) = watch::channel(ClientPolicy::default());
         Rc::new(HttpServer {
             frontend,
             connection_slots: slots,
@@ -140,13 +140,14 @@
             stop_ordered_at,
             drain_expired,
             phase,
-            posture,
+            client_policy,
         })
     }
 
     /// Changes how clients are treated from now on.
-    pub fn set_posture(&self, posture: Posture) {
-        self.posture.send_if_modified(|current| std::mem::replace(current, posture) != posture);
+    pub fn set_client_policy(&self, client_policy: ClientPolicy) {
+        self.client_policy
+            .send_if_modified(|current| std::mem::replace(current, client_policy) != client_policy);
     }
 
     /// Returns the frontend that decides how requests are handled.
@@ -187,12 +188,12 @@
     /// Accepts connections until the listener is removed or until some time after the order to stop.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener, phases: &watch::Sender<Phase>) {
         let mut phase = self.phase.clone();
-        let mut posture = self.posture.subscribe();
+        let mut client_policy = self.client_policy.subscribe();
         let mut stop_at = None;
         // An accepted connection that waits for a slot. It must not get lost when another event comes first.
         let mut waiting = None;
         loop {
-            let accepts = posture.borrow_and_update().accepts || waiting.is_some();
+            let accepts = client_policy.borrow_and_update().accepts || waiting.is_some();
             let end = async {
                 match stop_at {
                     Some(at) => sleep_until(at).await,
@@ -215,7 +216,7 @@
                     _ => sleep(ACCEPT_ERROR_PAUSE).await,
                 },
                 // This cannot fail: the server itself holds the sender.
-                _ = posture.changed() => {}
+                _ = client_policy.changed() => {}
                 () = end => match stop_at {
                     Some(_) => break,
                     None => {
@@ -242,7 +243,7 @@
         }
         // Accepts what the queue still holds, because closing the listener would reset these connections. A
         // successor process accepts them itself.
-        while posture.borrow().accepts
+        while client_policy.borrow().accepts
             && let Some((stream, peer)) = match waiting.take() {
                 Some(waiting) => Some(waiting),
                 None => timeout(Duration::ZERO, listener.accept()).await.ok().and_then(Result::ok),
@@ -310,10 +311,10 @@
         builder.max_buf_size(MAX_READ_AHEAD_BYTES);
         let mut connection = builder.serve_connection(ClientIo::new(stream, state.clone()), service);
         let mut phase = self.phase.clone();
-        let mut posture = self.posture.subscribe();
+        let mut client_policy = self.client_policy.subscribe();
         let mut stage_timer = Box::pin(sleep(Duration::ZERO));
         loop {
-            let idle_close = posture.borrow_and_update().idle_close;
+            let idle_close = client_policy.borrow_and_update().idle_close;
             let closing = idle_close || *phase.borrow_and_update() == Phase::Closing;
             // Connections are not closed earlier, because their clients may not have another balancer yet. An unused
             // connection may have a request in transit, which hyper would not wait for. The response to that request
@@ -338,7 +339,7 @@
                 () = sleep(UNUSED_CONNECTION_GRACE), if closing && !used.get() => {
                     if used.get() { continue } else { return }
                 }
-                _ = posture.changed() => continue,
+                _ = client_policy.changed() => continue,
                 changed = phase.changed() => if changed.is_err() { return } else { continue },
             };
             let error = match (state.error(), timed_out, state.stage()) {
@@ -392,7 +393,7 @@
             < (1.0 - CLOSE_AFTER_RESPONSE_SHARE) * max_connections as f64;
         if closes_connection
             || few_slots_left
-            || self.posture.borrow().answers_close
+            || self.client_policy.borrow().answers_close
             || *self.phase.borrow() == Phase::Closing
         {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -403,9 +404,9 @@
     /// Answers the readiness check.
     fn ready(&self) -> ClientResponse {
         // While stopping, the server is ready only if another process serves at its address.
-        let posture = *self.posture.borrow();
-        let running = *self.phase.borrow() == Phase::Running || !posture.accepts;
-        if running && posture.ready && self.frontend.ready() {
+        let client_policy = *self.client_policy.borrow();
+        let running = *self.phase.borrow() == Phase::Running || !client_policy.accepts;
+        if running && client_policy.ready && self.frontend.ready() {
             text_response(StatusCode::OK, "ready")
         } else {
             text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- a/operations/src/call.rs
+++ b/operations/src/order_call.rs
@@ -1,41 +1,41 @@
-//! The operators' calls: method and path.
+//! Parses operators' calls, which consist of a method and a path.
 
 use percent_encoding::percent_decode_str;
 
 use crate::orders::Order;
 
-/// Longest identity of an upstream, in bytes.
-const MOST_ID: usize = 256;
+/// Maximum length of an upstream's id in bytes.
+const MAX_ID_BYTES: usize = 256;
 
-/// What a call asks for.
+/// A call of an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
-    /// Whether this process takes clients.
+    /// Asks whether this process accepts clients.
     Status,
-    /// An order.
+    /// Gives an order.
     Order(Order),
 }
 
-/// Why a call is none.
+/// Why a request is not a valid call.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum NoCall {
-    /// There is nothing at this path.
-    Path,
-    /// The path has another method, this one.
-    Method(&'static str),
-    /// The identity cannot be read.
-    Id,
+pub enum ParseError {
+    /// There is no such path.
+    UnknownPath,
+    /// The path requires this method.
+    WrongMethod(&'static str),
+    /// The upstream's id is empty, too long, or not valid text.
+    InvalidId,
 }
 
-/// Reads a call; a query is no part of any.
-pub fn parse(method: &str, path: &str) -> Result<Call, NoCall> {
+/// Parses a call. `path` must not contain a query.
+pub fn parse(method: &str, path: &str) -> Result<Call, ParseError> {
     let needs = |wanted: &'static str, call: Call| {
-        if method == wanted { Ok(call) } else { Err(NoCall::Method(wanted)) }
+        if method == wanted { Ok(call) } else { Err(ParseError::WrongMethod(wanted)) }
     };
     let id = |text: &str| {
-        let id = percent_decode_str(text).decode_utf8().map_err(|_| NoCall::Id)?;
-        let good = !id.is_empty() && id.len() <= MOST_ID && !id.chars().any(char::is_control);
-        if good { Ok(id.into_owned()) } else { Err(NoCall::Id) }
+        let id = percent_decode_str(text).decode_utf8().map_err(|_| ParseError::InvalidId)?;
+        let good = !id.is_empty() && id.len() <= MAX_ID_BYTES && !id.chars().any(char::is_control);
+        if good { Ok(id.into_owned()) } else { Err(ParseError::InvalidId) }
     };
     match path {
         "/status" => needs("GET", Call::Status),
@@ -44,12 +44,12 @@
         _ => {
             let (of, text): (fn(String) -> Order, _) =
                 match (path.strip_prefix("/maintenance/enter/"), path.strip_prefix("/maintenance/exit/")) {
-                    (Some(text), _) => (Order::TakeOut, text),
-                    (_, Some(text)) => (Order::PutBack, text),
-                    _ => return Err(NoCall::Path),
+                    (Some(text), _) => (Order::EnterMaintenance, text),
+                    (_, Some(text)) => (Order::ExitMaintenance, text),
+                    _ => return Err(ParseError::UnknownPath),
                 };
             if text.contains('/') {
-                return Err(NoCall::Path);
+                return Err(ParseError::UnknownPath);
             }
             needs("PUT", Call::Order(of(id(text)?)))
         }
@@ -61,32 +61,35 @@
     use super::*;
 
     #[test]
-    fn calls_are_read_and_what_is_none_is_told_apart() {
-        let out = |id: &str| Ok(Call::Order(Order::TakeOut(id.to_owned())));
+    fn calls_are_parsed_and_errors_are_distinguished() {
+        let out = |id: &str| Ok(Call::Order(Order::EnterMaintenance(id.to_owned())));
         for (method, path, call) in [
             ("GET", "/status", Ok(Call::Status)),
-            ("PUT", "/status", Err(NoCall::Method("GET"))),
+            ("PUT", "/status", Err(ParseError::WrongMethod("GET"))),
             ("PUT", "/standby", Ok(Call::Order(Order::Standby))),
-            ("POST", "/standby", Err(NoCall::Method("PUT"))),
+            ("POST", "/standby", Err(ParseError::WrongMethod("PUT"))),
             ("PUT", "/active", Ok(Call::Order(Order::Active))),
             ("PUT", "/maintenance/enter/s-5be2a07c", out("s-5be2a07c")),
             ("PUT", "/maintenance/enter/10.0.0.1%3A80", out("10.0.0.1:80")),
-            ("PUT", "/maintenance/exit/s-1", Ok(Call::Order(Order::PutBack("s-1".to_owned())))),
-            ("GET", "/maintenance/exit/s-1", Err(NoCall::Method("PUT"))),
-            ("PUT", "/maintenance/enter/", Err(NoCall::Id)),
-            ("PUT", "/maintenance/enter/%ff", Err(NoCall::Id)),
-            ("PUT", "/maintenance/enter/a%0Ab", Err(NoCall::Id)),
-            ("PUT", "/maintenance/enter/a/b", Err(NoCall::Path)),
-            ("PUT", "/maintenance", Err(NoCall::Path)),
-            ("GET", "/", Err(NoCall::Path)),
+            ("PUT", "/maintenance/exit/s-1", Ok(Call::Order(Order::ExitMaintenance("s-1".to_owned())))),
+            ("GET", "/maintenance/exit/s-1", Err(ParseError::WrongMethod("PUT"))),
+            ("PUT", "/maintenance/enter/", Err(ParseError::InvalidId)),
+            ("PUT", "/maintenance/enter/%ff", Err(ParseError::InvalidId)),
+            ("PUT", "/maintenance/enter/a%0Ab", Err(ParseError::InvalidId)),
+            ("PUT", "/maintenance/enter/a/b", Err(ParseError::UnknownPath)),
+            ("PUT", "/maintenance", Err(ParseError::UnknownPath)),
+            ("GET", "/", Err(ParseError::UnknownPath)),
         ] {
             assert_eq!(parse(method, path), call, "{method} {path}");
         }
-        assert_eq!(parse("PUT", &format!("/maintenance/enter/{}", "a".repeat(257))), Err(NoCall::Id));
+        assert_eq!(
+            parse("PUT", &format!("/maintenance/enter/{}", "a".repeat(257))),
+            Err(ParseError::InvalidId)
+        );
     }
 
     #[test]
-    fn whatever_comes_is_a_call_or_none_and_identities_are_bounded() {
+    fn any_input_is_parsed_or_rejected_and_ids_are_bounded() {
         let seed =
             std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or_else(|| fastrand::u64(..));
         println!("SEED={seed}");
@@ -112,8 +115,10 @@
                 path += parts[rng.usize(0..parts.len())];
             }
             let method = ["GET", "PUT", ""][rng.usize(0..3)];
-            if let Ok(Call::Order(Order::TakeOut(id) | Order::PutBack(id))) = parse(method, &path) {
-                assert!(method == "PUT" && !id.is_empty() && id.len() <= MOST_ID, "{path:?}");
+            if let Ok(Call::Order(Order::EnterMaintenance(id) | Order::ExitMaintenance(id))) =
+                parse(method, &path)
+            {
+                assert!(method == "PUT" && !id.is_empty() && id.len() <= MAX_ID_BYTES, "{path:?}");
                 assert!(!id.chars().any(char::is_control), "{path:?}");
                 taken += 1;
             }
--- a/operations/src/orders.rs
+++ b/operations/src/orders.rs
@@ -1,51 +1,67 @@
-//! The orders that hold until they are taken back.
+//! Operators' orders to the platform's program, which stay in force until they are revoked.
 
 use std::collections::BTreeSet;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-/// Most upstreams that may be out at once. Guards the memory and the file against a script that runs away.
-pub const MOST_OUT: usize = 4096;
+/// Maximum number of upstreams in maintenance. Bounds the memory and the file size against a runaway script.
+pub const MAX_IN_MAINTENANCE: usize = 4096;
 
-/// Something that operators want from now on.
+/// An order of an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    /// Nothing new to this upstream, whatever the list says.
-    TakeOut(String),
-    /// As the list says again.
-    PutBack(String),
-    /// Send clients away.
+    /// Sends no new requests to this upstream, whatever discovery reports.
+    EnterMaintenance(String),
+    /// Follows discovery again for this upstream.
+    ExitMaintenance(String),
+    /// Sends clients away.
     Standby,
-    /// Back to work.
+    /// Accepts clients again.
     Active,
 }
 
-/// All that holds. What another build has beside is passed over: what this one knows must hold all the same.
+/// Formats an order in the form of the log, which keeps the names of earlier builds.
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Order::EnterMaintenance(id) => write!(f, "TakeOut({id:?})"),
+            Order::ExitMaintenance(id) => write!(f, "PutBack({id:?})"),
+            Order::Standby => write!(f, "Standby"),
+            Order::Active => write!(f, "Active"),
+        }
+    }
+}
+
+/// All orders in force. Unknown fields, written by another build, are ignored: the known orders must stay in force.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Orders {
-    /// The upstreams that are out, by identity.
-    pub out: BTreeSet<String>,
-    /// Clients are sent away.
+    /// Ids of the upstreams in maintenance.
+    #[serde(rename = "out")]
+    pub in_maintenance: BTreeSet<String>,
+    /// Whether clients are sent away.
     pub standby: bool,
 }
 
 impl Orders {
-    /// Takes an order over; tells whether anything is different now. Fails where too many are out.
-    pub fn take(&mut self, order: &Order) -> Result<bool, &'static str> {
+    /// Applies an order. Returns whether it has changed anything. Fails if too many upstreams are in maintenance.
+    pub fn apply(&mut self, order: &Order) -> Result<bool, &'static str> {
         match order {
-            Order::TakeOut(id) if self.out.contains(id) => Ok(false),
-            Order::TakeOut(_) if self.out.len() >= MOST_OUT => Err("too many upstreams are out"),
-            Order::TakeOut(id) => Ok(self.out.insert(id.clone())),
-            Order::PutBack(id) => Ok(self.out.remove(id)),
+            Order::EnterMaintenance(id) if self.in_maintenance.contains(id) => Ok(false),
+            Order::EnterMaintenance(_) if self.in_maintenance.len() >= MAX_IN_MAINTENANCE => {
+                Err("too many upstreams are out")
+            }
+            Order::EnterMaintenance(id) => Ok(self.in_maintenance.insert(id.clone())),
+            Order::ExitMaintenance(id) => Ok(self.in_maintenance.remove(id)),
             Order::Standby => Ok(!std::mem::replace(&mut self.standby, true)),
             Order::Active => Ok(std::mem::replace(&mut self.standby, false)),
         }
     }
 
-    /// What leads from these orders to others, those that take something back first.
-    pub fn towards(&self, to: &Orders) -> Vec<Order> {
-        let back = self.out.difference(&to.out).cloned().map(Order::PutBack);
-        let out = to.out.difference(&self.out).cloned().map(Order::TakeOut);
+    /// Returns the orders that turn these into `to`, with revocations first.
+    pub fn changes_to(&self, to: &Orders) -> Vec<Order> {
+        let back = self.in_maintenance.difference(&to.in_maintenance).cloned().map(Order::ExitMaintenance);
+        let out = to.in_maintenance.difference(&self.in_maintenance).cloned().map(Order::EnterMaintenance);
         let turned = (self.standby != to.standby).then_some(match to.standby {
             true => Order::Standby,
             false => Order::Active,
@@ -59,7 +75,7 @@
     use super::*;
 
     #[test]
-    fn the_way_from_one_state_to_another_leads_there() {
+    fn changes_lead_from_any_state_to_any_other() {
         let seed =
             std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or_else(|| fastrand::u64(..));
         println!("SEED={seed}");
@@ -71,32 +87,32 @@
                 let order = match rng.u32(0..4) {
                     0 => Order::Standby,
                     1 => Order::Active,
-                    2 => Order::PutBack(id),
-                    _ => Order::TakeOut(id),
+                    2 => Order::ExitMaintenance(id),
+                    _ => Order::EnterMaintenance(id),
                 };
-                orders.take(&order).expect("few are out");
+                orders.apply(&order).expect("few are out");
             }
             orders
         };
         for _ in 0..500 {
             let (mut from, to) = (draw(), draw());
-            let way = from.towards(&to);
+            let way = from.changes_to(&to);
             for order in &way {
-                assert_eq!(from.take(order), Ok(true), "{order:?} changes nothing");
+                assert_eq!(from.apply(order), Ok(true), "{order:?} changes nothing");
             }
             assert_eq!(from, to, "{way:?}");
         }
     }
 
     #[test]
-    fn no_more_are_out_than_may_be_and_a_repeat_is_not_one_more() {
+    fn upstreams_in_maintenance_are_limited_and_a_repeated_order_does_not_count() {
         let mut orders = Orders::default();
-        for n in 0..MOST_OUT {
-            assert_eq!(orders.take(&Order::TakeOut(format!("s-{n}"))), Ok(true));
+        for n in 0..MAX_IN_MAINTENANCE {
+            assert_eq!(orders.apply(&Order::EnterMaintenance(format!("s-{n}"))), Ok(true));
         }
-        assert!(orders.take(&Order::TakeOut("one-more".to_owned())).is_err());
-        assert_eq!(orders.take(&Order::TakeOut("s-7".to_owned())), Ok(false));
-        assert_eq!(orders.take(&Order::PutBack("s-7".to_owned())), Ok(true));
-        assert_eq!(orders.take(&Order::TakeOut("one-more".to_owned())), Ok(true));
+        assert!(orders.apply(&Order::EnterMaintenance("one-more".to_owned())).is_err());
+        assert_eq!(orders.apply(&Order::EnterMaintenance("s-7".to_owned())), Ok(false));
+        assert_eq!(orders.apply(&Order::ExitMaintenance("s-7".to_owned())), Ok(true));
+        assert_eq!(orders.apply(&Order::EnterMaintenance("one-more".to_owned())), Ok(true));
     }
 }
--- a/operations/src/address.rs
+++ b/operations/src/signed_http.rs
@@ -1,5 +1,5 @@
-//! Operators' calls over a network: `POST /v1/call` on HTTP/1.1, signed by a key that both sides have ([`crate::auth`]),
-//! one call on each connection. What is said is not hidden, only kept from being forged, changed, cut off or repeated.
+//! Operators' calls over a network: `POST /v1/call` with HTTP/1.1, signed with a shared key ([`crate::signed_call`]). Each
+//! connection carries one call. Calls and answers are not encrypted, but cannot be forged, changed, truncated or replayed.
 //!
 //! | header of the call | |
 //! | --- | --- |
@@ -8,8 +8,8 @@
 //! | `Sloeline-Nonce` | 32 hex digits |
 //! | `Sloeline-Signature` | 64 hex digits |
 //!
-//! The answer is 200 with lines, each of 64 hex digits (the line's signature), a space and an [`Answer`] in JSON; or 401 with
-//! the reason, which is not signed, since there is no key to sign with.
+//! The answer is 200 with lines, each of 64 hex digits (the signature of the line), a space and an [`Answer`] in JSON; or 401
+//! with the reason, which is not signed because there is no key to sign it with.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -35,16 +35,20 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use crate::auth::{Denied, Guard, Key, May, Nonce, Secret, Signed, hex, is_line, sign_line, unhex};
-use crate::crowd::{Crowd, PAUSE};
-use crate::socket::PATIENCE;
-use crate::verbs::{Answer, Asked, Call, MOST_ANSWER, MOST_CALL, Replies, VERSION, Verb, read};
+use crate::command::{
+    Answer, Call, Command, MAX_ANSWER_BYTES, MAX_CALL_BYTES, PendingCall, ReplySender, VERSION, read,
+};
+use crate::connection_set::{ACCEPT_RETRY_DELAY, ConnectionSet};
+use crate::signed_call::{
+    Authenticator, Denied, Key, Nonce, Permission, Secret, SignedCall, hex, sign_line, unhex, verify_line,
+};
+use crate::socket::CALL_TIMEOUT;
 
-/// Connections at once.
-const MOST: usize = 16;
-/// Most of a head, in bytes.
-const MOST_HEAD: usize = 16 * 1024;
-/// Where calls go.
+/// Maximum number of open connections.
+const MAX_CONNECTIONS: usize = 16;
+/// Maximum size of a request head in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The path of calls.
 const PATH: &str = "/v1/call";
 
 /// The present time, in milliseconds of Unix time.
@@ -52,83 +56,92 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-/// A listener under way, until it is dropped.
-pub struct Address {
+/// A listener for signed calls. It is closed when dropped.
+pub struct SignedListener {
     at: SocketAddr,
-    guard: Rc<RefCell<Guard>>,
+    authenticator: Rc<RefCell<Authenticator>>,
     task: AbortHandle,
 }
 
-impl Drop for Address {
+impl Drop for SignedListener {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-impl Address {
-    /// Listens for calls that are signed with one of these keys.
+impl SignedListener {
+    /// Starts to accept calls that are signed with one of these keys.
     pub fn open(
         listener: TcpListener,
         keys: BTreeMap<String, Key>,
-        calls: mpsc::Sender<Asked>,
-    ) -> io::Result<Address> {
+        calls: mpsc::Sender<PendingCall>,
+    ) -> io::Result<SignedListener> {
         let at = listener.local_addr()?;
-        let guard = Rc::new(RefCell::new(Guard::new(unix(), keys)));
-        let task = spawn_local(serve(listener, guard.clone(), calls)).abort_handle();
-        Ok(Address { at, guard, task })
+        let authenticator = Rc::new(RefCell::new(Authenticator::new(unix(), keys)));
+        let task = spawn_local(serve(listener, authenticator.clone(), calls)).abort_handle();
+        Ok(SignedListener { at, authenticator, task })
     }
 
-    /// Where it is.
+    /// The address of the listener.
     pub fn at(&self) -> SocketAddr {
         self.at
     }
 
-    /// Other keys from now on; what was heard stays heard.
+    /// Replaces the keys. Accepted calls remain known.
     pub fn set_keys(&self, keys: BTreeMap<String, Key>) {
-        self.guard.borrow_mut().set_keys(keys);
+        self.authenticator.borrow_mut().set_keys(keys);
     }
 
-    /// How many calls were denied, by why.
+    /// Number of rejected calls by reason.
     pub fn denied(&self) -> Value {
-        self.guard.borrow().denied().iter().map(|(why, n)| ((*why).to_owned(), Value::from(*n))).collect()
+        self.authenticator
+            .borrow()
+            .denied()
+            .iter()
+            .map(|(why, n)| ((*why).to_owned(), Value::from(*n)))
+            .collect()
     }
 }
 
-async fn serve(listener: TcpListener, guard: Rc<RefCell<Guard>>, calls: mpsc::Sender<Asked>) {
-    let crowd = Crowd::new(MOST);
+async fn serve(
+    listener: TcpListener,
+    authenticator: Rc<RefCell<Authenticator>>,
+    calls: mpsc::Sender<PendingCall>,
+) {
+    let connections = ConnectionSet::new(MAX_CONNECTIONS);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            sleep(PAUSE).await;
+            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let (guard, calls) = (guard.clone(), calls.clone());
-        crowd.take(async move {
+        let (authenticator, calls) = (authenticator.clone(), calls.clone());
+        connections.spawn(async move {
             let _: io::Result<()> = stream.set_nodelay(true);
             let service = service_fn(move |request| {
-                let (guard, calls) = (guard.clone(), calls.clone());
-                async move { Ok::<_, Infallible>(answer(request, &guard, calls).await) }
+                let (authenticator, calls) = (authenticator.clone(), calls.clone());
+                async move { Ok::<_, Infallible>(answer(request, &authenticator, calls).await) }
             });
             let mut builder = http1::Builder::new();
-            builder.keep_alive(false).max_buf_size(MOST_HEAD).timer(TokioTimer::new());
-            builder.header_read_timeout(PATIENCE);
-            // Whoever called has left.
+            builder.keep_alive(false).max_buf_size(MAX_HEAD_BYTES).timer(TokioTimer::new());
+            builder.header_read_timeout(CALL_TIMEOUT);
+            // An error means that the caller has disconnected.
             let _: Result<(), hyper::Error> = builder.serve_connection(TokioIo::new(stream), service).await;
         });
     }
 }
 
-/// Lines of an answer, signed as they go.
-struct Lines {
+/// The body of an answer, whose lines are signed as they are sent.
+struct SignedLines {
     answers: mpsc::Receiver<Answer>,
     secret: Secret,
     nonce: Nonce,
     number: u64,
     ended: bool,
-    /// For an answer that does not go on.
+    /// Time limit of an answer that is not streamed.
     late: Option<Pin<Box<tokio::time::Sleep>>>,
 }
 
-impl Body for Lines {
+impl Body for SignedLines {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -156,34 +169,34 @@
     }
 }
 
-type Told = http_body_util::Either<Lines, Full<Bytes>>;
+type ResponseBody = http_body_util::Either<SignedLines, Full<Bytes>>;
 
-fn plain(status: StatusCode, why: String) -> Response<Told> {
+fn plain(status: StatusCode, why: String) -> Response<ResponseBody> {
     let mut response = Response::new(http_body_util::Either::Right(Full::new(Bytes::from(why + "\n"))));
     *response.status_mut() = status;
     response
 }
 
-/// What a call's headers say: the key's name, the time, the nonce and the signature.
+/// Parses the headers of a call: the key's name, the time, the nonce and the signature.
 fn signed(headers: &HeaderMap) -> Option<(String, u64, Nonce, Vec<u8>)> {
     let text = |name: &str| {
         let mut all = headers.get_all(name).iter();
-        // Two of them would be two calls.
+        // A repeated header is ambiguous.
         let one = all.next()?.to_str().ok()?;
         all.next().is_none().then_some(one)
     };
     let nonce = unhex(text("sloeline-nonce")?)?.try_into().ok()?;
     let time = text("sloeline-time")?;
-    // Only as it is signed: no sign, no leading zero.
+    // Only the form that is signed is valid: without sign and leading zeros.
     let time = time.parse::<u64>().ok().filter(|n| n.to_string() == time)?;
     Some((text("sloeline-key")?.to_owned(), time, nonce, unhex(text("sloeline-signature")?)?))
 }
 
 async fn answer(
     request: Request<Incoming>,
-    guard: &RefCell<Guard>,
-    calls: mpsc::Sender<Asked>,
-) -> Response<Told> {
+    authenticator: &RefCell<Authenticator>,
+    calls: mpsc::Sender<PendingCall>,
+) -> Response<ResponseBody> {
     let (head, body) = request.into_parts();
     if head.uri.path() != PATH || head.uri.query().is_some() {
         return plain(StatusCode::NOT_FOUND, format!("expected {PATH}"));
@@ -194,70 +207,71 @@
     let Some((name, time, nonce, signature)) = signed(&head.headers) else {
         return plain(StatusCode::UNAUTHORIZED, Denied::Signature.to_string());
     };
-    let Ok(Ok(body)) = timeout(PATIENCE, Limited::new(body, MOST_CALL as usize).collect()).await else {
-        return plain(StatusCode::BAD_REQUEST, format!("found no body of at most {MOST_CALL} bytes"));
+    let Ok(Ok(body)) = timeout(CALL_TIMEOUT, Limited::new(body, MAX_CALL_BYTES as usize).collect()).await
+    else {
+        return plain(StatusCode::BAD_REQUEST, format!("found no body of at most {MAX_CALL_BYTES} bytes"));
     };
     let body = body.to_bytes();
-    let call = Signed { method: head.method.as_str(), path: PATH, body: &body, time, nonce };
-    let heard = guard.borrow_mut().hear(unix(), &name, &call, &signature);
-    let key = match heard {
+    let call = SignedCall { method: head.method.as_str(), path: PATH, body: &body, time, nonce };
+    let key = authenticator.borrow_mut().authenticate(unix(), &name, &call, &signature);
+    let key = match key {
         Ok(key) => key,
-        Err(why @ Denied::Busy) => return plain(StatusCode::SERVICE_UNAVAILABLE, why.to_string()),
+        Err(why @ Denied::TooManyCalls) => return plain(StatusCode::SERVICE_UNAVAILABLE, why.to_string()),
         Err(why) => return plain(StatusCode::UNAUTHORIZED, why.to_string()),
     };
-    let (to, answers) = Replies::new();
-    let mut lasts = false;
+    let (to, answers) = ReplySender::new();
+    let mut streaming = false;
     match read(&body) {
-        Ok((_, verb)) if verb.needs() > key.may => {
+        Ok((_, verb)) if verb.required_permission() > key.permission => {
             to.end(Err(format!("found key {name:?}, which may only ask, expected one that may order")));
         }
         Ok((who, verb)) => {
-            lasts = verb.lasts();
+            streaming = verb.is_streaming();
             let who = who.map_or_else(|| format!("key {name}"), |who| format!("{who} (key {name})"));
-            let _ = timeout(PATIENCE, calls.send(Asked { verb, who, to })).await;
+            let _ = timeout(CALL_TIMEOUT, calls.send(PendingCall { verb, who, to })).await;
         }
         Err(why) => to.end(Err(why)),
     }
-    let late = (!lasts).then(|| Box::pin(sleep(PATIENCE)));
-    let lines = Lines { answers, secret: key.secret, nonce, number: 0, ended: false, late };
+    let late = (!streaming).then(|| Box::pin(sleep(CALL_TIMEOUT)));
+    let lines = SignedLines { answers, secret: key.secret, nonce, number: 0, ended: false, late };
     Response::new(http_body_util::Either::Left(lines))
 }
 
-/// Who calls, over a network.
+/// The credentials and the destination of a caller.
 #[derive(Clone, Debug)]
-pub struct Caller {
-    /// The daemon.
+pub struct SignedClient {
+    /// Address of the daemon.
     pub address: SocketAddr,
-    /// The key's name.
+    /// Name of the key.
     pub key: String,
-    /// The key.
+    /// Secret of the key.
     pub secret: Secret,
 }
 
-/// Asks a daemon; as [`crate::socket::ask`].
+/// Sends a command to a daemon; otherwise like [`crate::socket::ask`].
 pub async fn ask(
-    caller: &Caller,
+    client: &SignedClient,
     who: Option<String>,
-    verb: Verb,
-    patience: Duration,
+    verb: Command,
+    time_limit: Duration,
     mut more: impl FnMut(Value),
 ) -> Result<Value, String> {
-    let named = |why: String| format!("{}: {why}", caller.address);
+    let named = |why: String| format!("{}: {why}", client.address);
     let in_time = || named("no answer in time".to_owned());
-    let lasts = verb.lasts();
+    let streaming = verb.is_streaming();
     let body = Call { version: VERSION, who, verb }.written()?;
     let mut nonce = Nonce::default();
     getrandom::fill(&mut nonce).map_err(|e| e.to_string())?;
-    let call = Signed { method: "POST", path: PATH, body: &body, time: unix(), nonce };
+    let call = SignedCall { method: "POST", path: PATH, body: &body, time: unix(), nonce };
     let request = Request::post(PATH)
-        .header(HOST, caller.address.to_string())
-        .header("sloeline-key", &caller.key)
+        .header(HOST, client.address.to_string())
+        .header("sloeline-key", &client.key)
         .header("sloeline-time", call.time.to_string())
         .header("sloeline-nonce", hex(&nonce))
-        .header("sloeline-signature", hex(&call.sign(&caller.secret)));
+        .header("sloeline-signature", hex(&call.sign(&client.secret)));
     let request = request.body(Full::new(Bytes::from(body.clone()))).map_err(|e| e.to_string())?;
     let sent = async {
-        let stream = TcpStream::connect(caller.address).await.map_err(|e| named(e.to_string()))?;
+        let stream = TcpStream::connect(client.address).await.map_err(|e| named(e.to_string()))?;
         let io = TokioIo::new(stream);
         let (mut sender, connection) =
             hyper::client::conn::http1::handshake(io).await.map_err(|e| named(e.to_string()))?;
@@ -266,7 +280,7 @@
         });
         sender.send_request(request).await.map_err(|e| named(e.to_string()))
     };
-    let response = timeout(patience, sent).await.map_err(|_| in_time())??;
+    let response = timeout(time_limit, sent).await.map_err(|_| in_time())??;
     let (status, mut body) = (response.status(), response.into_body());
     let (mut text, mut number) = (Vec::<u8>::new(), 0);
     loop {
@@ -276,7 +290,7 @@
             let signature = std::str::from_utf8(&line[..end.min(64)]).ok().and_then(unhex);
             let good = answer
                 .zip(signature)
-                .filter(|(answer, signature)| is_line(&caller.secret, nonce, number, answer, signature));
+                .filter(|(answer, signature)| verify_line(&client.secret, nonce, number, answer, signature));
             let (answer, _) =
                 good.ok_or_else(|| named("found an answer that the daemon has not signed".to_owned()))?;
             number += 1;
@@ -286,12 +300,12 @@
                 Answer::Refused(why) => return Err(why),
             }
         }
-        if text.len() as u64 > MOST_ANSWER {
-            return Err(named(format!("found more than {MOST_ANSWER} bytes")));
+        if text.len() as u64 > MAX_ANSWER_BYTES {
+            return Err(named(format!("found more than {MAX_ANSWER_BYTES} bytes")));
         }
         let frame = body.frame();
         let frame =
-            if lasts { frame.await } else { timeout(patience, frame).await.map_err(|_| in_time())? };
+            if streaming { frame.await } else { timeout(time_limit, frame).await.map_err(|_| in_time())? };
         match frame {
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
@@ -307,11 +321,11 @@
     }
 }
 
-/// Whether a key may do more than ask, in words.
-pub fn may(word: &str) -> Option<May> {
+/// Parses the permission of a key in the configuration.
+pub fn permission(word: &str) -> Option<Permission> {
     match word {
-        "ask" => Some(May::Ask),
-        "order" => Some(May::Order),
+        "ask" => Some(Permission::Read),
+        "order" => Some(Permission::Order),
         _ => None,
     }
 }
--- a/operations/src/snapshot.rs
+++ b/operations/src/snapshot.rs
@@ -1,4 +1,4 @@
-//! What a daemon tells of itself at one time, kept in a file for later, and what differs between two of them.
+//! Snapshots of a daemon's state in files, and the differences between two snapshots.
 //!
 //! ```text
 //! sloeline-snapshot 1 LENGTH BLAKE3\n      the format's version, the body's bytes, and their BLAKE3 hash in hex
@@ -11,33 +11,35 @@
 
 use serde_json::{Map, Value};
 
+/// Version of the file format.
 const VERSION: u32 = 1;
-const NAME: &str = "sloeline-snapshot";
-/// Most bytes of a snapshot once it is unpacked. Guards against a small file that unpacks to a large one.
-const MOST: u64 = 256 << 20;
-/// As zstd counts; more would hold up whoever waits for it.
-const LEVEL: i32 = 3;
-/// How deep values lie in each other at the most, as in what is read.
-const DEEPEST: usize = 64;
-/// By which of its values a row is the same in two snapshots, the first of these that it has.
-const NAMES: [&str; 7] = ["id", "request", "route", "name", "node", "pool", "source"];
+const FORMAT_NAME: &str = "sloeline-snapshot";
+/// Maximum size of an unpacked snapshot in bytes, against a small file that unpacks to a huge one.
+const MAX_UNPACKED_BYTES: u64 = 256 << 20;
+/// Compression level of zstd. Higher levels would delay the caller.
+const COMPRESSION_LEVEL: i32 = 3;
+/// Maximum nesting depth of values that are compared.
+const MAX_DEPTH: usize = 64;
+/// Fields that identify a row of a list in two snapshots; the first one that the row has is used.
+const ROW_NAME_FIELDS: [&str; 7] = ["id", "request", "route", "name", "node", "pool", "source"];
 
-/// A snapshot as a file holds it.
+/// Encodes a snapshot in the file format.
 pub fn pack(snapshot: &Value) -> Result<Vec<u8>, String> {
     let text = serde_json::to_vec(snapshot).map_err(|e| e.to_string())?;
-    let body = zstd::encode_all(&text[..], LEVEL).map_err(|e| e.to_string())?;
-    let mut file = format!("{NAME} {VERSION} {} {}\n", body.len(), blake3::hash(&body).to_hex()).into_bytes();
+    let body = zstd::encode_all(&text[..], COMPRESSION_LEVEL).map_err(|e| e.to_string())?;
+    let mut file =
+        format!("{FORMAT_NAME} {VERSION} {} {}\n", body.len(), blake3::hash(&body).to_hex()).into_bytes();
     file.extend(body);
     Ok(file)
 }
 
-/// Reads one; the error says what was found and what was expected.
+/// Decodes a snapshot file. The error says what was found and what was expected.
 pub fn unpack(file: &[u8]) -> Result<Value, String> {
     let end = file.iter().take(256).position(|b| *b == b'\n').ok_or("found no first line")?;
     let head = std::str::from_utf8(&file[..end]).map_err(|_| "found a first line that is no text")?;
     let words: Vec<&str> = head.split(' ').collect();
-    let [NAME, version, length, hash] = words[..] else {
-        return Err(format!("found no snapshot, expected its first line to begin with {NAME}"));
+    let [FORMAT_NAME, version, length, hash] = words[..] else {
+        return Err(format!("found no snapshot, expected its first line to begin with {FORMAT_NAME}"));
     };
     if version.parse() != Ok(VERSION) {
         return Err(format!("found version {version:?}, expected {VERSION}"));
@@ -51,21 +53,21 @@
     }
     let mut text = Vec::new();
     let unpacked = zstd::Decoder::new(body).map_err(|e| e.to_string())?;
-    unpacked.take(MOST + 1).read_to_end(&mut text).map_err(|e| e.to_string())?;
-    if text.len() as u64 > MOST {
-        return Err(format!("found more than {MOST} bytes"));
+    unpacked.take(MAX_UNPACKED_BYTES + 1).read_to_end(&mut text).map_err(|e| e.to_string())?;
+    if text.len() as u64 > MAX_UNPACKED_BYTES {
+        return Err(format!("found more than {MAX_UNPACKED_BYTES} bytes"));
     }
     serde_json::from_slice(&text).map_err(|e| e.to_string())
 }
 
-/// One thing that differs.
+/// A difference between two snapshots.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Difference {
-    /// Where, such as `pools.portal.open_requests`.
+    /// Path of the value, such as `pools.portal.open_requests`.
     pub at: String,
-    /// As it was; none for what has come.
+    /// The earlier value; `None` if it was added.
     pub was: Option<Value>,
-    /// As it is; none for what is gone.
+    /// The later value; `None` if it was removed.
     pub is: Option<Value>,
 }
 
@@ -83,8 +85,8 @@
     }
 }
 
-/// What differs between two, in the order of their places. Rows of a list belong together by their names, whatever their
-/// order; rows without names by their places.
+/// Compares two snapshots. The differences are sorted by path. Rows of a list are matched by their names, whatever their order,
+/// and rows without names by their positions.
 pub fn differences(was: &Value, is: &Value) -> Vec<Difference> {
     let mut found = Vec::new();
     compare("", was, is, 0, &mut found);
@@ -97,8 +99,8 @@
     }
     let below = |name: &str| if at.is_empty() { name.to_owned() } else { format!("{at}.{name}") };
     let parts = match (was, is) {
-        // What lies deeper than anything that is written is compared as a whole.
-        _ if depth == DEEPEST => None,
+        // Values nested deeper than any snapshot has are compared as a whole.
+        _ if depth == MAX_DEPTH => None,
         (Value::Object(was), Value::Object(is)) => Some((parts_of(was), parts_of(is))),
         (Value::Array(was), Value::Array(is)) => rows_of(was).zip(rows_of(is)),
         _ => None,
@@ -124,13 +126,13 @@
     of.iter().map(|(name, value)| (name.clone(), value)).collect()
 }
 
-/// The rows of a list by their names; none for a list of plain values.
+/// The rows of a list by their names; `None` for a list of plain values.
 fn rows_of(list: &[Value]) -> Option<Parts<'_>> {
     if !list.iter().all(Value::is_object) {
         return None;
     }
     let name = |(place, row): (usize, &Value)| {
-        let named = NAMES.iter().find_map(|name| row.get(name).filter(|value| !value.is_null()));
+        let named = ROW_NAME_FIELDS.iter().find_map(|name| row.get(name).filter(|value| !value.is_null()));
         named.map_or_else(
             || place.to_string(),
             |name| name.as_str().map_or_else(|| name.to_string(), str::to_owned),
@@ -139,7 +141,7 @@
     let mut rows = Parts::new();
     for (place, row) in list.iter().enumerate() {
         let mut key = name((place, row));
-        // Two of one name: by their order among themselves.
+        // Rows of the same name are numbered in their order.
         let mut more = 2;
         while rows.contains_key(&key) {
             key = format!("{}#{more}", name((place, row)));
@@ -156,7 +158,7 @@
     use serde_json::json;
 
     #[test]
-    fn what_is_packed_is_unpacked_and_nothing_that_is_cut_or_changed() {
+    fn a_packed_snapshot_is_unpacked_and_a_truncated_or_changed_one_is_rejected() {
         let snapshot = json!({"status": {"open": 3}, "pools": [{"pool": "p", "nodes": ["a", "b"]}]});
         let file = pack(&snapshot).expect("it is packed");
         assert_eq!(unpack(&file), Ok(snapshot));
@@ -166,17 +168,18 @@
             file[at] ^= 1 << (at % 8);
             assert!(unpack(&file).is_err(), "changed at {at}");
         }
-        // What unpacks to more than anybody writes, and what another version wrote.
-        let body = zstd::encode_all(&vec![b' '; MOST as usize + 1][..], LEVEL).expect("it packs");
+        // A file that unpacks to too many bytes, and one of another version.
+        let body = zstd::encode_all(&vec![b' '; MAX_UNPACKED_BYTES as usize + 1][..], COMPRESSION_LEVEL)
+            .expect("it packs");
         let large =
-            [format!("{NAME} 1 {} {}\n", body.len(), blake3::hash(&body).to_hex()).into_bytes(), body];
+            [format!("{FORMAT_NAME} 1 {} {}\n", body.len(), blake3::hash(&body).to_hex()).into_bytes(), body];
         assert!(unpack(&large.concat()).is_err_and(|why| why.contains("found more than")));
         let later = b"sloeline-snapshot 2 0 x\n".to_vec();
         assert!(unpack(&later).is_err_and(|why| why.contains("found version \"2\", expected 1")));
     }
 
     #[test]
-    fn differences_are_found_by_name_and_told_in_words() {
+    fn differences_are_found_by_name_and_displayed() {
         let was = json!({
             "pools": [{"pool": "p", "open": 3}, {"pool": "q", "open": 1}, {"pool": "q", "open": 2}],
             "ready": true, "classes": ["a"], "deep": {"x": {"y": null}}, "old": 1,
--- a/operations/src/socket.rs
+++ b/operations/src/socket.rs
@@ -1,8 +1,8 @@
-//! The control socket of a daemon: one call on each connection, lines of JSON each way.
+//! The control socket of a daemon. Each connection carries one call; both directions use lines of JSON.
 //!
-//! The socket is a file that only its owner may open (mode 0600), and whoever connects must be that user or root; it says
-//! nothing over a network. A call and its answer are bounded in length and in time, so that a caller that says nothing holds
-//! up nobody. Versions: a call names the form that it is in; one that is not known is refused with the one that is.
+//! The socket is a file that only its owner may open (mode 0600), and the peer must be that user or root. Calls and answers are
+//! bounded in length and time, so that a silent caller blocks nobody. A call names the version of its format; the error for an
+//! unknown version names the known one.
 
 use std::io;
 use std::os::unix::fs::{FileTypeExt, MetadataExt};
@@ -16,18 +16,20 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use crate::crowd::{Crowd, PAUSE};
-use crate::verbs::{Answer, Asked, Call, MOST_ANSWER, MOST_CALL, Replies, VERSION, Verb, read};
+use crate::command::{
+    Answer, Call, Command, MAX_ANSWER_BYTES, MAX_CALL_BYTES, PendingCall, ReplySender, VERSION, read,
+};
+use crate::connection_set::{ACCEPT_RETRY_DELAY, ConnectionSet};
 
-/// Connections at once.
-const MOST: usize = 16;
-/// How long a call may take from its connection to its answer, and a line of an answer to be taken.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(6);
+/// Maximum number of open connections.
+const MAX_CONNECTIONS: usize = 16;
+/// Time limit from the connection to the answer, and for the caller to read a line of an answer.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// A socket under way; dropped, its file is gone.
+/// An open control socket. Its file is removed when it is dropped.
 pub struct Socket {
     path: PathBuf,
-    /// Which file it made: another process may have put its own there since.
+    /// Identifies the file that was created: another process may have replaced it since.
     inode: Option<u64>,
     task: AbortHandle,
 }
@@ -45,7 +47,7 @@
     std::fs::symlink_metadata(path).ok().map(|found| found.ino())
 }
 
-/// Makes the socket's file: what is left of a process that is no more makes room, one that answers does not.
+/// Creates the socket file. Replaces the file of a process that has ended, but not that of a process that still answers.
 fn bind(path: &Path) -> Result<UnixListener, String> {
     let named = |why: String| format!("{}: {why}", path.display());
     match std::fs::symlink_metadata(path) {
@@ -58,7 +60,7 @@
         Ok(_) => std::fs::remove_file(path).map_err(|e| named(e.to_string()))?,
         Err(_) => {}
     }
-    // Made so that nobody else can open it at any time; connecting needs the right to write.
+    // Nobody else can open the file at any moment: connecting requires write permission.
     let mask = rustix::process::umask(rustix::fs::Mode::from_raw_mode(0o177));
     let listener = UnixListener::bind(path);
     rustix::process::umask(mask);
@@ -66,60 +68,60 @@
 }
 
 impl Socket {
-    /// Listens at a path; calls go to the channel, one after the other.
-    pub fn open(path: &Path, calls: mpsc::Sender<Asked>) -> Result<Socket, String> {
+    /// Listens at a path and sends the calls to the channel.
+    pub fn open(path: &Path, calls: mpsc::Sender<PendingCall>) -> Result<Socket, String> {
         let listener = bind(path)?;
         let task = spawn_local(serve(listener, calls)).abort_handle();
         Ok(Socket { path: path.to_owned(), inode: inode(path), task })
     }
 
-    /// Where it is.
+    /// Path of the socket file.
     pub fn path(&self) -> &Path {
         &self.path
     }
 }
 
-async fn serve(listener: UnixListener, calls: mpsc::Sender<Asked>) {
+async fn serve(listener: UnixListener, calls: mpsc::Sender<PendingCall>) {
     let own = rustix::process::geteuid().as_raw();
-    let crowd = Crowd::new(MOST);
+    let connections = ConnectionSet::new(MAX_CONNECTIONS);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            sleep(PAUSE).await;
+            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        // The file's mode says so already; this says it again where its folder was copied or its mode was changed.
+        // The file mode ensures this as well, unless it was changed or the folder was copied.
         let Some(uid) = stream.peer_cred().ok().map(|who| who.uid()).filter(|uid| [0, own].contains(uid))
         else {
             continue;
         };
         let calls = calls.clone();
-        crowd.take(async move {
-            // Whoever called has left.
+        connections.spawn(async move {
+            // An error means that the caller has disconnected.
             let _: io::Result<()> = connection(stream, uid, calls).await;
         });
     }
 }
 
-async fn connection(stream: UnixStream, uid: u32, calls: mpsc::Sender<Asked>) -> io::Result<()> {
+async fn connection(stream: UnixStream, uid: u32, calls: mpsc::Sender<PendingCall>) -> io::Result<()> {
     let (reader, mut writer) = stream.into_split();
-    let mut reader = BufReader::new(reader.take(MOST_CALL));
+    let mut reader = BufReader::new(reader.take(MAX_CALL_BYTES));
     let mut line = Vec::new();
-    timeout(PATIENCE, reader.read_until(b'\n', &mut line)).await??;
-    let (to, mut answers) = Replies::new();
-    let mut lasts = false;
+    timeout(CALL_TIMEOUT, reader.read_until(b'\n', &mut line)).await??;
+    let (to, mut answers) = ReplySender::new();
+    let mut streaming = false;
     match read(&line) {
         Ok((who, verb)) => {
-            lasts = verb.lasts();
+            streaming = verb.is_streaming();
             let who = who.map_or_else(|| format!("uid {uid}"), |who| format!("{who} (uid {uid})"));
-            // Where nobody hears it, the caller is told so below.
-            let _ = timeout(PATIENCE, calls.send(Asked { verb, who, to })).await;
+            // If nobody receives the call, the caller gets an error below.
+            let _ = timeout(CALL_TIMEOUT, calls.send(PendingCall { verb, who, to })).await;
         }
         Err(why) => to.end(Err(why)),
     }
     loop {
-        let answer = next(&mut answers, lasts);
-        let answer = if lasts {
-            // Nothing more comes from a caller but that it leaves.
+        let answer = next(&mut answers, streaming);
+        let answer = if streaming {
+            // A caller sends nothing more; a read ends when it disconnects.
             tokio::select! {
                 answer = answer => answer,
                 _ = reader.read_u8() => return Ok(()),
@@ -129,37 +131,38 @@
         };
         let mut text = answer.written();
         text.push(b'\n');
-        timeout(PATIENCE, writer.write_all(&text)).await??;
+        timeout(CALL_TIMEOUT, writer.write_all(&text)).await??;
         if !matches!(answer, Answer::More(_)) {
-            return timeout(PATIENCE, writer.shutdown()).await?;
+            return timeout(CALL_TIMEOUT, writer.shutdown()).await?;
         }
     }
 }
 
-/// The next line of an answer, within its time.
-pub(crate) async fn next(answers: &mut mpsc::Receiver<Answer>, lasts: bool) -> Answer {
+/// Waits for the next line of an answer, up to its time limit.
+pub(crate) async fn next(answers: &mut mpsc::Receiver<Answer>, streaming: bool) -> Answer {
     let stopping = || Answer::Refused("it is stopping".to_owned());
-    if lasts {
+    if streaming {
         return answers.recv().await.unwrap_or_else(stopping);
     }
-    match timeout(PATIENCE, answers.recv()).await {
+    match timeout(CALL_TIMEOUT, answers.recv()).await {
         Ok(answer) => answer.unwrap_or_else(stopping),
-        Err(_) => {
-            Answer::Refused(format!("no answer within {} s; it may be done all the same", PATIENCE.as_secs()))
-        }
+        Err(_) => Answer::Refused(format!(
+            "no answer within {} s; it may be done all the same",
+            CALL_TIMEOUT.as_secs()
+        )),
     }
 }
 
-/// Asks the daemon at a path; each line of an answer that goes on is given to `more`. The error is one line.
+/// Sends a command to the daemon at a path. The lines of a streamed answer are passed to `more`. The error is one line.
 pub async fn ask(
     path: &Path,
     who: Option<String>,
-    verb: Verb,
-    patience: Duration,
+    verb: Command,
+    time_limit: Duration,
     mut more: impl FnMut(Value),
 ) -> Result<Value, String> {
     let named = |why: String| format!("{}: {why}", path.display());
-    let lasts = verb.lasts();
+    let streaming = verb.is_streaming();
     let text = Call { version: VERSION, who, verb }.written()?;
     let asked = async {
         let mut stream = UnixStream::connect(path).await?;
@@ -167,13 +170,15 @@
         Ok::<_, io::Error>(stream)
     };
     let in_time = || named("no answer in time".to_owned());
-    let stream = timeout(patience, asked).await.map_err(|_| in_time())?.map_err(|e| named(e.to_string()))?;
+    let stream =
+        timeout(time_limit, asked).await.map_err(|_| in_time())?.map_err(|e| named(e.to_string()))?;
     let mut reader = BufReader::new(stream);
     loop {
         let mut line = Vec::new();
-        let mut bounded = (&mut reader).take(MOST_ANSWER);
+        let mut bounded = (&mut reader).take(MAX_ANSWER_BYTES);
         let read = bounded.read_until(b'\n', &mut line);
-        let read = if lasts { read.await } else { timeout(patience, read).await.map_err(|_| in_time())? };
+        let read =
+            if streaming { read.await } else { timeout(time_limit, read).await.map_err(|_| in_time())? };
         read.map_err(|e| named(e.to_string()))?;
         match serde_json::from_slice(&line).map_err(|e| named(format!("found no answer: {e}")))? {
             Answer::More(value) => more(value),
--- a/sloeline/src/ctl.rs
+++ b/sloeline/src/ctl.rs
@@ -9,11 +9,11 @@
 use clap::{Args, Subcommand};
 use serde_json::{Map, Value};
 use sloeline_events::filter::EventFilter;
-use sloeline_operations::address::{self, Caller};
-use sloeline_operations::auth::Secret;
+use sloeline_operations::command::{Command, OrderReason};
+use sloeline_operations::signed_call::Secret;
+use sloeline_operations::signed_http::{self, SignedClient};
 use sloeline_operations::snapshot;
 use sloeline_operations::socket;
-use sloeline_operations::verbs::{Because, Verb};
 
 /// How long an answer may take.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -57,10 +57,10 @@
     revision: Option<u64>,
 }
 
-impl From<Reason> for Because {
-    fn from(reason: Reason) -> Because {
+impl From<Reason> for OrderReason {
+    fn from(reason: Reason) -> OrderReason {
         let for_s = reason.span.map(|micros| micros as f64 / 1e6);
-        Because { why: reason.why, for_s, revision: reason.revision }
+        OrderReason { why: reason.why, for_s, revision: reason.revision }
     }
 }
 
@@ -75,9 +75,9 @@
     revision: Option<u64>,
 }
 
-impl From<TakenBack> for Because {
-    fn from(back: TakenBack) -> Because {
-        Because { why: back.why, for_s: None, revision: back.revision }
+impl From<TakenBack> for OrderReason {
+    fn from(back: TakenBack) -> OrderReason {
+        OrderReason { why: back.why, for_s: None, revision: back.revision }
     }
 }
 
@@ -218,34 +218,38 @@
     },
 }
 
-fn verb(what: What) -> Verb {
+fn verb(what: What) -> Command {
     match what {
-        What::Status => Verb::Status,
-        What::Pools => Verb::Pools,
-        What::Members { pool } => Verb::Members { pool },
-        What::Requests { pool, most } => Verb::Requests { pool, most: most as usize },
-        What::Budgets => Verb::Budgets,
-        What::Routes => Verb::Routes,
-        What::Work => Verb::Work,
-        What::Operations => Verb::Operations,
-        What::Explain { method, url, headers } => Verb::Explain { method, url, headers },
-        What::Orders => Verb::Orders,
-        What::Out { node: Node { node, pool }, reason } => Verb::Out { node, pool, because: reason.into() },
+        What::Status => Command::Status,
+        What::Pools => Command::Pools,
+        What::Members { pool } => Command::Members { pool },
+        What::Requests { pool, most } => Command::Requests { pool, most: most as usize },
+        What::Budgets => Command::Budgets,
+        What::Routes => Command::Routes,
+        What::Work => Command::Work,
+        What::Operations => Command::Operations,
+        What::Explain { method, url, headers } => Command::Explain { method, url, headers },
+        What::Orders => Command::Orders,
+        What::Out { node: Node { node, pool }, reason } => {
+            Command::Out { node, pool, because: reason.into() }
+        }
         What::Drain { node: Node { node, pool }, reason } => {
-            Verb::Drain { node, pool, because: reason.into() }
+            Command::Drain { node, pool, because: reason.into() }
+        }
+        What::Back { node: Node { node, pool }, back } => Command::Back { node, pool, because: back.into() },
+        What::Standby { reason } => Command::Standby { because: reason.into() },
+        What::Active { back } => Command::Active { because: back.into() },
+        What::Limit { pool, open, rate, reason } => {
+            Command::Limit { pool, open, rate, because: reason.into() }
         }
-        What::Back { node: Node { node, pool }, back } => Verb::Back { node, pool, because: back.into() },
-        What::Standby { reason } => Verb::Standby { because: reason.into() },
-        What::Active { back } => Verb::Active { because: back.into() },
-        What::Limit { pool, open, rate, reason } => Verb::Limit { pool, open, rate, because: reason.into() },
-        What::Unlimit { pool, back } => Verb::Unlimit { pool, because: back.into() },
-        What::Fleet => Verb::Fleet,
-        What::Changes => Verb::Changes,
-        What::Snapshot { .. } => Verb::Snapshot,
+        What::Unlimit { pool, back } => Command::Unlimit { pool, because: back.into() },
+        What::Fleet => Command::Fleet,
+        What::Changes => Command::Changes,
+        What::Snapshot { .. } => Command::Snapshot,
         What::Tail { level, area, event, text, backlog } => {
-            Verb::Tail { wanted: EventFilter { level, area, event, text }, backlog: backlog as usize }
+            Command::Tail { wanted: EventFilter { level, area, event, text }, backlog: backlog as usize }
         }
-        What::Watch { every } => Verb::Watch { every_ms: every / 1000 },
+        What::Watch { every } => Command::Watch { every_ms: every / 1000 },
     }
 }
 
@@ -273,8 +277,8 @@
     let answer = match (socket, address, key, key_file) {
         (Some(path), ..) => socket::ask(&path, who, verb, PATIENCE, more).await?,
         (None, Some(address), Some(key), Some(file)) => {
-            let caller = Caller { address, key, secret: secret(&file)? };
-            address::ask(&caller, who, verb, PATIENCE, more).await?
+            let client = SignedClient { address, key, secret: secret(&file)? };
+            signed_http::ask(&client, who, verb, PATIENCE, more).await?
         }
         _ => return Err("expected --socket, or --address with --key and --key-file".to_owned()),
     };
@@ -324,9 +328,9 @@
 /// Makes a key in a file that only its owner may read; one that is there is not written over.
 pub fn make_key(file: &Path) -> Result<String, String> {
     use std::os::unix::fs::OpenOptionsExt;
-    let mut bytes = [0; sloeline_operations::auth::LEAST_SECRET];
+    let mut bytes = [0; sloeline_operations::signed_call::MIN_SECRET_BYTES];
     getrandom::fill(&mut bytes).map_err(|e| e.to_string())?;
-    let text = sloeline_operations::auth::hex(&bytes) + "\n";
+    let text = sloeline_operations::signed_call::hex(&bytes) + "\n";
     let made = std::fs::File::options().write(true).create_new(true).mode(0o600).open(file);
     made.and_then(|mut made| made.write_all(text.as_bytes()))
         .map_err(|e| format!("{}: {e}", file.display()))?;
--- a/sloeline/src/daemon/control.rs
+++ b/sloeline/src/daemon/control.rs
@@ -13,11 +13,11 @@
 use sloeline_events::hub::{LineFormat, Settings, hub};
 use sloeline_events::limit::Rate;
 use sloeline_limits::Share;
-use sloeline_operations::address::Address;
-use sloeline_operations::auth::{Key, May, Secret};
-use sloeline_operations::book::{On, Order};
+use sloeline_operations::command::{Command, PendingCall, ReplySender};
+use sloeline_operations::order_book::{Order, OrderTarget};
+use sloeline_operations::signed_call::{Key, Permission, Secret};
+use sloeline_operations::signed_http::SignedListener;
 use sloeline_operations::socket::Socket;
-use sloeline_operations::verbs::{Asked, Replies, Verb};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -96,7 +96,7 @@
 pub struct Doors {
     socket: Option<Socket>,
     /// With what the configuration says of it.
-    address: Option<(SocketAddr, Address)>,
+    address: Option<(SocketAddr, SignedListener)>,
 }
 
 /// What stands in a file that only its owner may read.
@@ -117,8 +117,8 @@
     let read = |(name, key): (&String, &ControlKey)| {
         let named = |why: String| format!("control.key.{name}: {why}");
         let text = secret_text(&folder.join(&key.file)).map_err(named)?;
-        let may = if key.allows_orders { May::Order } else { May::Ask };
-        Ok((name.clone(), Key { secret: Secret::read(&text).map_err(named)?, may }))
+        let permission = if key.allows_orders { Permission::Order } else { Permission::Read };
+        Ok((name.clone(), Key { secret: Secret::read(&text).map_err(named)?, permission }))
     };
     control.keys.iter().map(read).collect()
 }
@@ -128,13 +128,13 @@
 
 /// Someone who is told again and again how it stands.
 pub(super) struct Watcher {
-    to: Replies,
+    to: ReplySender,
     every: Duration,
     next: Instant,
 }
 
 /// Tells events as they come, after the latest of them.
-fn tail(wanted: EventFilter, backlog: usize, to: Replies) {
+fn tail(wanted: EventFilter, backlog: usize, to: ReplySender) {
     let Some(hub) = hub() else { return to.end(Err("this process keeps no events".to_owned())) };
     if let Err(why) = wanted.validate() {
         return to.end(Err(why));
@@ -170,7 +170,7 @@
 
 impl Daemon {
     /// Answers a call that asks how things stand, at once.
-    fn asked(&self, verb: &Verb) -> Result<Value, String> {
+    fn asked(&self, verb: &Command) -> Result<Value, String> {
         let each = |pool: Option<&str>, of: &dyn Fn(&Running) -> Value| {
             self.only(pool).map(|pools| {
                 let told = |name: &&String| (name.to_string(), of(&self.pools[*name]));
@@ -178,59 +178,61 @@
             })
         };
         match verb {
-            Verb::Pools => Ok(self.pools.iter().map(|(name, running)| running.told(name)).collect()),
-            Verb::Members { pool } => each(pool.as_deref(), &Running::members),
-            Verb::Requests { pool, most } => each(pool.as_deref(), &|running| running.requests(*most)),
-            Verb::Budgets => Ok(self.budgets()),
-            Verb::Routes => Ok(self.config.routes.iter().map(route).collect()),
-            Verb::Work => Ok(self.work_told()),
-            Verb::Operations => Ok(json!(self.operations.summary())),
-            Verb::Orders => Ok(self.orders.borrow().told()),
-            Verb::Fleet => self.fleet_told(),
-            Verb::Snapshot => Ok(self.snapshot()),
+            Command::Pools => Ok(self.pools.iter().map(|(name, running)| running.told(name)).collect()),
+            Command::Members { pool } => each(pool.as_deref(), &Running::members),
+            Command::Requests { pool, most } => each(pool.as_deref(), &|running| running.requests(*most)),
+            Command::Budgets => Ok(self.budgets()),
+            Command::Routes => Ok(self.config.routes.iter().map(route).collect()),
+            Command::Work => Ok(self.work_told()),
+            Command::Operations => Ok(json!(self.operations.summary())),
+            Command::Orders => Ok(self.orders.borrow().told()),
+            Command::Fleet => self.fleet_told(),
+            Command::Snapshot => Ok(self.snapshot()),
             _ => Ok(self.status()),
         }
     }
 
     /// Answers a call, or sees to it that it is answered.
-    pub fn answer_to(&self, file: &Path, asked: Asked) {
-        let Asked { verb, who, to } = asked;
+    pub fn answer_to(&self, file: &Path, asked: PendingCall) {
+        let PendingCall { verb, who, to } = asked;
         match verb {
-            Verb::Out { node, pool, because } => {
+            Command::Out { node, pool, because } => {
                 self.ordered(self.give(Order::Out { node, pool }, who, because), to);
             }
-            Verb::Drain { node, pool, because } => {
+            Command::Drain { node, pool, because } => {
                 let order = Order::Out { node: node.clone(), pool };
                 self.drain(node, self.give(order, who, because), to);
             }
-            Verb::Back { node, pool, because } => {
-                self.ordered(self.take_back(&On::Node(node, pool), who, because), to);
+            Command::Back { node, pool, because } => {
+                self.ordered(self.revoke(&OrderTarget::Node(node, pool), who, because), to);
             }
-            Verb::Standby { because } => self.ordered(self.give(Order::Standby, who, because), to),
-            Verb::Active { because } => self.ordered(self.take_back(&On::Instance, who, because), to),
-            Verb::Limit { pool, open, rate, because } => {
+            Command::Standby { because } => self.ordered(self.give(Order::Standby, who, because), to),
+            Command::Active { because } => {
+                self.ordered(self.revoke(&OrderTarget::Instance, who, because), to)
+            }
+            Command::Limit { pool, open, rate, because } => {
                 self.ordered(self.give(Order::Limit { pool, open, rate }, who, because), to);
             }
-            Verb::Unlimit { pool, because } => {
-                self.ordered(self.take_back(&On::Pool(pool), who, because), to);
+            Command::Unlimit { pool, because } => {
+                self.ordered(self.revoke(&OrderTarget::Pool(pool), who, because), to);
             }
-            Verb::Tail { wanted, backlog } => tail(wanted, backlog, to),
-            Verb::Watch { every_ms } if EVERY.contains(&every_ms) => {
+            Command::Tail { wanted, backlog } => tail(wanted, backlog, to),
+            Command::Watch { every_ms } if EVERY.contains(&every_ms) => {
                 let every = Duration::from_millis(every_ms);
                 self.watchers.borrow_mut().push(Watcher { to, every, next: Instant::now() });
             }
-            Verb::Watch { every_ms } => {
+            Command::Watch { every_ms } => {
                 let (least, most) = (EVERY.start(), EVERY.end());
                 to.end(Err(format!("every_ms: found {every_ms}, expected {least} to {most}")));
             }
             // Both take long: a table of all routes, a whole configuration.
-            Verb::Explain { method, url, headers } => {
+            Command::Explain { method, url, headers } => {
                 let config = self.config.clone();
                 tokio::task::spawn_blocking(move || {
                     to.end(explain(&config, &method, &url, &headers).map(Value::String));
                 });
             }
-            Verb::Changes => {
+            Command::Changes => {
                 let (config, file) = (self.config.clone(), file.to_owned());
                 tokio::task::spawn_blocking(move || to.end(compare(&config, &file)));
             }
@@ -265,7 +267,7 @@
     }
 
     /// Opens what the configuration names and is not open; closes what it names no more.
-    pub async fn open_doors(&self, doors: &mut Doors, asks: &mpsc::Sender<Asked>) {
+    pub async fn open_doors(&self, doors: &mut Doors, asks: &mpsc::Sender<PendingCall>) {
         let control = &self.config.control;
         let wanted = control.socket.as_ref().map(|path| self.folder.join(path));
         if doors.socket.as_ref().map(Socket::path) != wanted.as_deref() {
@@ -299,7 +301,7 @@
             Some((_, open)) => open.set_keys(keys),
             None => {
                 let open = crate::platform::listen(wanted, false)
-                    .and_then(|at| Address::open(at, keys, asks.clone()).map_err(|e| e.to_string()));
+                    .and_then(|at| SignedListener::open(at, keys, asks.clone()).map_err(|e| e.to_string()));
                 match open {
                     Ok(open) => {
                         let at = open.at();
@@ -316,19 +318,19 @@
 
     /// All that can be told, for later.
     fn snapshot(&self) -> Value {
-        let asked = |verb: Verb| self.asked(&verb).unwrap_or_default();
+        let asked = |verb: Command| self.asked(&verb).unwrap_or_default();
         json!({
             "at": unix(),
             "status": self.status(),
-            "pools": asked(Verb::Pools),
-            "members": asked(Verb::Members { pool: None }),
-            "requests": asked(Verb::Requests { pool: None, most: SNAPSHOT_REQUESTS }),
+            "pools": asked(Command::Pools),
+            "members": asked(Command::Members { pool: None }),
+            "requests": asked(Command::Requests { pool: None, most: SNAPSHOT_REQUESTS }),
             "budgets": self.budgets(),
-            "routes": asked(Verb::Routes),
+            "routes": asked(Command::Routes),
             "work": self.work_told(),
-            "operations": asked(Verb::Operations),
-            "orders": asked(Verb::Orders),
-            "fleet": asked(Verb::Fleet),
+            "operations": asked(Command::Operations),
+            "orders": asked(Command::Orders),
+            "fleet": asked(Command::Fleet),
         })
     }
 
--- a/sloeline/src/daemon/fleet.rs
+++ b/sloeline/src/daemon/fleet.rs
@@ -13,7 +13,7 @@
 use sloeline_fleet::message::{Fact, Keys, MAX_NAME_BYTES, Name, Observation, State};
 use sloeline_fleet::shell::{Fleet, FleetConfig};
 use sloeline_fleet::swim;
-use sloeline_operations::auth::Secret;
+use sloeline_operations::signed_call::Secret;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
--- a/sloeline/src/daemon/orders.rs
+++ b/sloeline/src/daemon/orders.rs
@@ -11,10 +11,13 @@
 use serde_json::{Value, json};
 use sloeline_events::emit;
 use sloeline_membership::announce::Wanted;
-use sloeline_operations::book::{Book, Bound, Effect, Given, On, Order, Past, Standing, Step};
-use sloeline_operations::ledger::Ledger;
-use sloeline_operations::presence::Presence;
-use sloeline_operations::verbs::{Because, Replies};
+use sloeline_operations::client_policy::Lifecycle;
+use sloeline_operations::command::{OrderReason, ReplySender};
+use sloeline_operations::order_book::{
+    ActiveOrder, EffectiveOrders, EndedOrder, Order, OrderBook, OrderChange, OrderDetails, OrderTarget,
+    PoolLimit,
+};
+use sloeline_operations::order_store::OrderStore;
 use sloeline_work::schedule::{Job, Priority};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -26,7 +29,7 @@
 
 /// The file of orders, and how far it has come.
 struct Keeper {
-    ledger: Ledger,
+    store: OrderStore,
     /// Held for as long as this process runs; none where another one has it.
     lock: Option<File>,
     /// The revision that stands there.
@@ -35,9 +38,9 @@
 
 /// The orders of a daemon.
 pub(super) struct Orders {
-    book: Book,
-    carried: Effect,
-    presence: Presence,
+    book: OrderBook,
+    carried: EffectiveOrders,
+    lifecycle: Lifecycle,
     keeper: Option<Arc<Mutex<Keeper>>>,
     /// Nodes whose order has ended while no process ran: they return as soon as they are listed.
     returning: Vec<(Option<String>, String)>,
@@ -50,22 +53,22 @@
     pub(super) fn open(path: Option<&Path>) -> Result<Orders, String> {
         let began = (unix(), Instant::now());
         let mut orders = Orders {
-            book: Book::default(),
-            carried: Effect::default(),
-            presence: Presence::default(),
+            book: OrderBook::default(),
+            carried: EffectiveOrders::default(),
+            lifecycle: Lifecycle::default(),
             keeper: None,
             returning: Vec::new(),
             began,
         };
         let Some(path) = path else { return Ok(orders) };
-        let ledger = Ledger::new(path.to_owned());
+        let store = OrderStore::new(path.to_owned());
         let found =
-            ledger.read().map_err(|why| format!("orders: {why}: move it away to start without orders"))?;
-        if let Some(why) = &found.spoilt {
+            store.read().map_err(|why| format!("orders: {why}: move it away to start without orders"))?;
+        if let Some(why) = &found.corruption {
             emit!(ORDERS_CORRUPT, why = %why; "sloeline: orders: {why}: those before it hold");
         }
-        let revision = found.written.revision;
-        let (book, over) = Book::read(found.written, began.0);
+        let revision = found.orders.revision;
+        let (book, over) = OrderBook::restore(found.orders, began.0);
         for order in &over {
             let (id, who) = (order.id, &order.who);
             emit!(ORDER_EXPIRED, id = %id, who = %who; "sloeline: order {id} of {who} came to its end while nothing ran");
@@ -86,7 +89,7 @@
         if let Err(why) = &lock {
             emit!(ORDERS_NOT_SAVED, why = %why; "sloeline: orders are obeyed, and not kept: {why}");
         }
-        let keeper = Keeper { ledger, lock: lock.ok(), written: Some(revision) };
+        let keeper = Keeper { store, lock: lock.ok(), written: Some(revision) };
         orders.keeper = Some(Arc::new(Mutex::new(keeper)));
         Ok(orders)
     }
@@ -98,8 +101,8 @@
 
     /// When something happens by itself.
     pub(super) fn due(&self) -> Option<Instant> {
-        let ends = self.book.due().map(|at| self.began.1 + time(at.saturating_sub(self.began.0)));
-        let steps = self.presence.next_change(Instant::now().into_std()).map(Instant::from_std);
+        let ends = self.book.next_expiry().map(|at| self.began.1 + time(at.saturating_sub(self.began.0)));
+        let steps = self.lifecycle.next_change(Instant::now().into_std()).map(Instant::from_std);
         ends.into_iter().chain(steps).min()
     }
 
@@ -115,8 +118,8 @@
     }
 
     pub(super) fn told(&self) -> Value {
-        let of = |order: &Standing| serde_json::to_value(order).unwrap_or_default();
-        let past = |past: &Past| {
+        let of = |order: &ActiveOrder| serde_json::to_value(order).unwrap_or_default();
+        let past = |past: &EndedOrder| {
             let mut told = serde_json::to_value(past).unwrap_or_default();
             if let (Some(told), Ok(end)) = (told.as_object_mut(), serde_json::to_value(&past.end)) {
                 told.insert("end".to_owned(), end);
@@ -145,7 +148,7 @@
 }
 
 impl Keeper {
-    fn write(&mut self, book: &Book) -> Result<(), String> {
+    fn write(&mut self, book: &OrderBook) -> Result<(), String> {
         if self.lock.is_none() {
             return Err("another process keeps this file".to_owned());
         }
@@ -153,7 +156,7 @@
         if self.written.is_some_and(|written| written >= book.revision()) {
             return Ok(());
         }
-        self.ledger.write(&book.written())?;
+        self.store.write(&book.to_stored())?;
         self.written = Some(book.revision());
         Ok(())
     }
@@ -163,19 +166,19 @@
     /// Carries out what the book comes to now.
     pub(super) fn carry_out(&self) {
         let mut orders = self.orders.borrow_mut();
-        let mut to = orders.book.effect(self.pools.keys().map(String::as_str));
+        let mut to = orders.book.effective(self.pools.keys().map(String::as_str));
         to.out.extend(self.kept_out().into_iter().filter(|(pool, _)| self.pools.contains_key(pool)));
-        for step in orders.carried.towards(&to) {
+        for step in orders.carried.changes_to(&to) {
             match step {
-                Step::Out(pool, node) => self.pools[&pool].pool.engine.replicate_maintenance(&node),
-                Step::Back(pool, node) => _ = self.pools[&pool].pool.engine.exit_maintenance(&node),
-                Step::Bound(pool, bound) => {
+                OrderChange::Out(pool, node) => self.pools[&pool].pool.engine.replicate_maintenance(&node),
+                OrderChange::Back(pool, node) => _ = self.pools[&pool].pool.engine.exit_maintenance(&node),
+                OrderChange::Limit(pool, bound) => {
                     let pool = &self.pools[&pool].pool;
-                    let Bound { open, rate } = bound.unwrap_or_default();
+                    let PoolLimit { open, rate } = bound.unwrap_or_default();
                     pool.operator_limit.set(pool.engine.now(), open, rate);
                 }
-                Step::Standby(on) => {
-                    orders.presence.standby(Instant::now().into_std(), on);
+                OrderChange::Standby(on) => {
+                    orders.lifecycle.set_standby(Instant::now().into_std(), on);
                     // Readers of the registry send their callers elsewhere too.
                     if let Some((_, announcement)) = &self.announced {
                         announcement.want(if on { Wanted::Draining } else { Wanted::Serving });
@@ -184,9 +187,9 @@
             }
         }
         orders.carried = to;
-        let posture = orders.presence.posture(Instant::now().into_std());
+        let client_policy = orders.lifecycle.client_policy(Instant::now().into_std());
         drop(orders);
-        self.listeners.values().for_each(|heard| heard.callers.set_posture(posture));
+        self.listeners.values().for_each(|heard| heard.callers.set_client_policy(client_policy));
     }
 
     /// Nodes whose order has ended while nothing ran return when they are listed, as ones that have just started.
@@ -218,7 +221,7 @@
         let over = {
             let mut orders = self.orders.borrow_mut();
             let now = orders.now();
-            orders.book.pass(now)
+            orders.book.expire(now)
         };
         for order in &over {
             let (id, who) = (order.id, &order.who);
@@ -251,7 +254,7 @@
     }
 
     /// Answers when it is written down; that it could not be is told, and the order holds all the same.
-    fn kept(&self, to: Replies, mut told: Value) {
+    fn kept(&self, to: ReplySender, mut told: Value) {
         self.keep(move |kept| {
             told["kept"] = match kept {
                 Ok(()) => json!(true),
@@ -264,8 +267,8 @@
         });
     }
 
-    fn given(&self, who: String, because: Because) -> Result<Given, String> {
-        let Because { why, for_s, revision } = because;
+    fn given(&self, who: String, because: OrderReason) -> Result<OrderDetails, String> {
+        let OrderReason { why, for_s, revision } = because;
         let until = match for_s {
             None => None,
             Some(span) if span > 0.0 && span <= LONGEST => {
@@ -275,11 +278,11 @@
                 return Err(format!("for_s: found {span}, expected more than 0 and at most {LONGEST}"));
             }
         };
-        Ok(Given { who, why, until, revision })
+        Ok(OrderDetails { who, why, until, revision })
     }
 
     /// Gives an order; what is to be told of it.
-    pub(super) fn give(&self, order: Order, who: String, because: Because) -> Result<Value, String> {
+    pub(super) fn give(&self, order: Order, who: String, because: OrderReason) -> Result<Value, String> {
         let pools = match &order {
             Order::Out { node, pool } => self.meets(node, pool.as_deref())?,
             Order::Limit { pool, .. } => self.only(Some(pool))?.into_iter().cloned().collect(),
@@ -289,7 +292,7 @@
         let told = {
             let mut orders = self.orders.borrow_mut();
             let now = orders.now();
-            let (id, replaced) = orders.book.give(now, order.clone(), &given).map_err(|e| e.to_string())?;
+            let (id, replaced) = orders.book.add(now, order.clone(), &given).map_err(|e| e.to_string())?;
             let mut told = serde_json::to_value(&order).map_err(|e| e.to_string())?;
             told["id"] = json!(id);
             told["revision"] = json!(orders.book.revision());
@@ -307,17 +310,22 @@
     }
 
     /// Takes back what stands on something; what is to be told of it.
-    pub(super) fn take_back(&self, on: &On, who: String, because: Because) -> Result<Value, String> {
+    pub(super) fn revoke(
+        &self,
+        on: &OrderTarget,
+        who: String,
+        because: OrderReason,
+    ) -> Result<Value, String> {
         let (thing, pools) = match on {
-            On::Node(node, pool) => (node.clone(), self.meets(node, pool.as_deref())?),
-            On::Pool(pool) => (pool.clone(), self.only(Some(pool))?.into_iter().cloned().collect()),
-            On::Instance => ("standby".to_owned(), Vec::new()),
+            OrderTarget::Node(node, pool) => (node.clone(), self.meets(node, pool.as_deref())?),
+            OrderTarget::Pool(pool) => (pool.clone(), self.only(Some(pool))?.into_iter().cloned().collect()),
+            OrderTarget::Instance => ("standby".to_owned(), Vec::new()),
         };
         let given = self.given(who, because)?;
         let (ended, revision) = {
             let mut orders = self.orders.borrow_mut();
             let now = orders.now();
-            let ended = orders.book.take_back(now, on, &given).map_err(|e| e.to_string())?;
+            let ended = orders.book.revoke(now, on, &given).map_err(|e| e.to_string())?;
             (ended, orders.book.revision())
         };
         self.carry_out();
@@ -325,7 +333,7 @@
         let why = given.why.as_deref().unwrap_or("no reason given");
         let who = &given.who;
         emit!(ORDER_WITHDRAWN, who = %who, thing = %thing; "sloeline: taken back by {who}: {thing}, orders {ids:?} ({why})");
-        let name = if matches!(on, On::Node(..)) { "node" } else { "on" };
+        let name = if matches!(on, OrderTarget::Node(..)) { "node" } else { "on" };
         Ok(json!({name: thing, "pools": pools, "ended": ids, "revision": revision}))
     }
 
@@ -341,7 +349,7 @@
     }
 
     /// Gives or takes back an order, and answers when it is kept.
-    pub(super) fn ordered(&self, told: Result<Value, String>, to: Replies) {
+    pub(super) fn ordered(&self, told: Result<Value, String>, to: ReplySender) {
         match told {
             Ok(told) => self.kept(to, told),
             Err(why) => to.end(Err(why)),
@@ -349,7 +357,7 @@
     }
 
     /// Orders a node out, and goes on telling what it carries until that is nothing.
-    pub(super) fn drain(&self, node: String, told: Result<Value, String>, to: Replies) {
+    pub(super) fn drain(&self, node: String, told: Result<Value, String>, to: ReplySender) {
         let told = match told {
             Ok(told) => told,
             Err(why) => return to.end(Err(why)),
--- a/sloeline/src/platform.rs
+++ b/sloeline/src/platform.rs
@@ -5,9 +5,9 @@
 
 use finchshift::ListKind;
 use sloeline_events::emit;
-use sloeline_operations::control;
-use sloeline_operations::keep::Keep;
-use sloeline_operations::link::{find, meeting_place};
+use sloeline_operations::handover::{request_handover, socket_path};
+use sloeline_operations::order_file::OrderFile;
+use sloeline_operations::order_http;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -53,19 +53,19 @@
     // Where another process of this balancer may be met; only where operators run it.
     let folder = operated.then(|| variable("TMPDIR")).flatten().map(std::path::PathBuf::from);
     let place = folder.as_ref().and_then(|folder| {
-        meeting_place(folder, &config.name)
+        socket_path(folder, &config.name)
             .inspect_err(|why| emit!(LINK_FAILED, why = %why; "link: {why}"))
             .ok()
     });
     let inherited = match &place {
-        Some(place) => find::<Handed>(place).await.unwrap_or_else(|why| {
+        Some(place) => request_handover::<Handed>(place).await.unwrap_or_else(|why| {
             emit!(LINK_FAILED, why = %why; "link: the process that serves gave nothing: {why}");
             None
         }),
         None => None,
     };
     let (ours, hello, line) = match inherited {
-        Some(i) => (Some(i.listener), Some(i.hello), Some(i.line)),
+        Some(i) => (Some(i.listener), Some(i.handover), Some(i.line)),
         None => (None, None, None),
     };
     let same = |l: &std::net::TcpListener| {
@@ -84,7 +84,7 @@
     let control = config.control.map(|address| listen(address, false)).transpose()?;
 
     let (phases, phase) = watch::channel(Phase::Running);
-    let keep = folder.map(|folder| Keep::new(&folder, &config.name));
+    let keep = folder.map(|folder| OrderFile::new(&folder, &config.name));
     let (known, name) = (config.known, config.name);
     let handed = hello.as_ref().and_then(|h| h.list.as_ref());
     let generation = handed.filter(|h| h.discovery == config.discovery).map(|h| h.list.generation);
@@ -105,7 +105,7 @@
     let (orders, list) = match hello {
         Some(hello) => (hello.orders, hello.list),
         None => {
-            let kept = keep.as_ref().map(Keep::read).transpose();
+            let kept = keep.as_ref().map(OrderFile::read).transpose();
             let kept = kept
                 .inspect_err(|why| emit!(ORDERS_CORRUPT, why = %why; "sloeline: no orders are known: {why}"));
             (kept.ok().flatten().unwrap_or_default(), None)
@@ -148,7 +148,7 @@
     if let Some(control) = control {
         let address = control.local_addr().map_err(|e| e.to_string())?;
         emit!(CONTROL_LISTENING, at = %address; "sloeline {name} takes operators' calls on {address}");
-        spawn_local(control::serve(control, operator.clone()));
+        spawn_local(order_http::serve(control, operator.clone()));
     }
     if let Some(place) = place {
         spawn_local(operator.clone().meet(place, line));
--- a/sloeline/src/platform/operator.rs
+++ b/sloeline/src/platform/operator.rs
@@ -11,12 +11,14 @@
 use serde::{Deserialize, Serialize};
 use sloeline_events::emit;
 use sloeline_membership::platform::List;
-use sloeline_operations::call::Call;
-use sloeline_operations::control::Operated;
-use sloeline_operations::keep::Keep;
-use sloeline_operations::link::{Hello, Line, Mark, Mouth, Note, Seat, occupied, readable};
+use sloeline_operations::client_policy::Lifecycle;
+use sloeline_operations::handover::{
+    Handover, HandoverSocket, PeerConnection, PeerMessage, PeerSender, SocketId, is_held, read_leniently,
+};
+use sloeline_operations::order_call::Call;
+use sloeline_operations::order_file::OrderFile;
+use sloeline_operations::order_http::OrderHandler;
 use sloeline_operations::orders::{Order, Orders};
-use sloeline_operations::presence::Presence;
 use tokio::sync::Notify;
 use tokio::time::{interval, sleep, sleep_until};
 
@@ -36,10 +38,10 @@
     /// The list.
     pub list: List,
     /// Those put back whose start the list has not told, the start that it tells, and since when they count as started.
-    #[serde(default, deserialize_with = "readable")]
+    #[serde(default, deserialize_with = "read_leniently")]
     pub returned: Vec<(String, Option<Micros>, Micros)>,
     /// What was learned.
-    #[serde(default, deserialize_with = "readable")]
+    #[serde(default, deserialize_with = "read_leniently")]
     pub learned: Learned,
 }
 
@@ -60,7 +62,7 @@
 /// A neighbour in the row of processes: the one before or the one after.
 #[derive(Default)]
 struct Neighbour {
-    mouth: Option<Mouth>,
+    sender: Option<PeerSender>,
     /// Attempts that are out on its side, by zone.
     out: Vec<(String, f64)>,
     /// How many processes there are on its side.
@@ -96,8 +98,8 @@
 pub struct Operator {
     service: Rc<Service>,
     orders: RefCell<Orders>,
-    keep: Option<Keep>,
-    presence: RefCell<Presence>,
+    keep: Option<OrderFile>,
+    lifecycle: RefCell<Lifecycle>,
     turned: Notify,
     /// The listener, for a process that is to follow.
     listener: RefCell<Option<TcpListener>>,
@@ -114,7 +116,7 @@
     /// before.
     pub fn new(
         service: Rc<Service>,
-        keep: Option<Keep>,
+        keep: Option<OrderFile>,
         listener: TcpListener,
         follows: bool,
     ) -> Rc<Operator> {
@@ -122,7 +124,7 @@
             service,
             orders: RefCell::default(),
             keep,
-            presence: RefCell::default(),
+            lifecycle: RefCell::default(),
             turned: Notify::new(),
             listener: RefCell::new(Some(listener)),
             row: RefCell::default(),
@@ -136,14 +138,14 @@
     pub fn serving(&self) {
         self.serving.set(true);
         if self.follows {
-            self.say(Side::Before, Note::Serving);
+            self.say(Side::Before, PeerMessage::Serving);
         }
     }
 
     /// The order to stop.
     pub fn stop(&self) {
         self.stopping.set(true);
-        self.turn(Presence::stop);
+        self.turn(Lifecycle::stop);
     }
 
     /// Nothing is accepted any more: the address must not stay open by the second descriptor.
@@ -153,31 +155,31 @@
 
     /// Makes the orders that another process holds its own.
     pub fn adopt(&self, orders: &Orders) {
-        let way = self.orders.borrow().towards(orders);
+        let way = self.orders.borrow().changes_to(orders);
         for order in way {
             match &order {
-                Order::TakeOut(id) => self.service.engine().replicate_maintenance(id),
-                Order::PutBack(id) => _ = self.service.engine().exit_maintenance(id),
-                Order::Standby => self.turn(|p| p.standby(Instant::now(), true)),
-                Order::Active => self.turn(|p| p.standby(Instant::now(), false)),
+                Order::EnterMaintenance(id) => self.service.engine().replicate_maintenance(id),
+                Order::ExitMaintenance(id) => _ = self.service.engine().exit_maintenance(id),
+                Order::Standby => self.turn(|p| p.set_standby(Instant::now(), true)),
+                Order::Active => self.turn(|p| p.set_standby(Instant::now(), false)),
             }
-            emit!(ORDER_TAKEN_OVER, order = %format!("{order:?}"); "sloeline: taken over from the other process: {order:?}");
+            emit!(ORDER_TAKEN_OVER, order = %order; "sloeline: taken over from the other process: {order}");
         }
         orders.clone_into(&mut self.orders.borrow_mut());
     }
 
-    fn turn(&self, change: impl FnOnce(&mut Presence)) {
-        change(&mut self.presence.borrow_mut());
+    fn turn(&self, change: impl FnOnce(&mut Lifecycle)) {
+        change(&mut self.lifecycle.borrow_mut());
         self.turned.notify_one();
-        self.service.callers().set_posture(self.presence.borrow().posture(Instant::now()));
+        self.service.callers().set_client_policy(self.lifecycle.borrow().client_policy(Instant::now()));
     }
 
     /// Meets clients as orders have it, also when time alone changes that; never returns.
     pub async fn pose(self: Rc<Self>) {
         loop {
             let now = Instant::now();
-            self.service.callers().set_posture(self.presence.borrow().posture(now));
-            let next = self.presence.borrow().next_change(now);
+            self.service.callers().set_client_policy(self.lifecycle.borrow().client_policy(now));
+            let next = self.lifecycle.borrow().next_change(now);
             match next {
                 Some(at) => tokio::select! {
                     () = sleep_until(at.into()) => {}
@@ -190,44 +192,44 @@
 
     fn order(&self, order: &Order) -> Result<String, String> {
         let mut after = self.orders.borrow().clone();
-        let changed = after.take(order)?;
+        let changed = after.apply(order)?;
         let engine = self.service.engine();
         let known = match order {
-            Order::TakeOut(id) => engine.enter_maintenance(id),
-            Order::PutBack(id) => engine.exit_maintenance(id) || changed,
+            Order::EnterMaintenance(id) => engine.enter_maintenance(id),
+            Order::ExitMaintenance(id) => engine.exit_maintenance(id) || changed,
             Order::Standby | Order::Active => true,
         };
         if !known {
             return Err("no upstream with this identity was ever listed".to_owned());
         }
         match order {
-            Order::Standby => self.turn(|p| p.standby(Instant::now(), true)),
-            Order::Active => self.turn(|p| p.standby(Instant::now(), false)),
-            Order::TakeOut(_) | Order::PutBack(_) => {}
+            Order::Standby => self.turn(|p| p.set_standby(Instant::now(), true)),
+            Order::Active => self.turn(|p| p.set_standby(Instant::now(), false)),
+            Order::EnterMaintenance(_) | Order::ExitMaintenance(_) => {}
         }
         if changed {
-            emit!(ORDER_GIVEN, who = %"a call", thing = %format!("{order:?}"); "sloeline: ordered: {order:?}");
+            emit!(ORDER_GIVEN, who = %"a call", thing = %order; "sloeline: ordered: {order}");
             if let Some(Err(why)) = self.keep.as_ref().map(|keep| keep.write(&after)) {
                 // It holds in this process all the same, and passes over the link.
                 emit!(ORDERS_NOT_SAVED, why = %why; "sloeline: orders would be lost with this process: {why}");
             }
             for side in [Side::Before, Side::After] {
-                self.say(side, Note::Orders(after.clone()));
+                self.say(side, PeerMessage::Orders(after.clone()));
             }
             *self.orders.borrow_mut() = after;
         }
         Ok(if changed { "done" } else { "so it is" }.to_owned())
     }
 
-    fn say(&self, side: Side, note: Note) {
-        if let Some(mouth) = &self.row.borrow()[side as usize].mouth {
-            mouth.say(note);
+    fn say(&self, side: Side, note: PeerMessage) {
+        if let Some(sender) = &self.row.borrow()[side as usize].sender {
+            sender.send(note);
         }
     }
 
     /// Meets the other processes of this balancer: the one before, over the line that it gave, and each that is to
     /// follow, also while the one before is still there. Never returns.
-    pub async fn meet(self: Rc<Self>, place: PathBuf, before: Option<Line>) {
+    pub async fn meet(self: Rc<Self>, place: PathBuf, before: Option<PeerConnection>) {
         let before = async {
             if let Some(line) = before {
                 self.talk(line, Side::Before).await;
@@ -241,8 +243,8 @@
         let mut mine = None;
         loop {
             // The place is the newest's: where another holds it, that came later and is the one to be followed.
-            let other = mine.is_some() && Mark::of(place).is_some_and(|there| Some(there) != mine);
-            if other && occupied(place).await {
+            let other = mine.is_some() && SocketId::of(place).is_some_and(|there| Some(there) != mine);
+            if other && is_held(place).await {
                 return emit!(LINK_HANDED_OVER; "link: a later process is met from now on");
             }
             match self.next_guest(place, &mut mine).await {
@@ -259,9 +261,9 @@
         }
     }
 
-    async fn next_guest(&self, place: &Path, mine: &mut Option<Mark>) -> Result<Line, String> {
-        let seat = Seat::take(place)?;
-        *mine = Mark::of(place);
+    async fn next_guest(&self, place: &Path, mine: &mut Option<SocketId>) -> Result<PeerConnection, String> {
+        let seat = HandoverSocket::bind(place)?;
+        *mine = SocketId::of(place);
         let guest = seat.next().await.map_err(|e| e.to_string())?;
         let listener = self.listener.borrow().as_ref().map(TcpListener::try_clone);
         let listener = listener.ok_or("nothing to hand over: this process is stopping")?;
@@ -274,8 +276,8 @@
             returned: engine.unconfirmed_restarts(),
             learned: self.service.learned(),
         });
-        let hello = Hello { orders: self.orders.borrow().clone(), list };
-        guest.welcome(&listener, &hello).await
+        let hello = Handover { orders: self.orders.borrow().clone(), list };
+        guest.hand_over(&listener, &hello).await
     }
 
     /// What is out in this process and on one side of it.
@@ -288,7 +290,7 @@
         let crowds = [Side::Before, Side::After].map(|side| self.row.borrow()[side as usize].crowd);
         self.service.share(1 + (crowds[0] + crowds[1]) as usize);
         for side in [Side::Before, Side::After] {
-            self.say(side, Note::Crowd(1 + crowds[side.other() as usize]));
+            self.say(side, PeerMessage::ProcessCount(1 + crowds[side.other() as usize]));
         }
         self.heard();
     }
@@ -303,12 +305,12 @@
     }
 
     /// Shares this balancer with the processes on one side until the nearest has gone.
-    async fn talk(&self, mut line: Line, side: Side) {
-        let neighbour = Neighbour { mouth: Some(line.mouth()), out: Vec::new(), crowd: 1 };
+    async fn talk(&self, mut line: PeerConnection, side: Side) {
+        let neighbour = Neighbour { sender: Some(line.sender()), out: Vec::new(), crowd: 1 };
         self.row.borrow_mut()[side as usize] = neighbour;
         self.row_changed();
         if side == Side::Before && self.follows && self.serving.get() {
-            line.mouth().say(Note::Serving);
+            line.sender().send(PeerMessage::Serving);
         }
         let (mut tell, mut told) = (interval(TELL), Vec::new());
         loop {
@@ -317,7 +319,7 @@
                 _ = tell.tick() => {
                     let now = self.out_with(side.other());
                     if now != told {
-                        line.mouth().say(Note::InFlight(now.clone()));
+                        line.sender().send(PeerMessage::InFlight(now.clone()));
                         told = now;
                     }
                     continue;
@@ -325,11 +327,11 @@
             };
             let Some(note) = note else { break };
             match note {
-                Note::InFlight(others) => {
+                PeerMessage::InFlight(others) => {
                     self.row.borrow_mut()[side as usize].out = others;
                     self.heard();
                 }
-                Note::Crowd(n) => {
+                PeerMessage::ProcessCount(n) => {
                     let n = n.clamp(1, MOST_CROWD);
                     // Told only where it is news: two that tell each other would not end.
                     if std::mem::replace(&mut self.row.borrow_mut()[side as usize].crowd, n) != n {
@@ -337,23 +339,23 @@
                     }
                 }
                 // From now on it has the listener's queue for itself.
-                Note::Serving if side == Side::Before => {}
-                Note::Serving => self.turn(|p| p.succeeded(true)),
-                Note::Orders(orders) => {
+                PeerMessage::Serving if side == Side::Before => {}
+                PeerMessage::Serving => self.turn(|p| p.set_successor(true)),
+                PeerMessage::Orders(orders) => {
                     self.adopt(&orders);
-                    self.say(side.other(), Note::Orders(orders));
+                    self.say(side.other(), PeerMessage::Orders(orders));
                 }
             }
         }
         self.row.borrow_mut()[side as usize] = Neighbour::default();
         self.row_changed();
         if side == Side::After {
-            self.turn(|p| p.succeeded(false));
+            self.turn(|p| p.set_successor(false));
         }
     }
 }
 
-impl Operated for Operator {
+impl OrderHandler for Operator {
     fn call(&self, call: Call) -> Result<String, String> {
         match call {
             Call::Status if self.stopping.get() => Err("stopping".to_owned()),
--- a/sloeline/tests/orders.rs
+++ b/sloeline/tests/orders.rs
@@ -11,7 +11,7 @@
 
 use commanded::{Daemon, LONG, TEXT};
 use serde_json::{Value, json};
-use sloeline_operations::auth::{Secret, Signed, hex};
+use sloeline_operations::signed_call::{Secret, SignedCall, hex};
 
 fn kept() -> String {
     TEXT.replace("socket = \"control\"", "socket = \"control\"\norders = \"orders\"")
@@ -283,7 +283,7 @@
         told
     };
     let head = |time: u64, nonce: [u8; 16], body: &[u8]| {
-        let call = Signed { method: "POST", path: "/v1/call", body, time, nonce };
+        let call = SignedCall { method: "POST", path: "/v1/call", body, time, nonce };
         let (nonce, signature) = (hex(&nonce), hex(&call.sign(&secret)));
         format!(
             "Sloeline-Key: night\r\nSloeline-Time: {time}\r\nSloeline-Nonce: {nonce}\r\nSloeline-Signature: {signature}\r\n"
--- a/sloeline/tests/upgrades.rs
+++ b/sloeline/tests/upgrades.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::*;
-use sloeline_operations::link::{Note, Seat, meeting_place};
+use sloeline_operations::handover::{HandoverSocket, PeerMessage, socket_path};
 use tokio::task::LocalSet;
 
 #[test]
@@ -69,7 +69,7 @@
     let (at_b, at_c) = (b.address, c.address);
     let known = [a.address];
     let (from_a, from_b, _from_c) = (naming(a, "a"), naming(b, "b"), naming(c, "c"));
-    let place = meeting_place(&folder.0, "n3").expect("a path");
+    let place = socket_path(&folder.0, "n3").expect("a path");
     // The one before: what was learned has another form, what was put back is not told, and it says more later on.
     let entries = [entry("s-8", at_b, "SERVING"), entry("s-9", at_c, "SERVING")];
     let hello = format!(
@@ -82,13 +82,13 @@
     let before = std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         LocalSet::new().block_on(&runtime, async {
-            let seat = Seat::take(&place).expect("a seat");
+            let seat = HandoverSocket::bind(&place).expect("a seat");
             ready.send(()).expect("the test waits");
             let hello: serde_json::Value = serde_json::from_str(&hello).expect("JSON");
             let guest = seat.next().await.expect("a guest");
-            let mut line = guest.welcome(&listener, &hello).await.expect("it reads");
+            let mut line = guest.hand_over(&listener, &hello).await.expect("it reads");
             // From now on the queue is the new one's.
-            while line.next().await.expect("it stays") != Note::Serving {}
+            while line.next().await.expect("it stays") != PeerMessage::Serving {}
             drop(listener);
             let _ = stopped.await;
         });
@@ -204,7 +204,7 @@
         .enumerate()
     {
         let folder = Folder::new();
-        let place = meeting_place(&folder.0, "n3").expect("a path");
+        let place = socket_path(&folder.0, "n3").expect("a path");
         let socket = std::os::unix::net::UnixListener::bind(&place).expect("a place");
         let listener = shareable(format!("127.0.0.{}:0", 41 + step).parse().expect("an address"));
         let address = listener.local_addr().expect("an address");
@@ -260,7 +260,7 @@
         |listen: String| operated(Setup { listen, folder: Some(folder.0.clone()), ..Setup::knowing(&known) });
     let mut old = setup("127.0.0.46:0".to_owned()).start();
     let _requests = naming(a, "a");
-    let place = meeting_place(&folder.0, "n3").expect("a path");
+    let place = socket_path(&folder.0, "n3").expect("a path");
     let clients = Clients::start(old.address, 4);
     for step in 0..4 {
         let mut stream = loop {
