A process that gets SIGHUP while it starts goes on

Cause: until a program had read its settings file nothing handled SIGHUP, whose default action ends a process. Operators who announce new settings to all processes in a series meet some that have just been started again.

Change: run installs the handler before all else but its command line. What remains is the time until main begins, which no program can use.

--- a/mesh/admin-http/src/program.rs
+++ b/mesh/admin-http/src/program.rs
@@ -59,6 +59,7 @@
         let path = |matches: &ArgMatches| matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
         match matches.subcommand() {
             Some(("run", matches)) => {
+                crate::reload::install_hangup_handler()?;
                 let filter = matches.get_one::<String>("log").map_or("info", String::as_str);
                 let _logging = crate::logging::start(filter)?;
                 (self.run)(&path(matches))?;
--- a/mesh/admin-http/src/reload.rs
+++ b/mesh/admin-http/src/reload.rs
@@ -9,6 +9,7 @@
 use log::{info, warn};
 use sloeline_process_settings::Settings;
 use sloeline_process_settings::file::{SettingsFile, fields_needing_restart};
+use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -20,6 +21,16 @@
 /// Receives the settings in force and a notification of each change.
 pub type SettingsWatch = watch::Receiver<Arc<Settings>>;
 
+/// Installs the handler for SIGHUP. A program that follows its settings file calls this first: without a handler, a signal
+/// during the start would end the process. It is ignored until [`watch_settings`] is called, which reads the file anyway.
+pub fn install_hangup_handler() -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build().context("start the runtime")?;
+    let _entered = runtime.enter();
+    // The handler outlives this runtime and the receiver.
+    let _receiver = signal(SignalKind::hangup()).context("wait for SIGHUP")?;
+    Ok(())
+}
+
 /// Returns a watch over settings that never change, for processes that are started without a settings file.
 pub fn fixed_settings(settings: Settings) -> SettingsWatch {
     watch::Sender::new(Arc::new(settings)).subscribe()
--- a/mesh/testbed/src/main.rs
+++ b/mesh/testbed/src/main.rs
@@ -86,6 +86,7 @@
 }
 
 fn process(matches: &ArgMatches) -> Result<()> {
+    sloeline_admin_http::reload::install_hangup_handler()?;
     let program = matches.get_one::<String>("program").and_then(|name| Program::named(name));
     let settings =
         matches.get_one::<PathBuf>("settings").context("settings: found nothing, expected a file")?;
--- a/mesh/testbed/src/process.rs
+++ b/mesh/testbed/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{File, OpenOptions};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use anyhow::{Context, Result};
 use rustix::process::{Pid, Signal, kill_process};
@@ -68,7 +68,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
-    ended_by_itself: u32,
+    /// How it ended each time that nobody had ended it.
+    own_ends: Vec<ExitStatus>,
     told_to_stop: bool,
 }
 
@@ -87,7 +88,7 @@
             settings: folder.join(format!("{name}.toml")),
             log: folder.join(format!("{name}.log")),
             child: None,
-            ended_by_itself: 0,
+            own_ends: Vec::new(),
             told_to_stop: false,
         };
         process.set_settings(settings)?;
@@ -125,20 +126,20 @@
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
-    /// How often it had ended by itself when it was to be killed.
-    pub fn ended_by_itself(&self) -> u32 {
-        self.ended_by_itself
+    /// How it had ended by itself, each time that it was to be killed and was gone.
+    pub fn own_ends(&self) -> &[ExitStatus] {
+        &self.own_ends
     }
 
     /// Ends it at once, as a loss of power does but for what the kernel has of its files.
     pub fn kill(&mut self) {
-        if !self.is_running() && self.child.is_some() && !self.told_to_stop {
-            self.ended_by_itself += 1;
-        }
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        let by_itself = !self.is_running() && !self.told_to_stop;
+        let Some(mut child) = self.child.take() else { return };
+        let _ = child.kill();
+        if let (true, Ok(status)) = (by_itself, child.wait()) {
+            self.own_ends.push(status);
         }
+        let _ = child.wait();
     }
 
     /// Tells it to stop.
--- a/mesh/testbed/src/soak/mod.rs
+++ b/mesh/testbed/src/soak/mod.rs
@@ -134,9 +134,8 @@
         if !node.process.borrow_mut().is_running() {
             account.borrow_mut().violate(format!("machine {machine} has ended by itself"));
         }
-        let by_itself = node.process.borrow().ended_by_itself();
-        if by_itself > 0 {
-            account.borrow_mut().violate(format!("machine {machine} ended by itself {by_itself} times"));
+        for status in node.process.borrow().own_ends() {
+            account.borrow_mut().violate(format!("machine {machine} ended by itself: {status}"));
         }
         let log = node.process.borrow().log();
         for line in log.lines().filter(|line| line.contains("defect") || line.contains("panicked")) {
