--- a/mesh/testbed/src/process.rs
+++ b/mesh/testbed/src/process.rs
@@ -148,9 +148,21 @@
         self.signal(Signal::TERM);
     }
 
-    /// Tells it that its settings have changed.
+    /// Tells it that its settings have changed, once it listens for that: before its first instruction the signal ends any
+    /// process.
     pub fn tell_settings(&self) {
-        self.signal(Signal::HUP);
+        if self.catches(Signal::HUP) {
+            self.signal(Signal::HUP);
+        }
+    }
+
+    /// Whether the process has a handler for a signal, by proc(5), `SigCgt`.
+    fn catches(&self, signal: Signal) -> bool {
+        let status = self.child.as_ref().map(|child| format!("/proc/{}/status", child.id()));
+        let status = status.and_then(|path| std::fs::read_to_string(path).ok()).unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok()).unwrap_or_default();
+        caught & (1 << (signal.as_raw() - 1)) != 0
     }
 
     /// Stops its clockwork until [`Process::resume`].
