Review, case 1: the machine crashes as a whole

Cause: the script ended the upstream 60 ms before the balancer beside it.

Shows: the two end at once, as the claim says of the machine. The check is as it was.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -169,8 +169,9 @@
     thread::sleep(seconds(5.0));
     let machine = if trouble {
         record.say("upstream i-1 of booking and its machine crash for good");
-        upstreams[0].crash();
+        // The machine goes as a whole. A balancer that outlives its upstream by a moment tells the others that it is down.
         mesh.process("branch-sby-a-1").kill();
+        upstreams[0].crash();
         1
     } else {
         4
