A request names the upstream that was picked, not the one last known at its address

Cause: the transport looked the upstream's id up by address, in one table for all services, after the engine had picked an entry. Of two records with one address the last in the order of names won, so requests of both carried one id, and the balancer at the address compared that id alone. With the other order of names the new upstream got nothing.

Change: engine::types::Target carries the picked instance, and that is named in X-Addressee. The balancer at the address declines (421, X-Not-Run) what names no upstream, another one or another service (X-Mesh-Service, absent from the build before), and says which one it has (X-Mesh-Instance). The sender takes the entry off its lists then: ids are never given twice, so only a live balancer's word at that address counts, no clock and no silence.

Why it works: the id sent is that of the entry whose service the route chose, so a wrong upstream always sees a foreign id. The stale entry costs one declined attempt per service and balancer.

--- a/engine/src/registry.rs
+++ b/engine/src/registry.rs
@@ -4,6 +4,7 @@
 use finchshift::{ListKind, Micros, ServerId, ServerState};
 use sloeline_settings::setup::{NameTable, ring_hash};
 use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 
 use crate::types::{DiscoveryEntry, Target};
 
@@ -59,6 +60,8 @@
 struct Upstream {
     /// The entry in the list.
     listed: DiscoveryEntry,
+    /// The instance name in the entry, shared with the targets of attempts.
+    instance: Rc<str>,
     /// The state that the decision module sees, which takes maintenance into account.
     state: ServerState,
     /// The number of the zone.
@@ -206,9 +209,10 @@
         (state, started_at)
     }
 
-    /// The id and address of an upstream, if it is listed.
+    /// The id, instance name and address of an upstream, if it is listed.
     pub fn target(&self, server: ServerId) -> Option<Target> {
-        self.upstreams.get(&server).map(|p| Target { server, address: p.listed.address })
+        let upstream = self.upstreams.get(&server)?;
+        Some(Target { server, instance: upstream.instance.clone(), address: upstream.listed.address })
     }
 
     /// The id of a listed upstream.
@@ -306,7 +310,8 @@
                     listed_ids.insert(id);
                 }
                 let (zone, kind) = (self.zones.number(&l.zone), self.kinds.number(&l.kind));
-                (self.insert(id, Upstream { listed: l.clone(), state, zone, kind }), zone, kind)
+                let instance = Rc::from(l.instance.as_str());
+                (self.insert(id, Upstream { listed: l.clone(), instance, state, zone, kind }), zone, kind)
             };
             if gone || before.is_some_and(|b| b.listed.address != l.address) {
                 moved.push(id);
@@ -426,7 +431,8 @@
             assert_eq!(names(&registry.kinds), set(|l| &l.kind).len());
             for (name, l) in &model {
                 let id = registry.servers[name];
-                assert_eq!(registry.target(id), Some(Target { server: id, address: l.address }));
+                let instance = Rc::from(name.as_str());
+                assert_eq!(registry.target(id), Some(Target { server: id, instance, address: l.address }));
             }
         }
     }
--- a/engine/src/types.rs
+++ b/engine/src/types.rs
@@ -1,15 +1,19 @@
 //! Types that the engine shares with its callers and with sources of upstream lists.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use finchshift as fs;
 use finchshift::{Micros, ServerId};
 
 /// An upstream to send to.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Target {
     /// The id of the upstream.
     pub server: ServerId,
+    /// The instance name of the upstream. Several listed upstreams may have the same address, so only this name tells
+    /// which of them was selected.
+    pub instance: Rc<str>,
     /// The address of the upstream in the latest list.
     pub address: SocketAddr,
 }
--- a/http/src/pool.rs
+++ b/http/src/pool.rs
@@ -252,7 +252,7 @@
     }
 
     /// Takes the most recently used idle connection that can be reused.
-    pub fn take(&self, to: Target) -> Option<Conn> {
+    pub fn take(&self, to: &Target) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.by_upstream.get_mut(&to.server)?;
         while let Some(IdleConn { conn, since }) = list.pop() {
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -45,6 +45,9 @@
     /// A header with the number of the attempt, which the response must echo. A response with another number belongs
     /// to another attempt.
     pub echo_header: Option<HeaderName>,
+    /// A header in which a response that declines a request names the instance at the upstream's address. Another name
+    /// than that of the attempt's target shows that the target is gone.
+    pub instance_header: Option<HeaderName>,
 }
 
 impl UpstreamProtocol {
@@ -61,9 +64,16 @@
             forwards_any_status: false,
             forwards_errors: false,
             echo_header: None,
+            instance_header: None,
         }
     }
 
+    /// Returns whether a response that declines a request shows that another instance is at the target's address.
+    fn shows_replaced(&self, to: &Target, headers: &HeaderMap) -> bool {
+        let present = self.instance_header.as_ref().and_then(|name| headers.get(name));
+        present.is_some_and(|present| present.as_bytes() != to.instance.as_bytes())
+    }
+
     /// Returns whether a response with this status counts as served.
     fn is_served(&self, status: StatusCode) -> bool {
         // 429 tells a client that its request did not run. Forwarded from an upstream, it would promise that
@@ -221,18 +231,24 @@
     conn: Option<Conn>,
     /// The connection on which the rest of a streamed response arrives.
     streaming_conn: Option<Conn>,
+    /// Whether the response shows that another instance is at the target's address.
+    replaced: bool,
 }
 
 impl From<Outcome> for ExchangeResult {
     fn from(outcome: Outcome) -> ExchangeResult {
-        ExchangeResult { outcome, load: None, reply: None, conn: None, streaming_conn: None }
+        ExchangeResult { outcome, load: None, reply: None, conn: None, streaming_conn: None, replaced: false }
     }
 }
 
+/// Called with the target of an attempt when its response shows that another instance is at the target's address.
+type ReplacedObserver = Rc<dyn Fn(&Target)>;
+
 /// The connections to the upstreams of a pool.
 pub struct Upstreams {
     pool: Rc<Pool>,
     protocol: RefCell<Rc<UpstreamProtocol>>,
+    replaced_observer: RefCell<Option<ReplacedObserver>>,
 }
 
 impl Upstreams {
@@ -241,9 +257,16 @@
         Upstreams {
             pool: Rc::new(Pool::new(limits, connection_budget)),
             protocol: RefCell::new(Rc::new(protocol)),
+            replaced_observer: RefCell::default(),
         }
     }
 
+    /// Calls `observer` with the target of each attempt whose response shows that another instance is at the target's
+    /// address, see [`UpstreamProtocol::instance_header`].
+    pub fn on_replaced(&self, observer: impl Fn(&Target) + 'static) {
+        *self.replaced_observer.borrow_mut() = Some(Rc::new(observer));
+    }
+
     /// Changes the limits and the protocol for new attempts. Running attempts keep the previous one.
     pub fn set_config(&self, limits: &fs::Limits, protocol: UpstreamProtocol) {
         self.pool.set_limits(limits);
@@ -266,12 +289,16 @@
         let (pool, write_progress, protocol) =
             (self.pool.clone(), WriteProgress::new(&call), self.protocol.borrow().clone());
         let shared = write_progress.clone();
+        let replaced_observer = self.replaced_observer.borrow().clone();
         if let RequestBody::Streaming(upload) = &call.body {
             let receipt = report.body_receipt();
             upload.on_received(move || receipt.complete());
         }
         let task = spawn_local(async move {
-            let result = exchange(&pool, to, &call, Some(limit), &protocol, &shared).await;
+            let result = exchange(&pool, &to, &call, Some(limit), &protocol, &shared).await;
+            if let Some(observer) = replaced_observer.filter(|_| result.replaced) {
+                observer(&to);
+            }
             let reply = match (result.streaming_conn, result.reply) {
                 (Some(conn), Some(reply)) => {
                     return stream_response(pool, to.server, conn, reply, result.load, report);
@@ -301,7 +328,7 @@
     /// this future aborts the exchange and closes its connection.
     pub async fn relay(
         &self,
-        to: Target,
+        to: &Target,
         call: &Call,
         limit: Micros,
         is_expected: impl FnOnce(StatusCode, &HeaderMap) -> bool,
@@ -324,22 +351,26 @@
         if !is_expected(reply.status, &reply.headers) {
             return RelayOutcome::Broken(Outcome::Error);
         }
-        let pool = self.pool.clone();
+        let (pool, server) = (self.pool.clone(), to.server);
         if let Payload::Streaming(streaming) = &mut reply.body {
             let conn = result.streaming_conn;
             streaming.on_end(move |end| {
                 if let (BodyEnd::Complete, Some(conn)) = (end, conn) {
-                    spawn_local(async move { return_when_ready(&pool, to.server, conn).await });
+                    spawn_local(async move { return_when_ready(&pool, server, conn).await });
                 }
             });
         } else if let Some(conn) = result.conn {
-            spawn_local(async move { return_when_ready(&pool, to.server, conn).await });
+            spawn_local(async move { return_when_ready(&pool, server, conn).await });
         }
         RelayOutcome::Answered(reply)
     }
 
-    /// Probes the health of an upstream and reports the elapsed time, the outcome and the load report.
-    pub fn probe(&self, to: Target, report: impl FnOnce(Duration, Outcome, Option<Load>) + 'static) {
+    /// Probes the health of an upstream and reports its id, the elapsed time, the outcome and the load report.
+    pub fn probe(
+        &self,
+        to: Target,
+        report: impl FnOnce(ServerId, Duration, Outcome, Option<Load>) + 'static,
+    ) {
         let (pool, protocol) = (self.pool.clone(), self.protocol.borrow().clone());
         let uri = Uri::from_static("/health/live");
         let call = Call {
@@ -352,11 +383,11 @@
             let (write_progress, start) = (WriteProgress::new(&call), Instant::now());
             let result = timeout(
                 DEFAULT_CONNECT_TIMEOUT,
-                exchange(&pool, to, &call, None, &protocol, &write_progress),
+                exchange(&pool, &to, &call, None, &protocol, &write_progress),
             )
             .await;
             let result = result.unwrap_or_else(|_| Outcome::TimedOut.into());
-            report(start.elapsed(), result.outcome, result.load);
+            report(to.server, start.elapsed(), result.outcome, result.load);
             if let Some(conn) = result.conn {
                 return_when_ready(&pool, to.server, conn).await;
             }
@@ -380,7 +411,7 @@
 /// next connection is tried. No byte of a request is ever written twice.
 async fn exchange(
     pool: &Pool,
-    to: Target,
+    to: &Target,
     call: &Call,
     limit: Option<Micros>,
     protocol: &UpstreamProtocol,
@@ -403,7 +434,7 @@
             .try_send_request(call.request(to.address, time_left, protocol, attempt_number))
             .await
         {
-            Ok(response) => return read_response(response, conn, protocol, attempt_number).await,
+            Ok(response) => return read_response(response, conn, to, protocol, attempt_number).await,
             Err(mut e) => {
                 let is_unsent = e.take_message().is_some();
                 if is_unsent && reused {
@@ -445,6 +476,7 @@
 async fn read_response(
     response: Response<Incoming>,
     conn: Conn,
+    to: &Target,
     protocol: &UpstreamProtocol,
     attempt_number: u64,
 ) -> ExchangeResult {
@@ -484,6 +516,7 @@
             return ExchangeResult { load, reply, streaming_conn: Some(conn), ..Outcome::Ok.into() };
         }
     }
+    let replaced = declined && protocol.shows_replaced(to, &head.headers);
     let (outcome, reply) = match head.status {
         _ if declined => (Outcome::Full, None),
         status if served => {
@@ -496,7 +529,7 @@
         }
         _ => (Outcome::Error, None),
     };
-    ExchangeResult { outcome, load, reply, conn: Some(conn), streaming_conn: None }
+    ExchangeResult { outcome, load, reply, conn: Some(conn), streaming_conn: None, replaced }
 }
 
 /// Concatenates the chunks of a body. A single chunk, the usual case, is not copied.
@@ -550,7 +583,8 @@
         LocalSet::new().block_on(&runtime, async {
             let settings = fs::Settings::new(Vec::new());
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let to = Target { server: 0, address: listener.local_addr().expect("an address") };
+            let address = listener.local_addr().expect("an address");
+            let to = Target { server: 0, instance: "s-0".into(), address };
             let upstreams = Upstreams::new(
                 &settings.limits,
                 Share::standalone(max_connections),
@@ -579,7 +613,7 @@
             stream
         };
         let (stream, result) =
-            tokio::join!(peer, exchange(pool, to, &call, None, &protocol, &write_progress));
+            tokio::join!(peer, exchange(pool, &to, &call, None, &protocol, &write_progress));
         if let Some(conn) = result.conn {
             return_when_ready(pool, to.server, conn).await;
         }
@@ -589,7 +623,7 @@
     #[test]
     fn idle_connections_are_closed_on_request() {
         with_upstreams(9, async |upstreams, listener, to| {
-            let (mut stream, outcome) = exchange_once(&upstreams, &listener, to).await;
+            let (mut stream, outcome) = exchange_once(&upstreams, &listener, to.clone()).await;
             assert_eq!((outcome, upstreams.pool.open_connections()), (Outcome::Ok, 1));
             upstreams.close_idle(to.server);
             assert_eq!(stream.read(&mut [0]).await.expect("end of stream"), 0);
@@ -600,12 +634,13 @@
     #[test]
     fn a_full_pool_replaces_idle_connections_and_otherwise_sends_nothing() {
         with_upstreams(1, async |upstreams, listener, to| {
-            let (mut first, _) = exchange_once(&upstreams, &listener, to).await;
+            let (mut first, _) = exchange_once(&upstreams, &listener, to.clone()).await;
             // The same listener under another server id counts as another upstream.
-            let (_second, outcome) = exchange_once(&upstreams, &listener, Target { server: 1, ..to }).await;
+            let (_second, outcome) =
+                exchange_once(&upstreams, &listener, Target { server: 1, ..to.clone() }).await;
             assert_eq!((outcome, upstreams.pool.open_connections()), (Outcome::Ok, 1));
             assert_eq!(first.read(&mut [0]).await.expect("end of stream"), 0);
-            let taken = upstreams.pool.take(Target { server: 1, ..to }).expect("an idle connection");
+            let taken = upstreams.pool.take(&Target { server: 1, ..to.clone() }).expect("an idle connection");
             assert_eq!(upstreams.pool.connect(to.address).await.err(), Some(Outcome::NotSent));
             drop(taken);
         });
@@ -614,10 +649,10 @@
     #[test]
     fn a_closed_connection_is_not_reused_before_the_runtime_polls_it() {
         with_upstreams(9, async |upstreams, listener, to| {
-            let (stream, _) = exchange_once(&upstreams, &listener, to).await;
+            let (stream, _) = exchange_once(&upstreams, &listener, to.clone()).await;
             drop(stream);
             // The runtime was not polled since, so only the socket itself shows that it is closed.
-            assert!(upstreams.pool.take(to).is_none());
+            assert!(upstreams.pool.take(&to).is_none());
         });
     }
 
@@ -628,7 +663,7 @@
             let call = call();
             let write_progress = WriteProgress::new(&call);
             let result =
-                exchange(&upstreams.pool, to, &call, None, &UpstreamProtocol::platform(), &write_progress)
+                exchange(&upstreams.pool, &to, &call, None, &UpstreamProtocol::platform(), &write_progress)
                     .await;
             assert_eq!(result.outcome, Outcome::ConnectFailed);
             assert!(!write_progress.may_have_run());
@@ -650,7 +685,7 @@
                 stream.read_u8().await.expect("a first byte");
             };
             let ((), result) =
-                tokio::join!(peer, exchange(&upstreams.pool, to, &call, None, &protocol, &write_progress));
+                tokio::join!(peer, exchange(&upstreams.pool, &to, &call, None, &protocol, &write_progress));
             assert_eq!(result.outcome, Outcome::ConnectFailed);
         });
     }
--- a/mesh/data-plane/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -169,6 +169,8 @@
             header_names::LIMIT,
             header_names::HOLD,
             header_names::ATTEMPT,
+            header_names::SERVICE,
+            header_names::INSTANCE,
         ] {
             headers.remove(internal);
         }
--- a/mesh/data-plane/src/header_names.rs
+++ b/mesh/data-plane/src/header_names.rs
@@ -8,6 +8,10 @@
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 /// Identifier of the upstream that a request is for.
 pub const ADDRESSEE: HeaderName = HeaderName::from_static("x-addressee");
+/// Between balancers: service that the sending balancer selected the upstream from.
+pub const SERVICE: HeaderName = HeaderName::from_static("x-mesh-service");
+/// Between balancers: identifier of the upstream that is here, in a response that declines a request for another one.
+pub const INSTANCE: HeaderName = HeaderName::from_static("x-mesh-instance");
 /// Service of the machine that a request comes from.
 pub const SENDER: HeaderName = HeaderName::from_static("x-sender");
 /// Idempotency key of an operation.
--- a/mesh/data-plane/src/heartbeats.rs
+++ b/mesh/data-plane/src/heartbeats.rs
@@ -10,9 +10,17 @@
 
 /// Number of ended upstream instances that are remembered, so that their late messages are ignored.
 const MAX_ENDED_IDS: usize = 64;
+/// Maximum length of an upstream's identifier in bytes.
+const MAX_ID_BYTES: usize = 255;
 /// Maximum number of slots that an upstream may report.
 const MAX_SLOTS: u32 = 65_536;
 
+/// Whether an upstream may have this identifier. It is sent in a header, so it must be one that arrives as it was sent: 1 to
+/// 255 bytes without control characters, spaces and tabs.
+pub fn is_valid_id(id: &str) -> bool {
+    (1..=MAX_ID_BYTES).contains(&id.len()) && id.bytes().all(|byte| byte > b' ' && byte != 0x7f)
+}
+
 /// A heartbeat message of an upstream, as it is sent in JSON.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Heartbeat {
--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod program;
 pub mod pull_sources;
 pub mod receive;
+pub mod replaced_upstreams;
 pub mod request_age;
 pub mod response_lengths;
 mod responses;
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -35,7 +35,7 @@
 
 use crate::front::{Outgoing, Routes};
 use crate::header_names;
-use crate::heartbeats::Heartbeat;
+use crate::heartbeats::{Heartbeat, is_valid_id};
 use crate::keys::KeyClient;
 use crate::link_shaper::LinkShaper;
 use crate::metrics;
@@ -135,6 +135,7 @@
         forwards_any_status: true,
         forwards_errors: false,
         echo_header: None,
+        instance_header: None,
     };
     let limits = fs::Limits { idle_close: 8_000_000, ..fs::Settings::new(Vec::new()).limits };
     let to_upstream = Upstreams::new(&limits, connections.clone(), dialect);
@@ -191,6 +192,7 @@
         zones: settings.zones.len().max(1) as u32,
         clock,
         connections,
+        replaced_upstreams: Rc::default(),
     };
     let sources = PullSources::new(watched, exchange.clone(), keys);
     spawn_local(apply_changes(sources, exchange.clone(), callers.clone(), context, max_clients, grace));
@@ -269,9 +271,13 @@
     if call.path != "/-/rpc" || call.method != Method::POST {
         return error_response(StatusCode::NOT_FOUND, "expected POST /-/rpc");
     }
-    let Some(id) = call.target.as_deref().filter(|id| !id.is_empty() && id.len() <= 255) else {
-        return error_response(StatusCode::BAD_REQUEST, "of: expected an upstream's id of 1 to 255 bytes");
-    };
+    let id = call.target.as_deref().unwrap_or_default();
+    if !is_valid_id(id) {
+        let reason = format!(
+            "of: found {id:?}, expected an upstream's id of 1 to 255 bytes without control characters and spaces"
+        );
+        return error_response(StatusCode::BAD_REQUEST, &reason);
+    }
     match call.name.as_deref() {
         Some("upstreams.beat") => match Heartbeat::parse(&call.body) {
             Ok(heartbeat) => {
@@ -335,7 +341,7 @@
             applied = Some(config.edition);
         }
         services.end_retired();
-        services.update_upstreams(&records);
+        services.update_upstreams(&records, &context.replaced_upstreams);
         let leaving = exchange.local_record().leaving;
         services.set_cancellation(
             !leaving && sources.age() > (grace + AFTER_GRACE).saturating_sub(CLIENT_LEAVE_TIME),
@@ -345,6 +351,7 @@
             .set_ready(!leaving && applied.is_some() && services.any_upstream() && sources.reached());
         tokio::select! {
             changed = changes.changed() => if changed.is_err() { return },
+            () = context.replaced_upstreams.added() => {}
             () = sleep(SOURCE_UPDATE_INTERVAL) => {}
         }
     }
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -17,8 +17,8 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming};
 use hyper_util::rt::TokioIo;
 use log::debug;
-use sloeline_discovery::Condition;
 use sloeline_discovery::rendezvous::top_candidates;
+use sloeline_discovery::{Condition, Upstream};
 use sloeline_engine::types::Target;
 use sloeline_http::frontend::{ClientResponse, end_to_end_headers, parse_digits, text_response};
 use sloeline_http::payload::Payload;
@@ -140,13 +140,34 @@
     headers.get(header_names::KIND).map_or(0, |v| ring_hash(v.to_str().unwrap_or_default()))
 }
 
+/// Checks that a request is for this upstream. A request that names no upstream is for none. The service is compared where
+/// the sending balancer names it.
+fn check_addressee(headers: &HeaderMap, upstream: &Upstream) -> Result<(), ClientResponse> {
+    let declined = |reason| not_run(StatusCode::MISDIRECTED_REQUEST, reason, None);
+    let Some(addressee) = headers.get(header_names::ADDRESSEE) else {
+        return Err(declined("the request names no upstream"));
+    };
+    if addressee.as_bytes() != upstream.id.as_bytes() {
+        let mut response = declined("another upstream is here");
+        if let Ok(id) = HeaderValue::from_bytes(upstream.id.as_bytes()) {
+            response.headers_mut().insert(header_names::INSTANCE, id);
+        }
+        return Err(response);
+    }
+    let service = headers.get(header_names::SERVICE);
+    if service.is_some_and(|service| service.as_bytes() != upstream.service.as_bytes()) {
+        return Err(declined("the upstream is of another service"));
+    }
+    Ok(())
+}
+
 /// A request to forward to the upstream.
 struct ForwardRequest {
     /// The request to send to the upstream.
     call: Call,
     /// Identifier of the client's try, which the response must repeat.
     try_id: Option<HeaderValue>,
-    /// Address of the upstream.
+    /// The upstream that the request is for.
     target: Target,
     /// When the request arrived at this balancer.
     arrived_at: Micros,
@@ -154,8 +175,6 @@
     deadline: Micros,
     /// What admission control needs to know about the request.
     arrival: Arrival,
-    /// Identifier of the upstream that the request is for.
-    upstream: String,
 }
 
 impl Receiver {
@@ -315,14 +334,14 @@
         };
         let (id, address) = {
             let tracker = self.upstream.borrow();
-            match (tracker.upstream(), tracker.address()) {
-                (Some(upstream), Some(address)) => (upstream.id.clone(), address),
-                _ => return not_run(StatusCode::SERVICE_UNAVAILABLE, "no upstream here", None),
+            let (Some(upstream), Some(address)) = (tracker.upstream(), tracker.address()) else {
+                return not_run(StatusCode::SERVICE_UNAVAILABLE, "no upstream here", None);
+            };
+            if let Err(response) = check_addressee(&head.headers, upstream) {
+                return response;
             }
+            (upstream.id.clone(), address)
         };
-        if text(&header_names::ADDRESSEE).is_some_and(|to| to != id) {
-            return not_run(StatusCode::MISDIRECTED_REQUEST, "another upstream is here", None);
-        }
         let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
             return not_run(StatusCode::BAD_REQUEST, "the body broke off or is too large", None);
         };
@@ -339,20 +358,22 @@
             header_names::LIMIT,
             header_names::HOLD,
             header_names::ATTEMPT,
+            header_names::SERVICE,
         ] {
             headers.remove(internal);
         }
-        if let Ok(id) = HeaderValue::from_str(&id) {
-            headers.insert(header_names::ADDRESSEE, id);
-        }
+        let Ok(addressee) = HeaderValue::from_bytes(id.as_bytes()) else {
+            return not_run(StatusCode::MISDIRECTED_REQUEST, "the upstream's id is no header value", None);
+        };
+        headers.insert(header_names::ADDRESSEE, addressee);
         debug_assert!(headers.contains_key(HOST));
         let uri: Uri = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
         let (method, body): (Method, _) = (head.method.clone(), RequestBody::Buffered(body.to_bytes()));
         let call = Call { method, uri, headers, body };
-        let target = Target { server: 0, address };
+        let target = Target { server: 0, instance: id.into(), address };
         let try_id = head.headers.get(header_names::TRY_ID).cloned();
         let once = head.headers.contains_key(header_names::ONCE);
-        let request = ForwardRequest { call, try_id, target, arrived_at, deadline, arrival, upstream: id };
+        let request = ForwardRequest { call, try_id, target, arrived_at, deadline, arrival };
         match key {
             None if once => self.forward_once(request).await,
             None => self.forward(request).await,
@@ -440,11 +461,11 @@
             let same_try = headers.get(header_names::TRY_ID) == id.as_ref();
             same_try && (!status.is_success() || headers.contains_key(header_names::POSTMARK))
         };
-        match self.upstreams.relay(request.target, &request.call, time_left, is_matching).await {
+        match self.upstreams.relay(&request.target, &request.call, time_left, is_matching).await {
             RelayOutcome::NotSent => {
                 // The upstream is gone or accepts no connections; its next heartbeat makes it available again.
-                if self.with_upstream(|u| u.mark_unreachable(&request.upstream)) {
-                    debug!(target: "upstream", "Upstream {} cannot be reached.", request.upstream);
+                if self.with_upstream(|upstream| upstream.mark_unreachable(&request.target.instance)) {
+                    debug!(target: "upstream", "Upstream {} cannot be reached.", request.target.instance);
                 }
                 RunResult::NotRun(not_run(
                     StatusCode::SERVICE_UNAVAILABLE,
@@ -453,7 +474,8 @@
                 ))
             }
             RelayOutcome::Broken(cause) => {
-                debug!(target: "upstream", "Upstream {} broke off the response: {cause:?}.", request.upstream);
+                let instance = &request.target.instance;
+                debug!(target: "upstream", "Upstream {instance} broke off the response: {cause:?}.");
                 RunResult::Unknown(text_response(StatusCode::BAD_GATEWAY, "the upstream broke off"))
             }
             RelayOutcome::Answered(reply) if reply.status == StatusCode::MISDIRECTED_REQUEST => {
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -2,8 +2,7 @@
 //! which follows the routing configuration and the list of known upstreams.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use anyhow::{Result, anyhow};
@@ -25,7 +24,9 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use crate::header_names;
+use crate::heartbeats::is_valid_id;
 use crate::metrics;
+use crate::replaced_upstreams::ReplacedUpstreams;
 
 /// Time limit for connecting to another balancer.
 const CONNECT_TIMEOUT_MICROS: Micros = 300_000;
@@ -53,8 +54,8 @@
     upstreams: Upstreams,
     /// The clock that deadlines and latency targets refer to.
     clock: Rc<Clock>,
-    /// Identifier of the upstream behind each balancer, by the balancer's address.
-    upstream_ids: RefCell<HashMap<SocketAddr, HeaderValue>>,
+    /// Name of the service, as the value of a header. A name that cannot be one is not sent.
+    service: Option<HeaderValue>,
 }
 
 impl Transport for MeshTransport {
@@ -68,8 +69,10 @@
             metrics::ATTEMPTS_REPEATED.increment();
         }
         let mut headers = call.headers.clone();
-        if let Some(id) = self.upstream_ids.borrow().get(&to.address) {
-            headers.insert(header_names::ADDRESSEE, id.clone());
+        // The upstream is named by the entry that was selected. A second record may list another upstream at its address.
+        headers.insert(header_names::ADDRESSEE, addressee(&to.instance));
+        if let Some(service) = &self.service {
+            headers.insert(header_names::SERVICE, service.clone());
         }
         // Points in time are sent as remaining milliseconds, because the receiver has another clock. The upstream gets all of
         // the client's remaining time, and this side ends the attempt: a balancer that is shutting down can then still let
@@ -109,6 +112,12 @@
     fn fetch(&self, _engine: &Rc<Engine<Self>>) {}
 }
 
+/// The header value that names an upstream. The empty value, which names none, stands for an identifier that no header can
+/// carry; such an upstream is not listed in the first place.
+fn addressee(id: &str) -> HeaderValue {
+    HeaderValue::from_bytes(id.as_bytes()).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
+
 /// A service as the target of one group of request classes.
 pub struct Service {
     /// Name of the service.
@@ -132,8 +141,7 @@
     }
 
     /// Passes the present upstreams to the engine, if they have changed.
-    fn update_upstreams(&self, upstreams: &[DiscoveryEntry], ids: &HashMap<SocketAddr, HeaderValue>) {
-        self.engine.transport().upstream_ids.borrow_mut().clone_from(ids);
+    fn update_upstreams(&self, upstreams: &[DiscoveryEntry]) {
         if *self.upstreams.borrow() != upstreams || !self.engine.has_list() {
             *self.upstreams.borrow_mut() = upstreams.to_vec();
             self.engine.update_list(ListKind::Complete, upstreams.to_vec());
@@ -196,6 +204,7 @@
         forwards_any_status: false,
         forwards_errors: true,
         echo_header: Some(header_names::ATTEMPT),
+        instance_header: Some(header_names::INSTANCE),
     }
 }
 
@@ -209,6 +218,8 @@
     pub clock: Rc<Clock>,
     /// Limits the number of connections to other balancers.
     pub connections: Rc<Share>,
+    /// Upstreams at whose addresses others have answered; the services add to them.
+    pub replaced_upstreams: Rc<ReplacedUpstreams>,
 }
 
 /// Key of an engine: the name of the service, and the name of the class group that uses the engine.
@@ -320,21 +331,21 @@
         self.by_group.iter().chain(&self.retired)
     }
 
-    /// Passes the upstreams in these records to the services that they belong to.
-    pub fn update_upstreams(&self, records: &BTreeMap<String, Rc<Record>>) {
+    /// Passes the upstreams in these records, except for the replaced ones, to the services that they belong to.
+    pub fn update_upstreams(&self, records: &BTreeMap<String, Rc<Record>>, replaced: &ReplacedUpstreams) {
+        replaced.retain_listed(records);
         let mut lists: BTreeMap<&str, Vec<DiscoveryEntry>> = BTreeMap::new();
-        let mut upstream_ids = HashMap::new();
         for record in records.values() {
             let (Some(upstream), Some(incoming)) = (&record.upstream, record.incoming_address) else {
                 continue;
             };
-            if upstream.condition == Condition::Down {
+            if upstream.condition == Condition::Down
+                || !is_valid_id(&upstream.id)
+                || replaced.contains(&upstream.id, incoming)
+            {
                 continue;
             }
             let draining = record.leaving || upstream.condition == Condition::Closing;
-            if let Ok(id) = HeaderValue::from_str(&upstream.id) {
-                upstream_ids.insert(incoming, id);
-            }
             lists.entry(upstream.service.as_str()).or_default().push(DiscoveryEntry {
                 instance: upstream.id.clone(),
                 address: incoming,
@@ -348,7 +359,7 @@
         }
         for ((service_name, _), service) in self.all() {
             let list = lists.get(service_name.as_str()).map_or(&[][..], Vec::as_slice);
-            service.update_upstreams(list, &upstream_ids);
+            service.update_upstreams(list);
         }
     }
 
@@ -410,9 +421,11 @@
     slots: Vec<ClassSlot>,
 ) -> Result<Service> {
     let upstreams = Upstreams::new(&settings.limits, context.connections.clone(), dialect());
+    let replaced_upstreams = context.replaced_upstreams.clone();
+    upstreams.on_replaced(move |target| replaced_upstreams.add(target));
     let tend = upstreams.close_expired();
-    let transport =
-        MeshTransport { upstreams, clock: context.clock.clone(), upstream_ids: RefCell::default() };
+    let service = HeaderValue::from_bytes(name.as_bytes()).ok();
+    let transport = MeshTransport { upstreams, clock: context.clock.clone(), service };
     let engine =
         Engine::new(settings, zones, fastrand::u64(..), transport).map_err(|e| anyhow!("{name}: {e}"))?;
     let tasks = vec![spawn_local(tend).abort_handle(), spawn_local(engine.clone().run()).abort_handle()];
--- a/mesh/data-plane/tests/heartbeats.rs
+++ b/mesh/data-plane/tests/heartbeats.rs
@@ -1,6 +1,6 @@
 //! Feeds recorded heartbeats of upstreams to the tracker of a balancer.
 
-use sloeline_data_plane::heartbeats::{Heartbeat, UpstreamTracker};
+use sloeline_data_plane::heartbeats::{Heartbeat, UpstreamTracker, is_valid_id};
 use sloeline_discovery::Condition;
 
 /// A heartbeat with a condition, a sequence number and a remaining warm-up time.
@@ -80,3 +80,13 @@
         assert!(error.contains(expected), "{body}: {error}");
     }
 }
+
+/// Guards against upstreams whose id gets lost on the way, so that a balancer has nothing to compare.
+#[test]
+fn an_id_is_valid_if_a_header_carries_it_as_it_is() {
+    for id in ["", " i-1", "i-1\t", "i 1", "i\n1", "i\u{7f}1"] {
+        assert!(!is_valid_id(id), "{id:?}");
+    }
+    assert!(is_valid_id("i-7f3a91c2") && is_valid_id("i-ü") && is_valid_id(&"i".repeat(255)));
+    assert!(!is_valid_id(&"i".repeat(256)));
+}
--- a/mesh/testbed/tests/between_balancers.rs
+++ b/mesh/testbed/tests/between_balancers.rs
@@ -35,6 +35,8 @@
     Surplus,
     /// It says nothing.
     Silent,
+    /// It declines and says that another upstream is there.
+    Replaced,
 }
 
 /// A far balancer with a mind of its own.
@@ -87,6 +89,13 @@
                     let _ = stream.write_all(answer.as_bytes()).await;
                 }
                 Break::Silent => sleep(Duration::from_secs(30)).await,
+                Break::Replaced => {
+                    let declined = format!(
+                        "HTTP/1.1 421 Misdirected Request\r\nX-Not-Run: 1\r\nX-Mesh-Instance: i-other\r\n\
+                         X-Mesh-Attempt: {attempt}\r\nContent-Length: 0\r\n\r\n"
+                    );
+                    let _ = stream.write_all(declined.as_bytes()).await;
+                }
             }
         }
     }
@@ -194,6 +203,24 @@
     });
 }
 
+/// Guards against upstreams of crashed machines that are tried again and again at addresses that others have by now.
+#[test]
+fn an_upstream_whose_address_another_one_has_is_not_tried_again() {
+    play(async || {
+        let mesh = Mesh::without_upstream(59, 1).await;
+        let far = far_balancer(&mesh, 59).await;
+        let well = until(|| mesh.request("/safe/a", "well", None), |a| status(a) == 200).await;
+        assert_eq!(status(&well), 200, "{well:?}");
+        far.breaks.set(Break::Replaced);
+        for number in 0..20 {
+            let answer = mesh.request("/safe/a", &format!("replaced-{number}"), None).await;
+            assert_eq!(status(&answer), 503, "{answer:?}");
+        }
+        let tried = far.read.borrow().iter().filter(|id| id.starts_with("replaced")).count();
+        assert_eq!(tried, 1);
+    });
+}
+
 /// The aim counts from a client's first try; only the time that it still waits tells a later one from that.
 #[test]
 fn the_aim_of_a_later_try_counts_from_the_first() {
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -119,6 +119,7 @@
         forwards_any_status: false,
         forwards_errors: false,
         echo_header: None,
+        instance_header: None,
     })
 }
 
--- a/sloeline/src/net.rs
+++ b/sloeline/src/net.rs
@@ -40,7 +40,7 @@
     fn probe(&self, engine: &Rc<Engine<Self>>, to: Target) {
         let engine = engine.clone();
         self.upstreams
-            .probe(to, move |took, outcome, load| engine.probe_ended(to.server, took, outcome, load));
+            .probe(to, move |server, took, outcome, load| engine.probe_ended(server, took, outcome, load));
     }
 
     fn close_idle(&self, server: ServerId) {
