The slots of the upstream have a module of their own: upstream_slots.rs

UpstreamSlots now has the queue with its waiting requests, Slot is what a request holds, SlotRefusal says why there is none.

--- a/mesh/data-plane/src/lib.rs
+++ b/mesh/data-plane/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod services;
 pub mod shaped_body;
 pub mod shutdown;
+pub mod upstream_slots;
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -3,7 +3,6 @@
 //! the sending balancer may retry it elsewhere.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,11 +28,11 @@
 use sloeline_rpc::exchange::Exchange;
 use sloeline_settings::setup::ring_hash;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
-use crate::admission::{AdmissionQueue, Arrival, Micros, State, Verdict};
+use crate::admission::{Arrival, Micros, State};
 use crate::header_names;
 use crate::heartbeats::UpstreamTracker;
 use crate::keys::KeyClient;
@@ -42,6 +41,7 @@
 use crate::response_lengths::ResponseLengths;
 use crate::responses::{collect, forwarded, not_run, replay};
 use crate::shaped_body::ShapedBody;
+use crate::upstream_slots::{Slot, SlotRefusal, UpstreamSlots};
 
 /// Upper bound for the remaining time in the headers of a request: one day.
 const MAX_TIME_LEFT: Micros = 86_400_000_000;
@@ -59,12 +59,10 @@
 
 /// Receives requests for this machine's upstream and forwards those that are admitted.
 pub struct Receiver {
-    /// Decides which requests go to the upstream.
-    admission: RefCell<AdmissionQueue>,
+    /// The slots of the upstream.
+    slots: Rc<UpstreamSlots>,
     /// The upstream's state as it reports it.
     upstream: RefCell<UpstreamTracker>,
-    /// Notifies queued requests, by their numbers: `true` once admitted, `false` once expired.
-    waiting: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
     /// Connections to the upstream.
     upstreams: Upstreams,
     /// Claims operation keys and exchanges stored responses.
@@ -73,28 +71,16 @@
     ledger: RefCell<Ledger>,
     /// Records of the other processes, and the record of this one.
     exchange: Rc<Exchange>,
-    /// How long queued requests are still sent to the upstream after it has reported that it is closing.
-    drain: Micros,
     /// The outgoing link, which limits the rate of long responses.
     link: Rc<LinkShaper>,
     /// Learned response lengths, to estimate the load on the link.
     response_lengths: RefCell<ResponseLengths>,
-    /// Zero of this receiver's points in time.
-    start: Instant,
-    /// Wakes the task that admits and expires queued requests.
-    admission_changed: Notify,
 }
 
-/// Permission for one request at the upstream. Dropping it frees the slot.
+/// Permission for one request at the upstream.
 struct Permit {
-    /// The receiver that issued the permit.
-    receiver: Rc<Receiver>,
-    /// Kind of the request, for its processing time.
-    kind: u64,
-    /// When the request was admitted.
-    since: Micros,
-    /// Whether the upstream has responded, which makes the elapsed time a sample of the processing time.
-    responded: bool,
+    /// The slot of the upstream.
+    slot: Slot,
     /// The expected size of the response, until the upstream has responded.
     expected: Option<ExpectedResponse>,
 }
@@ -102,39 +88,11 @@
 impl Permit {
     /// Records that the upstream has responded.
     fn set_responded(&mut self) {
-        self.responded = true;
+        self.slot.set_responded();
         self.expected = None;
     }
 }
 
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let now = self.receiver.now();
-        let held = now.saturating_sub(self.since);
-        metrics::GATE_HELD.add(held);
-        let took = self.responded.then_some(held);
-        let admitted = self.receiver.admission.borrow_mut().complete(now, self.kind, took);
-        self.receiver.wake(admitted, true);
-        self.receiver.admission_changed.notify_one();
-    }
-}
-
-/// A queued request. Dropping it removes the request from the queue if it has been neither admitted nor expired.
-struct QueueGuard<'a> {
-    /// The receiver that queued the request.
-    receiver: &'a Receiver,
-    /// Number of the request in the admission queue.
-    number: u64,
-}
-
-impl Drop for QueueGuard<'_> {
-    fn drop(&mut self) {
-        if self.receiver.waiting.borrow_mut().remove(&self.number).is_some() {
-            self.receiver.admission.borrow_mut().remove(self.number);
-        }
-    }
-}
-
 /// Identifies requests of similar processing time: a hash of the class name that the sending balancer gave.
 fn kind(headers: &HeaderMap) -> u64 {
     headers.get(header_names::KIND).map_or(0, |v| ring_hash(v.to_str().unwrap_or_default()))
@@ -188,24 +146,20 @@
         link: Rc<LinkShaper>,
     ) -> Rc<Receiver> {
         Rc::new(Receiver {
-            admission: RefCell::default(),
+            slots: UpstreamSlots::new(drain / 2),
             upstream: RefCell::default(),
-            waiting: RefCell::default(),
             upstreams,
             keys,
             ledger: RefCell::new(ledger),
             exchange,
-            drain: drain / 2,
             link,
             response_lengths: RefCell::default(),
-            start: Instant::now(),
-            admission_changed: Notify::new(),
         })
     }
 
     /// Time since this receiver was created.
     fn now(&self) -> Micros {
-        self.start.elapsed().as_micros() as Micros
+        self.slots.now()
     }
 
     /// Reads or updates the upstream's status, then passes it on to admission control and to the other processes.
@@ -218,53 +172,19 @@
             Some(Condition::Down) | None => State::Absent,
         };
         let slots = upstream.as_ref().map_or(1, |u| u.slots as usize);
-        {
-            let mut admission = self.admission.borrow_mut();
-            if state == State::Closing && admission.state() == State::Open {
-                admission.limit_expiry(self.now() + self.drain);
-            }
-            admission.set_upstream(state, slots);
-        }
-        self.admission_changed.notify_one();
+        self.slots.set_upstream(state, slots);
         self.exchange.update_local_record(|own| own.upstream = upstream);
         result
     }
 
     /// Whether no request is queued or at the upstream, and no response waits for the link.
     pub fn is_idle(&self) -> bool {
-        self.admission.borrow().is_idle() && self.link.is_idle()
-    }
-
-    /// Tells queued requests that they are admitted or have expired.
-    fn wake(&self, numbers: Vec<u64>, admitted: bool) {
-        for number in numbers {
-            let sender = self.waiting.borrow_mut().remove(&number);
-            // A request that was cancelled at the same moment gives its slot back.
-            if sender.is_some_and(|s| s.send(admitted).is_err()) && admitted {
-                let next = self.admission.borrow_mut().complete(self.now(), 0, None);
-                self.wake(next, true);
-            }
-        }
+        self.slots.is_idle() && self.link.is_idle()
     }
 
     /// Admits and expires queued requests when it is time; never returns.
     pub async fn run_admission(self: Rc<Self>) {
-        loop {
-            let now = self.now();
-            let (expired, admitted, next_expiry) = {
-                let mut admission = self.admission.borrow_mut();
-                (admission.expire(now), admission.admit_queued(now), admission.next_expiry())
-            };
-            self.wake(expired, false);
-            self.wake(admitted, true);
-            match next_expiry {
-                Some(expiry) => tokio::select! {
-                    () = sleep_until(self.start + Duration::from_micros(expiry.max(now + 1000))) => {}
-                    () = self.admission_changed.notified() => {}
-                },
-                None => self.admission_changed.notified().await,
-            }
-        }
+        self.slots.clone().run().await;
     }
 
     /// Accepts connections from other balancers; never returns.
@@ -411,40 +331,18 @@
         let kind = arrival.kind;
         let (link_wait, link_time) = self.link_estimate(kind);
         let arrival = Arrival { link_wait, link_time, ..arrival };
-        let verdict = self
-            .admission
-            .borrow_mut()
-            .arrive(now, Arrival { time_to_target, time_left, max_wait, ..arrival });
         let expected =
             self.response_lengths.borrow().long_mean(kind).map(|length| self.link.expect_response(length));
-        let permit = || {
-            let since = self.now();
-            metrics::GATE_ADMITTED.increment();
-            metrics::GATE_WAIT.add(since.saturating_sub(now));
-            Permit { receiver: self.clone(), kind, since, responded: false, expected }
-        };
-        match verdict {
-            Verdict::Admit => Ok(permit()),
-            Verdict::Reject(wait) => {
-                metrics::GATE_REFUSED.increment();
-                Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room", Some(wait)))
-            }
-            Verdict::Closed => Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream leaves", None)),
-            Verdict::Queue(number) => {
-                let (sender, admitted) = oneshot::channel();
-                self.waiting.borrow_mut().insert(number, sender);
-                self.admission_changed.notify_one();
-                let guard = QueueGuard { receiver: self, number };
-                let admitted = admitted.await;
-                drop(guard);
-                match admitted {
-                    Ok(true) => Ok(permit()),
-                    _ => {
-                        metrics::GATE_EXPIRED.increment();
-                        metrics::GATE_EXPIRED_WAIT.add(self.now().saturating_sub(now));
-                        Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no room in time", None))
-                    }
-                }
+        let arrival = Arrival { time_to_target, time_left, max_wait, ..arrival };
+        match self.slots.acquire(arrival).await {
+            Ok(slot) => Ok(Permit { slot, expected }),
+            Err(refusal) => {
+                let (reason, wait) = match refusal {
+                    SlotRefusal::Full { wait } => ("no room", Some(wait)),
+                    SlotRefusal::Closed => ("the upstream leaves", None),
+                    SlotRefusal::Expired => ("no room in time", None),
+                };
+                Err(not_run(StatusCode::SERVICE_UNAVAILABLE, reason, wait))
             }
         }
     }
