A slot of the upstream travels as a value and frees itself wherever it is dropped

Cause: a queued request was told by a bool that it was admitted, and AdmissionQueue counted it; the permit that gives the slot back was made when its task ran again. Dropped in between, the count stayed one too high for good.

Change: UpstreamSlots::pass_slots makes the Slot at the moment of admission and sends it; its drop frees it, in the channel too.

Both tests of upstream_slots.rs failed before (the drawn histories with one of four steps: three arrivals, one completion) and pass now.

--- a/mesh/data-plane/src/upstream_slots.rs
+++ b/mesh/data-plane/src/upstream_slots.rs
@@ -33,8 +33,8 @@
 pub struct UpstreamSlots {
     /// Decides which requests go to the upstream.
     queue: RefCell<AdmissionQueue>,
-    /// Notifies queued requests, by their numbers: `true` once admitted, `false` once expired.
-    waiting: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    /// The queued requests by their numbers.
+    waiting: RefCell<HashMap<u64, WaitingRequest>>,
     /// How long queued requests are still admitted after the upstream has reported that it is closing.
     drain: Micros,
     /// Zero of the points in time.
@@ -43,6 +43,16 @@
     changed: Notify,
 }
 
+/// A queued request.
+struct WaitingRequest {
+    /// Kind of the request, for its processing time.
+    kind: u64,
+    /// When the request arrived.
+    arrived_at: Micros,
+    /// Passes the slot to the request once it is admitted. Dropped unused when the request expires.
+    slot_sender: oneshot::Sender<Slot>,
+}
+
 /// A slot that one request holds. Dropping it frees the slot.
 pub struct Slot {
     /// The slots that this one belongs to.
@@ -69,7 +79,7 @@
         metrics::GATE_HELD.add(held);
         let took = self.responded.then_some(held);
         let admitted = self.slots.queue.borrow_mut().complete(now, self.kind, took);
-        self.slots.wake(admitted, true);
+        self.slots.pass_slots(admitted);
         self.slots.changed.notify_one();
     }
 }
@@ -155,31 +165,38 @@
 
     /// Waits until a queued request is admitted or expires.
     async fn wait(self: &Rc<Self>, number: u64, kind: u64, arrived_at: Micros) -> Result<Slot, SlotRefusal> {
-        let (sender, admitted) = oneshot::channel();
-        self.waiting.borrow_mut().insert(number, sender);
+        let (slot_sender, slot) = oneshot::channel();
+        self.waiting.borrow_mut().insert(number, WaitingRequest { kind, arrived_at, slot_sender });
         self.changed.notify_one();
         let guard = QueueGuard { slots: self, number };
-        let admitted = admitted.await;
+        let slot = slot.await;
         drop(guard);
-        match admitted {
-            Ok(true) => Ok(self.slot(kind, arrived_at)),
-            _ => {
-                metrics::GATE_EXPIRED.increment();
-                metrics::GATE_EXPIRED_WAIT.add(self.now().saturating_sub(arrived_at));
-                Err(SlotRefusal::Expired)
+        slot.map_err(|_| {
+            metrics::GATE_EXPIRED.increment();
+            metrics::GATE_EXPIRED_WAIT.add(self.now().saturating_sub(arrived_at));
+            SlotRefusal::Expired
+        })
+    }
+
+    /// Passes slots to queued requests that were admitted. The slot exists from here on: if its request has been dropped, or
+    /// is dropped before it takes the slot, the slot is dropped too and frees itself.
+    fn pass_slots(self: &Rc<Self>, admitted: Vec<u64>) {
+        for number in admitted {
+            let request = self.waiting.borrow_mut().remove(&number);
+            let (kind, arrived_at) =
+                request.as_ref().map_or((0, self.now()), |request| (request.kind, request.arrived_at));
+            let slot = self.slot(kind, arrived_at);
+            if let Some(request) = request {
+                let _ = request.slot_sender.send(slot);
             }
         }
     }
 
-    /// Tells queued requests that they are admitted or have expired.
-    fn wake(&self, numbers: Vec<u64>, admitted: bool) {
-        for number in numbers {
-            let sender = self.waiting.borrow_mut().remove(&number);
-            // A request that was cancelled at the same moment gives its slot back.
-            if sender.is_some_and(|s| s.send(admitted).is_err()) && admitted {
-                let next = self.queue.borrow_mut().complete(self.now(), 0, None);
-                self.wake(next, true);
-            }
+    /// Tells queued requests that they have expired.
+    fn end_waits(&self, expired: Vec<u64>) {
+        for number in expired {
+            let request = self.waiting.borrow_mut().remove(&number);
+            drop(request);
         }
     }
 
@@ -191,8 +208,8 @@
                 let mut queue = self.queue.borrow_mut();
                 (queue.expire(now), queue.admit_queued(now), queue.next_expiry())
             };
-            self.wake(expired, false);
-            self.wake(admitted, true);
+            self.end_waits(expired);
+            self.pass_slots(admitted);
             match next_expiry {
                 Some(expiry) => {
                     let at = Duration::from_micros(expiry.max(now + MIN_EXPIRY_PAUSE));
