A granted turn of background work ends with its task, also if the task never ran again

The worker told a waiting task by () that it has the turn, and waited for the end of it. A task aborted before its next poll had no turn to end: the worker waited for good, and all background work of the process stood still. Now the turn itself is sent, and its drop ends it.

Test: a_turn_granted_to_a_task_that_is_gone_goes_to_the_next_one failed before (its job stayed in the schedule) and passes now; the three others of worker.rs pass as before.

--- a/work/src/worker.rs
+++ b/work/src/worker.rs
@@ -17,8 +17,8 @@
 pub struct Worker {
     /// Jobs of the tasks, and the rules by which they get turns.
     schedule: RefCell<Schedule>,
-    /// Senders that wake the tasks whose jobs wait for a turn.
-    waiting: RefCell<HashMap<JobId, oneshot::Sender<()>>>,
+    /// Senders that pass turns to the tasks whose jobs wait for one.
+    waiting: RefCell<HashMap<JobId, oneshot::Sender<GrantedTurn>>>,
     /// Origin of the times that the schedule uses.
     start: Instant,
     /// Time after which a turn should yield.
@@ -40,14 +40,45 @@
     worker: Rc<Worker>,
     /// The job in the schedule that the turn belongs to.
     job: JobId,
-    /// Start of the current turn.
-    started: Instant,
-    /// Whether the task holds the turn now, rather than waiting for it.
-    active: bool,
+    /// The current turn, while the task holds one rather than waiting for it.
+    granted: Option<GrantedTurn>,
     /// Whether the job is reported as failed when the turn is dropped.
     failed: bool,
 }
 
+/// A turn that the worker has granted. Dropping it ends the turn, also if the task is gone before it has taken the turn.
+struct GrantedTurn {
+    /// Worker that granted the turn.
+    worker: Rc<Worker>,
+    /// The job in the schedule that the turn belongs to.
+    job: JobId,
+    /// When the task began with the turn; `None` until it has taken it.
+    started: Option<Instant>,
+    /// Outcome that is reported to the schedule at the end.
+    outcome: TurnOutcome,
+}
+
+impl GrantedTurn {
+    /// How long the task has held the turn.
+    fn elapsed(&self) -> Duration {
+        self.started.map_or(Duration::ZERO, |started| started.elapsed())
+    }
+}
+
+impl Drop for GrantedTurn {
+    fn drop(&mut self) {
+        let (worker, used) = (&self.worker, self.elapsed());
+        if used > 2 * worker.slice.get() {
+            worker.overruns.set(worker.overruns.get() + 1);
+        }
+        worker.longest_turn.set(worker.longest_turn.get().max(used));
+        worker.with_schedule(|schedule, now| {
+            schedule.end_turn(now, self.job, self.outcome, used.as_secs_f64() * 1e6)
+        });
+        worker.turn_ended.notify_one();
+    }
+}
+
 impl Worker {
     /// Creates a worker for `schedule` whose turns should each take no longer than `slice`.
     pub fn new(schedule: Schedule, slice: Duration) -> Rc<Worker> {
@@ -85,8 +116,7 @@
         // Two jobs with the same key would be merged, and only one of the two tasks would get a turn.
         let job = Job { key: None, ..job };
         let id = self.with_schedule(|schedule, now| schedule.submit(now, job))?;
-        let mut turn =
-            Turn { worker: self.clone(), job: id, started: Instant::now(), active: false, failed: false };
+        let mut turn = Turn { worker: self.clone(), job: id, granted: None, failed: false };
         turn.wait_for_turn().await;
         Ok(turn)
     }
@@ -108,13 +138,18 @@
                 (Some(turn), _) => {
                     let waiter = self.waiting.borrow_mut().remove(&turn.job);
                     let turn_ended = self.turn_ended.notified();
-                    match waiter.map(|waiter| waiter.send(())) {
-                        Some(Ok(())) => turn_ended.await,
-                        // The task that submitted the job no longer waits for it.
-                        _ => self.with_schedule(|schedule, now| {
-                            schedule.end_turn(now, turn.job, TurnOutcome::Done, 0.0)
-                        }),
+                    let granted = GrantedTurn {
+                        worker: self.clone(),
+                        job: turn.job,
+                        started: None,
+                        outcome: TurnOutcome::Done,
+                    };
+                    // A turn that nobody waits for any more ends at once.
+                    match waiter {
+                        Some(waiter) => drop(waiter.send(granted)),
+                        None => drop(granted),
                     }
+                    turn_ended.await;
                 }
                 (None, due) => {
                     // At least one microsecond ahead, so that a budget that is due to open now has opened by the next iteration.
@@ -136,13 +171,15 @@
         self.worker.waiting.borrow_mut().insert(self.job, sender);
         self.worker.schedule_changed.notify_one();
         // The sender is dropped only together with the worker, when no turn will be granted.
-        let _ = granted.await;
-        (self.active, self.started) = (true, Instant::now());
+        self.granted = granted.await.ok();
+        if let Some(granted) = &mut self.granted {
+            granted.started = Some(Instant::now());
+        }
     }
 
     /// Whether the turn has used up its time slice.
     pub fn is_over(&self) -> bool {
-        self.started.elapsed() >= self.worker.slice.get()
+        self.granted.as_ref().is_some_and(|granted| granted.elapsed() >= self.worker.slice.get())
     }
 
     /// If the time slice is used up, releases the turn and waits for the next one.
@@ -161,24 +198,15 @@
     /// Ends the current turn with `outcome`, charges its duration to the budget, and wakes the worker. Does nothing if the task
     /// does not hold a turn.
     fn release(&mut self, outcome: TurnOutcome) {
-        if !std::mem::take(&mut self.active) {
-            return;
+        if let Some(mut granted) = self.granted.take() {
+            granted.outcome = outcome;
         }
-        let (worker, used) = (&self.worker, self.started.elapsed());
-        if used > 2 * worker.slice.get() {
-            worker.overruns.set(worker.overruns.get() + 1);
-        }
-        worker.longest_turn.set(worker.longest_turn.get().max(used));
-        worker.with_schedule(|schedule, now| {
-            schedule.end_turn(now, self.job, outcome, used.as_secs_f64() * 1e6)
-        });
-        worker.turn_ended.notify_one();
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        if self.active {
+        if self.granted.is_some() {
             let failed = self.failed || std::thread::panicking();
             self.release(if failed { TurnOutcome::Failed } else { TurnOutcome::Done });
         } else {
--- a/work/tests/worker.rs
+++ b/work/tests/worker.rs
@@ -1,7 +1,9 @@
 //! Tests of [`Worker`] on tokio's paused clock.
 
 use std::cell::{Cell, RefCell};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use sloeline_work::budget::Budget;
@@ -143,3 +145,28 @@
         assert_eq!((refused, worker.with_schedule(|s, _| s.len())), (2, 0));
     });
 }
+
+/// Guards against a turn that is granted to a task that is gone before it runs again: no other task got a turn after that.
+#[test]
+fn a_turn_granted_to_a_task_that_is_gone_goes_to_the_next_one() {
+    with_worker(unlimited(), 100, async |worker| {
+        let mut gone = Box::pin(worker.acquire_turn(Job::new("gone", 0, Priority::Normal)));
+        assert!(poll_once(gone.as_mut()).is_pending());
+        // The worker grants the turn; its task doesn't run.
+        for _ in 0..4 {
+            yield_now().await;
+        }
+        drop(gone);
+        assert_eq!(worker.with_schedule(|schedule, _| schedule.len()), 0);
+        let next = worker.acquire_turn(Job::new("next", 0, Priority::Normal));
+        timeout(Duration::from_secs(1), next)
+            .await
+            .expect("a turn within a second")
+            .expect("the schedule has a free place");
+    });
+}
+
+/// Polls once without a waker.
+fn poll_once<T>(future: Pin<&mut impl Future<Output = T>>) -> Poll<T> {
+    future.poll(&mut Context::from_waker(Waker::noop()))
+}
