Bodies for the own upstream are read within the budget of all bodies, and streamed where it has no room

Cause: Receiver::respond collected every body whole, up to 64 MiB each, before anything else, without a budget, and copied it once more. The sending side reads against a budget and streams.

Change: http/received_body.rs reads for both sides, against one share of memory_mb. What has no room is streamed to the upstream once it has a slot. What is declined meanwhile is read to its end, so that the answer isn't lost. A body that doesn't pass whole says nothing about the upstream, which was marked unreachable before.

--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod payload;
 pub mod platform;
 mod pool;
+pub mod received_body;
 pub mod routed;
 pub mod server;
 pub mod upload;
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -13,14 +13,10 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use finchshift::Micros;
-use http_body_util::BodyExt;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
-use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
-use sloeline_engine::engine::Transport;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, server::conn::http1};
 use sloeline_engine::types::{Answer, Failure, NewRequest};
-use sloeline_limits::Permit;
 use sloeline_operations::client_policy::ClientPolicy;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -28,15 +24,16 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::MAX_READ_AHEAD_BYTES;
 use crate::client_io::{
     ClientIo, ConnectionCounts, ConnectionState, IdleConnections, RequestError, Stage, StageTimeouts,
 };
 use crate::frontend::{Admission, ClientResponse, Frontend, end_to_end_headers, text_response};
 use crate::payload::{BodyEnd, Payload};
-use crate::upload::{RequestBody, StreamingUpload};
+use crate::received_body::{BodyError, BodyLimits, ReceivedBody, read_body};
+use crate::upload::RequestBody;
 use crate::upstream::Call;
 use crate::whole_body::buffer_whole;
-use crate::{MAX_BUFFERED_BYTES, MAX_READ_AHEAD_BYTES};
 
 /// Upper bound of the drain time on the platform, before [`PLATFORM_DRAIN_EXTENSION`] is added. Below this bound,
 /// the longest deadline is the drain time.
@@ -431,7 +428,12 @@
             return self.refused(0, "no room");
         };
         let mut upload = None;
-        let (body, memory) = match read_body(body, &admission).await {
+        let limits = BodyLimits {
+            max_bytes: admission.max_body_bytes as u64,
+            forbidden: admission.forbids_body,
+            memory: &admission.body_memory,
+        };
+        let (body, memory) = match read_body(body, &limits).await {
             Ok(ReceivedBody::Buffered(body, body_memory)) => {
                 state.request_received();
                 (RequestBody::Buffered(body), (response_memory, body_memory))
@@ -443,7 +445,13 @@
                 upload = Some(body.clone());
                 (RequestBody::Streaming(body), (response_memory, Vec::new()))
             }
-            Err((status, reason)) => return text_response(status, reason),
+            Err(BodyError::TooLarge) => {
+                return text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+            }
+            Err(BodyError::Broken) => return text_response(StatusCode::BAD_REQUEST, "broken body"),
+            Err(BodyError::Forbidden) => {
+                return text_response(StatusCode::BAD_REQUEST, "a body that does not fit the class");
+            }
         };
         let Admission {
             engine,
@@ -543,64 +551,6 @@
     }
 }
 
-/// A request body as far as it was read.
-enum ReceivedBody {
-    /// The whole body with the permits for its memory.
-    Buffered(Bytes, Vec<Permit>),
-    /// A body that does not fit in memory and is streamed to the upstream.
-    Streaming(Rc<StreamingUpload>),
-}
-
-/// Reads a request body whole if there is memory for it. Memory is acquired as data arrives, so that a false
-/// Content-Length reserves nothing. The request's deadline starts when this function returns. The error is the
-/// status and the text for the client.
-async fn read_body<W: Transport>(
-    mut body: Incoming,
-    admission: &Admission<W>,
-) -> Result<ReceivedBody, (StatusCode, &'static str)> {
-    let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    let max_bytes = admission.max_body_bytes as u64;
-    if body.size_hint().lower() > max_bytes {
-        return Err(too_large);
-    }
-    let announced = body.size_hint().exact().unwrap_or(0) as usize;
-    let (mut buffer, mut memory, mut reserved) = (BytesMut::new(), Vec::new(), 0);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "broken body"))?;
-        let Ok(data) = frame.into_data() else { continue };
-        if admission.forbids_body && !data.is_empty() {
-            return Err((StatusCode::BAD_REQUEST, "a body that does not fit the class"));
-        }
-        let length = buffer.len() + data.len();
-        if length as u64 > max_bytes {
-            return Err(too_large);
-        }
-        if length > reserved {
-            // Doubles the reservation as the buffer grows, up to the announced length.
-            let wanted =
-                if announced > 0 { announced.min(2 * length) } else { 2 * length }.max(length) - reserved;
-            // Leaves memory for other requests: beyond the default buffer size, a body must leave as much memory
-            // free as it uses itself.
-            let leaves_enough = reserved + wanted <= MAX_BUFFERED_BYTES
-                || admission.body_memory.available() >= reserved + 2 * wanted;
-            let Some(permit) = admission.body_memory.acquire(wanted).filter(|_| leaves_enough) else {
-                buffer.extend_from_slice(&data);
-                return Ok(ReceivedBody::Streaming(StreamingUpload::new(
-                    buffer.freeze(),
-                    memory,
-                    body,
-                    max_bytes - length as u64,
-                )));
-            };
-            memory.push(permit);
-            reserved += wanted;
-            buffer.reserve(reserved - buffer.len());
-        }
-        buffer.extend_from_slice(&data);
-    }
-    Ok(ReceivedBody::Buffered(buffer.freeze(), memory))
-}
-
 /// Sends an error response if there is one, then reads and discards input for a while. Closing a socket with unread
 /// input resets the connection, and the client could lose the response.
 async fn send_error_and_linger(mut stream: TcpStream, error: Option<&str>) -> io::Result<()> {
--- a/http/src/upload.rs
+++ b/http/src/upload.rs
@@ -2,6 +2,7 @@
 //! streamed from the client to one upstream and can be sent only once.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -111,6 +112,18 @@
         self.received_callbacks.borrow_mut().push(Box::new(callback));
     }
 
+    /// Reads and drops what has not been sent of the body, until it ends. An answer that is sent while input is unread can be
+    /// lost, because closing such a socket resets the connection.
+    pub async fn discard(&self) {
+        self.memory.borrow_mut().clear();
+        loop {
+            let frame = poll_fn(|cx| Pin::new(&mut *self.body.borrow_mut()).poll_frame(cx)).await;
+            if !matches!(frame, Some(Ok(_))) {
+                return;
+            }
+        }
+    }
+
     /// Returns whether the sender broke off or the body exceeded the size limit.
     pub fn is_failed(&self) -> bool {
         self.end.get() == Some(BodyEnd::Failed)
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -50,7 +50,7 @@
 const RESERVED_DESCRIPTORS: u64 = 300;
 /// Share of the other file descriptors that clients' connections may use.
 const CLIENT_DESCRIPTOR_SHARE: f64 = 0.5;
-/// Share of the configured memory for request bodies.
+/// Share of the configured memory for request bodies, those of clients and those for this machine's upstream together.
 const BODY_MEMORY_SHARE: f64 = 0.4;
 /// Share of the configured memory for the stored responses of keyed requests.
 const STORED_RESPONSE_MEMORY_SHARE: f64 = 0.15;
@@ -144,8 +144,15 @@
     let ledger = Ledger::new(window, (memory * STORED_RESPONSE_MEMORY_SHARE) as usize);
     let link = LinkShaper::new(settings.size_limits.link_mbps);
     spawn_local(link.clone().run());
-    let receiver =
-        Receiver::new(to_upstream, keys.clone(), ledger, exchange.clone(), guarantees.drain.0, link);
+    let receiver = Receiver::new(
+        to_upstream,
+        keys.clone(),
+        ledger,
+        exchange.clone(),
+        guarantees.drain.0,
+        link,
+        bodies.clone(),
+    );
     spawn_local(receiver.clone().run_admission());
 
     let clock = Rc::new(Clock::new());
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -9,11 +9,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri, body::Body, body::Incoming};
+use hyper::{Request, Response, StatusCode, Uri, body::Body, body::Incoming};
 use hyper_util::rt::TokioIo;
 use log::debug;
 use sloeline_discovery::rendezvous::top_candidates;
@@ -21,16 +20,18 @@
 use sloeline_engine::types::Target;
 use sloeline_http::frontend::{ClientResponse, end_to_end_headers, parse_digits, text_response};
 use sloeline_http::payload::Payload;
+use sloeline_http::received_body::{BodyLimits, ReceivedBody, read_body};
 use sloeline_http::upload::RequestBody;
 use sloeline_http::upstream::{Call, RelayOutcome, Reply, Upstreams};
 use sloeline_idempotency::{ClaimOutcome, Ledger, RunState, StoredResponse};
+use sloeline_limits::{Permit as MemoryPermit, Share};
 use sloeline_rpc::RpcResponse;
 use sloeline_rpc::exchange::Exchange;
 use sloeline_settings::setup::ring_hash;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::admission::{Arrival, Micros, State};
 use crate::header_names;
@@ -46,7 +47,7 @@
 /// Upper bound for the remaining time in the headers of a request: one day.
 const MAX_TIME_LEFT: Micros = 86_400_000_000;
 /// Maximum size of a request body.
-const MAX_BODY_BYTES: usize = 64 << 20;
+const MAX_BODY_BYTES: u64 = 64 << 20;
 /// Number of other balancers that are asked for a stored response if the claim holder has lost it. The first of them gets a
 /// replica of each response.
 const REPLICA_CANDIDATES: usize = 2;
@@ -71,6 +72,8 @@
     ledger: RefCell<Ledger>,
     /// Records of the other processes, and the record of this one.
     exchange: Rc<Exchange>,
+    /// Limits the memory for request bodies; shared with the requests of this machine's clients.
+    body_memory: Rc<Share>,
     /// The outgoing link, which limits the rate of long responses.
     link: Rc<LinkShaper>,
     /// Learned response lengths, to estimate the load on the link.
@@ -123,6 +126,8 @@
 struct ForwardRequest {
     /// The request to send to the upstream.
     call: Call,
+    /// Permits for the memory of a buffered body.
+    _body_memory: Vec<MemoryPermit>,
     /// Identifier of the client's try, which the response must repeat.
     try_id: Option<HeaderValue>,
     /// The upstream that the request is for.
@@ -144,6 +149,7 @@
         exchange: Rc<Exchange>,
         drain: Micros,
         link: Rc<LinkShaper>,
+        body_memory: Rc<Share>,
     ) -> Rc<Receiver> {
         Rc::new(Receiver {
             slots: UpstreamSlots::new(drain / 2),
@@ -152,6 +158,7 @@
             keys,
             ledger: RefCell::new(ledger),
             exchange,
+            body_memory,
             link,
             response_lengths: RefCell::default(),
         })
@@ -262,8 +269,17 @@
             }
             (upstream.id.clone(), address)
         };
-        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-            return not_run(StatusCode::BAD_REQUEST, "the body broke off or is too large", None);
+        let limits = BodyLimits { max_bytes: MAX_BODY_BYTES, forbidden: false, memory: &self.body_memory };
+        let mut streaming = None;
+        let (body, body_memory) = match read_body(body, &limits).await {
+            Ok(ReceivedBody::Buffered(body, memory)) => (RequestBody::Buffered(body), memory),
+            Ok(ReceivedBody::Streaming(upload)) => {
+                streaming = Some(upload.clone());
+                (RequestBody::Streaming(upload), Vec::new())
+            }
+            Err(_) => {
+                return not_run(StatusCode::BAD_REQUEST, "the body broke off or is too large", None);
+            }
         };
         let key =
             head.headers.get(header_names::KEYED).and_then(|_| head.headers.get(header_names::OPERATION_KEY));
@@ -288,13 +304,14 @@
         headers.insert(header_names::ADDRESSEE, addressee);
         debug_assert!(headers.contains_key(HOST));
         let uri: Uri = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
-        let (method, body): (Method, _) = (head.method.clone(), RequestBody::Buffered(body.to_bytes()));
-        let call = Call { method, uri, headers, body };
+        let call = Call { method: head.method.clone(), uri, headers, body };
         let target = Target { server: 0, instance: id.into(), address };
         let try_id = head.headers.get(header_names::TRY_ID).cloned();
         let once = head.headers.contains_key(header_names::ONCE);
-        let request = ForwardRequest { call, try_id, target, arrived_at, deadline, arrival };
-        match key {
+        let request =
+            ForwardRequest { call, _body_memory: body_memory, try_id, target, arrived_at, deadline, arrival };
+        let receiver = self.clone();
+        let response = match key {
             None if once => self.forward_once(request).await,
             None => self.forward(request).await,
             // A keyed request continues even if the sender disconnects.
@@ -306,7 +323,12 @@
                 });
                 response.await.unwrap_or_else(|_| text_response(StatusCode::BAD_GATEWAY, "the run broke off"))
             }
+        };
+        if let Some(upload) = streaming.filter(|_| response.headers().contains_key(header_names::NOT_RUN)) {
+            let left = Duration::from_micros(deadline.saturating_sub(receiver.now()));
+            let _ = timeout(left, upload.discard()).await;
         }
+        response
     }
 
     /// Expected wait for the link, and expected transmission time, of a response to a request of this kind.
@@ -360,6 +382,15 @@
             same_try && (!status.is_success() || headers.contains_key(header_names::POSTMARK))
         };
         match self.upstreams.relay(&request.target, &request.call, time_left, is_matching).await {
+            RelayOutcome::NotSent if request.call.body.is_consumed() && !request.call.body.is_received() => {
+                // The sender's part of the body did not come in time, which says nothing about the upstream; or the upstream
+                // closed the connection before it had the whole request.
+                RunResult::NotRun(not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "the body did not pass whole",
+                    None,
+                ))
+            }
             RelayOutcome::NotSent => {
                 // The upstream is gone or accepts no connections; its next heartbeat makes it available again.
                 if self.with_upstream(|upstream| upstream.mark_unreachable(&request.target.instance)) {
--- a/mesh/testbed/src/process.rs
+++ b/mesh/testbed/src/process.rs
@@ -158,10 +158,8 @@
 
     /// Whether the process has a handler for a signal, by proc(5), `SigCgt`.
     fn catches(&self, signal: Signal) -> bool {
-        let status = self.child.as_ref().map(|child| format!("/proc/{}/status", child.id()));
-        let status = status.and_then(|path| std::fs::read_to_string(path).ok()).unwrap_or_default();
-        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
-        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok()).unwrap_or_default();
+        let caught = self.status_field("SigCgt:").and_then(|mask| u64::from_str_radix(&mask, 16).ok());
+        let caught = caught.unwrap_or_default();
         caught & (1 << (signal.as_raw() - 1)) != 0
     }
 
@@ -182,6 +180,20 @@
         }
     }
 
+    /// The most memory that it has had, in MiB, by proc(5), `VmHWM`.
+    pub fn peak_memory_mib(&self) -> Option<u64> {
+        let peak = self.status_field("VmHWM:")?;
+        let kib: u64 = peak.split_whitespace().next()?.parse().ok()?;
+        Some(kib.div_ceil(1024))
+    }
+
+    /// A field of proc(5), `/proc/PID/status`.
+    fn status_field(&self, name: &str) -> Option<String> {
+        let path = format!("/proc/{}/status", self.child.as_ref()?.id());
+        let status = std::fs::read_to_string(path).ok()?;
+        status.lines().find_map(|line| line.strip_prefix(name)).map(|value| value.trim().to_owned())
+    }
+
     /// What it has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
