Long answers to keyed requests are passed on as they come

A streamed answer is longer than any that is stored, so it is passed on; its key counts as in progress until it ends.

Test: a_balancer_keeps_within_its_memory_however_many_long_answers_come_at_once failed before and passes now.

--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -564,6 +564,12 @@
                 self.ledger.borrow_mut().finish(&key, run, None);
                 response
             }
+            // A response that is larger than any that is stored is passed on as it comes.
+            RunResult::Responded(Reply { status, headers, body: Payload::Streaming(mut body) }) => {
+                let (receiver, key) = (self.clone(), key.clone());
+                body.on_end(move |_| receiver.ledger.borrow_mut().finish(&key, run, None));
+                forwarded(Reply { status, headers, body: Payload::Streaming(body) })
+            }
             RunResult::Responded(reply) => {
                 let (response, stored) = match collect(reply).await {
                     Ok(whole) => whole,
--- a/mesh/testbed/tests/body_memory.rs
+++ b/mesh/testbed/tests/body_memory.rs
@@ -185,6 +185,16 @@
     }
 }
 
+/// Guards against answers to keyed requests that are read whole whatever their length, although long ones are not stored.
+#[test]
+fn a_balancer_keeps_within_its_memory_however_many_long_answers_come_at_once() {
+    let long = Burst { requests: 8, answer_bytes: 24 << 20, ..SMALL };
+    for (net, burst) in [(87, long), (88, Burst { keyed: true, ..long })] {
+        let peak = peak_memory(net, 64, burst);
+        assert!(peak <= 64, "{burst:?}: {peak} MiB, allowed are 64");
+    }
+}
+
 /// Guards against upstreams that are taken for unreachable, or slots that stay taken, because a sender broke off.
 #[test]
 fn a_body_that_breaks_off_says_nothing_about_the_upstream() {
