A request sent again takes a connection to the upstream that has not carried it

The copy of a refusal was taken for the answer of the same try sent again: its claim was given back and its key ran twice. The id shows a surplus answer, but not where both attempts are one try on one connection.

Change: a pooled connection remembers the ids of the last 32 requests that it carried; Pool::take passes over those that carried this one. The upstream's connections use X-Try-Id.

The new test of upstream.rs fails without the check (one connection where two are expected).

--- a/http/src/pool.rs
+++ b/http/src/pool.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::binary_heap::PeekMut;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -36,6 +36,13 @@
 /// Timeout of a connection attempt if the settings have none, and of a whole health probe.
 pub const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of requests for which a connection remembers that it carried them. A surplus response stands before those to
+/// later requests, so one that has not shown up after this many is not to be expected any more.
+const REMEMBERED_REQUESTS: usize = 32;
+
+/// Hash of the id that responses repeat to show which request they belong to.
+pub type RequestIdHash = u64;
+
 /// The socket below hyper. The pool can inspect it while hyper uses it, and it counts the bytes written.
 struct Socket {
     stream: Rc<RefCell<TokioIo<TcpStream>>>,
@@ -112,9 +119,24 @@
     pub written: Rc<Cell<u64>>,
     released: Rc<Cell<bool>>,
     address: SocketAddr,
+    /// Hashes of the ids of the requests that the connection carried last, oldest first.
+    carried: VecDeque<RequestIdHash>,
 }
 
 impl Conn {
+    /// Records that the connection carries a request with this id.
+    pub fn record_request(&mut self, id: RequestIdHash) {
+        if self.carried.len() == REMEMBERED_REQUESTS {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(id);
+    }
+
+    /// Returns whether the connection carried a request with this id.
+    fn has_carried(&self, id: Option<RequestIdHash>) -> bool {
+        id.is_some_and(|id| self.carried.contains(&id))
+    }
+
     /// Returns whether the connection is open and has no unexpected input. This asks the kernel, because the runtime
     /// may not have polled the socket since the upstream closed it, and a request on a closed connection would end
     /// in a reset.
@@ -251,11 +273,18 @@
         }
     }
 
-    /// Takes the most recently used idle connection that can be reused.
-    pub fn take(&self, to: &Target) -> Option<Conn> {
+    /// Takes the most recently used idle connection that can be reused. A request with an id is not sent on a connection
+    /// that carried one with the same id: a surplus response to the earlier one could not be told from its own.
+    pub fn take(&self, to: &Target, request_id: Option<RequestIdHash>) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.by_upstream.get_mut(&to.server)?;
-        while let Some(IdleConn { conn, since }) = list.pop() {
+        let mut index = list.len();
+        while index > 0 {
+            index -= 1;
+            if list[index].conn.has_carried(request_id) {
+                continue;
+            }
+            let IdleConn { conn, since } = list.remove(index);
             if conn.address == to.address && since.elapsed() < self.idle_timeout.get() && conn.is_reusable() {
                 return Some(conn);
             }
@@ -330,7 +359,15 @@
         let driver = spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(Conn { sender, driver: driver.abort_handle(), stream, written, released, address })
+        Ok(Conn {
+            sender,
+            driver: driver.abort_handle(),
+            stream,
+            written,
+            released,
+            address,
+            carried: VecDeque::new(),
+        })
     }
 
     /// Closes connections that have been idle too long. A single timer serves all connections.
--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Sends attempts and health probes to upstreams.
 
 use std::cell::{Cell, RefCell};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,7 +19,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::payload::{BodyEnd, Payload, StreamingBody};
-use crate::pool::{Conn, DEFAULT_CONNECT_TIMEOUT, Pool};
+use crate::pool::{Conn, DEFAULT_CONNECT_TIMEOUT, Pool, RequestIdHash};
 use crate::upload::{OutgoingBody, RequestBody};
 use crate::{MAX_BUFFERED_BYTES, PLATFORM_MAX_BODY_BYTES};
 
@@ -48,6 +49,9 @@
     /// A header in which a response that declines a request names the instance at the upstream's address. Another name
     /// than that of the attempt's target shows that the target is gone.
     pub instance_header: Option<HeaderName>,
+    /// A header that names a request in its responses, and that stays the same when the request is sent again. Such a
+    /// request takes a connection that has not carried it before.
+    pub request_id_header: Option<HeaderName>,
 }
 
 impl UpstreamProtocol {
@@ -65,9 +69,18 @@
             forwards_errors: false,
             echo_header: None,
             instance_header: None,
+            request_id_header: None,
         }
     }
 
+    /// Returns the hash of the id of a request, if the protocol has one.
+    fn request_id(&self, call: &Call) -> Option<RequestIdHash> {
+        let id = call.headers.get(self.request_id_header.as_ref()?)?;
+        let mut hasher = DefaultHasher::new();
+        id.as_bytes().hash(&mut hasher);
+        Some(hasher.finish())
+    }
+
     /// Returns whether a response that declines a request shows that another instance is at the target's address.
     fn shows_replaced(&self, to: &Target, headers: &HeaderMap) -> bool {
         let present = self.instance_header.as_ref().and_then(|name| headers.get(name));
@@ -418,8 +431,9 @@
     write_progress: &WriteProgress,
 ) -> ExchangeResult {
     let start = Instant::now();
+    let request_id = protocol.request_id(call);
     loop {
-        let (mut conn, reused) = match pool.take(to) {
+        let (mut conn, reused) = match pool.take(to, request_id) {
             Some(conn) => (conn, true),
             None => match pool.connect(to.address).await {
                 Ok(conn) => (conn, false),
@@ -427,6 +441,9 @@
             },
         };
         write_progress.start(&conn);
+        if let Some(id) = request_id {
+            conn.record_request(id);
+        }
         let time_left = limit.map(|l| l.saturating_sub(start.elapsed().as_micros() as Micros));
         let attempt_number = pool.next_attempt();
         match conn
@@ -640,7 +657,8 @@
                 exchange_once(&upstreams, &listener, Target { server: 1, ..to.clone() }).await;
             assert_eq!((outcome, upstreams.pool.open_connections()), (Outcome::Ok, 1));
             assert_eq!(first.read(&mut [0]).await.expect("end of stream"), 0);
-            let taken = upstreams.pool.take(&Target { server: 1, ..to.clone() }).expect("an idle connection");
+            let taken =
+                upstreams.pool.take(&Target { server: 1, ..to.clone() }, None).expect("an idle connection");
             assert_eq!(upstreams.pool.connect(to.address).await.err(), Some(Outcome::NotSent));
             drop(taken);
         });
@@ -652,7 +670,42 @@
             let (stream, _) = exchange_once(&upstreams, &listener, to.clone()).await;
             drop(stream);
             // The runtime was not polled since, so only the socket itself shows that it is closed.
-            assert!(upstreams.pool.take(&to).is_none());
+            assert!(upstreams.pool.take(&to, None).is_none());
+        });
+    }
+
+    /// Guards against a late copy of a refusal that is taken for the answer to the same request sent again.
+    #[test]
+    fn a_request_that_is_sent_again_takes_a_connection_that_has_not_carried_it() {
+        with_upstreams(9, async |upstreams, listener, to| {
+            let name = HeaderName::from_static("x-id");
+            let protocol =
+                UpstreamProtocol { request_id_header: Some(name.clone()), ..UpstreamProtocol::platform() };
+            upstreams.set_config(&fs::Settings::new(Vec::new()).limits, protocol);
+            let send = async |id: &'static str| {
+                let mut call = call();
+                call.headers.insert(name.clone(), HeaderValue::from_static(id));
+                upstreams.relay(&to, &call, 1_000_000, |_, _| true).await
+            };
+            // The upstream answers each request on the connection that it comes on.
+            let connections = Rc::new(Cell::new(0));
+            let counted = connections.clone();
+            spawn_local(async move {
+                while let Ok((mut stream, _)) = listener.accept().await {
+                    counted.set(counted.get() + 1);
+                    spawn_local(async move {
+                        loop {
+                            respond_ok(&mut stream).await;
+                        }
+                    });
+                }
+            });
+            for (id, expected) in [("one", 1), ("two", 1), ("one", 2), ("two", 2), ("one", 3), ("three", 3)] {
+                assert!(matches!(send(id).await, RelayOutcome::Answered(_)), "{id}");
+                tokio::task::yield_now().await;
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                assert_eq!(connections.get(), expected, "connections after {id}");
+            }
         });
     }
 
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -136,6 +136,7 @@
         forwards_errors: false,
         echo_header: None,
         instance_header: None,
+        request_id_header: Some(header_names::TRY_ID),
     };
     let limits = fs::Limits { idle_close: 8_000_000, ..fs::Settings::new(Vec::new()).limits };
     let to_upstream = Upstreams::new(&limits, connections.clone(), dialect);
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -205,6 +205,7 @@
         forwards_errors: true,
         echo_header: Some(header_names::ATTEMPT),
         instance_header: Some(header_names::INSTANCE),
+        request_id_header: None,
     }
 }
 
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -120,6 +120,7 @@
         forwards_errors: false,
         echo_header: None,
         instance_header: None,
+        request_id_header: None,
     })
 }
 
