A streamed answer is not ended for silence before the deadline of its request

Cause: upstream_stall of 6 s in client_io.rs, whatever the request allows. Now the deadline of the stage is never before that of the request, and in the mesh a slow body may take as long as its client waits.

--- a/http/src/client_io.rs
+++ b/http/src/client_io.rs
@@ -25,6 +25,8 @@
 /// Minimum rate of a request body on the platform, in bytes per second. This is half the rate of the platform's
 /// slowest clients.
 const PLATFORM_MIN_BODY_RATE: u64 = 32 * 1000;
+/// Upper bound for the time that a client waits for a response.
+const MAX_TIME_LEFT: Duration = Duration::from_secs(24 * 3600);
 /// Maximum number of bytes per read from the socket.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
@@ -42,7 +44,10 @@
     pub body_min_rate: u64,
     /// Maximum time without any byte of a body, whatever `body_min_rate` allows.
     pub body_silence: Duration,
-    /// Maximum time without data from the upstream while a response is streamed.
+    /// Whether a body may take as long as the client waits for its response, if that is longer than the limits above.
+    pub body_within_time_left: bool,
+    /// Maximum time without data from the upstream while a response is streamed. A response is never ended for this before
+    /// the deadline of its request.
     pub upstream_stall: Duration,
     /// Maximum time in which a client reads nothing of its response. It is far longer than the other limits, because
     /// the kernel reports a writable socket only when a third of its buffer is free. For a slow client that can be
@@ -60,6 +65,7 @@
             body,
             body_min_rate: PLATFORM_MIN_BODY_RATE,
             body_silence,
+            body_within_time_left: false,
             upstream_stall,
             client_stall,
         }
@@ -185,8 +191,10 @@
     blocked_since: Cell<Option<Instant>>,
     /// Total time since the head began during which the upstream accepted no data.
     blocked_total: Cell<Duration>,
-    /// How long a streamed request may wait in the queue before it is sent.
-    max_queue_wait: Cell<Duration>,
+    /// How long the client waits for a response once its request is complete.
+    time_left: Cell<Duration>,
+    /// When the client stops waiting for the response; set once its request is complete.
+    request_deadline: Cell<Option<Instant>>,
     idle_key: Cell<Option<u64>>,
     error: Cell<Option<RequestError>>,
     chunked: Cell<bool>,
@@ -211,7 +219,8 @@
             last_received_at: Cell::new(now),
             blocked_since: Cell::default(),
             blocked_total: Cell::default(),
-            max_queue_wait: Cell::default(),
+            time_left: Cell::default(),
+            request_deadline: Cell::default(),
             idle_key: Cell::default(),
             error: Cell::default(),
             chunked: Cell::default(),
@@ -239,7 +248,8 @@
             self.first_byte_at.set(now);
             self.received_bytes.set(0);
             self.blocked_total.set(Duration::ZERO);
-            self.max_queue_wait.set(Duration::ZERO);
+            self.time_left.set(Duration::ZERO);
+            self.request_deadline.set(None);
         }
         self.blocked_since.set(None);
         let previous = self.stage.replace(stage);
@@ -281,10 +291,9 @@
         }
     }
 
-    /// Records that the body is streamed. `max_queue_wait` is how long the request may wait in the queue before it
-    /// is sent.
-    pub fn start_streaming(&self, max_queue_wait: Duration) {
-        self.max_queue_wait.set(max_queue_wait);
+    /// Sets how long the client waits for a response once its request is complete.
+    pub fn set_time_left(&self, time_left: Duration) {
+        self.time_left.set(time_left.min(MAX_TIME_LEFT));
     }
 
     /// Returns whether the body waits for an upstream that accepts no data.
@@ -295,6 +304,7 @@
     /// Records that the whole request was received.
     pub fn request_received(&self) {
         self.unread_input.set(false);
+        self.request_deadline.set(Some(Instant::now() + self.time_left.get()));
         self.enter(Stage::AwaitingResponse);
     }
 
@@ -329,7 +339,7 @@
             Stage::Body if self.is_upstream_blocked() => self
                 .blocked_since
                 .get()
-                .map(|since| since + timeouts.upstream_stall.max(self.max_queue_wait.get())),
+                .map(|since| since + timeouts.upstream_stall.max(self.time_left.get())),
             Stage::Body => {
                 let rate_allowance = match timeouts.body_min_rate {
                     0 => Duration::ZERO,
@@ -340,11 +350,16 @@
                 let rate_deadline = (self.stage_since.get() + timeouts.body).max(minimum)
                     + rate_allowance
                     + self.blocked_total.get();
-                Some(rate_deadline.min((self.last_received_at.get() + timeouts.body_silence).max(minimum)))
+                let silence_deadline = (self.last_received_at.get() + timeouts.body_silence).max(minimum);
+                let deadline = rate_deadline.min(silence_deadline);
+                let time_left =
+                    if timeouts.body_within_time_left { self.time_left.get() } else { Duration::ZERO };
+                Some(deadline.max(self.stage_since.get() + time_left))
             }
             Stage::AwaitingResponse => None,
             Stage::Responding => {
-                Some(self.stage_since.get().max(self.last_write_at.get()) + timeouts.upstream_stall)
+                let stalled = self.stage_since.get().max(self.last_write_at.get()) + timeouts.upstream_stall;
+                Some(self.request_deadline.get().map_or(stalled, |deadline| deadline.max(stalled)))
             }
         }
     }
@@ -631,4 +646,39 @@
             assert_eq!(state.stage_deadline(), Some(Instant::now() + timeouts.idle));
         });
     }
+
+    /// Guards against responses that are ended for their upstream's silence before the deadline of the request.
+    #[test]
+    fn a_stalled_response_is_not_ended_before_the_deadline_of_its_request() {
+        with_paused_clock(async |state| {
+            let timeouts = StageTimeouts::default();
+            for (time_left, expected) in [
+                (2 * timeouts.upstream_stall, 2 * timeouts.upstream_stall),
+                (HALF_SECOND, timeouts.upstream_stall),
+                (Duration::MAX, MAX_TIME_LEFT),
+            ] {
+                state.enter(Stage::Head);
+                state.enter(Stage::Body);
+                state.set_time_left(time_left);
+                state.request_received();
+                let received_at = Instant::now();
+                state.response_started();
+                assert_eq!(state.stage_deadline(), Some(received_at + expected));
+                state.response_finished();
+            }
+        });
+    }
+
+    #[test]
+    fn a_body_may_take_the_time_that_its_client_waits_where_the_listener_allows_it() {
+        with_paused_clock(async |state| {
+            let timeouts = StageTimeouts { body_within_time_left: true, ..StageTimeouts::default() };
+            state.idle_connections.set_timeouts(timeouts);
+            state.enter(Stage::Head);
+            state.enter(Stage::Body);
+            let head_at = Instant::now();
+            state.set_time_left(10 * HALF_SECOND);
+            assert_eq!(state.stage_deadline(), Some(head_at + 10 * HALF_SECOND));
+        });
+    }
 }
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -428,6 +428,7 @@
             return self.refused(0, "no room");
         };
         let mut upload = None;
+        state.set_time_left(Duration::from_micros(admission.time_left));
         let limits = BodyLimits {
             max_bytes: admission.max_body_bytes as u64,
             forbidden: admission.forbids_body,
@@ -440,7 +441,6 @@
             }
             Ok(ReceivedBody::Streaming(body)) => {
                 let state = state.clone();
-                state.start_streaming(Duration::from_micros(admission.time_left));
                 body.on_received(move || state.request_received());
                 upload = Some(body.clone());
                 (RequestBody::Streaming(body), (response_memory, Vec::new()))
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -90,6 +90,7 @@
     let pace = StageTimeouts {
         idle: limits.idle.duration(),
         head: limits.header.duration(),
+        body_within_time_left: true,
         ..StageTimeouts::default()
     };
     ServerLimits {
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -184,6 +184,7 @@
             body: time(listener.body_timeout),
             body_min_rate: 0,
             body_silence: time(listener.body_timeout),
+            body_within_time_left: false,
             upstream_stall: time(listener.idle_timeout),
             client_stall: time(listener.idle_timeout),
         },
