A repeat asks the core itself where another repeat of its key is being looked up

Now a run is its key's only once its claim is granted; while the claim is being asked for, just the run itself is known as in progress, for those whom the core names it to.

Test: repeats_that_come_at_once_all_get_the_first_answer. Before: 200 and 409 for its first key; now all 80 repeats get the first answer. Failed tries: the first two forms of the test passed on the old code, since the balancer that was asked had the replica.

--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -468,6 +468,7 @@
                 RunState::Running => RpcResponse::RunInProgress,
                 RunState::Finished(response) => RpcResponse::RunFinished(response.clone()),
             }),
+            _ if self.ledger.borrow().is_claiming(run) => Some(RpcResponse::RunInProgress),
             _ => None,
         }
     }
@@ -532,17 +533,17 @@
             return self.answer_repeat(&key, run, &own, request.try_id).await;
         }
         let run = fastrand::u64(1..);
-        self.ledger.borrow_mut().start(self.now() / 1000, &key, run);
+        self.ledger.borrow_mut().begin_claim(run);
         let time_left = Duration::from_micros(request.deadline.saturating_sub(self.now()));
         match self.keys.claim(&key, run, time_left / 2).await {
-            Ok(ClaimOutcome::Granted) => {}
+            Ok(ClaimOutcome::Granted) => self.ledger.borrow_mut().start(self.now() / 1000, &key, run),
             Ok(ClaimOutcome::Held { run: first, holder }) => {
-                self.ledger.borrow_mut().remove_run(&key, run);
+                self.ledger.borrow_mut().end_claim(run);
                 return self.answer_repeat(&key, first, &holder, request.try_id).await;
             }
             Err(error) => {
                 debug!(target: "keys", "An operation key could not be claimed: {error:#}.");
-                self.ledger.borrow_mut().remove_run(&key, run);
+                self.ledger.borrow_mut().end_claim(run);
                 return not_run(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "the key could not be claimed",
--- a/mesh/idempotency/src/ledger.rs
+++ b/mesh/idempotency/src/ledger.rs
@@ -1,6 +1,6 @@
 //! Results of the runs whose claims this machine holds.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use bytes::Bytes;
 
@@ -20,6 +20,9 @@
 pub struct Ledger {
     /// Run identifier and state, by operation key.
     entries: HashMap<Bytes, (u64, RunState)>,
+    /// Runs whose claims are being asked for. Most of several runs for one key will be denied, so none of them counts as the
+    /// run of the key before its claim is granted.
+    claiming: HashSet<u64>,
     /// Start time, run identifier and operation key of each run, oldest first. Removed runs stay listed until they expire.
     expiry_order: VecDeque<(u64, u64, Bytes)>,
     /// Age in milliseconds at which an entry expires.
@@ -36,6 +39,7 @@
     pub fn new(window_ms: u64, max_bytes: usize) -> Ledger {
         Ledger {
             entries: HashMap::new(),
+            claiming: HashSet::new(),
             expiry_order: VecDeque::new(),
             window_ms,
             stored_bytes: 0,
@@ -63,12 +67,28 @@
         self.entries.get(key)
     }
 
+    /// Records that the claim of a run is being asked for. [`Ledger::start`] or [`Ledger::end_claim`] follows.
+    pub fn begin_claim(&mut self, run: u64) {
+        self.claiming.insert(run);
+    }
+
+    /// Records that the claim of a run was denied or failed.
+    pub fn end_claim(&mut self, run: u64) {
+        self.claiming.remove(&run);
+    }
+
+    /// Whether the claim of a run is being asked for. It may have been granted already, with the answer on its way.
+    pub fn is_claiming(&self, run: u64) -> bool {
+        self.claiming.contains(&run)
+    }
+
     /// Records the start of a run in place of any earlier entry for its key, and removes expired entries.
     pub fn start(&mut self, now_ms: u64, key: &Bytes, run: u64) {
         while self.expiry_order.front().is_some_and(|(at, ..)| at.saturating_add(self.window_ms) < now_ms) {
             let Some((_, run, key)) = self.expiry_order.pop_front() else { break };
             self.remove_run(&key, run);
         }
+        self.claiming.remove(&run);
         self.remove(key);
         self.entries.insert(key.clone(), (run, RunState::Running));
         self.expiry_order.push_back((now_ms, run, key.clone()));
