The size of a request's head is bounded by size_limits.header_bytes, not by a fixed 16 KiB

The limit is now the configuration's, from its coming into force on, up to 128 KiB, which the connections between balancers have buffers for too. The present program keeps its 16 KiB.

--- a/http/src/client_io.rs
+++ b/http/src/client_io.rs
@@ -20,8 +20,6 @@
 
 /// A connection that has been idle for less than this time is not closed to make room for others.
 const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(100);
-/// Maximum size of a request head in bytes.
-const MAX_REQUEST_HEAD_BYTES: usize = 16 * 1024;
 /// Minimum rate of a request body on the platform, in bytes per second. This is half the rate of the platform's
 /// slowest clients.
 const PLATFORM_MIN_BODY_RATE: u64 = 32 * 1000;
@@ -130,25 +128,30 @@
 /// The idle client connections, ordered from the one that has been idle longest, and the counts of all connections.
 pub struct IdleConnections {
     timeouts: Cell<StageTimeouts>,
+    /// Maximum size of a request head in bytes.
+    max_head_bytes: Cell<usize>,
     counts: Cell<ConnectionCounts>,
     idle: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
     next_key: Cell<u64>,
 }
 
 impl IdleConnections {
-    /// Creates an empty set of idle connections. All connections of the listener use these time limits.
-    pub fn new(timeouts: StageTimeouts) -> Rc<IdleConnections> {
+    /// Creates an empty set of idle connections. All connections of the listener use these time limits, and this maximum
+    /// size of a request head in bytes.
+    pub fn new(timeouts: StageTimeouts, max_head_bytes: usize) -> Rc<IdleConnections> {
         Rc::new(IdleConnections {
             timeouts: Cell::new(timeouts),
+            max_head_bytes: Cell::new(max_head_bytes),
             counts: Cell::default(),
             idle: RefCell::default(),
             next_key: Cell::default(),
         })
     }
 
-    /// Changes the time limits of all connections.
-    pub fn set_timeouts(&self, timeouts: StageTimeouts) {
+    /// Changes the time limits of all connections, and the maximum size of the request heads that arrive from now on.
+    pub fn set_limits(&self, timeouts: StageTimeouts, max_head_bytes: usize) {
         self.timeouts.set(timeouts);
+        self.max_head_bytes.set(max_head_bytes);
     }
 
     /// Number of connections by what they wait for.
@@ -427,6 +430,16 @@
         self.stream
     }
 
+    /// Returns the maximum size of a request head in bytes.
+    fn max_head_bytes(&self) -> usize {
+        self.state.idle_connections.max_head_bytes.get()
+    }
+
+    /// Returns how many more bytes of a request head may be buffered.
+    fn head_space(&self) -> usize {
+        self.max_head_bytes().saturating_sub(self.buffer.len())
+    }
+
     /// Reads up to `max_bytes` bytes into the buffer. Returns the number of bytes read.
     fn fill(&mut self, cx: &mut Context<'_>, max_bytes: usize) -> Poll<io::Result<usize>> {
         let mut chunk = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
@@ -477,7 +490,7 @@
                 {
                     // Reads on to notice whether the client disconnects. Input that arrives before the response has
                     // ended is buffered.
-                    let space = MAX_REQUEST_HEAD_BYTES - this.buffer.len().min(MAX_REQUEST_HEAD_BYTES);
+                    let space = this.head_space();
                     if space == 0 {
                         return Poll::Pending;
                     }
@@ -491,6 +504,9 @@
                     }
                     match parse_request_head(&this.buffer) {
                         Err(()) => return this.reject(RequestError::Malformed),
+                        Ok(Some((head, _))) if head > this.max_head_bytes() => {
+                            return this.reject(RequestError::HeadTooLarge);
+                        }
                         Ok(Some((head, framing))) => {
                             let head = head as u64;
                             this.state.chunked.set(framing == Framing::Chunked);
@@ -501,11 +517,11 @@
                                 Framing::Chunked => Expected::Rest,
                             };
                         }
-                        Ok(None) if this.buffer.len() >= MAX_REQUEST_HEAD_BYTES => {
+                        Ok(None) if this.head_space() == 0 => {
                             return this.reject(RequestError::HeadTooLarge);
                         }
                         Ok(None) => {
-                            if ready!(this.fill(cx, MAX_REQUEST_HEAD_BYTES - this.buffer.len()))? == 0 {
+                            if ready!(this.fill(cx, this.head_space()))? == 0 {
                                 return Poll::Ready(Ok(()));
                             }
                         }
@@ -583,7 +599,9 @@
     fn with_paused_clock(test: impl AsyncFnOnce(Rc<ConnectionState>)) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
         // The state is created inside the runtime, where the clock is paused.
-        let test = async { test(ConnectionState::new(IdleConnections::new(StageTimeouts::default()))).await };
+        let test = async {
+            test(ConnectionState::new(IdleConnections::new(StageTimeouts::default(), 16 << 10))).await
+        };
         runtime.expect("a runtime").block_on(test);
     }
 
@@ -673,7 +691,7 @@
     fn a_body_may_take_the_time_that_its_client_waits_where_the_listener_allows_it() {
         with_paused_clock(async |state| {
             let timeouts = StageTimeouts { body_within_time_left: true, ..StageTimeouts::default() };
-            state.idle_connections.set_timeouts(timeouts);
+            state.idle_connections.set_limits(timeouts, 16 << 10);
             state.enter(Stage::Head);
             state.enter(Stage::Body);
             let head_at = Instant::now();
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -21,3 +21,11 @@
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Maximum size of hyper's read buffer for a connection, in bytes. A longer message head is rejected.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Default maximum size of a request head in bytes.
+pub const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Upper bound for the maximum size of a request head that a listener can be given, in bytes.
+pub const MAX_HEAD_BYTES: usize = 128 * 1024;
+/// Size in bytes that proxies add to a request head at most, with the headers that they set.
+const ADDED_HEAD_BYTES: usize = 16 * 1024;
+/// Size in bytes that a connection's read buffer needs for the largest request head.
+pub const MAX_HEAD_BUFFER_BYTES: usize = MAX_HEAD_BYTES + ADDED_HEAD_BYTES;
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -24,7 +24,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::MAX_READ_AHEAD_BYTES;
 use crate::client_io::{
     ClientIo, ConnectionCounts, ConnectionState, IdleConnections, RequestError, Stage, StageTimeouts,
 };
@@ -34,6 +33,7 @@
 use crate::upload::RequestBody;
 use crate::upstream::Call;
 use crate::whole_body::buffer_whole;
+use crate::{DEFAULT_MAX_HEAD_BYTES, MAX_HEAD_BUFFER_BYTES, MAX_HEAD_BYTES};
 
 /// Upper bound of the drain time on the platform, before [`PLATFORM_DRAIN_EXTENSION`] is added. Below this bound,
 /// the longest deadline is the drain time.
@@ -78,6 +78,8 @@
     pub max_connections: usize,
     /// Time limits for the stages of a connection.
     pub timeouts: StageTimeouts,
+    /// Maximum size of a request head in bytes, at most [`MAX_HEAD_BYTES`].
+    pub max_head_bytes: usize,
     /// The path of the readiness check.
     pub ready_path: String,
     /// Time from the order to stop until requests that are still open are answered. The process must run on for a while, so
@@ -96,6 +98,7 @@
         ServerLimits {
             max_connections,
             timeouts,
+            max_head_bytes: DEFAULT_MAX_HEAD_BYTES,
             ready_path,
             drain_timeout,
             accept_after_stop: drain_timeout.mul_f64(PLATFORM_ACCEPT_SHARE),
@@ -123,8 +126,10 @@
 impl<F: Frontend> HttpServer<F> {
     /// Creates a server that handles requests as the frontend decides.
     pub fn new(frontend: F, limits: ServerLimits, phase: watch::Receiver<Phase>) -> Rc<Self> {
-        let (slots, idle_connections) =
-            (Arc::new(Semaphore::new(limits.max_connections)), IdleConnections::new(limits.timeouts));
+        let (slots, idle_connections) = (
+            Arc::new(Semaphore::new(limits.max_connections)),
+            IdleConnections::new(limits.timeouts, limits.max_head_bytes.min(MAX_HEAD_BYTES)),
+        );
         let (limits, open_request_ids) = (RefCell::new(limits), RefCell::default());
         let (stop_ordered_at, drain_expired) = (Cell::default(), Notify::new());
         let (client_policy, _) = watch::channel(ClientPolicy::default());
@@ -155,7 +160,7 @@
     /// Changes the limits. Existing connections stay open.
     pub fn set_limits(&self, limits: ServerLimits) {
         let before = std::mem::replace(&mut *self.limits.borrow_mut(), limits.clone());
-        self.idle_connections.set_timeouts(limits.timeouts);
+        self.idle_connections.set_limits(limits.timeouts, limits.max_head_bytes.min(MAX_HEAD_BYTES));
         match limits.max_connections.checked_sub(before.max_connections) {
             Some(added) => self.connection_slots.add_permits(added),
             None => {
@@ -305,7 +310,7 @@
             }
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_READ_AHEAD_BYTES);
+        builder.max_buf_size(MAX_HEAD_BUFFER_BYTES);
         let mut connection = builder.serve_connection(ClientIo::new(stream, state.clone()), service);
         let mut phase = self.phase.clone();
         let mut client_policy = self.client_policy.subscribe();
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -96,6 +96,7 @@
     ServerLimits {
         max_connections: places,
         timeouts: pace,
+        max_head_bytes: usize::try_from(limits.header_bytes).unwrap_or(usize::MAX),
         ready_path: "/-/ready".to_owned(),
         drain_timeout: shutdown.requests_end,
         accept_after_stop: shutdown.accept_end,
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -214,7 +214,7 @@
             async move { Ok::<_, Infallible>(receiver.respond_numbered(request).await) }
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(64 << 10);
+        builder.max_buf_size(sloeline_http::MAX_HEAD_BUFFER_BYTES);
         let _ = builder.serve_connection(TokioIo::new(stream), service).await;
     }
 
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -177,6 +177,7 @@
     let longest = config.longest_deadline() + STOP_MARGIN;
     let leave_within = time(config.limits.stop_timeout.unwrap_or(longest));
     ServerLimits {
+        max_head_bytes: sloeline_http::DEFAULT_MAX_HEAD_BYTES,
         max_connections: places,
         timeouts: StageTimeouts {
             idle: time(listener.idle_timeout),
