A process whose clock was set back before its start takes the next incarnation that its peers don't know

Read as possible in the review, now shown by a test: a process that starts again with an earlier time of day has a record of a lower incarnation than the one that its peers keep, and they ignored the new one for good: its new upstream, its address, even that it leaves. The exchange had a rule for it, but a peer never sends a process its own record; it only names the version that it has. That version is used now.

--- a/mesh/rpc/src/exchange.rs
+++ b/mesh/rpc/src/exchange.rs
@@ -103,23 +103,9 @@
     /// Merges records into the view. Received records of this process are ignored, except that one with a higher incarnation
     /// makes the local record take the next incarnation.
     fn merge_records(&self, records: Vec<Record>) {
-        // A peer knows a higher incarnation of this process than its own: the clock was set back before the start. The local
-        // record takes the next incarnation, so that it replaces the old record everywhere.
         let me = self.local_record.borrow().source.clone();
-        let highest = records
-            .iter()
-            .filter(|record| record.source == me)
-            .map(|record| record.version.incarnation)
-            .max();
-        if highest.is_some_and(|incarnation| incarnation > self.local_record.borrow().version.incarnation) {
-            let local = {
-                let mut local = self.local_record.borrow_mut();
-                local.version = Version { incarnation: highest.unwrap_or(0) + 1, revision: 1 };
-                local.clone()
-            };
-            self.mesh_state.borrow_mut().merge(vec![local]);
-            self.local_changes.send_modify(|n| *n += 1);
-        }
+        let known = records.iter().filter(|record| record.source == me).map(|record| record.version).max();
+        self.replace_newer_incarnation(known);
         let accepted = records
             .into_iter()
             .filter(|record| record.source != me || *record == *self.local_record.borrow());
@@ -129,6 +115,21 @@
         }
     }
 
+    /// Makes the local record take the next incarnation if a peer knows this process in a later one than its own, which happens
+    /// when the clock was set back before the start. The record then replaces the old one everywhere.
+    fn replace_newer_incarnation(&self, known: Option<Version>) {
+        let local = {
+            let mut local = self.local_record.borrow_mut();
+            let Some(known) = known.filter(|known| known.incarnation > local.version.incarnation) else {
+                return;
+            };
+            local.version = Version { incarnation: known.incarnation.saturating_add(1), revision: 1 };
+            local.clone()
+        };
+        self.mesh_state.borrow_mut().merge(vec![local]);
+        self.local_changes.send_modify(|n| *n += 1);
+    }
+
     /// Adds a committed configuration to the view, unless the view has one that is at least as new.
     pub fn apply_config(&self, config: Config) {
         let version = config.edition;
@@ -166,6 +167,7 @@
 
     /// Merges the answer to a pull into the view.
     fn apply_updates(self: &Rc<Self>, response: PullResponse, from: &Rc<Link>) {
+        self.replace_newer_incarnation(response.requester_version);
         if let Some(version) = response.offered_version {
             self.handle_offer(version, from);
         }
