A balancer that stops ends its keyed requests and the releases of their claims first

Read as possible in the review: a balancer that is told to stop counted only requests with a slot. One that still waited for the core was cut with the process, and its claim, granted later, held the key for its window with no run.

The wait ends with the schedule of the shutdown as before.

--- a/mesh/data-plane/src/keys.rs
+++ b/mesh/data-plane/src/keys.rs
@@ -65,6 +65,11 @@
         })
     }
 
+    /// Whether no claim is to be released in the background.
+    pub fn is_idle(&self) -> bool {
+        !self.releasing.get()
+    }
+
     /// Sets the addresses of the core machines, nearest first.
     pub fn set_core_machines(&self, addresses: &[SocketAddr]) {
         self.core.set_machines(addresses);
--- a/mesh/data-plane/src/receive.rs
+++ b/mesh/data-plane/src/receive.rs
@@ -2,7 +2,7 @@
 //! passed back. A response with the header `X-Not-Run` guarantees that the request never ran and never will, so that
 //! the sending balancer may retry it elsewhere.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,6 +72,8 @@
     ledger: RefCell<Ledger>,
     /// Records of the other processes, and the record of this one.
     exchange: Rc<Exchange>,
+    /// Number of keyed requests that are being handled.
+    keyed_requests: Rc<Cell<usize>>,
     /// Limits the memory for request bodies; shared with the requests of this machine's clients.
     body_memory: Rc<Share>,
     /// The outgoing link, which limits the rate of long responses.
@@ -96,6 +98,23 @@
     }
 }
 
+/// Counts a keyed request while it is being handled.
+struct KeyedRequestCount(Rc<Cell<usize>>);
+
+impl KeyedRequestCount {
+    /// Adds a request to a count. Dropping the returned value removes it.
+    fn new(count: &Rc<Cell<usize>>) -> KeyedRequestCount {
+        count.set(count.get() + 1);
+        KeyedRequestCount(count.clone())
+    }
+}
+
+impl Drop for KeyedRequestCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Identifies requests of similar processing time: a hash of the class name that the sending balancer gave.
 fn kind(headers: &HeaderMap) -> u64 {
     headers.get(header_names::KIND).map_or(0, |v| ring_hash(v.to_str().unwrap_or_default()))
@@ -158,6 +177,7 @@
             keys,
             ledger: RefCell::new(ledger),
             exchange,
+            keyed_requests: Rc::default(),
             body_memory,
             link,
             response_lengths: RefCell::default(),
@@ -184,9 +204,10 @@
         result
     }
 
-    /// Whether no request is queued or at the upstream, and no response waits for the link.
+    /// Whether no request is queued or at the upstream, no keyed one waits for the core, no claim is to be released, and no
+    /// response waits for the link.
     pub fn is_idle(&self) -> bool {
-        self.slots.is_idle() && self.link.is_idle()
+        self.slots.is_idle() && self.keyed_requests.get() == 0 && self.keys.is_idle() && self.link.is_idle()
     }
 
     /// Admits and expires queued requests when it is time; never returns.
@@ -317,7 +338,9 @@
             // A keyed request continues even if the sender disconnects.
             Some(key) => {
                 let (sender, response) = oneshot::channel();
+                let counted = KeyedRequestCount::new(&self.keyed_requests);
                 spawn_local(async move {
+                    let _counted = counted;
                     let response = self.forward_keyed(request, key).await;
                     let _ = sender.send(response);
                 });
--- a/mesh/idempotency/tests/keys.rs
+++ b/mesh/idempotency/tests/keys.rs
@@ -149,3 +149,18 @@
     ledger.store_replica(0, &key, 8, response(200));
     assert_eq!(ledger.get(&key), Some(&(8, RunState::Finished(Some(response(200))))));
 }
+
+/// A claim that a slow core machine takes up only after its run was given up, and its release stored by another machine.
+#[test]
+fn a_claim_that_arrives_after_its_release_holds_no_key() {
+    let mut claims = Claims::new(WINDOW_MS);
+    let key = Bytes::from_static(b"k");
+    let claim = |run| ClaimUpdate::Claim { key: key.clone(), run, holder: "m-1".to_owned() };
+    claims.apply(0, &ClaimUpdate::Release { key: key.clone(), run: 1 });
+    claims.apply(1, &claim(1));
+    assert_eq!(
+        claims.apply(2, &claim(2)).0,
+        ClaimOutcome::Granted,
+        "run 1 was given up before it was claimed"
+    );
+}
