Soak: long bodies, upstreams that turn away, memory of processes, and what tells a busy machine from a late balancer

Three clients send keyed bodies of 1 to 12 MiB, upstreams turn all requests away for a while, and no process may go over its memory_mb.

--- a/mesh/testbed/src/machine.rs
+++ b/mesh/testbed/src/machine.rs
@@ -75,6 +75,9 @@
     relayed: bool,
 }
 
+/// The memory that each process may have, in MB.
+pub const MEMORY_MB: u64 = 64;
+
 const INCOMING: u16 = 8300;
 const APP: u16 = 8301;
 const READINESS: u16 = 8302;
@@ -140,7 +143,7 @@
             "node_name = \"m-{machine}\"\nip_addr = \"{ip}\"\nzone_name = \"a\"\nport_range = [{MESH},7635]\n\
              seed_nodes = [{}]\nfirst_boot = {first}\n\
              guarantees = [\"grace=6s\",\"key_window=60s\",\"drain=2000ms\"]\n{rest}\n\
-             [zones]\na = \"r\"\n[size_limits]\nfile_handles = 2000\nmemory_mb = 64\n\
+             [zones]\na = \"r\"\n[size_limits]\nfile_handles = 2000\nmemory_mb = {MEMORY_MB}\n\
              [tolerance]\nmachine_loss = 1\n[docks]\ncontrol_dock = \"{ip}:{DOCK}\"\n",
             seeds.join(","),
         );
--- a/mesh/testbed/src/soak/account.rs
+++ b/mesh/testbed/src/soak/account.rs
@@ -1,6 +1,7 @@
 //! What a soak has seen, and what must hold of it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -28,10 +29,17 @@
     pub violations: Vec<String>,
     /// The newest version that each balancer has shown, and in which of its lives.
     shown: BTreeMap<u8, Shown>,
+    /// When the last probes of balancers began and ended, oldest first.
+    probes: VecDeque<(u8, Instant, Instant)>,
+    /// When timers of the test were late, and by how much.
+    lags: Vec<(Instant, Duration)>,
     /// How often something was done or seen.
     counts: BTreeMap<&'static str, u64>,
 }
 
+/// Number of probes that are remembered.
+const REMEMBERED_PROBES: usize = 2_000;
+
 impl Account {
     /// An order goes out.
     pub fn sent(&mut self, edition: u32, body: String) {
@@ -98,6 +106,28 @@
         self.shown.get(&balancer).filter(|shown| shown.life == life).map(|shown| shown.edition)
     }
 
+    /// A probe of a balancer that began at a moment has ended.
+    pub fn probe_took(&mut self, balancer: u8, began: Instant) {
+        if self.probes.len() == REMEMBERED_PROBES {
+            self.probes.pop_front();
+        }
+        self.probes.push_back((balancer, began, Instant::now()));
+    }
+
+    /// A timer of the test fired late by this much.
+    pub fn lagged(&mut self, by: Duration) {
+        self.lags.push((Instant::now(), by));
+    }
+
+    /// What tells a busy machine from a slow balancer since a moment: the slowest probe of the balancer, and the greatest
+    /// delay of the test's own timers.
+    pub fn slowness_since(&self, balancer: u8, moment: Instant) -> String {
+        let probes = self.probes.iter().filter(|(of, _, ended)| *of == balancer && *ended >= moment);
+        let slowest = probes.map(|(_, began, ended)| *ended - *began).max();
+        let lag = self.lags.iter().filter(|(at, _)| *at >= moment).map(|(_, by)| *by).max();
+        format!("slowest probe meanwhile {slowest:?}, the test's own timers late by {lag:?}")
+    }
+
     /// Something was wrong.
     pub fn violate(&mut self, what: String) {
         self.violations.push(what);
--- a/mesh/testbed/src/soak/kept.rs
+++ b/mesh/testbed/src/soak/kept.rs
@@ -76,7 +76,10 @@
         let mut account = self.account.borrow_mut();
         account.count("kept without an answer in time");
         if node.is_free_of_unplanned_for(CONTACT + took) {
-            account.violate(format!("balancer {balancer} has not answered {id} for {took:?} of {timeout:?}"));
+            let slowness = account.slowness_since(balancer, Instant::now() - took);
+            account.violate(format!(
+                "balancer {balancer} has not answered {id} for {took:?} of {timeout:?}; {slowness}"
+            ));
         }
     }
 
--- a/mesh/testbed/src/soak/load.rs
+++ b/mesh/testbed/src/soak/load.rs
@@ -7,7 +7,7 @@
 use fastrand::Rng;
 use serde_json::Value;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::account::Account;
 use super::fleet::{CORES, Fleet, SERVICE};
@@ -36,6 +36,13 @@
 const KEYS: u32 = 400;
 /// Clients that keep their connections.
 const KEPT: u32 = 6;
+/// Clients that send long bodies, how long these are, and the pause between two.
+const UPLOADERS: u32 = 3;
+const UPLOAD_BYTES: std::ops::Range<usize> = (1 << 20)..(12 << 20);
+const UPLOAD_GAP_MS: std::ops::Range<u64> = 20..400;
+/// How often the delay of the test's own timers is measured, and the least delay that is recorded.
+const LAG_CHECK: Duration = Duration::from_millis(20);
+const MIN_LAG: Duration = Duration::from_millis(100);
 /// Orders that the operator has under way at once.
 const ORDERS: u32 = 3;
 
@@ -188,7 +195,10 @@
         let (to, path) = (self.fleet.plan.outgoing(balancer), format!("/v/{version}/x"));
         let id = format!("probe-{:x}", fastrand::u64(..));
         let headers = [("Host", "shop.example"), ("X-Try-Id", id.as_str()), ("X-Time-Left", "1000")];
-        let answer = ask(to, "GET", &path, &headers, b"", PROBE_WITHIN).await.ok()?;
+        let began = Instant::now();
+        let answer = ask(to, "GET", &path, &headers, b"", PROBE_WITHIN).await;
+        self.account.borrow_mut().probe_took(balancer, began);
+        let answer = answer.ok()?;
         match answer.status {
             404 => Some(false),
             503 if answer.body == b"no configuration yet" => None,
@@ -239,10 +249,43 @@
         self.account.borrow_mut().count(if served { "keyed served" } else { "keyed not served" });
     }
 
+    /// Keyed requests with long bodies, each key once.
+    pub async fn upload(self, client: u32, mut rng: Rng) {
+        while Instant::now() < self.until {
+            let to = self.fleet.plan.outgoing(rng.u8(1..=self.fleet.last_balancer()));
+            let id = format!("upload-{client}-{:x}", rng.u64(..));
+            let headers = [
+                ("Host", "shop.example"),
+                ("X-Try-Id", id.as_str()),
+                ("X-Time-Left", "2000"),
+                ("X-Operation-Key", id.as_str()),
+            ];
+            let body = vec![b'u'; rng.usize(UPLOAD_BYTES)];
+            let within = Duration::from_secs(5);
+            let answer = ask(to, "POST", "/book/large", &headers, &body, within).await;
+            let served = answer.is_ok_and(|answer| answer.status == 200);
+            self.account.borrow_mut().count(if served { "upload served" } else { "upload not served" });
+            sleep(Duration::from_millis(rng.u64(UPLOAD_GAP_MS))).await;
+        }
+    }
+
+    /// Records how late the test's own timers are, which shows that the machine is busy.
+    pub async fn watch_lag(self) {
+        while Instant::now() < self.until {
+            let due = Instant::now() + LAG_CHECK;
+            sleep_until(due).await;
+            if due.elapsed() >= MIN_LAG {
+                self.account.borrow_mut().lagged(due.elapsed());
+            }
+        }
+    }
+
     /// Starts all of it.
     pub fn start(&self, rng: &mut Rng) {
         (0..ORDERS).for_each(|order| _ = spawn_local(self.clone().operate(2 + order, rng.fork())));
         (0..KEPT).for_each(|client| _ = spawn_local(self.clone().keep(client, rng.fork())));
+        (0..UPLOADERS).for_each(|client| _ = spawn_local(self.clone().upload(client, rng.fork())));
+        spawn_local(self.clone().watch_lag());
         spawn_local(self.clone().read_often(rng.fork()));
         (1..=self.fleet.last_balancer()).for_each(|balancer| _ = spawn_local(self.clone().probe(balancer)));
         (0..CLIENTS).for_each(|client| _ = spawn_local(self.clone().call(client, rng.fork())));
--- a/mesh/testbed/src/soak/mod.rs
+++ b/mesh/testbed/src/soak/mod.rs
@@ -14,6 +14,7 @@
 //! - no key runs twice;
 //! - an answer on a kept connection is the one to its request, it comes within its route's timeout and a second, and
 //!   around planned stops no request is left without one;
+//! - no process goes over its memory, however many long bodies come at once and whatever upstreams turn away;
 //! - no process counts a violation of an invariant, logs a defect, or ends by itself.
 
 pub mod account;
@@ -36,6 +37,7 @@
 use self::fleet::{CORES, Fleet};
 use self::load::Load;
 use crate::client::ask;
+use crate::machine::MEMORY_MB;
 use crate::process::Builds;
 
 /// How long the beginning may take.
@@ -131,6 +133,10 @@
 async fn check_processes(fleet: &Fleet, account: &RefCell<Account>) {
     for node in fleet.nodes() {
         let machine = node.machine;
+        let peak = node.process.borrow().peak_memory_mib();
+        if peak.is_some_and(|peak| peak > MEMORY_MB) {
+            account.borrow_mut().violate(format!("machine {machine} had {peak:?} of {MEMORY_MB} MB"));
+        }
         if !node.process.borrow_mut().is_running() {
             account.borrow_mut().violate(format!("machine {machine} has ended by itself"));
         }
--- a/mesh/testbed/src/soak/troubles.rs
+++ b/mesh/testbed/src/soak/troubles.rs
@@ -11,6 +11,7 @@
 use super::account::Account;
 use super::fleet::{CORES, Fleet, Node};
 use crate::relay::Fault;
+use crate::standin::Manner;
 
 /// Most troubles at a time.
 const MOST_AT_ONCE: usize = 3;
@@ -46,6 +47,8 @@
     SettingsSeries,
     /// The process stands still.
     Pause(Duration),
+    /// The upstream beside a balancer turns all requests away.
+    Refuse(Duration),
     /// The relay before it does something.
     Link(Fault, Duration),
 }
@@ -75,7 +78,7 @@
         let planned = trouble.is_planned();
         troubled.iter().for_each(|node| node.disturb(planned));
         at_work.spawn_local(async move {
-            trouble.run(&node, &troubled, &folder).await;
+            trouble.run(&fleet, &node, &troubled, &folder).await;
             troubled.iter().for_each(|node| node.calm(planned));
         });
     }
@@ -89,7 +92,7 @@
     let others = fleet.cores.iter().filter(|core| core.machine != node.machine);
     let may_wipe =
         is_core && node.troubles.get() == 0 && others.clone().all(|core| core.is_calm_for(SYNC_TIME));
-    match rng.u32(..15) {
+    match rng.u32(..17) {
         0 | 1 => Trouble::Kill(span),
         2 => Trouble::KillCore(span / 2),
         3 if may_wipe => Trouble::Wipe(span),
@@ -102,6 +105,7 @@
         11 => Trouble::Settings,
         12 => Trouble::Roll(span / 4),
         13 => Trouble::SettingsSeries,
+        14 | 15 => Trouble::Refuse(span),
         _ => Trouble::Pause(span / 4),
     }
 }
@@ -129,6 +133,7 @@
             Trouble::Settings => "settings told",
             Trouble::SettingsSeries => "settings told in a series",
             Trouble::Pause(_) => "pause",
+            Trouble::Refuse(_) => "refusing upstream",
             Trouble::Link(Fault::Hold, _) => "cut",
             Trouble::Link(Fault::HoldAnswers, _) => "lost answers",
             Trouble::Link(Fault::Reset, _) => "resets",
@@ -147,11 +152,13 @@
             Trouble::KillCore(_) => fleet.cores.iter().take(usize::from(CORES)).cloned().collect(),
             Trouble::Roll(_) => fleet.balancers.clone(),
             Trouble::SettingsSeries => fleet.nodes().cloned().collect(),
+            // Processes must keep all promises whatever their upstreams do.
+            Trouble::Refuse(_) => Vec::new(),
             _ => vec![node.clone()],
         }
     }
 
-    async fn run(self, node: &Node, troubled: &[Rc<Node>], folder: &Path) {
+    async fn run(self, fleet: &Fleet, node: &Node, troubled: &[Rc<Node>], folder: &Path) {
         match self {
             Trouble::Kill(span) | Trouble::KillCore(span) => {
                 troubled.iter().for_each(|node| node.process.borrow_mut().kill());
@@ -189,6 +196,12 @@
                 sleep(span).await;
                 node.process.borrow().resume();
             }
+            Trouble::Refuse(span) => {
+                let standin = &fleet.standins[usize::from(node.machine) % fleet.standins.len()];
+                standin.book().manner = Manner::Sheds;
+                sleep(span).await;
+                standin.book().manner = Manner::Well;
+            }
             Trouble::Link(fault, span) => {
                 node.relay.set(fault);
                 sleep(span).await;
