--- a/mesh/testbed/tests/links.rs
+++ b/mesh/testbed/tests/links.rs
@@ -21,6 +21,16 @@
 const DOWNLOADS: usize = 10;
 const DOWNLOAD_BYTES: usize = 100_000;
 
+/// The identifier of the upstream beside balancer 1.
+const UPSTREAM_ID: [&str; 2] = ["i-49-1", "i-50-1"];
+
+/// The headers of a request as another balancer sends it.
+fn headers(plan: &Plan) -> [(&'static str, &'static str); 4] {
+    let id = plan.upstream(1, "one", 1).id;
+    let id = UPSTREAM_ID.into_iter().find(|known| *known == id).expect("an upstream of these tests");
+    [("Host", "h.example"), ("X-Try-Id", "t"), ("X-Time-Left", "9000"), ("X-Addressee", id)]
+}
+
 /// More than the link carries at once would wait in its queue, and whatever is sent after that behind it.
 #[test]
 fn downloads_leave_no_faster_than_the_link_carries_them_and_small_answers_pass_by() {
@@ -33,18 +43,16 @@
         let _balancer = plan.balancer_on_link(1, "one", LINK_MBPS).expect("a balancer");
         let _upstream = plan.standin(1, "one", &standin, DOWNLOADS as u32 + 2).expect("an upstream");
         // As another balancer asks.
-        let request = async |path: &str| {
-            let headers = [("Host", "h.example"), ("X-Try-Id", "t"), ("X-Time-Left", "9000")];
-            ask(plan.incoming(1), "GET", path, &headers, b"", WITHIN).await
-        };
+        let request =
+            async |path: &str| ask(plan.incoming(1), "GET", path, &headers(&plan), b"", WITHIN).await;
         let small = until(|| request("/small"), |a| status(a) == 200).await;
         assert_eq!(status(&small), 200, "{small:?}");
         let (begun, over) = (Instant::now(), Rc::new(Cell::new(0)));
         for _ in 0..DOWNLOADS {
-            let (incoming, over) = (plan.incoming(1), over.clone());
+            let (plan, over) = (plan.clone(), over.clone());
             spawn_local(async move {
-                let headers = [("Host", "h.example"), ("X-Try-Id", "t"), ("X-Time-Left", "9000")];
-                let large = ask(incoming, "GET", "/large", &headers, b"", WITHIN).await.expect("an answer");
+                let large = ask(plan.incoming(1), "GET", "/large", &headers(&plan), b"", WITHIN).await;
+                let large = large.expect("an answer");
                 assert_eq!((large.status, large.body.len()), (200, DOWNLOAD_BYTES));
                 over.set(over.get() + 1);
             });
@@ -81,17 +89,15 @@
             Process::start(Program::DataPlane, Builds::single(testbed), &folder, "balancer", &settings);
         let mut balancer = started.expect("a process");
         let _upstream = plan.standin(1, "one", &standin, DOWNLOADS as u32).expect("an upstream");
-        let request = async |path: &str| {
-            let headers = [("Host", "h.example"), ("X-Try-Id", "t"), ("X-Time-Left", "9000")];
-            ask(plan.incoming(1), "GET", path, &headers, b"", WITHIN).await
-        };
+        let request =
+            async |path: &str| ask(plan.incoming(1), "GET", path, &headers(&plan), b"", WITHIN).await;
         let small = until(|| request("/small"), |a| status(a) == 200).await;
         assert_eq!(status(&small), 200, "{small:?}");
         let downloads = [(); DOWNLOADS].map(|()| {
-            let incoming = plan.incoming(1);
+            let plan = plan.clone();
             spawn_local(async move {
-                let headers = [("Host", "h.example"), ("X-Try-Id", "t"), ("X-Time-Left", "9000")];
-                ask(incoming, "GET", "/large", &headers, b"", WITHIN).await.map(|answer| answer.body.len())
+                let large = ask(plan.incoming(1), "GET", "/large", &headers(&plan), b"", WITHIN).await;
+                large.map(|answer| answer.body.len())
             })
         });
         let ran = until(async || standin.ran(), |ran| *ran as usize > DOWNLOADS).await;
