receive.rs is split by concern: request.rs for what a request says, keyed.rs for keyed requests

A move with the long respond() parted into target(), forward_as_required() and ForwardRequest::new(); no behaviour changes.

--- a/mesh/data-plane/src/receive/mod.rs
+++ b/mesh/data-plane/src/receive/mod.rs
@@ -2,37 +2,36 @@
 //! passed back. A response with the header `X-Not-Run` guarantees that the request never ran and never will, so that
 //! the sending balancer may retry it elsewhere.
 
+mod keyed;
+mod request;
+
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::HeaderMap;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Uri, body::Body, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Body, body::Incoming};
 use hyper_util::rt::TokioIo;
 use log::debug;
-use sloeline_discovery::rendezvous::top_candidates;
-use sloeline_discovery::{Condition, Upstream};
+use sloeline_discovery::Condition;
 use sloeline_engine::types::Target;
-use sloeline_http::frontend::{ClientResponse, end_to_end_headers, parse_digits, text_response};
+use sloeline_http::frontend::{ClientResponse, text_response};
 use sloeline_http::payload::Payload;
 use sloeline_http::received_body::{BodyLimits, ReceivedBody, read_body};
 use sloeline_http::upload::RequestBody;
-use sloeline_http::upstream::{Call, RelayOutcome, Reply, Upstreams};
-use sloeline_idempotency::{ClaimOutcome, Ledger, RunState, StoredResponse};
-use sloeline_limits::{Permit as MemoryPermit, Share};
-use sloeline_rpc::RpcResponse;
+use sloeline_http::upstream::{RelayOutcome, Reply, Upstreams};
+use sloeline_idempotency::Ledger;
+use sloeline_limits::Share;
 use sloeline_rpc::exchange::Exchange;
-use sloeline_settings::setup::ring_hash;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use self::request::{ForwardRequest, check_addressee, operation_key};
 use crate::admission::{Arrival, Micros, State};
 use crate::header_names;
 use crate::heartbeats::UpstreamTracker;
@@ -40,17 +39,12 @@
 use crate::link_shaper::{ExpectedResponse, LinkShaper};
 use crate::metrics;
 use crate::response_lengths::ResponseLengths;
-use crate::responses::{collect, forwarded, not_run, replay};
+use crate::responses::{forwarded, not_run};
 use crate::shaped_body::ShapedBody;
 use crate::upstream_slots::{Slot, SlotRefusal, UpstreamSlots};
 
-/// Upper bound for the remaining time in the headers of a request: one day.
-const MAX_TIME_LEFT: Micros = 86_400_000_000;
 /// Maximum size of a request body.
 const MAX_BODY_BYTES: u64 = 64 << 20;
-/// Number of other balancers that are asked for a stored response if the claim holder has lost it. The first of them gets a
-/// replica of each response.
-const REPLICA_CANDIDATES: usize = 2;
 /// Requests with less time left than this are rejected.
 const MIN_TIME_LEFT: Micros = 2_000;
 /// Time reserved for the transmission of the response to the sending balancer.
@@ -98,67 +92,6 @@
     }
 }
 
-/// Counts a keyed request while it is being handled.
-struct KeyedRequestCount(Rc<Cell<usize>>);
-
-impl KeyedRequestCount {
-    /// Adds a request to a count. Dropping the returned value removes it.
-    fn new(count: &Rc<Cell<usize>>) -> KeyedRequestCount {
-        count.set(count.get() + 1);
-        KeyedRequestCount(count.clone())
-    }
-}
-
-impl Drop for KeyedRequestCount {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// Identifies requests of similar processing time: a hash of the class name that the sending balancer gave.
-fn kind(headers: &HeaderMap) -> u64 {
-    headers.get(header_names::KIND).map_or(0, |v| ring_hash(v.to_str().unwrap_or_default()))
-}
-
-/// Checks that a request is for this upstream. A request that names no upstream is for none. The service is compared where
-/// the sending balancer names it.
-fn check_addressee(headers: &HeaderMap, upstream: &Upstream) -> Result<(), ClientResponse> {
-    let declined = |reason| not_run(StatusCode::MISDIRECTED_REQUEST, reason, None);
-    let Some(addressee) = headers.get(header_names::ADDRESSEE) else {
-        return Err(declined("the request names no upstream"));
-    };
-    if addressee.as_bytes() != upstream.id.as_bytes() {
-        let mut response = declined("another upstream is here");
-        if let Ok(id) = HeaderValue::from_bytes(upstream.id.as_bytes()) {
-            response.headers_mut().insert(header_names::INSTANCE, id);
-        }
-        return Err(response);
-    }
-    let service = headers.get(header_names::SERVICE);
-    if service.is_some_and(|service| service.as_bytes() != upstream.service.as_bytes()) {
-        return Err(declined("the upstream is of another service"));
-    }
-    Ok(())
-}
-
-/// A request to forward to the upstream.
-struct ForwardRequest {
-    /// The request to send to the upstream.
-    call: Call,
-    /// Permits for the memory of a buffered body.
-    _body_memory: Vec<MemoryPermit>,
-    /// Identifier of the client's try, which the response must repeat.
-    try_id: Option<HeaderValue>,
-    /// The upstream that the request is for.
-    target: Target,
-    /// When the request arrived at this balancer.
-    arrived_at: Micros,
-    /// When the client stops waiting for the response.
-    deadline: Micros,
-    /// What admission control needs to know about the request.
-    arrival: Arrival,
-}
-
 impl Receiver {
     /// Creates a receiver whose upstream has not reported itself yet.
     pub fn new(
@@ -256,39 +189,9 @@
     async fn respond(self: Rc<Self>, request: Request<Incoming>) -> ClientResponse {
         let arrived_at = self.now();
         let (head, body) = request.into_parts();
-        let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
-        let time_left = text(&header_names::TIME_LEFT)
-            .and_then(parse_digits)
-            .map_or(MAX_TIME_LEFT, |ms| ms.saturating_mul(1000));
-        let deadline = arrived_at + time_left.min(MAX_TIME_LEFT);
-        let time_to_target =
-            text(&header_names::AIM).and_then(parse_digits).map_or(time_left, |ms| ms.saturating_mul(1000));
-        let limit = text(&header_names::LIMIT)
-            .and_then(parse_digits)
-            .map_or(time_left, |ms| ms.saturating_mul(1000).min(time_left));
-        let max_wait =
-            text(&header_names::HOLD).and_then(parse_digits).map_or(limit, |ms| ms.saturating_mul(1000));
-        let priority =
-            text(&header_names::RANK).and_then(|priority| priority.parse().ok()).unwrap_or(u8::MAX);
-        let kind = kind(&head.headers);
-        let arrival = Arrival {
-            kind,
-            priority,
-            time_to_target,
-            time_left: limit.min(MAX_TIME_LEFT),
-            max_wait,
-            link_wait: 0,
-            link_time: 0,
-        };
-        let (id, address) = {
-            let tracker = self.upstream.borrow();
-            let (Some(upstream), Some(address)) = (tracker.upstream(), tracker.address()) else {
-                return not_run(StatusCode::SERVICE_UNAVAILABLE, "no upstream here", None);
-            };
-            if let Err(response) = check_addressee(&head.headers, upstream) {
-                return response;
-            }
-            (upstream.id.clone(), address)
+        let target = match self.target(&head.headers) {
+            Ok(target) => target,
+            Err(response) => return response,
         };
         let limits = BodyLimits { max_bytes: MAX_BODY_BYTES, forbidden: false, memory: &self.body_memory };
         let mut streaming = None;
@@ -302,58 +205,41 @@
                 return not_run(StatusCode::BAD_REQUEST, "the body broke off or is too large", None);
             }
         };
-        let key =
-            head.headers.get(header_names::KEYED).and_then(|_| head.headers.get(header_names::OPERATION_KEY));
-        let key = key.map(|k| Bytes::copy_from_slice(k.as_bytes()));
-        let mut headers = end_to_end_headers(&head.headers);
-        for internal in [
-            header_names::KEYED,
-            header_names::KIND,
-            header_names::RANK,
-            header_names::ONCE,
-            header_names::AIM,
-            header_names::LIMIT,
-            header_names::HOLD,
-            header_names::ATTEMPT,
-            header_names::SERVICE,
-        ] {
-            headers.remove(internal);
-        }
-        let Ok(addressee) = HeaderValue::from_bytes(id.as_bytes()) else {
+        let Some(request) = ForwardRequest::new(&head, body, body_memory, target, arrived_at) else {
             return not_run(StatusCode::MISDIRECTED_REQUEST, "the upstream's id is no header value", None);
         };
-        headers.insert(header_names::ADDRESSEE, addressee);
-        debug_assert!(headers.contains_key(HOST));
-        let uri: Uri = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
-        let call = Call { method: head.method.clone(), uri, headers, body };
-        let target = Target { server: 0, instance: id.into(), address };
-        let try_id = head.headers.get(header_names::TRY_ID).cloned();
-        let once = head.headers.contains_key(header_names::ONCE);
-        let request =
-            ForwardRequest { call, _body_memory: body_memory, try_id, target, arrived_at, deadline, arrival };
-        let receiver = self.clone();
-        let response = match key {
-            None if once => self.forward_once(request).await,
-            None => self.forward(request).await,
-            // A keyed request continues even if the sender disconnects.
-            Some(key) => {
-                let (sender, response) = oneshot::channel();
-                let counted = KeyedRequestCount::new(&self.keyed_requests);
-                spawn_local(async move {
-                    let _counted = counted;
-                    let response = self.forward_keyed(request, key).await;
-                    let _ = sender.send(response);
-                });
-                response.await.unwrap_or_else(|_| text_response(StatusCode::BAD_GATEWAY, "the run broke off"))
-            }
-        };
+        let deadline = request.deadline;
+        let response = self.clone().forward_as_required(request, &head.headers).await;
         if let Some(upload) = streaming.filter(|_| response.headers().contains_key(header_names::NOT_RUN)) {
-            let left = Duration::from_micros(deadline.saturating_sub(receiver.now()));
+            let left = Duration::from_micros(deadline.saturating_sub(self.now()));
             let _ = timeout(left, upload.discard()).await;
         }
         response
     }
 
+    /// The upstream here, if a request with these headers is for it.
+    fn target(&self, headers: &HeaderMap) -> Result<Target, ClientResponse> {
+        let tracker = self.upstream.borrow();
+        let (Some(upstream), Some(address)) = (tracker.upstream(), tracker.address()) else {
+            return Err(not_run(StatusCode::SERVICE_UNAVAILABLE, "no upstream here", None));
+        };
+        check_addressee(headers, upstream)?;
+        Ok(Target { server: 0, instance: upstream.id.as_str().into(), address })
+    }
+
+    /// Forwards a request as the headers of the sending balancer say: keyed, at most once, or cancelled with its sender.
+    async fn forward_as_required(
+        self: Rc<Self>,
+        request: ForwardRequest,
+        headers: &HeaderMap,
+    ) -> ClientResponse {
+        match operation_key(headers) {
+            Some(key) => self.forward_keyed_to_end(request, key).await,
+            None if headers.contains_key(header_names::ONCE) => self.forward_once(request).await,
+            None => self.forward(request).await,
+        }
+    }
+
     /// Expected wait for the link, and expected transmission time, of a response to a request of this kind.
     fn link_estimate(&self, kind: u64) -> (Micros, Micros) {
         let length = self.response_lengths.borrow().long_mean(kind);
@@ -483,132 +369,6 @@
             RunResult::Responded(reply) => forwarded(reply),
         }
     }
-
-    /// State of a run that an earlier request has started on this machine, if it is known here.
-    fn known_run(&self, key: &Bytes, run: u64) -> Option<RpcResponse> {
-        match self.ledger.borrow().get(key) {
-            Some((known, state)) if *known == run => Some(match state {
-                RunState::Running => RpcResponse::RunInProgress,
-                RunState::Finished(response) => RpcResponse::RunFinished(response.clone()),
-            }),
-            _ if self.ledger.borrow().is_claiming(run) => Some(RpcResponse::RunInProgress),
-            _ => None,
-        }
-    }
-
-    /// Answers another balancer's question about the result of a run.
-    pub fn run_result(&self, key: &Bytes, run: u64) -> RpcResponse {
-        self.known_run(key, run)
-            .unwrap_or_else(|| RpcResponse::Unavailable("this run is not known here".to_owned()))
-    }
-
-    /// Addresses of the balancers that store replicas of a holder's responses in case it loses them: balancers of its own
-    /// zone, selected by rendezvous hashing.
-    fn replica_holders(&self, holder: &str) -> Vec<SocketAddr> {
-        let records = self.exchange.view().records();
-        let Some(zone) = records.get(holder).map(|r| r.zone.as_str()) else { return Vec::new() };
-        let same_zone = records.values().filter(|r| !r.is_core && r.zone == zone).map(|r| r.source.as_str());
-        let candidates = top_candidates(holder, same_zone, REPLICA_CANDIDATES);
-        candidates.iter().filter_map(|name| records.get(*name)).map(|r| r.mesh_address).collect()
-    }
-
-    /// Stores a replica of a response for the machine that holds the claim.
-    pub fn store_replica(&self, key: &Bytes, run: u64, response: StoredResponse) {
-        self.ledger.borrow_mut().store_replica(self.now() / 1000, key, run, response);
-    }
-
-    /// Responds to a repeat of a keyed request, with the first response if it can still be found.
-    async fn answer_repeat(
-        &self,
-        key: &Bytes,
-        run: u64,
-        holder: &str,
-        try_id: Option<HeaderValue>,
-    ) -> ClientResponse {
-        let own = self.exchange.local_record();
-        let mut result = self.known_run(key, run);
-        let mut holders = Vec::new();
-        if own.source != holder {
-            holders.extend(self.exchange.view().records().get(holder).map(|r| r.mesh_address));
-        }
-        holders.extend(self.replica_holders(holder));
-        for address in holders.into_iter().filter(|address| *address != own.mesh_address) {
-            if matches!(result, Some(RpcResponse::RunInProgress | RpcResponse::RunFinished(Some(_)))) {
-                break;
-            }
-            result = self.keys.run_result(address, key, run).await.ok();
-        }
-        match result {
-            Some(RpcResponse::RunInProgress) => text_response(StatusCode::CONFLICT, "this key is at work"),
-            Some(RpcResponse::RunFinished(Some(response))) => replay(response, try_id),
-            _ => {
-                debug!(target: "repeat", "The stored response of a run on {holder} is lost.");
-                text_response(StatusCode::BAD_GATEWAY, "it ran or may have run, and its answer is lost")
-            }
-        }
-    }
-
-    /// Forwards a keyed request if its key can be claimed; otherwise it is answered as a repeat.
-    async fn forward_keyed(self: Rc<Self>, request: ForwardRequest, key: Bytes) -> ClientResponse {
-        let known = self.ledger.borrow().get(&key).map(|(run, _)| *run);
-        if let Some(run) = known {
-            let own = self.exchange.local_record().source;
-            return self.answer_repeat(&key, run, &own, request.try_id).await;
-        }
-        let run = fastrand::u64(1..);
-        self.ledger.borrow_mut().begin_claim(run);
-        let time_left = Duration::from_micros(request.deadline.saturating_sub(self.now()));
-        match self.keys.claim(&key, run, time_left / 2).await {
-            Ok(ClaimOutcome::Granted) => self.ledger.borrow_mut().start(self.now() / 1000, &key, run),
-            Ok(ClaimOutcome::Held { run: first, holder }) => {
-                self.ledger.borrow_mut().end_claim(run);
-                return self.answer_repeat(&key, first, &holder, request.try_id).await;
-            }
-            Err(error) => {
-                debug!(target: "keys", "An operation key could not be claimed: {error:#}.");
-                self.ledger.borrow_mut().end_claim(run);
-                return not_run(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "the key could not be claimed",
-                    Some(250_000),
-                );
-            }
-        }
-        let result = match self.acquire_permit(request.arrival, request.arrived_at).await {
-            Ok(permit) => self.run(&request, permit).await,
-            Err(response) => RunResult::NotRun(response),
-        };
-        match result {
-            RunResult::NotRun(response) => {
-                self.keys.release(&key, run).await;
-                self.ledger.borrow_mut().remove_run(&key, run);
-                response
-            }
-            RunResult::Unknown(response) => {
-                self.ledger.borrow_mut().finish(&key, run, None);
-                response
-            }
-            // A response that is larger than any that is stored is passed on as it comes.
-            RunResult::Responded(Reply { status, headers, body: Payload::Streaming(mut body) }) => {
-                let (receiver, key) = (self.clone(), key.clone());
-                body.on_end(move |_| receiver.ledger.borrow_mut().finish(&key, run, None));
-                forwarded(Reply { status, headers, body: Payload::Streaming(body) })
-            }
-            RunResult::Responded(reply) => {
-                let (response, stored) = match collect(reply).await {
-                    Ok(whole) => whole,
-                    Err(response) => (response, None),
-                };
-                let own = self.exchange.local_record().source;
-                if let (Some(response), Some(replica_holder)) = (&stored, self.replica_holders(&own).first())
-                {
-                    self.keys.store_replica(*replica_holder, key.clone(), run, response.clone());
-                }
-                self.ledger.borrow_mut().finish(&key, run, stored);
-                response
-            }
-        }
-    }
 }
 
 /// Result of forwarding a request to the upstream.
