--- a/config/src/descriptions.rs
+++ b/config/src/descriptions.rs
@@ -6,7 +6,7 @@
 use finchshift::{Class, Effect};
 use sloeline_descriptions::behaviour::Declared;
 use sloeline_descriptions::check::{Promises, check};
-use sloeline_descriptions::effect::{Effect as DeclaredEffect, KeyAt};
+use sloeline_descriptions::effect::{Effect as DeclaredEffect, KeyLocation};
 use sloeline_descriptions::openapi::Operation;
 use sloeline_descriptions::refs::{Documents, Files};
 use sloeline_routing::pattern::{HostPattern, PathPattern, Route, Segment};
@@ -144,18 +144,18 @@
     let (operations, findings) = check(
         &Documents::new(files.as_ref()),
         &name,
-        Promises { remembers: key_window, waits: longest_wait },
+        Promises { key_memory: key_window, caller_timeout: longest_wait },
     );
     for finding in findings.iter().filter(|f| f.accepted.is_none()) {
         let found = format!("{}:{}: {}: {}", finding.file, finding.line, finding.code.number(), finding.what);
-        if finding.stops() {
-            problems.error(&description.span, &key, found, finding.code.mend());
+        if finding.is_blocking() {
+            problems.error(&description.span, &key, found, finding.code.remedy());
         } else {
-            problems.warning(&description.span, &key, found, finding.code.mend());
+            problems.warning(&description.span, &key, found, finding.code.remedy());
         }
     }
     // A description with errors may declare the wrong operations.
-    if findings.iter().any(|f| f.stops()) { Vec::new() } else { operations }
+    if findings.iter().any(|f| f.is_blocking()) { Vec::new() } else { operations }
 }
 
 /// Converts a path template of OpenAPI to a route pattern. Parameters get generated names, because a route allows fewer
@@ -173,11 +173,11 @@
 }
 
 /// Where a request contains its idempotency key, as declared for a path of this template.
-fn key_source(at: &KeyAt, template: &str) -> Option<ValueSource> {
+fn key_source(at: &KeyLocation, template: &str) -> Option<ValueSource> {
     match at {
-        KeyAt::Header(name) => Some(ValueSource::Header(name.clone())),
-        KeyAt::Query(name) => Some(ValueSource::Query(name.clone())),
-        KeyAt::Path(name) => {
+        KeyLocation::Header(name) => Some(ValueSource::Header(name.clone())),
+        KeyLocation::Query(name) => Some(ValueSource::Query(name.clone())),
+        KeyLocation::Path(name) => {
             let wanted = format!("{{{name}}}");
             template.split('/').skip(1).position(|segment| segment == wanted).map(ValueSource::Segment)
         }
--- a/descriptions/benches/size.rs
+++ b/descriptions/benches/size.rs
@@ -1,11 +1,11 @@
-//! How long large descriptions take, and how much memory; and, for as long as is asked for, whether spoilt ones end.
+//! Measures time and memory for large descriptions. With `fuzz`, reads randomly damaged descriptions and checks that reading ends.
 //!
 //! `cargo bench -p sloeline-descriptions --bench size`, or with `-- fuzz SECONDS [SEED]`.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use sloeline_descriptions::behaviour::{Behaviour, Declared, Seen};
+use sloeline_descriptions::behaviour::{Behaviour, Declared, ObservedResponse};
 use sloeline_descriptions::check::{Promises, check};
 use sloeline_descriptions::diff::diff;
 use sloeline_descriptions::refs::{Documents, Files};
@@ -18,14 +18,14 @@
     }
 }
 
-/// Most memory of this process so far, in MiB.
+/// Peak memory of this process in MiB.
 fn peak() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap_or_default();
     line.split_whitespace().nth(1).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0) / 1024
 }
 
-/// A description with so many operations, each with a text of so many bytes.
+/// A description with `operations` operations, each with a text of `padding` bytes.
 fn text(operations: usize, padding: usize) -> String {
     let mut text = "openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n".to_owned();
     for n in 0..operations / 2 {
@@ -74,7 +74,7 @@
         assert_eq!(diff(&read, &read).len(), 0);
         println!("  compared with itself: {} ms", start.elapsed().as_millis());
     }
-    // As many as never meet: the same method, length and first segments, and parameters in different places.
+    // Templates that all overlap pairwise: same method and length, parameters in different segments.
     let wide: String = (0..2_500)
         .map(|n| format!("  /a/{{x}}/b{n}:\n    get: {{parameters: [{{name: x, in: path, required: true}}], responses: {{default: {{}}}}}}\n  /a/c{n}/{{y}}:\n    get: {{parameters: [{{name: y, in: path, required: true}}], responses: {{default: {{}}}}}}\n"))
         .collect();
@@ -83,7 +83,7 @@
     println!("{operations} that all meet: {findings} findings in {} ms", start.elapsed().as_millis());
 }
 
-/// What it costs to look at an answer.
+/// Measures the time to record a response.
 fn behaviour() {
     let text = text(2, 0);
     let files = Memory(HashMap::from([("api.yaml".to_owned(), text)]));
@@ -96,14 +96,14 @@
             let calls = 2_000_000_u64;
             for n in 0..calls {
                 let key = &keys[n as usize % keys.len()];
-                let seen = Seen {
+                let seen = ObservedResponse {
                     key: Some(key),
                     status,
                     content_type: Some("application/json; charset=utf-8"),
                     location: Some("/things/7"),
                     took: 1,
                 };
-                std::hint::black_box(behaviour.answered(n, &seen));
+                std::hint::black_box(behaviour.record_response(n, &seen));
             }
             let each = start.elapsed().as_nanos() as f64 / calls as f64;
             println!("an answer {status} to {}, {compared} compared: {each:.0} ns", operation.method);
@@ -111,7 +111,7 @@
     }
 }
 
-/// Spoils a description at random, line by line and byte by byte.
+/// Damages a description at random, by line and by byte.
 fn spoil(rng: &mut fastrand::Rng, text: &str) -> String {
     let mut lines: Vec<String> = text.lines().map(str::to_owned).collect();
     for _ in 0..rng.usize(1..6) {
--- a/descriptions/src/diff.rs
+++ b/descriptions/src/diff.rs
@@ -1,7 +1,7 @@
-//! What changes for clients, and for repeats, between two versions of a description.
+//! Compares two versions of a description and lists what changes for clients and repeats.
 //!
-//! Clients that were built for the old one go on as they did: they still repeat what was safe, and still put the key where it
-//! was. What is dangerous is what makes such a repeat an effect of its own.
+//! Clients that were built for the old version keep repeating requests that were safe then, and keep sending the key in its old
+//! place. A change is dangerous if such a repeat may now have a second effect.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -9,48 +9,48 @@
 use crate::effect::Effect;
 use crate::openapi::Operation;
 
-/// What a change means.
+/// Severity of a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Weight {
-    /// Nobody needs to do anything.
+    /// No action is needed.
     Note,
     /// Clients of the old version may fail.
     Breaking,
-    /// A repeat may have an effect of its own.
+    /// A repeat may have a second effect.
     Dangerous,
 }
 
-/// A change. The codes never change their meaning.
+/// Kind of a change. A code never changes its meaning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
-    /// C001: a repeat that was harmless is not any more.
+    /// C001: repeats were harmless and are no longer.
     Narrowed,
-    /// C002: the key stands elsewhere.
+    /// C002: requests carry the key in another place.
     KeyMoved,
-    /// C003: keys are remembered for less long.
+    /// C003: keys are remembered for a shorter time.
     WindowShorter,
-    /// C004: a repeat that was not harmless is said to be.
+    /// C004: repeats were not harmless and are declared to be now.
     Widened,
-    /// C005: it takes longer.
+    /// C005: the operation takes longer.
     Slower,
-    /// C006: less of a body is taken.
+    /// C006: the maximum body size is smaller.
     BodyLess,
-    /// C007: a parameter must be there that was not needed.
+    /// C007: a parameter is required that was not.
     Required,
-    /// C008: answers of another status.
+    /// C008: the response statuses differ.
     Statuses,
-    /// C010: an operation is no more.
+    /// C010: an operation was removed.
     Removed,
-    /// C011: an operation is no more, and another one takes its requests.
+    /// C011: an operation was removed, and another one matches its requests.
     Caught,
-    /// C012: a new operation takes requests of another one.
+    /// C012: a new operation matches requests that went to another one.
     Taken,
-    /// C013: a new operation.
+    /// C013: an operation was added.
     Added,
 }
 
 impl Kind {
-    /// Its number.
+    /// The code as it is shown, such as `C001`.
     pub fn number(self) -> &'static str {
         match self {
             Kind::Narrowed => "C001",
@@ -69,18 +69,18 @@
     }
 }
 
-/// A change, with what was and what is.
+/// A change of one operation.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
-    /// What it is.
+    /// Kind of the change.
     pub kind: Kind,
-    /// What it means.
+    /// Severity of the change.
     pub weight: Weight,
-    /// The operation, `GET /checks/{}`.
+    /// Method and path of the operation, such as `GET /checks/{}`.
     pub operation: String,
-    /// In one line.
+    /// Description of the change, in one line.
     pub what: String,
-    /// The line of the operation in the new text, or in the old one where it is no more.
+    /// Line of the operation in the new version; in the old one if the operation was removed.
     pub line: usize,
 }
 
@@ -95,8 +95,8 @@
     }
 }
 
-/// How much a repeat may be trusted.
-fn rank(effect: &Effect) -> u8 {
+/// Rank of an effect: the higher, the safer repeats are.
+fn repeat_trust(effect: &Effect) -> u8 {
     match effect {
         Effect::Unsafe => 0,
         Effect::Keyed { .. } => 1,
@@ -104,7 +104,8 @@
     }
 }
 
-fn word(effect: &Effect) -> &'static str {
+/// Name of an effect in messages.
+fn effect_name(effect: &Effect) -> &'static str {
     match effect {
         Effect::Unsafe => "unsafe",
         Effect::Keyed { .. } => "keyed",
@@ -112,46 +113,51 @@
     }
 }
 
-/// A template whose parameters have lost their names.
-fn bare(path: &str) -> String {
+/// Path template without the names of its parameters.
+fn without_names(path: &str) -> String {
     let segment = |s: &str| if s.starts_with('{') { "{}".to_owned() } else { s.to_owned() };
     path.split('/').map(segment).collect::<Vec<_>>().join("/")
 }
 
 /// Whether some path matches both templates.
-fn meet(a: &str, b: &str) -> bool {
+fn may_overlap(a: &str, b: &str) -> bool {
     let (a, b): (Vec<&str>, Vec<&str>) = (a.split('/').collect(), b.split('/').collect());
     a.len() == b.len() && a.iter().zip(&b).all(|(x, y)| x == y || *x == "{}" || *y == "{}")
 }
 
-/// Whether one template is more concrete where the two differ: it goes first.
-fn first(a: &str, b: &str) -> bool {
+/// Whether template `a` takes precedence over `b`: it is more specific wherever the two differ.
+fn takes_precedence(a: &str, b: &str) -> bool {
     a.split('/').zip(b.split('/')).any(|(x, y)| x != "{}" && y == "{}")
         && !a.split('/').zip(b.split('/')).any(|(x, y)| x == "{}" && y != "{}")
 }
 
+/// Operations by method and normalized path template.
 type Routes<'a> = BTreeMap<(String, String), &'a Operation>;
 
-fn routes(operations: &[Operation]) -> Routes<'_> {
-    let each = |o: &'_ Operation| o.paths.iter().map(|p| (o.method.clone(), bare(p))).collect::<Vec<_>>();
+/// Indexes operations by their routes.
+fn operations_by_route(operations: &[Operation]) -> Routes<'_> {
+    let each =
+        |o: &'_ Operation| o.paths.iter().map(|p| (o.method.clone(), without_names(p))).collect::<Vec<_>>();
     operations.iter().flat_map(|o| each(o).into_iter().map(move |key| (key, o))).collect()
 }
 
-/// The operation that would take requests of a template: the most concrete of those that meet it.
-fn taker<'a>(routes: &Routes<'a>, method: &str, path: &str) -> Option<(String, &'a Operation)> {
+/// The operation that matches the requests of a template once the template's own operation is gone: the most specific of those
+/// that take precedence over it.
+fn find_taker<'a>(routes: &Routes<'a>, method: &str, path: &str) -> Option<(String, &'a Operation)> {
     let mut best: Option<(&str, &'a Operation)> = None;
     for ((m, other), operation) in routes {
-        let better = best.is_none_or(|(before, _)| first(other, before));
-        if m == method && other != path && first(path, other) && meet(path, other) && better {
+        let better = best.is_none_or(|(before, _)| takes_precedence(other, before));
+        if m == method && other != path && takes_precedence(path, other) && may_overlap(path, other) && better
+        {
             best = Some((other, operation));
         }
     }
     best.map(|(path, operation)| (path.to_owned(), operation))
 }
 
-/// All changes, the dangerous ones first.
+/// All changes, dangerous ones first.
 pub fn diff(old: &[Operation], new: &[Operation]) -> Vec<Change> {
-    let (old, new) = (routes(old), routes(new));
+    let (old, new) = (operations_by_route(old), operations_by_route(new));
     let mut changes = Vec::new();
     for ((method, path), was) in &old {
         let named = format!("{method} {path}");
@@ -160,18 +166,18 @@
             changes.push(Change { kind, weight, operation, what, line });
         };
         match new.get(&(method.clone(), path.clone())) {
-            Some(is) => same(was, is, &mut |kind, weight, what| add(kind, weight, what, is)),
-            None => match taker(&new, method, path) {
-                // Whatever it was, its clients now run another operation.
+            Some(is) => compare_operations(was, is, &mut |kind, weight, what| add(kind, weight, what, is)),
+            None => match find_taker(&new, method, path) {
+                // Clients of the removed operation now run another one.
                 Some((by, is)) => {
-                    let weight = if rank(&is.effect) < rank(&was.effect) || method != "GET" {
+                    let weight = if repeat_trust(&is.effect) < repeat_trust(&was.effect) || method != "GET" {
                         Weight::Dangerous
                     } else {
                         Weight::Breaking
                     };
                     let what = format!(
                         "is no more, and its requests go to {method} {by}, which is {}",
-                        word(&is.effect)
+                        effect_name(&is.effect)
                     );
                     add(Kind::Caught, weight, what, was);
                 }
@@ -181,14 +187,14 @@
     }
     for ((method, path), is) in new.iter().filter(|(key, _)| !old.contains_key(*key)) {
         let (operation, line) = (format!("{method} {path}"), is.place.node.line);
-        let (kind, weight, what) = match taker(&old, method, path) {
+        let (kind, weight, what) = match find_taker(&old, method, path) {
             Some((from, was)) => {
-                let narrower = rank(&is.effect) < rank(&was.effect);
+                let narrower = repeat_trust(&is.effect) < repeat_trust(&was.effect);
                 let weight = if narrower { Weight::Dangerous } else { Weight::Breaking };
                 let what = format!(
                     "is {} and takes requests that went to {method} {from}, which was {}",
-                    word(&is.effect),
-                    word(&was.effect)
+                    effect_name(&is.effect),
+                    effect_name(&was.effect)
                 );
                 (Kind::Taken, weight, what)
             }
@@ -200,9 +206,9 @@
     changes
 }
 
-/// What changes in one operation.
-fn same(was: &Operation, is: &Operation, add: &mut impl FnMut(Kind, Weight, String)) {
-    let (before, after) = (word(&was.effect), word(&is.effect));
+/// Compares two versions of an operation.
+fn compare_operations(was: &Operation, is: &Operation, add: &mut impl FnMut(Kind, Weight, String)) {
+    let (before, after) = (effect_name(&was.effect), effect_name(&is.effect));
     match (&was.effect, &is.effect) {
         (Effect::Keyed { key: old, window: long }, Effect::Keyed { key: new, window: short }) => {
             if old != new {
@@ -216,12 +222,12 @@
                 add(Kind::WindowShorter, Weight::Dangerous, what);
             }
         }
-        (old, new) if rank(new) < rank(old) => {
+        (old, new) if repeat_trust(new) < repeat_trust(old) => {
             let what = format!("was {before} and is {after}, while clients still repeat it");
             add(Kind::Narrowed, Weight::Dangerous, what);
         }
-        (old, new) if rank(new) > rank(old) => {
-            // Nothing here proves it: whoever says so answers for it.
+        (old, new) if repeat_trust(new) > repeat_trust(old) => {
+            // Nothing proves that the new declaration is right, so it is reported as dangerous.
             let what = format!("was {before} and is {after}: from now on it is sent again");
             add(Kind::Widened, Weight::Dangerous, what);
         }
--- a/descriptions/src/effect.rs
+++ b/descriptions/src/effect.rs
@@ -1,55 +1,54 @@
-//! Whether a repeat of an operation is harmless, from what its description says. Silence means unsafe.
+//! Whether requests of an operation may be repeated, according to its description. The default is unsafe.
 
-/// A key that makes repeats harmless, and where it stands.
+/// The part of a request that carries the idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum KeyAt {
-    /// A header, in lower case.
+pub enum KeyLocation {
+    /// The header with this name, in lower case.
     Header(String),
-    /// A parameter of the query.
+    /// The query parameter with this name.
     Query(String),
-    /// A parameter of the path.
+    /// The path parameter with this name.
     Path(String),
 }
 
-/// What a repeat does.
+/// The effect of a repeated request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
-    /// Nothing: it may be sent again anywhere.
+    /// None: the request may be sent again to any upstream.
     Safe,
-    /// Nothing under the same key, within a window of microseconds.
+    /// None if the repeat has the same key and arrives within the window.
     Keyed {
-        /// Where the key stands.
-        key: KeyAt,
-        /// How long it is remembered.
+        /// Where requests carry the key.
+        key: KeyLocation,
+        /// How long upstreams remember the key, in microseconds.
         window: u64,
     },
-    /// It must never run twice.
+    /// A second effect: the request must not run twice.
     Unsafe,
 }
 
-/// Why that is believed.
+/// What an operation's effect was derived from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Because {
-    /// The method changes nothing by its definition (RFC 9110 section 9.2.1).
+pub enum EffectSource {
+    /// The method, which is safe by definition (RFC 9110 section 9.2.1).
     Method,
-    /// An extension says so.
+    /// An extension of the description.
     Extension,
-    /// Nothing says otherwise.
+    /// The default, because the description does not say.
     Silence,
 }
 
-/// Methods that change nothing by their definition.
+/// Methods that are safe by definition.
 pub const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
 
-/// Verbs for what can't be done twice for nothing. Words that are as often the name of a thing (`order`, `payment`) are not
-/// among them.
-const DOES: [&str; 14] = [
+/// Verbs of actions that have an effect each time. Words that are often nouns (`order`, `payment`) are left out.
+const ACTION_VERBS: [&str; 14] = [
     "charge", "pay", "refund", "create", "cancel", "delete", "remove", "submit", "transfer", "withdraw",
     "approve", "reject", "revoke", "capture",
 ];
 
-/// The words of a name: `createPaidCheck`, `create-paid-check` and `create_paid_check` have the same.
-pub fn words(name: &str) -> Vec<String> {
+/// Splits a name into lower-case words: `createPaidCheck`, `create-paid-check` and `create_paid_check` give the same words.
+pub fn split_words(name: &str) -> Vec<String> {
     let mut words: Vec<String> = Vec::new();
     let mut before = ' ';
     for c in name.chars() {
@@ -65,16 +64,16 @@
     words
 }
 
-/// The word of an operation's id by which it does something: its verb, which comes first.
-pub fn verb(id: &str) -> Option<String> {
-    words(id).into_iter().next().filter(|word| DOES.contains(&word.as_str()))
+/// The first word of an operation id, if it is a verb of [`ACTION_VERBS`].
+pub fn leading_action(id: &str) -> Option<String> {
+    split_words(id).into_iter().next().filter(|word| ACTION_VERBS.contains(&word.as_str()))
 }
 
-/// The word at the end of a path by which it does something: `/checks/{id}/cancel`. A collection's name in the middle of a
-/// path, or at its end where things are only read (`/payments`), does nothing by itself.
-pub fn ending(path: &str) -> Option<String> {
+/// The verb of [`ACTION_VERBS`] at the end of a path, as in `/checks/{id}/cancel`. A path segment that is not preceded by a
+/// parameter, as in `/payments`, names a collection and is no action.
+pub fn trailing_action(path: &str) -> Option<String> {
     let last = path.rsplit('/').next().filter(|last| !last.starts_with('{'))?;
-    let word = words(last).into_iter().next().filter(|word| DOES.contains(&word.as_str()))?;
-    // A verb stands behind something that it is done to.
+    let word = split_words(last).into_iter().next().filter(|word| ACTION_VERBS.contains(&word.as_str()))?;
+    // An action follows the parameter that identifies its object.
     path.trim_end_matches(last).contains('{').then_some(word)
 }
--- a/descriptions/src/findings.rs
+++ b/descriptions/src/findings.rs
@@ -1,4 +1,4 @@
-//! What is wrong with a description: stable codes, and how to mend each.
+//! Problems found in descriptions, with stable codes and a remedy for each.
 
 use std::fmt;
 
@@ -6,59 +6,59 @@
 
 use crate::refs::Place;
 
-/// How bad it is.
+/// Severity of a finding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Severity {
-    /// It is used all the same.
+    /// The description is used nevertheless.
     Warning,
-    /// It is not used.
+    /// The description is not used.
     Error,
 }
 
-/// What is wrong. The codes never change their meaning.
+/// Kind of a problem. A code never changes its meaning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Code {
-    /// D001: the text can't be read.
+    /// D001: the text cannot be parsed.
     Unreadable,
-    /// D002: neither OpenAPI 3.0 or 3.1 nor AsyncAPI 2.6 or 3.0.
+    /// D002: the version is neither OpenAPI 3.0 or 3.1 nor AsyncAPI 2.6 or 3.0.
     Version,
-    /// D003: a reference leads nowhere, in a circle, or out of the folder.
+    /// D003: a reference is dangling, circular, or leads out of the folder.
     Reference,
-    /// D004: something is of another kind than it must be.
+    /// D004: a value has the wrong type or is missing.
     Shape,
-    /// D010: safe, and yet it carries a body by a method that changes things.
+    /// D010: an operation is declared safe, but has an unsafe method and a body.
     SafeWithBody,
-    /// D011: safe, and yet it answers 201 or 202.
+    /// D011: an operation is declared safe, but responds with 201 or 202.
     SafeCreates,
-    /// D012: safe, and yet its name or its neighbours' say that it charges, creates or cancels.
+    /// D012: an operation is declared safe, but its name or a related operation suggests that it charges, creates or cancels.
     SafeByName,
-    /// D013: keyed, and the key may be left out, or is not declared.
+    /// D013: an operation is keyed, but its key is optional or not declared.
     KeyOptional,
-    /// D014: keyed, and nothing says how long a key is remembered.
+    /// D014: an operation is keyed, but the description does not say how long keys are remembered.
     KeyWindow,
-    /// D015: a key is to be remembered longer than the pool's nodes do.
+    /// D015: keys would have to be remembered longer than the nodes of the pool remember them.
     WindowTooLong,
-    /// D016: it may take longer than callers wait.
+    /// D016: an operation may take longer than callers wait.
     TooSlow,
-    /// D017: the operations that it calls take longer than it does.
+    /// D017: the operations that an operation calls take longer than the operation itself.
     CallsLonger,
-    /// D020: two operations that one request may match.
+    /// D020: a request may match two operations.
     Overlap,
-    /// D021: the path and its parameters do not fit.
+    /// D021: the path and the declared path parameters do not match.
     Parameters,
-    /// D022: a path that has no route here.
+    /// D022: a path that cannot be a route.
     Path,
-    /// D030: answers that the balancer itself may give are not described.
+    /// D030: responses that the balancer itself may give are not described.
     Undescribed,
-    /// D040: an extension with a value that it can't have.
+    /// D040: an unknown extension, or one with an invalid value.
     Extension,
-    /// D041: an accepted finding that is not there, or without a reason.
+    /// D041: a finding is accepted that does not exist, or without a reason.
     Accepted,
 }
 
 impl Code {
-    /// Its number.
+    /// The code as it is shown, such as `D001`.
     pub fn number(self) -> &'static str {
         match self {
             Code::Unreadable => "D001",
@@ -82,7 +82,7 @@
         }
     }
 
-    /// All of them, in the order of their numbers.
+    /// All codes, in order.
     pub const ALL: [Code; 18] = [
         Code::Unreadable,
         Code::Version,
@@ -104,7 +104,7 @@
         Code::Accepted,
     ];
 
-    /// How bad it is.
+    /// Severity of a finding.
     pub fn severity(self) -> Severity {
         match self {
             Code::Undescribed | Code::Accepted => Severity::Warning,
@@ -112,13 +112,13 @@
         }
     }
 
-    /// Whether a reason may stand against it.
+    /// Whether a finding with this code can be accepted with a reason.
     pub fn acceptable(self) -> bool {
         matches!(self, Code::SafeWithBody | Code::SafeCreates | Code::SafeByName | Code::Undescribed)
     }
 
-    /// How to mend it.
-    pub fn mend(self) -> &'static str {
+    /// How to fix the problem.
+    pub fn remedy(self) -> &'static str {
         match self {
             Code::Unreadable => "correct the text at that line",
             Code::Version => "write openapi: 3.0.x or 3.1.x, or asyncapi: 2.6.x or 3.0.x",
@@ -142,31 +142,31 @@
     }
 }
 
-/// One thing that is wrong, and where.
+/// A problem at a location of a description.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Finding {
-    /// What it is.
+    /// Kind of the problem.
     pub code: Code,
-    /// The file, from the folder.
+    /// Path of the file, relative to the folder.
     pub file: String,
-    /// Its line, from 1.
+    /// Line number, from 1.
     pub line: usize,
-    /// The JSON pointer.
+    /// JSON pointer to the value.
     pub pointer: String,
     /// What was found and what was expected, in one line.
     pub what: String,
-    /// The reason for which it is accepted.
+    /// The reason with which the finding was accepted, if it was.
     pub accepted: Option<String>,
 }
 
 impl Finding {
-    /// At a place.
+    /// Creates a finding at the location of a value.
     pub fn at(code: Code, place: &Place, what: impl Into<String>) -> Finding {
         let (file, line, pointer) = (place.file.to_string(), place.node.line, place.pointer.clone());
         Finding { code, file, line, pointer, what: what.into(), accepted: None }
     }
 
-    /// How bad it is, as accepted or not.
+    /// The severity as it is shown: `accepted`, `error` or `warning`.
     pub fn severity(&self) -> &'static str {
         match (&self.accepted, self.code.severity()) {
             (Some(_), _) => "accepted",
@@ -175,8 +175,8 @@
         }
     }
 
-    /// It keeps the description from being used.
-    pub fn stops(&self) -> bool {
+    /// Whether the finding prevents the description from being used.
+    pub fn is_blocking(&self) -> bool {
         self.code.severity() == Severity::Error && self.accepted.is_none()
     }
 }
@@ -195,7 +195,7 @@
         )?;
         match &self.accepted {
             Some(reason) => write!(f, ": {reason}"),
-            None => write!(f, "; {}", self.code.mend()),
+            None => write!(f, "; {}", self.code.remedy()),
         }
     }
 }
--- a/descriptions/src/lib.rs
+++ b/descriptions/src/lib.rs
@@ -1,7 +1,8 @@
-//! Descriptions of interfaces: OpenAPI 3.0 and 3.1 and AsyncAPI 2.6 and 3.0 in YAML or JSON, read with the place of every value, and what they say of
-//! each operation: its routes, whether a repeat is harmless, how long it takes. Silence means unsafe.
+//! Reads descriptions of interfaces, OpenAPI 3.0 and 3.1 and AsyncAPI 2.6 and 3.0, in YAML or JSON. Each value keeps its
+//! location. The result is the list of operations with their routes, whether a request may be repeated, and how long it takes.
+//! An operation whose description says nothing about repeats is unsafe.
 //!
-//! Nothing here touches a socket; files are read by whoever implements [`refs::Files`].
+//! This crate opens no socket. Files are read through [`refs::Files`].
 
 mod asyncapi;
 pub mod behaviour;
--- a/descriptions/src/openapi.rs
+++ b/descriptions/src/openapi.rs
@@ -1,78 +1,79 @@
-//! Operations of an OpenAPI description, 3.0 and 3.1. Its `webhooks` and `callbacks` are requests that the described service
-//! sends: none of them is a route to it.
+//! Reads the operations of an OpenAPI 3.0 or 3.1 description. `webhooks` and `callbacks` are ignored, because the described
+//! service sends these requests.
 
-use crate::effect::{Because, Effect};
-use crate::extensions::{KEYS, Reader};
+use crate::effect::{Effect, EffectSource};
+use crate::extensions::{KEY_HEADERS, Reader};
 use crate::findings::{Code, Finding};
 use crate::refs::{Documents, Place};
 use crate::tree::Value;
 
 /// Methods of a path item, as the specification spells them.
 const METHODS: [&str; 8] = ["get", "put", "post", "delete", "options", "head", "patch", "trace"];
+
 /// A parameter of an operation.
 #[derive(Clone, Debug)]
 pub struct Parameter {
-    /// Its name; headers in lower case.
+    /// Name of the parameter; in lower case for a header.
     pub name: String,
-    /// `path`, `query`, `header` or `cookie`.
+    /// Where requests carry it: `path`, `query`, `header` or `cookie`.
     pub within: String,
-    /// Requests without it are wrong.
+    /// Whether every request must have it.
     pub required: bool,
-    /// Where it is declared.
+    /// The declaration.
     pub place: Place,
 }
 
-/// A described answer.
+/// A described response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Response {
-    /// `200`, `4XX` or `default`.
+    /// Status code, range or default: `200`, `4XX` or `default`.
     pub status: String,
-    /// Content types, as they stand; none where it says nothing of its body.
-    pub types: Vec<String>,
+    /// Content types as written; empty if the body is not described.
+    pub content_types: Vec<String>,
 }
 
-/// An operation.
+/// An operation of a description.
 #[derive(Clone, Debug)]
 pub struct Operation {
-    /// Its `operationId`.
+    /// The `operationId`.
     pub id: Option<String>,
-    /// In capitals.
+    /// Method in capital letters.
     pub method: String,
-    /// The template under each server's base path.
+    /// Path templates: the operation's path under the base path of each server.
     pub paths: Vec<String>,
-    /// What a repeat does.
+    /// Effect of a repeated request.
     pub effect: Effect,
-    /// Why that is believed.
-    pub because: Because,
-    /// It carries a body.
+    /// What the effect was derived from.
+    pub effect_source: EffectSource,
+    /// Whether requests have a body.
     pub has_body: bool,
-    /// Its answers, each status once.
+    /// The described responses, with unique statuses.
     pub responses: Vec<Response>,
-    /// Its parameters, those of the path item among them.
+    /// The parameters, including those of the path item.
     pub parameters: Vec<Parameter>,
-    /// How long it takes, in microseconds.
+    /// Maximum processing time in microseconds, if declared.
     pub time: Option<u64>,
-    /// Most bytes of a body.
+    /// Maximum size of a request body in bytes, if declared.
     pub body_limit: Option<u64>,
-    /// What it is worth beside others.
+    /// Value of a request relative to other operations, if declared.
     pub worth: Option<f64>,
-    /// Whose requests they are.
+    /// Tenant that the requests belong to, if declared.
     pub tenant: Option<String>,
-    /// Operations that it calls while it runs, by their ids.
+    /// Operation ids of the operations that this one calls.
     pub calls: Vec<(String, Place)>,
-    /// Findings that are accepted, with the reason.
+    /// Codes of accepted findings, with the reason and its location.
     pub accepted: Vec<(String, String, Place)>,
-    /// Where it stands.
+    /// The operation object.
     pub place: Place,
 }
 
-/// Reads a description; what is wrong on the way is found, and as much as can be read is.
+/// Reads the operations of a description. Problems are returned as findings, and reading continues where possible.
 pub fn read(documents: &Documents<'_>, file: &str) -> (Vec<Operation>, Vec<Finding>) {
     let mut reader = Reader { documents, findings: Vec::new() };
     let root = match documents.root(file) {
         Ok(root) => root,
         Err(why) => {
-            // "FILE:LINE: what"
+            // The message has the form "FILE:LINE: message".
             let rest = why.strip_prefix(file).and_then(|r| r.strip_prefix(':'));
             let line = rest.and_then(|r| r.split(':').next()?.parse().ok()).unwrap_or(1);
             let (file, pointer) = (file.to_owned(), String::new());
@@ -83,26 +84,27 @@
         }
     };
     let operations = match root.get("asyncapi") {
-        Some(_) => reader.received(&root),
+        Some(_) => reader.receive_operations(&root),
         None => reader.operations(&root),
     };
     (operations, reader.findings)
 }
 
 impl Reader<'_, '_> {
+    /// Reads the operations of an OpenAPI description.
     fn operations(&mut self, root: &Place) -> Vec<Operation> {
         let version = root.text("openapi").unwrap_or_default();
         if !["3.0.", "3.1."].iter().any(|v| version.starts_with(v)) {
-            let found = root.node.get("openapi").map_or("nothing".to_owned(), |n| n.shown());
-            self.find(Code::Version, root, format!("found openapi {found}, expected 3.0.x or 3.1.x"));
+            let found = root.node.get("openapi").map_or("nothing".to_owned(), |n| n.describe());
+            self.add_finding(Code::Version, root, format!("found openapi {found}, expected 3.0.x or 3.1.x"));
             return Vec::new();
         }
         let bases = self.bases(root).unwrap_or_else(|| vec![String::new()]);
         let mut operations = Vec::new();
         let Some(paths) = root.get("paths") else {
-            // 3.1 allows a description of webhooks or components only.
+            // Version 3.1 allows descriptions of webhooks or components only.
             if version.starts_with("3.0.") {
-                self.find(Code::Shape, root, "found no paths, expected a table");
+                self.add_finding(Code::Shape, root, "found no paths, expected a table");
             }
             return operations;
         };
@@ -111,7 +113,7 @@
                 continue;
             }
             if !path.starts_with('/') {
-                self.find(
+                self.add_finding(
                     Code::Shape,
                     &item,
                     format!("found path {path:?}, expected one that begins with /"),
@@ -119,8 +121,8 @@
                 continue;
             }
             let Some(resolved) = self.resolve(&item) else { continue };
-            // A path item may stand beside its $ref: what it says itself comes first, or an effect that is denied there would
-            // be read as the other item has it.
+            // A path item may have fields besides its $ref. They take precedence: otherwise an operation that is declared
+            // unsafe here could be read as safe from the other item.
             let sides = if item.node.get("$ref").is_some() { vec![item, resolved] } else { vec![resolved] };
             let bases = sides.iter().find_map(|side| self.bases(side)).unwrap_or_else(|| bases.clone());
             let mut common: Vec<Parameter> = Vec::new();
@@ -134,8 +136,8 @@
             for method in METHODS {
                 let Some(place) = sides.iter().find_map(|side| side.get(method)) else { continue };
                 if !matches!(place.node.value, Value::Map(_)) {
-                    let found = place.node.shown();
-                    self.find(Code::Shape, &place, format!("found {found}, expected an operation"));
+                    let found = place.node.describe();
+                    self.add_finding(Code::Shape, &place, format!("found {found}, expected an operation"));
                     continue;
                 }
                 let bases = self.bases(&place).unwrap_or_else(|| bases.clone());
@@ -147,20 +149,20 @@
         operations
     }
 
-    /// Base paths of the servers that are named here, without a slash at the end; none where none are.
+    /// Base paths of the servers listed here, without a trailing slash; `None` if there are none.
     fn bases(&mut self, place: &Place) -> Option<Vec<String>> {
         let servers = place.get("servers")?;
         let mut bases = Vec::new();
         for server in servers.items() {
             let Some(url) = server.text("url") else {
-                self.find(Code::Shape, &server, "found a server without url, expected one");
+                self.add_finding(Code::Shape, &server, "found a server without url, expected one");
                 continue;
             };
             let mut url = url.to_owned();
             if let Some(variables) = server.get("variables") {
                 for (name, variable) in variables.entries() {
                     let value = variable.text("default").map(str::to_owned);
-                    let shown = variable.node.get("default").map(|n| n.shown());
+                    let shown = variable.node.get("default").map(|n| n.describe());
                     let value = value.or(shown.filter(|s| !s.starts_with('a'))).unwrap_or_default();
                     url = url.replace(&format!("{{{name}}}"), &value);
                 }
@@ -171,7 +173,7 @@
             };
             let path = path.split(['?', '#']).next().unwrap_or_default().trim_end_matches('/').to_owned();
             if path.contains('{') {
-                self.find(
+                self.add_finding(
                     Code::Path,
                     &server,
                     format!("found base path {path:?}, expected a variable with a default"),
@@ -179,7 +181,7 @@
             } else if path.is_empty() || path.starts_with('/') {
                 bases.push(path);
             } else {
-                self.find(
+                self.add_finding(
                     Code::Path,
                     &server,
                     format!("found server {url:?}, expected an address or a path from /"),
@@ -191,24 +193,25 @@
         (!bases.is_empty()).then_some(bases)
     }
 
+    /// Reads the parameters listed here.
     fn parameters(&mut self, place: &Place) -> Vec<Parameter> {
         let mut parameters = Vec::new();
         for item in place.get("parameters").iter().flat_map(|list| list.items().collect::<Vec<_>>()) {
             let Some(found) = self.resolve(&item) else { continue };
             let (Some(name), Some(within)) = (found.text("name"), found.text("in")) else {
-                self.find(Code::Shape, &found, "found a parameter without name or in, expected both");
+                self.add_finding(Code::Shape, &found, "found a parameter without name or in, expected both");
                 continue;
             };
             if !["path", "query", "header", "cookie"].contains(&within) {
                 let what = format!("found in: {within:?}, expected path, query, header or cookie");
-                self.find(Code::Shape, &found, what);
+                self.add_finding(Code::Shape, &found, what);
                 continue;
             }
             let name = if within == "header" { name.to_lowercase() } else { name.to_owned() };
             let required = matches!(found.node.get("required").map(|n| &n.value), Some(Value::Bool(true)));
             let within = within.to_owned();
             if parameters.iter().any(|p: &Parameter| p.name == name && p.within == within) {
-                self.find(
+                self.add_finding(
                     Code::Parameters,
                     &found,
                     format!("found parameter {name:?} in {within} twice, expected once"),
@@ -220,6 +223,7 @@
         parameters
     }
 
+    /// Reads one operation. `common` are the parameters of its path item.
     fn operation(
         &mut self,
         method: &str,
@@ -229,7 +233,7 @@
     ) -> Operation {
         let mut parameters = self.parameters(&place);
         for parameter in common {
-            // The operation's own word comes first.
+            // Parameters of the operation override those of the path item.
             if !parameters.iter().any(|p| p.name == parameter.name && p.within == parameter.within) {
                 parameters.push(parameter.clone());
             }
@@ -238,12 +242,12 @@
         let has_body = body.is_some_and(|body| self.resolve(&body).is_some());
         let responses = self.responses(&place);
         let method = method.to_ascii_uppercase();
-        let (effect, because) = self.effect(&method, has_body, &place, &parameters, &KEYS[..1]);
+        let (effect, effect_source) = self.effect(&method, has_body, &place, &parameters, &KEY_HEADERS[..1]);
         self.finish(Operation {
             id: place.text("operationId").map(str::to_owned),
             paths,
             effect,
-            because,
+            effect_source,
             has_body,
             responses,
             parameters,
@@ -258,6 +262,7 @@
         })
     }
 
+    /// Reads the responses of an operation.
     fn responses(&mut self, place: &Place) -> Vec<Response> {
         let mut responses = Vec::new();
         for (status, response) in place.get("responses").iter().flat_map(|r| r.entries().collect::<Vec<_>>())
@@ -267,13 +272,13 @@
             }
             let Some(found) = self.resolve(&response) else { continue };
             let status = status.to_ascii_uppercase().replace("DEFAULT", "default");
-            let types = found
+            let content_types = found
                 .get("content")
                 .iter()
                 .flat_map(|c| c.entries().collect::<Vec<_>>())
                 .map(|(name, _)| name.to_owned())
                 .collect();
-            responses.push(Response { status, types });
+            responses.push(Response { status, content_types });
         }
         responses
     }
--- a/descriptions/src/refs.rs
+++ b/descriptions/src/refs.rs
@@ -6,30 +6,30 @@
 
 use crate::tree::{self, Node};
 
-/// Longest chain of references to references.
-const MOST_STEPS: usize = 32;
-/// Most files that one description may draw in.
-const MOST_FILES: usize = 256;
+/// Maximum number of references in a chain.
+const MAX_REFERENCE_CHAIN: usize = 32;
+/// Maximum number of files that one description may refer to, itself included.
+const MAX_FILES: usize = 256;
 
-/// Reads files of the configured folder, and none beside it.
+/// Reads the files of the configured folder and no others.
 pub trait Files {
-    /// The text of a file by its path from the folder, `/` between names; the error is one line.
+    /// Reads the file at a path relative to the folder, with `/` as separator. The error message has one line.
     fn read(&self, path: &str) -> Result<String, String>;
 }
 
-/// A value, and where it stands.
+/// A value with its location.
 #[derive(Clone, Debug)]
 pub struct Place {
-    /// The file, from the folder.
+    /// Path of the file, relative to the folder.
     pub file: Rc<str>,
-    /// The JSON pointer.
+    /// JSON pointer to the value within the file.
     pub pointer: String,
     /// The value.
     pub node: Rc<Node>,
 }
 
 impl Place {
-    /// The value under a key.
+    /// The value for a key of a table.
     pub fn get(&self, key: &str) -> Option<Place> {
         let node = self.node.get(key)?.clone();
         Some(Place { file: self.file.clone(), pointer: format!("{}/{}", self.pointer, escape(key)), node })
@@ -52,24 +52,27 @@
         })
     }
 
-    /// The text under a key.
+    /// The text value for a key of a table.
     pub fn text(&self, key: &str) -> Option<&str> {
         self.node.get(key).and_then(|node| node.text())
     }
 }
 
+/// Escapes a key for use in a JSON pointer.
 fn escape(key: &str) -> String {
     key.replace('~', "~0").replace('/', "~1")
 }
 
-/// Documents that were read, each once.
+/// Cache of the documents that were read.
 pub struct Documents<'a> {
+    /// Reads the files.
     files: &'a dyn Files,
+    /// Root values of the documents, by path.
     read: RefCell<HashMap<Rc<str>, Rc<Node>>>,
 }
 
-/// Undoes percent-encoding; none where it is none, or no UTF-8.
-fn decode(text: &str) -> Option<String> {
+/// Decodes percent-encoding. `None` if the encoding is invalid or the result is not UTF-8.
+fn percent_decode(text: &str) -> Option<String> {
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::with_capacity(bytes.len()), 0);
     while at < bytes.len() {
@@ -85,8 +88,8 @@
     String::from_utf8(out).ok()
 }
 
-/// A path beside a file, without `.` and `..`; none where it leads out of the folder.
-fn beside(file: &str, path: &str) -> Option<String> {
+/// Resolves a path relative to a file and removes `.` and `..`. `None` if the result lies outside the folder.
+fn resolve_path(file: &str, path: &str) -> Option<String> {
     let mut names: Vec<&str> = file.split('/').collect();
     names.pop();
     for name in path.split('/') {
@@ -102,53 +105,54 @@
 }
 
 impl<'a> Documents<'a> {
-    /// None read yet.
+    /// Creates an empty cache.
     pub fn new(files: &'a dyn Files) -> Documents<'a> {
         Documents { files, read: RefCell::default() }
     }
 
-    /// The whole of a file.
+    /// The root value of a file.
     pub fn root(&self, file: &str) -> Result<Place, String> {
         if let Some((file, node)) = self.read.borrow().get_key_value(file) {
             return Ok(Place { file: file.clone(), pointer: String::new(), node: node.clone() });
         }
-        if self.read.borrow().len() >= MOST_FILES {
-            return Err(format!("found more than {MOST_FILES} files, expected fewer"));
+        if self.read.borrow().len() >= MAX_FILES {
+            return Err(format!("found more than {MAX_FILES} files, expected fewer"));
         }
         let text = self.files.read(file)?;
-        let node = tree::read(&text).map_err(|e| format!("{file}:{}: {}", e.line, e.why))?;
+        let node = tree::read(&text).map_err(|e| format!("{file}:{}: {}", e.line, e.message))?;
         let file: Rc<str> = file.into();
         self.read.borrow_mut().insert(file.clone(), node.clone());
         Ok(Place { file, pointer: String::new(), node })
     }
 
-    /// What a value stands for: itself, or what its `$ref` leads to in the end. The error says what was found.
+    /// Follows `$ref` until a value without one is reached. The error says what was found.
     pub fn resolve(&self, place: &Place) -> Result<Place, String> {
         let mut place = place.clone();
-        for _ in 0..MOST_STEPS {
+        for _ in 0..MAX_REFERENCE_CHAIN {
             let Some(reference) = place.node.get("$ref") else { return Ok(place) };
             let text = reference
                 .text()
-                .ok_or_else(|| format!("found $ref {}, expected a text", reference.shown()))?;
+                .ok_or_else(|| format!("found $ref {}, expected a text", reference.describe()))?;
             place = self.follow(&place.file, text)?;
         }
-        Err(format!("found $ref that leads back to itself, or more than {MOST_STEPS} in a row"))
+        Err(format!("found $ref that leads back to itself, or more than {MAX_REFERENCE_CHAIN} in a row"))
     }
 
+    /// Resolves one reference in a file.
     fn follow(&self, file: &str, reference: &str) -> Result<Place, String> {
         let (path, fragment) = reference.split_once('#').unwrap_or((reference, ""));
-        // A scheme or an authority (RFC 3986 section 4.1): never asked for.
+        // References with a scheme or an authority (RFC 3986 section 4.1) are rejected; nothing is fetched.
         if path.contains(':') || path.starts_with('/') || path.contains('\\') {
             return Err(format!("found $ref {reference:?}, expected a file of the folder"));
         }
-        let path =
-            decode(path).ok_or_else(|| format!("found $ref {reference:?}, expected percent-encoding"))?;
-        let target = if path.is_empty() { Some(file.to_owned()) } else { beside(file, &path) };
+        let path = percent_decode(path)
+            .ok_or_else(|| format!("found $ref {reference:?}, expected percent-encoding"))?;
+        let target = if path.is_empty() { Some(file.to_owned()) } else { resolve_path(file, &path) };
         let target =
             target.ok_or_else(|| format!("found $ref {reference:?}, expected a file within the folder"))?;
         let mut place = self.root(&target).map_err(|why| format!("$ref {reference:?}: {why}"))?;
-        let fragment =
-            decode(fragment).ok_or_else(|| format!("found $ref {reference:?}, expected percent-encoding"))?;
+        let fragment = percent_decode(fragment)
+            .ok_or_else(|| format!("found $ref {reference:?}, expected percent-encoding"))?;
         if !fragment.is_empty() && !fragment.starts_with('/') {
             return Err(format!("found $ref {reference:?}, expected a JSON pointer after #"));
         }
--- a/descriptions/src/tree.rs
+++ b/descriptions/src/tree.rs
@@ -1,38 +1,40 @@
-//! A document as a tree, each value with its line. YAML 1.2 with its core schema; JSON is a part of it.
+//! Parses a document into a tree of values with line numbers: YAML 1.2 with the core schema, which includes JSON.
 //!
-//! Bounded in bytes, nodes and height. An alias shares what it names and copies nothing, so an alias bomb is as small here
-//! as it is in its text; the height counts what is shared.
+//! The size of the text, the number of values and the height of the tree are limited. An alias shares the value that it refers to,
+//! so a document with nested aliases (an "alias bomb") takes no more memory than its text suggests. The height includes shared
+//! values.
 
 use std::collections::HashMap;
 use std::rc::Rc;
 
 use saphyr_parser::{Event, Parser, ScalarStyle};
 
-/// Most bytes of a document.
-pub const MOST_BYTES: usize = 32 << 20;
-/// Most values in a document.
-const MOST_NODES: usize = 4_000_000;
-/// Stands for the entries of another table.
-const MERGE: &str = "<<";
-/// Most values within one another.
-const MOST_HEIGHT: usize = 128;
+/// Maximum size of a document in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 32 << 20;
+/// Maximum number of values in a document.
+const MAX_NODES: usize = 4_000_000;
+/// Key whose value is merged into its table.
+const MERGE_KEY: &str = "<<";
+/// Maximum height of the tree.
+const MAX_HEIGHT: usize = 128;
 
-/// A value and where it stands.
+/// A value with its line number.
 #[derive(Debug)]
 pub struct Node {
     /// The value.
     pub value: Value,
-    /// Its line, from 1.
+    /// Line number, from 1.
     pub line: usize,
+    /// Height of the subtree, 1 for a scalar.
     height: usize,
 }
 
-/// A value.
+/// A value of a document.
 #[derive(Debug)]
 pub enum Value {
-    /// Nothing.
+    /// No value.
     Null,
-    /// True or false.
+    /// A Boolean value.
     Bool(bool),
     /// A number.
     Number(f64),
@@ -40,21 +42,21 @@
     Text(String),
     /// A list.
     List(Vec<Rc<Node>>),
-    /// A table in the order of the text; keys stand once.
+    /// A table, in the order of the text. Keys are unique.
     Map(Vec<(String, Rc<Node>)>),
 }
 
-/// What is wrong with a text, and where.
+/// Why a text cannot be parsed.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Unreadable {
-    /// Its line, from 1.
+pub struct ParseError {
+    /// Line number, from 1.
     pub line: usize,
-    /// In one line.
-    pub why: String,
+    /// Description of the error, in one line.
+    pub message: String,
 }
 
 impl Node {
-    /// The value under a key of a table.
+    /// The value for a key of a table; `None` for any other value.
     pub fn get(&self, key: &str) -> Option<&Rc<Node>> {
         match &self.value {
             Value::Map(entries) => entries.iter().find(|(k, _)| k == key).map(|(_, node)| node),
@@ -62,7 +64,7 @@
         }
     }
 
-    /// The entries of a table; none for anything else.
+    /// The entries of a table; empty for any other value.
     pub fn entries(&self) -> &[(String, Rc<Node>)] {
         match &self.value {
             Value::Map(entries) => entries,
@@ -70,7 +72,7 @@
         }
     }
 
-    /// The values of a list; none for anything else.
+    /// The values of a list; empty for any other value.
     pub fn items(&self) -> &[Rc<Node>] {
         match &self.value {
             Value::List(items) => items,
@@ -78,7 +80,7 @@
         }
     }
 
-    /// A text.
+    /// The text; `None` for any other value.
     pub fn text(&self) -> Option<&str> {
         match &self.value {
             Value::Text(text) => Some(text),
@@ -86,8 +88,8 @@
         }
     }
 
-    /// What it is, for messages.
-    pub fn shown(&self) -> String {
+    /// Description of the value for messages.
+    pub fn describe(&self) -> String {
         match &self.value {
             Value::Null => "nothing".to_owned(),
             Value::Bool(b) => b.to_string(),
@@ -99,32 +101,40 @@
     }
 }
 
-/// A table or list whose end has not come.
-enum Open {
+/// A table or list whose end has not been parsed yet.
+enum OpenCollection {
     List(Vec<Rc<Node>>),
     Map { entries: Vec<(String, Rc<Node>)>, known: HashMap<String, usize>, key: Option<String> },
 }
 
+/// A table or list that is being parsed.
 struct Frame {
-    open: Open,
+    open: OpenCollection,
+    /// Number of its anchor; 0 if it has none.
     anchor: usize,
     line: usize,
+    /// Height of the tree so far.
     height: usize,
 }
 
+/// Builds the tree from parser events.
 struct Builder {
+    /// The open tables and lists, outermost first.
     frames: Vec<Frame>,
+    /// The values with anchors, by anchor number.
     anchors: HashMap<usize, Rc<Node>>,
+    /// Number of values so far.
     nodes: usize,
     root: Option<Rc<Node>>,
 }
 
-fn unreadable(line: usize, why: impl Into<String>) -> Unreadable {
-    Unreadable { line, why: why.into() }
+fn parse_error(line: usize, message: impl Into<String>) -> ParseError {
+    ParseError { line, message: message.into() }
 }
 
-/// A plain scalar by the core schema (YAML 1.2.2, section 10.3.2): `no`, `0777` and `12:30` are what they look like.
-fn plain(text: &str) -> Value {
+/// Parses a plain scalar by the core schema (YAML 1.2.2, section 10.3.2). Unlike in YAML 1.1, `no` and `12:30` are texts and
+/// `0777` is a decimal number.
+fn parse_plain_scalar(text: &str) -> Value {
     match text {
         "" | "~" | "null" | "Null" | "NULL" => return Value::Null,
         "true" | "True" | "TRUE" => return Value::Bool(true),
@@ -152,12 +162,13 @@
 }
 
 impl Builder {
-    fn add(&mut self, node: Rc<Node>, anchor: usize) -> Result<(), Unreadable> {
+    /// Adds a value to the innermost open table or list.
+    fn add(&mut self, node: Rc<Node>, anchor: usize) -> Result<(), ParseError> {
         let line = node.line;
-        if node.height > MOST_HEIGHT {
-            return Err(unreadable(
+        if node.height > MAX_HEIGHT {
+            return Err(parse_error(
                 line,
-                format!("found values more than {MOST_HEIGHT} deep, expected fewer"),
+                format!("found values more than {MAX_HEIGHT} deep, expected fewer"),
             ));
         }
         if anchor > 0 {
@@ -169,25 +180,25 @@
         };
         frame.height = frame.height.max(node.height + 1);
         match &mut frame.open {
-            Open::List(items) => items.push(node),
-            Open::Map { entries, known, key } => match key.take() {
+            OpenCollection::List(items) => items.push(node),
+            OpenCollection::Map { entries, known, key } => match key.take() {
                 Some(name) => entries.push((name, node)),
                 None => {
-                    // JSON and OpenAPI know no other keys than texts; YAML's 200 and true are texts there.
+                    // Keys are texts in JSON and OpenAPI, so the YAML keys `200` and `true` are converted.
                     let name = match &node.value {
                         Value::Text(text) => text.clone(),
                         Value::Number(n) => n.to_string(),
                         Value::Bool(b) => b.to_string(),
                         _ => {
-                            return Err(unreadable(
+                            return Err(parse_error(
                                 line,
-                                format!("found {} as a key, expected a text", node.shown()),
+                                format!("found {} as a key, expected a text", node.describe()),
                             ));
                         }
                     };
                     if let Some(before) = known.insert(name.clone(), line) {
                         let why = format!("found key {name:?} again, expected it once (line {before})");
-                        return Err(unreadable(line, why));
+                        return Err(parse_error(line, why));
                     }
                     *key = Some(name);
                 }
@@ -196,25 +207,26 @@
         Ok(())
     }
 
-    fn open(&mut self, open: Open, anchor: usize, line: usize) -> Result<(), Unreadable> {
-        if self.frames.len() >= MOST_HEIGHT {
-            return Err(unreadable(
+    /// Begins a table or list.
+    fn open(&mut self, open: OpenCollection, anchor: usize, line: usize) -> Result<(), ParseError> {
+        if self.frames.len() >= MAX_HEIGHT {
+            return Err(parse_error(
                 line,
-                format!("found values more than {MOST_HEIGHT} deep, expected fewer"),
+                format!("found values more than {MAX_HEIGHT} deep, expected fewer"),
             ));
         }
         self.frames.push(Frame { open, anchor, line, height: 1 });
         Ok(())
     }
 
-    /// Puts in what a merge key stands for: entries that the table does not have itself, those of the first first
-    /// (yaml.org/type/merge.html; no part of YAML 1.2, and in wide use).
+    /// Adds the entries of the tables under a merge key. Entries of the table itself take precedence, then those of earlier
+    /// tables (yaml.org/type/merge.html, which is not part of YAML 1.2 but widely used).
     fn merge(
         &mut self,
         entries: &mut Vec<(String, Rc<Node>)>,
         mut known: HashMap<String, usize>,
-    ) -> Result<(), Unreadable> {
-        let Some(at) = entries.iter().position(|(key, _)| key == MERGE) else { return Ok(()) };
+    ) -> Result<(), ParseError> {
+        let Some(at) = entries.iter().position(|(key, _)| key == MERGE_KEY) else { return Ok(()) };
         let merged = entries.remove(at).1;
         let tables = match &merged.value {
             Value::List(tables) => tables.as_slice(),
@@ -222,10 +234,11 @@
         };
         for table in tables {
             let Value::Map(more) = &table.value else {
-                let what = format!("found {} under <<, expected a table or a list of tables", table.shown());
-                return Err(unreadable(merged.line, what));
+                let what =
+                    format!("found {} under <<, expected a table or a list of tables", table.describe());
+                return Err(parse_error(merged.line, what));
             };
-            // Guards against tables that merge each other's merges.
+            // Limits the size of tables that merge tables with merge keys of their own.
             self.nodes += more.len();
             for (key, node) in more {
                 if known.insert(key.clone(), node.line).is_none() {
@@ -236,12 +249,13 @@
         Ok(())
     }
 
-    fn close(&mut self) -> Result<(), Unreadable> {
+    /// Ends the innermost table or list.
+    fn close(&mut self) -> Result<(), ParseError> {
         let Some(Frame { open, anchor, line, height }) = self.frames.pop() else { return Ok(()) };
         let value = match open {
-            Open::List(items) => Value::List(items),
-            Open::Map { mut entries, known, .. } => {
-                if known.contains_key(MERGE) {
+            OpenCollection::List(items) => Value::List(items),
+            OpenCollection::Map { mut entries, known, .. } => {
+                if known.contains_key(MERGE_KEY) {
                     self.merge(&mut entries, known)?;
                 }
                 Value::Map(entries)
@@ -251,49 +265,54 @@
     }
 }
 
-/// Reads a document; the first thing that is wrong ends it.
-pub fn read(text: &str) -> Result<Rc<Node>, Unreadable> {
-    if text.len() > MOST_BYTES {
-        return Err(unreadable(1, format!("found {} bytes, expected at most {MOST_BYTES}", text.len())));
+/// Parses a document. Stops at the first error.
+pub fn read(text: &str) -> Result<Rc<Node>, ParseError> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        return Err(parse_error(
+            1,
+            format!("found {} bytes, expected at most {MAX_DOCUMENT_BYTES}", text.len()),
+        ));
     }
     let mut builder = Builder { frames: Vec::new(), anchors: HashMap::new(), nodes: 0, root: None };
     let mut documents = 0;
     for event in Parser::new_from_str(text) {
-        let (event, span) = event.map_err(|e| unreadable(e.marker().line(), e.info().to_owned()))?;
+        let (event, span) = event.map_err(|e| parse_error(e.marker().line(), e.info().to_owned()))?;
         let line = span.start.line();
         builder.nodes += 1;
-        if builder.nodes > MOST_NODES {
-            return Err(unreadable(line, format!("found more than {MOST_NODES} values, expected fewer")));
+        if builder.nodes > MAX_NODES {
+            return Err(parse_error(line, format!("found more than {MAX_NODES} values, expected fewer")));
         }
         match event {
             Event::DocumentStart(_) => {
                 documents += 1;
                 if documents > 1 {
-                    return Err(unreadable(line, "found a second document, expected one"));
+                    return Err(parse_error(line, "found a second document, expected one"));
                 }
             }
             Event::Scalar(text, style, anchor, _) => {
                 let value = match style {
-                    ScalarStyle::Plain => plain(&text),
+                    ScalarStyle::Plain => parse_plain_scalar(&text),
                     _ => Value::Text(text.into_owned()),
                 };
                 builder.add(Rc::new(Node { value, line, height: 1 }), anchor)?;
             }
             Event::Alias(anchor) => {
-                // One that is still open would hold itself.
+                // An alias of a table or list that is still open would contain itself.
                 let node = builder.anchors.get(&anchor).cloned();
                 let node = node
-                    .ok_or_else(|| unreadable(line, "found an alias of what holds it, expected another"))?;
+                    .ok_or_else(|| parse_error(line, "found an alias of what holds it, expected another"))?;
                 builder.add(node, 0)?;
             }
-            Event::SequenceStart(anchor, _) => builder.open(Open::List(Vec::new()), anchor, line)?,
+            Event::SequenceStart(anchor, _) => {
+                builder.open(OpenCollection::List(Vec::new()), anchor, line)?
+            }
             Event::MappingStart(anchor, _) => {
-                let open = Open::Map { entries: Vec::new(), known: HashMap::new(), key: None };
+                let open = OpenCollection::Map { entries: Vec::new(), known: HashMap::new(), key: None };
                 builder.open(open, anchor, line)?;
             }
             Event::SequenceEnd | Event::MappingEnd => builder.close()?,
             _ => {}
         }
     }
-    builder.root.ok_or_else(|| unreadable(1, "found nothing, expected a table"))
+    builder.root.ok_or_else(|| parse_error(1, "found nothing, expected a table"))
 }
--- a/descriptions/tests/asyncapi.rs
+++ b/descriptions/tests/asyncapi.rs
@@ -1,17 +1,17 @@
-//! AsyncAPI: which messages come over HTTP, and what makes their delivery repeatable.
+//! AsyncAPI descriptions: which operations have routes, and when their deliveries can be repeated.
 
 mod common;
 
-use common::{found, shown};
+use common::{found, summaries};
 
-/// Version 2.6 with this channel and these servers.
+/// A description of version 2.6 with these servers and this channel.
 fn two(servers: &str, channel: &str) -> String {
     format!(
         "asyncapi: 2.6.0\ninfo: {{title: t, version: '1'}}\nservers: {{{servers}}}\nchannels:\n  {channel}\n"
     )
 }
 
-/// Version 3.0 with this channel, operation and servers.
+/// A description of version 3.0 with these servers, this channel and this operation.
 fn three(servers: &str, channel: &str, operation: &str) -> String {
     format!(
         "asyncapi: 3.0.0\ninfo: {{title: t, version: '1'}}\nservers: {{{servers}}}\nchannels:\n  c: {{{channel}}}\noperations:\n  o: {{{operation}}}\n"
@@ -54,7 +54,7 @@
             two(HTTP, &format!("done: {{publish: {{x-sloeline-window: 30s, message: {WITH_ID}}}}}")),
             &["POST /v1/done keyed header:webhook-id 30000"],
         ),
-        // Without a window nothing says for how long the identity is remembered.
+        // Without a window the key is not relied on.
         (two(HTTP, &format!("done: {{publish: {{message: {WITH_ID}}}}}")), &["POST /v1/done unsafe"]),
         (
             two(
@@ -114,7 +114,7 @@
     ];
     for (text, expected) in rows {
         let (operations, findings) = found(&[("api.yaml", text)]);
-        let operations: Vec<String> = operations.iter().flat_map(shown).collect();
+        let operations: Vec<String> = operations.iter().flat_map(summaries).collect();
         assert_eq!(
             (operations, findings),
             (expected.iter().map(|e| (*e).to_owned()).collect(), vec![]),
@@ -181,9 +181,9 @@
     ];
     let mut wrong = Vec::new();
     for (text, codes) in rows {
-        let told = found(&[("api.yaml", text)]).1;
-        if told != *codes {
-            wrong.push(format!("found {told:?}, expected {codes:?}:\n{text}"));
+        let reported = found(&[("api.yaml", text)]).1;
+        if reported != *codes {
+            wrong.push(format!("found {reported:?}, expected {codes:?}:\n{text}"));
         }
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
--- a/descriptions/tests/corpus.rs
+++ b/descriptions/tests/corpus.rs
@@ -1,15 +1,15 @@
-//! Descriptions that are right and descriptions that are wrong, each with what is found.
+//! Correct and faulty descriptions with the expected findings.
 
 mod common;
 
 use common::found;
 use proptest::prelude::*;
-use sloeline_descriptions::effect::{Effect, KeyAt};
+use sloeline_descriptions::effect::{Effect, KeyLocation};
 use sloeline_descriptions::extensions::EXTENSIONS;
 use sloeline_descriptions::refs::Files;
 use sloeline_descriptions::tree;
 
-/// A description with these paths; every answer is described unless a response says otherwise.
+/// An OpenAPI description with these paths.
 fn api(paths: &str) -> String {
     format!("openapi: 3.0.3\ninfo: {{title: t, version: '1'}}\npaths:\n{paths}")
 }
@@ -20,7 +20,7 @@
 
 #[test]
 fn right_ones_have_no_findings_and_silence_means_unsafe() {
-    let key = || Effect::Keyed { key: KeyAt::Header("idempotency-key".to_owned()), window: 30_000_000 };
+    let key = || Effect::Keyed { key: KeyLocation::Header("idempotency-key".to_owned()), window: 30_000_000 };
     let cases: Vec<(String, Effect)> = vec![
         (format!("  /checks:\n    get: {{{ANY}}}"), Effect::Safe),
         (format!("  /checks:\n    head: {{{ANY}}}"), Effect::Safe),
@@ -49,7 +49,7 @@
             format!(
                 "  /files/{{id}}:\n    put: {{parameters: [{ID}], x-sloeline-key: 'path:id', x-sloeline-window: 1min, {ANY}}}"
             ),
-            Effect::Keyed { key: KeyAt::Path("id".to_owned()), window: 60_000_000 },
+            Effect::Keyed { key: KeyLocation::Path("id".to_owned()), window: 60_000_000 },
         ),
         (
             format!(
@@ -75,7 +75,7 @@
         (format!("  x-note: any\n  /a:\n    summary: s\n    get: {{x-other: 1, {ANY}}}"), Effect::Safe),
         (format!("  /a: &item\n    get: {{{ANY}}}\n  /b: *item"), Effect::Safe),
         (format!("  /a:\n    options: {{{ANY}}}"), Effect::Safe),
-        // What stands beside a $ref comes first.
+        // Fields besides a $ref take precedence.
         (
             format!(
                 "  /a: {{$ref: '#/x-b', get: {{x-sloeline-effect: unsafe, {ANY}}}}}\nx-b: {{get: {{{ANY}}}}}"
@@ -100,13 +100,13 @@
         (format!("  /a:\n    get: {{x-sloeline-time: 4s, {ANY}}}"), Effect::Safe),
         (
             format!("  /a:\n    post: {{parameters: [{KEY}], x-sloeline-window: 60s, {ANY}}}"),
-            Effect::Keyed { key: KeyAt::Header("idempotency-key".to_owned()), window: 60_000_000 },
+            Effect::Keyed { key: KeyLocation::Header("idempotency-key".to_owned()), window: 60_000_000 },
         ),
         (
             format!(
                 "  /a:\n    post: {{parameters: [{{name: k, in: query, required: true}}], x-sloeline-key: 'query:k', x-sloeline-window: 1s, {ANY}}}"
             ),
-            Effect::Keyed { key: KeyAt::Query("k".to_owned()), window: 1_000_000 },
+            Effect::Keyed { key: KeyLocation::Query("k".to_owned()), window: 1_000_000 },
         ),
         (
             format!(
@@ -157,7 +157,7 @@
         ("openapi: 3.0.0\n---\nopenapi: 3.0.0".to_owned(), &["D001:2"]),
         ("openapi: &a [*a]".to_owned(), &["D001:1"]),
         ("openapi: 3.0.0\npaths:\n  <<: 7".to_owned(), &["D001:3"]),
-        // What a merge key brings counts.
+        // Entries of merged tables are checked too.
         (
             "openapi: 3.0.0\nx-a: &a {responses: {'201': {}, default: {}}}\nx-b: &b {operationId: b}\npaths:\n  /a:\n    get: {<<: [*b, *a], operationId: o}".to_owned(),
             &["D011:6"],
@@ -272,9 +272,9 @@
     ];
     let mut wrong = Vec::new();
     for (text, codes) in &cases {
-        let told = found(&[("api.yaml", text)]).1;
-        if told != *codes {
-            wrong.push(format!("found {told:?}, expected {codes:?}:\n{text}"));
+        let reported = found(&[("api.yaml", text)]).1;
+        if reported != *codes {
+            wrong.push(format!("found {reported:?}, expected {codes:?}:\n{text}"));
         }
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
@@ -312,8 +312,8 @@
 
 #[test]
 fn scalars_are_what_yaml_says_and_bombs_stay_small() {
-    let value = |text: &str| tree::read(text).expect("a value").shown();
-    for (text, shown) in [
+    let value = |text: &str| tree::read(text).expect("a value").describe();
+    for (text, expected) in [
         ("no", "\"no\""),
         ("0777", "777"),
         ("0o17", "15"),
@@ -326,16 +326,16 @@
         (".5", "0.5"),
         ("TRUE", "true"),
     ] {
-        assert_eq!(value(text), shown, "{text}");
+        assert_eq!(value(text), expected, "{text}");
     }
-    // Two to the hundredth values, in a hundred lines.
+    // 2^100 values in a hundred lines.
     let mut bomb = "a0: &a0 [x, x]\n".to_owned();
     for n in 1..100 {
         bomb += &format!("a{n}: &a{n} [*a{}, *a{}]\n", n - 1, n - 1);
     }
     assert_eq!(tree::read(&bomb).expect("a table").entries().len(), 100);
     bomb += &(100..200).map(|n| format!("a{n}: &a{n} [*a{}]\n", n - 1)).collect::<String>();
-    assert!(tree::read(&bomb).expect_err("too deep").why.contains("deep"));
+    assert!(tree::read(&bomb).expect_err("too deep").message.contains("deep"));
     for deep in ["[".repeat(100_000), "{a: ".repeat(100_000), "- ".repeat(100_000)] {
         assert!(tree::read(&deep).is_err());
     }
@@ -357,7 +357,7 @@
     let _ = std::fs::remove_dir_all(base);
 }
 
-/// The schema for editors knows the extensions that the reader knows, and no others.
+/// The JSON schema for editors has the same extensions as the reader.
 #[test]
 fn the_schema_of_the_extensions_is_theirs() {
     let text =
@@ -371,7 +371,7 @@
     assert_eq!(said, known);
 }
 
-/// A file that is replaced while it is read is the one or the other.
+/// A file that is replaced while it is read is read in one of its versions.
 #[test]
 fn a_file_that_is_replaced_is_read_as_one_of_its_versions() {
     use sloeline_descriptions::folder::Folder;
@@ -401,7 +401,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
-    /// Whatever stands there, reading ends, and says where.
+    /// Reading ends for any text, and every finding has a line.
     #[test]
     fn nothing_that_is_read_makes_it_fall_over(text in "([a-z\\$/{}:\\[\\]&*'\"#, \\n-]|openapi: 3.0.0\\n|paths:\\n|  /a:\\n|    get: ){0,60}") {
         found(&[("api.yaml", &text)]);
--- a/descriptions/tests/styles.rs
+++ b/descriptions/tests/styles.rs
@@ -1,14 +1,14 @@
-//! Large descriptions in the styles that public specifications are written in. None may be refused, hang the reader or give
-//! operations that are not there.
+//! Large descriptions in common styles of public specifications. The reader must accept each of them in bounded time and find
+//! exactly its operations.
 
 mod common;
 
 use std::fmt::Write as _;
 use std::time::{Duration, Instant};
 
-use common::{found, shown};
+use common::{found, summaries};
 
-/// Operations of each.
+/// Number of operations of each description.
 const MANY: usize = 400;
 
 const OPEN: &str = "openapi: 3.1.0\ninfo: {title: t, version: '1'}\n";
@@ -30,7 +30,7 @@
 
 const ANY: &str = "components:\n  responses: {any: {description: d, content: {application/json: {schema: {$ref: '#/components/schemas/a'}}}}}\n";
 
-/// A name, the text, how many operations it has, and the first as it must be understood.
+/// Name, text, number of operations, and expected summary of the first operation of each description.
 fn styles() -> Vec<(&'static str, String, usize, &'static str)> {
     let first = "GET /things-0/{id} safe";
     let recursive = "  schemas: {a: {type: object, properties: {next: {$ref: '#/components/schemas/a'}, all: {type: array, items: {$ref: '#/components/schemas/b'}}}}, b: {anyOf: [{$ref: '#/components/schemas/a'}, {$ref: '#/components/schemas/b'}]}}\n";
@@ -140,8 +140,8 @@
         let thing = format!("thing:\n  get: {{parameters: [{ID}], responses: {{default: {{}}}}}}\n");
         let (found, findings) = found(&[("api.yaml", &text), ("paths.yaml", &thing)]);
         assert_eq!((found.len(), findings), (operations, vec![]), "{name}");
-        assert_eq!(found.first().map(|o| shown(o).remove(0)).unwrap_or_default(), first, "{name}");
-        // Not a figure: a reader that doubles something at each step does not end.
+        assert_eq!(found.first().map(|o| summaries(o).remove(0)).unwrap_or_default(), first, "{name}");
+        // A generous limit, to detect exponential time.
         assert!(start.elapsed() < Duration::from_secs(20), "{name}: {:?}", start.elapsed());
     }
 }
--- a/descriptions/tests/versions.rs
+++ b/descriptions/tests/versions.rs
@@ -1,4 +1,4 @@
-//! Two versions of a description, and what changes between them.
+//! Changes between two versions of a description.
 
 use std::collections::HashMap;
 
@@ -33,7 +33,7 @@
     let unsafe_ = "x-sloeline-effect: unsafe";
     let cases: Vec<(String, String, &[&str])> = vec![
         (post(""), post(""), &[]),
-        // The name of a parameter is nothing to clients.
+        // The name of a path parameter does not matter to clients.
         (id(""), "  /a/{no}:\n    get: {}".to_owned(), &[]),
         (post("x-sloeline-effect: safe"), post(""), &["dangerous C001"]),
         (post("x-sloeline-effect: safe"), keyed("1s"), &["dangerous C001", "breaking C007"]),
@@ -55,13 +55,13 @@
         ),
         (post("responses: {'200': {}}"), post("responses: {'201': {}}"), &["note C008"]),
         (post(""), "  /b:\n    post: {}".to_owned(), &["breaking C010", "note C013"]),
-        // /a/latest goes to /a/{id} from now on.
+        // Requests for /a/latest go to /a/{id} in the new version.
         (id("") + "\n" + &latest(""), id(""), &["breaking C011"]),
         (id(unsafe_) + "\n" + &latest(""), id(unsafe_), &["dangerous C011"]),
-        // And the other way round.
+        // The opposite change.
         (id(""), id("") + "\n" + &latest(""), &["breaking C012"]),
         (id(""), id("") + "\n" + &latest(unsafe_), &["dangerous C012"]),
-        // The most concrete of several takes it.
+        // The most specific of several templates matches.
         (
             "  /a/{x}/{y}:\n    get: {}\n  /a/b/{y}:\n    get: {x-sloeline-effect: unsafe}\n  /a/b/c:\n    get: {}".to_owned(),
             "  /a/{x}/{y}:\n    get: {}\n  /a/b/{y}:\n    get: {x-sloeline-effect: unsafe}".to_owned(),
@@ -71,9 +71,9 @@
     ];
     for (old, new, expected) in &cases {
         let changes = diff(&operations(old), &operations(new));
-        let told: Vec<String> =
+        let reported: Vec<String> =
             changes.iter().map(|c| c.to_string().split(':').next().unwrap_or("").to_owned()).collect();
-        assert_eq!(told, *expected, "{old}\n{new}\n{changes:#?}");
+        assert_eq!(reported, *expected, "{old}\n{new}\n{changes:#?}");
         assert!(changes.is_sorted_by_key(|c| std::cmp::Reverse(c.weight)));
         assert!(changes.iter().all(|c| c.line > 0 && c.weight >= Weight::Note));
     }
--- a/sloeline/src/cli.rs
+++ b/sloeline/src/cli.rs
@@ -229,7 +229,8 @@
             .map(|text| print!("{text}")),
         Some(Command::Operations { file, waits, remembers, form, json }) => {
             let form = if json { descriptions::Form::Json } else { form };
-            let promises = sloeline_descriptions::check::Promises { remembers, waits };
+            let promises =
+                sloeline_descriptions::check::Promises { key_memory: remembers, caller_timeout: waits };
             descriptions::operations(&file, promises, form).and_then(|(text, errors)| {
                 print!("{text}");
                 if errors == 0 { Ok(()) } else { Err(format!("{}: {errors} errors", file.display())) }
--- a/sloeline/src/descriptions.rs
+++ b/sloeline/src/descriptions.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use sloeline_descriptions::check::{Promises, check};
 use sloeline_descriptions::diff::{Weight, diff};
-use sloeline_descriptions::effect::{Because, Effect, KeyAt};
+use sloeline_descriptions::effect::{Effect, EffectSource, KeyLocation};
 use sloeline_descriptions::findings::{Code, Finding, Severity};
 use sloeline_descriptions::folder::Folder;
 use sloeline_descriptions::openapi::Operation;
@@ -55,18 +55,18 @@
 }
 
 fn row(operation: &Operation) -> String {
-    let (effect, why) = match (&operation.effect, operation.because) {
-        (Effect::Safe, Because::Method) => ("safe", "by its method".to_owned()),
+    let (effect, why) = match (&operation.effect, operation.effect_source) {
+        (Effect::Safe, EffectSource::Method) => ("safe", "by its method".to_owned()),
         (Effect::Safe, _) => ("safe", "by extension".to_owned()),
         (Effect::Keyed { key, window }, _) => {
             let key = match key {
-                KeyAt::Header(name) => format!("header:{name}"),
-                KeyAt::Query(name) => format!("query:{name}"),
-                KeyAt::Path(name) => format!("path:{name}"),
+                KeyLocation::Header(name) => format!("header:{name}"),
+                KeyLocation::Query(name) => format!("query:{name}"),
+                KeyLocation::Path(name) => format!("path:{name}"),
             };
             ("keyed", format!("{key} for {} ms, by extension", window / 1000))
         }
-        (Effect::Unsafe, Because::Extension) => ("unsafe", "by extension".to_owned()),
+        (Effect::Unsafe, EffectSource::Extension) => ("unsafe", "by extension".to_owned()),
         (Effect::Unsafe, _) => ("unsafe", "nothing says otherwise".to_owned()),
     };
     let mut rows = String::new();
@@ -85,7 +85,7 @@
             line: f.line,
             pointer: &f.pointer,
             message: &f.what,
-            mend: f.code.mend(),
+            mend: f.code.remedy(),
             accepted: f.accepted.as_deref(),
         }
     }
@@ -95,7 +95,7 @@
 
 /// SARIF 2.1.0: sections 3.19 (driver), 3.27 (result), 3.35 (suppression).
 fn sarif(findings: &[Finding]) -> Result<String, String> {
-    let rule = |code: &Code| json!({"id": code.number(), "help": {"text": code.mend()}});
+    let rule = |code: &Code| json!({"id": code.number(), "help": {"text": code.remedy()}});
     let result = |f: &Finding| {
         let level = if f.code.severity() == Severity::Error { "error" } else { "warning" };
         let mut result = json!({
@@ -141,7 +141,7 @@
     let mut versions = Vec::new();
     for file in [old, new] {
         let (operations, findings) = read(file, Promises::default())?;
-        if let Some(finding) = findings.iter().find(|f| f.stops()) {
+        if let Some(finding) = findings.iter().find(|f| f.is_blocking()) {
             return Err(format!("{finding}"));
         }
         versions.push(operations);
@@ -154,7 +154,7 @@
 /// What a description says, for people or for tools, and how many findings keep it from being used.
 pub fn operations(file: &Path, promises: Promises, form: Form) -> Result<(String, usize), String> {
     let (operations, findings) = read(file, promises)?;
-    let stops = findings.iter().filter(|f| f.stops()).count();
+    let stops = findings.iter().filter(|f| f.is_blocking()).count();
     match form {
         Form::Json => return Ok((as_json(&findings)?, stops)),
         Form::Sarif => return Ok((sarif(&findings)?, stops)),
--- a/sloeline/src/observed.rs
+++ b/sloeline/src/observed.rs
@@ -8,7 +8,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderName, LOCATION};
 use sloeline_config::descriptions::DescriptionLoader;
 use sloeline_config::model::{Config, RouteOperation};
-use sloeline_descriptions::behaviour::{self, Behaviour, ODDITIES};
+use sloeline_descriptions::behaviour::{self, Behaviour, DEVIATIONS};
 use sloeline_descriptions::folder::Folder;
 use sloeline_descriptions::refs::Files;
 use sloeline_engine::clock::Clock;
@@ -53,17 +53,17 @@
 
     fn observe(&self, seen: &ObservedResponse<'_>) -> bool {
         let text = |name: HeaderName| seen.headers.get(name).and_then(|v| v.to_str().ok());
-        let seen = behaviour::Seen {
+        let seen = behaviour::ObservedResponse {
             key: seen.key,
             status: seen.status.as_u16(),
             content_type: text(CONTENT_TYPE),
             location: text(LOCATION),
             took: seen.elapsed,
         };
-        let odd = self.behaviour.borrow_mut().answered(self.clock.now(), &seen);
+        let odd = self.behaviour.borrow_mut().record_response(self.clock.now(), &seen);
         let mut narrows = false;
         for (oddity, first) in odd {
-            let now = oddity.narrows() && !self.narrowed.replace(true);
+            let now = oddity.proves_unsafe() && !self.narrowed.replace(true);
             narrows |= now;
             if now || first {
                 let name = &self.name;
@@ -149,7 +149,7 @@
 
 fn line(of: &Observed) -> String {
     let (answers, compared, counts) = of.behaviour.borrow().counts();
-    let found = ODDITIES.iter().zip(counts).filter(|(_, count)| *count > 0);
+    let found = DEVIATIONS.iter().zip(counts).filter(|(_, count)| *count > 0);
     let found: Vec<String> =
         found.map(|(oddity, count)| format!("{} {count} times", oddity.number())).collect();
     let narrowed = if of.narrowed.get() { ", narrowed to unsafe" } else { "" };
