--- a/descriptions/src/effect.rs
+++ b/descriptions/src/effect.rs
@@ -64,12 +64,12 @@
     words
 }
 
-/// The first word of an operation id, if it is a verb of [`ACTION_VERBS`].
+/// The first word of an operation id, if it is the verb of an action that has an effect each time.
 pub fn leading_action(id: &str) -> Option<String> {
     split_words(id).into_iter().next().filter(|word| ACTION_VERBS.contains(&word.as_str()))
 }
 
-/// The verb of [`ACTION_VERBS`] at the end of a path, as in `/checks/{id}/cancel`. A path segment that is not preceded by a
+/// The verb of such an action at the end of a path, as in `/checks/{id}/cancel`. A path segment that is not preceded by a
 /// parameter, as in `/payments`, names a collection and is no action.
 pub fn trailing_action(path: &str) -> Option<String> {
     let last = path.rsplit('/').next().filter(|last| !last.starts_with('{'))?;
