--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The scripts of the second review. Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
 
 mod early_runs;
+mod late_beat;
 mod mesh;
 
 use std::path::PathBuf;
@@ -17,6 +18,7 @@
     let programs = PathBuf::from(programs);
     let result = match case.as_str() {
         "early-runs" => early_runs::play(&programs, &record, trouble),
+        "late-beat" => late_beat::play(&programs, &record, trouble),
         other => Err(format!("no case {other}")),
     };
     let code = match result {
--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -566,6 +566,9 @@
 
     /// Answers one request; returns what has come after it.
     fn respond(&self, stream: &mut TcpStream, request: &mut Request) -> io::Result<Vec<u8>> {
+        if self.gone.load(Ordering::SeqCst) {
+            return Err(error("the upstream has ended"));
+        }
         let try_id = request.header("x-try-id").to_owned();
         let addressee = request.header("x-addressee").to_owned();
         if !addressee.is_empty() && addressee != self.id {
