--- a/review/standin-2/late_beat.rs
+++ b/review/standin-2/late_beat.rs
@@ -66,10 +66,11 @@
     let stop = Arc::new(AtomicBool::new(false));
     let statuses: Arc<Mutex<BTreeMap<String, (f64, u16)>>> = Arc::default();
     let to = mesh.at(front, OUTGOING);
-    let clients: Vec<_> = (0..8)
+    let clients: Vec<_> = (0..8_u64)
         .map(|client| {
             let (stop, statuses, record) = (stop.clone(), statuses.clone(), record.clone());
             thread::spawn(move || {
+                thread::sleep(Duration::from_millis(50 * client));
                 for number in 0.. {
                     if stop.load(Ordering::SeqCst) {
                         return;
