--- a/review/standin-2/early_runs.rs
+++ b/review/standin-2/early_runs.rs
@@ -89,6 +89,12 @@
         return Err("fewer than nine in ten tries were served".to_owned());
     }
     let mut broken = false;
+    let mut by_key: BTreeMap<&str, usize> = BTreeMap::new();
+    runs.iter().filter(|run| !run.key.is_empty()).for_each(|run| *by_key.entry(&run.key).or_default() += 1);
+    for (key, times) in by_key.iter().filter(|(_, times)| **times > 1) {
+        broken = true;
+        record.both(&format!("TWICE: key {key} was run {times} times"));
+    }
     for (id, at) in &by_try {
         let status = statuses.get(*id).copied().unwrap_or(0);
         if at.len() > 1 {
--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -20,15 +20,6 @@
 const FIRST_PORT: u16 = 7620;
 const METRICS: u16 = 9464;
 
-extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
 /// What was sent, answered and run, in the order of time.
 pub struct Record {
     start: Instant,
@@ -59,7 +50,6 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
-    pub name: String,
     child: Option<Child>,
 }
 
@@ -77,12 +67,6 @@
         Ok(())
     }
 
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
     /// Kills it at once and waits until it has ended.
     pub fn end(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -90,24 +74,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Whether it has ended by itself.
-    pub fn ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
-    }
-
-    /// Waits until it has ended, at most so long.
-    pub fn wait(&mut self, most: Duration) -> bool {
-        let start = Instant::now();
-        while start.elapsed() < most {
-            if self.ended() {
-                self.child = None;
-                return true;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        false
-    }
 }
 
 impl Drop for Process {
@@ -206,7 +172,6 @@
             program: self.programs.join(program),
             settings: path,
             log: self.folder.join(format!("{number}.log")),
-            name: format!("m-{number}"),
             child: None,
         };
         process.start().map_err(|e| format!("{program}: {e}"))?;
@@ -262,11 +227,6 @@
     pub fn wait_ready(&self, machine: u8, most: Duration) -> bool {
         wait_until(most, || self.is_ready(machine))
     }
-
-    /// A line of the log of a machine that holds this text.
-    pub fn log_has(&self, machine: u8, text: &str) -> bool {
-        fs::read_to_string(self.folder.join(format!("{machine}.log"))).is_ok_and(|log| log.contains(text))
-    }
 }
 
 pub fn wait_until(most: Duration, mut done: impl FnMut() -> bool) -> bool {
@@ -429,8 +389,6 @@
     AnswerEarly,
     /// It works once it has the head; then its answer is lost and the connection is reset.
     LoseEarly,
-    /// It reads the whole request and works; then its answer is lost and the connection is reset.
-    Lose,
 }
 
 /// An upstream: it beats, serves one request at a time on a connection, and keeps account of its runs.
@@ -582,7 +540,7 @@
         }
         let number = self.runs.lock().unwrap().iter().filter(|run| run.upstream == self.id).count();
         let treatment = (self.treat)(request, number);
-        if matches!(treatment, Treatment::Answer | Treatment::Lose) {
+        if treatment == Treatment::Answer {
             self.finish_body(stream, request)?;
         }
         let key = request.header("x-operation-key").to_owned();
@@ -601,7 +559,7 @@
             self.record.line(&format!("run      upstream {} ends while it works on try {try_id}", self.id));
             return Err(error("the upstream has ended"));
         }
-        if matches!(treatment, Treatment::Lose | Treatment::LoseEarly) {
+        if treatment == Treatment::LoseEarly {
             self.record.line(&format!("run      upstream {} has run try {try_id}; its answer is lost", self.id));
             reset(stream);
             return Err(error("lost"));
