--- a/review/standin-2/late_beat.rs
+++ b/review/standin-2/late_beat.rs
@@ -42,7 +42,7 @@
                 address: mesh.at(machine, APP),
                 dock: mesh.at(machine, DOCK),
                 slots: 6,
-                work: Duration::from_millis(120),
+                work: Duration::from_millis(200),
                 runs: runs.clone(),
                 record: record.clone(),
                 beating: AtomicBool::new(true),
@@ -62,15 +62,15 @@
     }
     thread::sleep(Duration::from_millis(4000));
 
-    // Clients: about 20 requests a second, each on a connection of its own.
+    // Clients: about 25 requests a second, each on a connection of its own.
     let stop = Arc::new(AtomicBool::new(false));
     let statuses: Arc<Mutex<BTreeMap<String, (f64, u16)>>> = Arc::default();
     let to = mesh.at(front, OUTGOING);
-    let clients: Vec<_> = (0..8_u64)
+    let clients: Vec<_> = (0..12_u64)
         .map(|client| {
             let (stop, statuses, record) = (stop.clone(), statuses.clone(), record.clone());
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(50 * client));
+                thread::sleep(Duration::from_millis(40 * client));
                 for number in 0.. {
                     if stop.load(Ordering::SeqCst) {
                         return;
