--- a/review/standin-2/late_beat.rs
+++ b/review/standin-2/late_beat.rs
@@ -48,7 +48,7 @@
                 beating: AtomicBool::new(true),
                 gone: AtomicBool::new(false),
                 sequence: Mutex::new(0),
-                treat: Box::new(|_, _| Treatment::Answer),
+                treat: Box::new(|| Treatment::Answer),
             }
             .start()?,
         );
--- a/review/standin-2/mesh.rs
+++ b/review/standin-2/mesh.rs
@@ -404,7 +404,7 @@
     pub beating: AtomicBool,
     pub gone: AtomicBool,
     pub sequence: Mutex<u64>,
-    pub treat: Box<dyn Fn(&Request, usize) -> Treatment + Send + Sync>,
+    pub treat: Box<dyn Fn() -> Treatment + Send + Sync>,
 }
 
 impl Upstream {
@@ -412,6 +412,7 @@
     pub fn start(self) -> Result<Arc<Upstream>, String> {
         let upstream = Arc::new(self);
         let listener = TcpListener::bind(upstream.address).map_err(|e| format!("{}: {e}", upstream.address))?;
+        small_window(&listener);
         let serving = upstream.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
@@ -538,8 +539,7 @@
             stream.write_all(head.as_bytes())?;
             return Ok(self.after_body(request));
         }
-        let number = self.runs.lock().unwrap().iter().filter(|run| run.upstream == self.id).count();
-        let treatment = (self.treat)(request, number);
+        let treatment = (self.treat)();
         if treatment == Treatment::Answer {
             self.finish_body(stream, request)?;
         }
@@ -597,7 +597,7 @@
 }
 
 extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const core::ffi::c_void, length: u32) -> i32;
 }
 
 /// Lets the connection be reset when it is closed.
@@ -605,5 +605,16 @@
     use std::os::fd::AsRawFd;
     let linger = Linger { on: 1, seconds: 0 };
     // SOL_SOCKET and SO_LINGER.
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &linger, 8) };
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, std::ptr::addr_of!(linger).cast(), 8) };
+}
+
+/// Bytes that the connections of an upstream hold unread.
+const WINDOW_BYTES: i32 = 256 << 10;
+
+/// Gives the connections of an upstream a small window, as the links of the deployment have.
+fn small_window(listener: &TcpListener) {
+    use std::os::fd::AsRawFd;
+    let window = WINDOW_BYTES;
+    // SOL_SOCKET and SO_RCVBUF; accepted connections inherit it.
+    unsafe { setsockopt(listener.as_raw_fd(), 1, 8, std::ptr::addr_of!(window).cast(), 4) };
 }
