TWICE: what an upstream may have begun before it read the body is not sent again

Cause: WriteProgress::may_have_run took a request for not run until its last byte was written. That is the platform's protocol ("An upstream begins a request when its last byte has come"). The mesh's upstreams begin when they like: "An upstream may answer before it has read a long body", and "after a reset, a close or silence, a request that was sent may have run". relay answered NotSent, run() made X-Not-Run of it, and the sending balancer sent the request elsewhere.

Change: UpstreamProtocol::processing_start says when an upstream may begin: LastByte (platform, unchanged) or FirstByte (the mesh's upstreams). With FirstByte only a request of which no byte was written has not run. The same judgement decides the end of the limit of relay and the branch of run() for a streamed body that was begun, which now stands for connections that broke before a byte.

The stand-in upstream learns to begin early, with small receive buffers.

--- a/http/src/upstream.rs
+++ b/http/src/upstream.rs
@@ -26,9 +26,21 @@
 /// How long a connection may take after a response until it is ready for the next request.
 const REUSE_READY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// When an upstream may begin to process a request. This decides what a broken connection proves: a request that the
+/// upstream cannot have begun has not run and may be sent elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessingStart {
+    /// Once the last byte of the request has arrived, and never before.
+    LastByte,
+    /// At any time after the first byte of the request was written. Responses may also precede the end of the body.
+    FirstByte,
+}
+
 /// How to talk to the upstreams of a pool: the headers they get and the meaning of their responses.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamProtocol {
+    /// When an upstream may begin to process a request.
+    pub processing_start: ProcessingStart,
     /// The header that carries the remaining time of the request, in whole milliseconds.
     pub deadline_header: Option<HeaderName>,
     /// If set, only status 200 counts as served. Otherwise every final status below 500 except 429 does.
@@ -60,6 +72,7 @@
         let statuses = vec![StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT];
         let mark = (HeaderName::from_static("srv-declined"), HeaderValue::from_static("1"), statuses);
         UpstreamProtocol {
+            processing_start: ProcessingStart::LastByte,
             deadline_header: Some(HeaderName::from_static("req-deadline-ms")),
             only_200: true,
             declined_mark: Some(mark),
@@ -175,6 +188,7 @@
 /// request may have run.
 struct WriteProgress {
     started: RefCell<Option<WriteStart>>,
+    processing_start: ProcessingStart,
     /// Minimum size of the whole request in bytes.
     min_bytes: u64,
     body: RequestBody,
@@ -188,9 +202,10 @@
 }
 
 impl WriteProgress {
-    fn new(call: &Call) -> Rc<WriteProgress> {
+    fn new(call: &Call, protocol: &UpstreamProtocol) -> Rc<WriteProgress> {
         let (min_bytes, body) = (call.body.min_length() + 1, call.body.clone());
-        Rc::new(WriteProgress { started: RefCell::new(None), min_bytes, body })
+        let processing_start = protocol.processing_start;
+        Rc::new(WriteProgress { started: RefCell::new(None), processing_start, min_bytes, body })
     }
 
     fn start(&self, conn: &Conn) {
@@ -199,17 +214,21 @@
         *self.started.borrow_mut() = Some(WriteStart { driver, written, written_before });
     }
 
-    /// Returns false only if the last byte of the request was certainly not written.
+    /// Returns false only if the upstream certainly did not begin to process the request.
     fn may_have_run(&self) -> bool {
-        let written = |b: &WriteStart| b.written.get() - b.written_before >= self.min_bytes;
-        self.body.is_received() && self.started.borrow().as_ref().is_some_and(written)
+        let written = |start: &WriteStart| start.written.get() - start.written_before;
+        let written = self.started.borrow().as_ref().map_or(0, written);
+        match self.processing_start {
+            ProcessingStart::FirstByte => written > 0,
+            ProcessingStart::LastByte => self.body.is_received() && written >= self.min_bytes,
+        }
     }
 }
 
 /// The outcome of a relayed request.
 #[derive(Debug)]
 pub enum RelayOutcome {
-    /// The upstream did not receive the whole request, so it did not run.
+    /// The upstream did not receive enough of the request to begin with it, so it did not run.
     NotSent,
     /// The request may have run, but there is no response that can be forwarded.
     Broken(Outcome),
@@ -299,8 +318,8 @@
         limit: Micros,
         report: AttemptReport<W>,
     ) -> Attempt {
-        let (pool, write_progress, protocol) =
-            (self.pool.clone(), WriteProgress::new(&call), self.protocol.borrow().clone());
+        let (pool, protocol) = (self.pool.clone(), self.protocol.borrow().clone());
+        let write_progress = WriteProgress::new(&call, &protocol);
         let shared = write_progress.clone();
         let replaced_observer = self.replaced_observer.borrow().clone();
         if let RequestBody::Streaming(upload) = &call.body {
@@ -346,7 +365,8 @@
         limit: Micros,
         is_expected: impl FnOnce(StatusCode, &HeaderMap) -> bool,
     ) -> RelayOutcome {
-        let (write_progress, protocol) = (WriteProgress::new(call), self.protocol.borrow().clone());
+        let protocol = self.protocol.borrow().clone();
+        let write_progress = WriteProgress::new(call, &protocol);
         let exchanging = exchange(&self.pool, to, call, Some(limit), &protocol, &write_progress);
         let result = match timeout(Duration::from_micros(limit), exchanging).await {
             Ok(result) => result,
@@ -393,7 +413,7 @@
             body: RequestBody::Buffered(Bytes::new()),
         };
         spawn_local(async move {
-            let (write_progress, start) = (WriteProgress::new(&call), Instant::now());
+            let (write_progress, start) = (WriteProgress::new(&call, &protocol), Instant::now());
             let result = timeout(
                 DEFAULT_CONNECT_TIMEOUT,
                 exchange(&pool, &to, &call, None, &protocol, &write_progress),
@@ -623,7 +643,8 @@
         to: Target,
     ) -> (TcpStream, Outcome) {
         let (call, pool) = (call(), &upstreams.pool);
-        let (write_progress, protocol) = (WriteProgress::new(&call), UpstreamProtocol::platform());
+        let protocol = UpstreamProtocol::platform();
+        let write_progress = WriteProgress::new(&call, &protocol);
         let peer = async {
             let (mut stream, _) = listener.accept().await.expect("a connection");
             respond_ok(&mut stream).await;
@@ -714,32 +735,66 @@
         with_upstreams(9, async |upstreams, listener, to| {
             drop(listener);
             let call = call();
-            let write_progress = WriteProgress::new(&call);
-            let result =
-                exchange(&upstreams.pool, &to, &call, None, &UpstreamProtocol::platform(), &write_progress)
-                    .await;
-            assert_eq!(result.outcome, Outcome::ConnectFailed);
-            assert!(!write_progress.may_have_run());
+            for protocol in [UpstreamProtocol::platform(), begins_early()] {
+                let write_progress = WriteProgress::new(&call, &protocol);
+                let result = exchange(&upstreams.pool, &to, &call, None, &protocol, &write_progress).await;
+                assert_eq!(result.outcome, Outcome::ConnectFailed);
+                assert!(!write_progress.may_have_run());
+            }
         });
     }
 
+    /// The protocol of upstreams that begin with a request before they have read all of it.
+    fn begins_early() -> UpstreamProtocol {
+        UpstreamProtocol { processing_start: ProcessingStart::FirstByte, ..UpstreamProtocol::platform() }
+    }
+
+    /// Outcome of a request whose upstream reads its first byte and resets the connection.
+    async fn partly_written(upstreams: &Upstreams, listener: &TcpListener, to: &Target) -> Outcome {
+        // The body is larger than the socket buffers of a peer that does not read.
+        let body = RequestBody::Buffered(vec![0; 32 << 20].into());
+        let call = Call { method: Method::POST, body, ..call() };
+        let protocol = upstreams.protocol.borrow().clone();
+        let write_progress = WriteProgress::new(&call, &protocol);
+        let peer = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            stream.read_u8().await.expect("a first byte");
+        };
+        let ((), result) =
+            tokio::join!(peer, exchange(&upstreams.pool, to, &call, None, &protocol, &write_progress));
+        result.outcome
+    }
+
     #[test]
-    fn a_partly_written_request_has_not_run() {
+    fn a_partly_written_request_has_not_run_if_upstreams_begin_with_its_last_byte() {
         with_upstreams(9, async |upstreams, listener, to| {
-            // The body is larger than the socket buffers of a peer that does not read.
-            let call = Call {
-                method: Method::POST,
-                body: RequestBody::Buffered(vec![0; 32 << 20].into()),
-                ..call()
-            };
-            let (write_progress, protocol) = (WriteProgress::new(&call), UpstreamProtocol::platform());
-            let peer = async {
-                let (mut stream, _) = listener.accept().await.expect("a connection");
-                stream.read_u8().await.expect("a first byte");
-            };
-            let ((), result) =
-                tokio::join!(peer, exchange(&upstreams.pool, &to, &call, None, &protocol, &write_progress));
-            assert_eq!(result.outcome, Outcome::ConnectFailed);
+            assert_eq!(partly_written(&upstreams, &listener, &to).await, Outcome::ConnectFailed);
+        });
+    }
+
+    /// Guards against a request that runs twice because its upstream began before it had read the body.
+    #[test]
+    fn a_partly_written_request_may_have_run_if_upstreams_begin_early() {
+        with_upstreams(9, async |upstreams, listener, to| {
+            upstreams.set_config(&fs::Settings::new(Vec::new()).limits, begins_early());
+            assert_eq!(partly_written(&upstreams, &listener, &to).await, Outcome::Reset);
+        });
+    }
+
+    /// Guards against the same at the end of the time limit, and against a connection that never came up and counts as
+    /// a run.
+    #[test]
+    fn a_relayed_request_has_not_run_only_if_nothing_of_it_was_written() {
+        with_upstreams(9, async |upstreams, listener, to| {
+            upstreams.set_config(&fs::Settings::new(Vec::new()).limits, begins_early());
+            let body = RequestBody::Buffered(vec![0; 32 << 20].into());
+            let call = Call { method: Method::POST, body, ..call() };
+            let limit = 100_000;
+            let hanging = upstreams.relay(&to, &call, limit, |_, _| true).await;
+            assert!(matches!(hanging, RelayOutcome::Broken(Outcome::TimedOut)), "{hanging:?}");
+            drop(listener);
+            let refused = upstreams.relay(&to, &call, limit, |_, _| true).await;
+            assert!(matches!(refused, RelayOutcome::NotSent), "{refused:?}");
         });
     }
 
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -18,7 +18,7 @@
 use sloeline_engine::clock::Clock;
 use sloeline_http::client_io::{ConnectionCounts, StageTimeouts};
 use sloeline_http::server::{HttpServer, Phase, ServerLimits};
-use sloeline_http::upstream::{UpstreamProtocol, Upstreams};
+use sloeline_http::upstream::{ProcessingStart, UpstreamProtocol, Upstreams};
 use sloeline_idempotency::Ledger;
 use sloeline_limits::Share;
 use sloeline_process_settings::Settings;
@@ -129,6 +129,7 @@
 
     let keys = KeyClient::new(settings.node_name.clone());
     let dialect = UpstreamProtocol {
+        processing_start: ProcessingStart::FirstByte,
         deadline_header: Some(header_names::TIME_LEFT),
         only_200: false,
         declined_mark: None,
--- a/mesh/data-plane/src/receive/mod.rs
+++ b/mesh/data-plane/src/receive/mod.rs
@@ -292,8 +292,8 @@
         };
         match self.upstreams.relay(&request.target, &request.call, time_left, is_matching).await {
             RelayOutcome::NotSent if request.call.body.is_consumed() && !request.call.body.is_received() => {
-                // The sender's part of the body did not come in time, which says nothing about the upstream; or the upstream
-                // closed the connection before it had the whole request.
+                // A part of the body was taken from the sender for a connection that broke before its first byte. The
+                // sender cannot send that part again, and it says nothing about the upstream.
                 RunResult::NotRun(not_run(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "the body did not pass whole",
--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -16,7 +16,7 @@
 use sloeline_engine::slots::{ClassSlot, assign};
 use sloeline_engine::types::{DiscoveryEntry, Target};
 use sloeline_http::frontend::{Admitted, parse_digits};
-use sloeline_http::upstream::{Attempt, Call, Reply, UpstreamProtocol, Upstreams};
+use sloeline_http::upstream::{Attempt, Call, ProcessingStart, Reply, UpstreamProtocol, Upstreams};
 use sloeline_limits::Share;
 use sloeline_route_config::model::{Route, RouteKind};
 use sloeline_route_config::table::Table;
@@ -196,6 +196,7 @@
 fn dialect() -> UpstreamProtocol {
     let statuses = [503, 429, 421, 408, 400].into_iter().filter_map(|s| StatusCode::from_u16(s).ok());
     UpstreamProtocol {
+        processing_start: ProcessingStart::LastByte,
         deadline_header: Some(header_names::LIMIT),
         only_200: false,
         declined_mark: Some((header_names::NOT_RUN, HeaderValue::from_static("1"), statuses.collect())),
--- a/mesh/testbed/src/client.rs
+++ b/mesh/testbed/src/client.rs
@@ -61,7 +61,8 @@
     }
     head += "\r\n";
     stream.write_all(head.as_bytes()).await?;
-    stream.write_all(body).await?;
+    // An answer may come before the body was read, with the end of the connection.
+    let _ = stream.write_all(body).await;
     let mut come = Vec::new();
     while stream.read_buf(&mut come).await? > 0 {
         if come.len() > MOST {
--- a/mesh/testbed/src/standin.rs
+++ b/mesh/testbed/src/standin.rs
@@ -16,7 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -53,6 +53,8 @@
     pub works_on_slow: Duration,
     /// Bytes of its answers to requests whose path holds `large`.
     pub large: usize,
+    /// It begins with a request when it has its head, and reads the body only after its answer.
+    pub begins_early: bool,
     /// It says that it is closing.
     pub closing: bool,
     /// How often it ran each try.
@@ -96,10 +98,25 @@
     pub slots: u32,
 }
 
+/// How long a request's body may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes that a connection to an upstream holds unread.
+const RECEIVE_BUFFER_BYTES: u32 = 256 << 10;
+/// Connections that wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// A listener whose connections hold few unread bytes, so that writers wait for a body that is not read.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Serves and beats for good.
 pub async fn run(standin: Standin, place: Place) -> Result<()> {
-    let listener =
-        TcpListener::bind(place.address).await.with_context(|| format!("listen at {}", place.address))?;
+    let listener = listen(place.address).with_context(|| format!("listen at {}", place.address))?;
     spawn_local(beats(standin.clone(), place.clone()));
     loop {
         let (stream, _) = listener.accept().await?;
@@ -203,11 +220,22 @@
     let (head, body) = request.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
     let (id, key, sender) = (text("x-try-id"), text("x-operation-key"), text("x-sender"));
-    let body = timeout(Duration::from_secs(5), body.collect()).await.ok()?.ok()?.to_bytes();
-    let (manner, works, large) = {
+    let (manner, works, large, begins_early) = {
         let book = standin.book();
         let works = if head.uri.path().contains("slow") { book.works_on_slow } else { book.works };
-        (book.manner, works, book.large)
+        (book.manner, works, book.large, book.begins_early)
+    };
+    let (body, unread) = match begins_early {
+        true => (Bytes::new(), Some(body)),
+        false => (timeout(BODY_TIMEOUT, body.collect()).await.ok()?.ok()?.to_bytes(), None),
+    };
+    // The body is read after the answer was handed over, or is dropped unread with a connection that is cut.
+    let read_on = |unread: Option<Incoming>| {
+        spawn_local(async move {
+            if let Some(body) = unread {
+                let _ = timeout(BODY_TIMEOUT, body.collect()).await;
+            }
+        });
     };
     match manner {
         Manner::CutBefore => return None,
@@ -216,6 +244,7 @@
             *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
             response.headers_mut().insert("x-not-run", hyper::header::HeaderValue::from_static("1"));
             response.headers_mut().insert("x-try-id", id.parse().ok()?);
+            read_on(unread);
             return Some(response);
         }
         _ => {}
@@ -243,8 +272,11 @@
         let builder = length.into_iter().fold(builder, |b, l| b.header("content-length", l));
         builder.body(Said { text: Some(said.into()), breaks: manner == Manner::CutAfter }).ok()
     };
+    if manner == Manner::CutDuring {
+        return None;
+    }
+    read_on(unread);
     match manner {
-        Manner::CutDuring => None,
         // Less than was promised: the connection ends within it.
         Manner::CutAfter => answer(Some("100000")),
         _ => answer(None),
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -19,7 +19,7 @@
 use sloeline_engine::types::DiscoveryEntry;
 use sloeline_events::emit;
 use sloeline_http::routed::Pool;
-use sloeline_http::upstream::{UpstreamProtocol, Upstreams};
+use sloeline_http::upstream::{ProcessingStart, UpstreamProtocol, Upstreams};
 use sloeline_limits::admission::AdmissionLimit;
 use sloeline_limits::{Reserve, Share};
 use sloeline_membership::file::{self, Watched};
@@ -111,6 +111,7 @@
         Ok::<_, String>((header(&d.header)?, value?, statuses))
     });
     Ok(UpstreamProtocol {
+        processing_start: ProcessingStart::LastByte,
         deadline_header: pool.deadline_header.as_deref().map(header).transpose()?,
         only_200: false,
         declined_mark: declined.transpose()?,
