TWICE: a request whose connection to a balancer breaks within its body is not sent elsewhere

A balancer without memory for a body hands it on as it comes, so its upstream may have begun while the sender still writes. The sender took a connection that broke there for a request that never ran, and sent it on.

Change: the sending side's protocol is ProcessingStart::FirstByte too. Abort by the deadline or by a client that leaves is judged by the same method. A connection that is refused, or breaks before a byte was written, still proves that nothing ran.

--- a/mesh/data-plane/src/services.rs
+++ b/mesh/data-plane/src/services.rs
@@ -196,7 +196,7 @@
 fn dialect() -> UpstreamProtocol {
     let statuses = [503, 429, 421, 408, 400].into_iter().filter_map(|s| StatusCode::from_u16(s).ok());
     UpstreamProtocol {
-        processing_start: ProcessingStart::LastByte,
+        processing_start: ProcessingStart::FirstByte,
         deadline_header: Some(header_names::LIMIT),
         only_200: false,
         declined_mark: Some((header_names::NOT_RUN, HeaderValue::from_static("1"), statuses.collect())),
--- a/mesh/testbed/tests/between_balancers.rs
+++ b/mesh/testbed/tests/between_balancers.rs
@@ -9,10 +9,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use mesh::{Mesh, play, status, until};
+use mesh::{Mesh, WITHIN, play, status, until};
 use sloeline_discovery::{Condition, Record, Upstream, Version};
 use sloeline_rpc::RpcRequest;
 use sloeline_rpc::link::Link;
+use sloeline_testbed::client::ask;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -184,6 +185,41 @@
     });
 }
 
+/// Guards against a request that two balancers hand to their upstreams, after the connection to the first one broke within
+/// a long body: a balancer that has no memory for the body hands it on as it comes.
+#[test]
+fn a_request_whose_connection_breaks_within_its_body_is_not_sent_elsewhere() {
+    /// More than the sockets between two balancers hold.
+    const BODY_BYTES: usize = 8 << 20;
+    play(async || {
+        let mesh = Mesh::without_upstream(62, 1).await;
+        let far = [far_balancer_at(&mesh, 62, 9).await, far_balancer_at(&mesh, 62, 10).await];
+        let sent = |id: &str| -> usize {
+            far.iter().map(|far| far.read.borrow().iter().filter(|read| *read == id).count()).sum()
+        };
+        for round in 0..8 {
+            let id = format!("trust-{round}");
+            let trusted = until(|| mesh.request("/once/a", &id, None), |a| status(a) == 200).await;
+            assert_eq!(status(&trusted), 200, "{trusted:?}");
+        }
+        for breaks in [Break::During, Break::Reset] {
+            far.iter().for_each(|far| far.breaks.set(breaks));
+            let id = format!("long-{breaks:?}").to_ascii_lowercase();
+            let headers = [("Host", "h.example"), ("X-Try-Id", id.as_str()), ("X-Time-Left", "1500")];
+            let body = vec![b'b'; BODY_BYTES];
+            let answer = ask(mesh.plan.outgoing(1), "POST", "/once/a", &headers, &body, WITHIN).await;
+            assert_eq!(sent(&id), 1, "{breaks:?}: {answer:?}");
+            assert!([502, 504].contains(&status(&answer)), "{breaks:?}: {answer:?}");
+            far.iter().for_each(|far| far.breaks.set(Break::Never));
+            for round in 0..8 {
+                let id = format!("trust-again-{round}");
+                let trusted = until(|| mesh.request("/once/a", &id, None), |a| status(a) == 200).await;
+                assert_eq!(status(&trusted), 200, "{trusted:?}");
+            }
+        }
+    });
+}
+
 #[test]
 fn what_may_be_repeated_is_repeated_and_a_surplus_answer_reaches_nobody() {
     play(async || {
