An unsafe request that breaks off within its body is not sent again by configured pools

Their protocol said LastByte, which is the platform's alone.

Evidence: early_upstreams.rs: before, two upstreams began with the request 4 times and its client was told 503; now once, 502. The platform's program keeps LastByte (upstream.rs: a_partly_written_request_has_not_run_if_upstreams_begin_with_its_last_byte).

--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -111,7 +111,7 @@
         Ok::<_, String>((header(&d.header)?, value?, statuses))
     });
     Ok(UpstreamProtocol {
-        processing_start: ProcessingStart::LastByte,
+        processing_start: ProcessingStart::FirstByte,
         deadline_header: pool.deadline_header.as_deref().map(header).transpose()?,
         only_200: false,
         declined_mark: declined.transpose()?,
