REFUSED: a body that stops half-way gets no 408 once an upstream may have begun

When its client stopped, the answer was 408, which promises that the request has not run, though the upstream had the head and may have begun.

Change: Frontend::processing_start; with FirstByte an incomplete request that is sent on early ends with 504. The platform's program keeps 408, since its upstreams begin with the last byte.

--- a/http/src/client_io.rs
+++ b/http/src/client_io.rs
@@ -201,6 +201,8 @@
     idle_key: Cell<Option<u64>>,
     error: Cell<Option<RequestError>>,
     chunked: Cell<bool>,
+    /// Whether a part of the request may be sent on before all of it is received.
+    forwarded_early: Cell<bool>,
     unread_input: Cell<bool>,
     write_blocked: Cell<bool>,
     /// When bytes were last written to the client.
@@ -227,6 +229,7 @@
             idle_key: Cell::default(),
             error: Cell::default(),
             chunked: Cell::default(),
+            forwarded_early: Cell::default(),
             unread_input: Cell::default(),
             write_blocked: Cell::default(),
             last_write_at: Cell::new(now),
@@ -253,6 +256,7 @@
             self.blocked_total.set(Duration::ZERO);
             self.time_left.set(Duration::ZERO);
             self.request_deadline.set(None);
+            self.forwarded_early.set(false);
         }
         self.blocked_since.set(None);
         let previous = self.stage.replace(stage);
@@ -304,6 +308,16 @@
         self.stage.get() == Stage::Body && self.blocked_since.get().is_some()
     }
 
+    /// Records that the request is sent on while it is being received.
+    pub fn set_forwarded_early(&self) {
+        self.forwarded_early.set(true);
+    }
+
+    /// Returns whether a part of the request may have been sent on before all of it was received.
+    pub fn is_forwarded_early(&self) -> bool {
+        self.forwarded_early.get()
+    }
+
     /// Records that the whole request was received.
     pub fn request_received(&self) {
         self.unread_input.set(false);
--- a/http/src/frontend.rs
+++ b/http/src/frontend.rs
@@ -19,7 +19,7 @@
 use sloeline_limits::Share;
 
 use crate::payload::Payload;
-use crate::upstream::{Call, Reply};
+use crate::upstream::{Call, ProcessingStart, Reply};
 
 /// The final response to a client.
 pub type ClientResponse = Response<Payload>;
@@ -43,6 +43,10 @@
     /// Returns the `Retry-After` value for a refused request. `proposed_delay` is the delay that the engine
     /// proposes, or 0 if it proposes none.
     fn retry_after(&self, proposed_delay: Micros) -> Option<HeaderValue>;
+
+    /// When an upstream may begin to process a request. If it may begin early, an incomplete request of which a part
+    /// was sent on is not answered as one that has not run.
+    fn processing_start(&self) -> ProcessingStart;
 }
 
 /// Inspects the response to a request of a described operation.
--- a/http/src/platform.rs
+++ b/http/src/platform.rs
@@ -16,7 +16,7 @@
 use crate::frontend::{
     Admission, Admitted, ClientResponse, Frontend, end_to_end_headers, parse_digits, text_response,
 };
-use crate::upstream::{Call, Reply};
+use crate::upstream::{Call, ProcessingStart, Reply};
 use crate::{MAX_BUFFERED_BYTES, PLATFORM_MAX_BODY_BYTES};
 
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
@@ -135,4 +135,8 @@
         let seconds = HeaderValue::from_str(&format!("{:.3}", proposed_delay as f64 / 1e6));
         (proposed_delay > 0).then_some(seconds.ok()).flatten()
     }
+
+    fn processing_start(&self) -> ProcessingStart {
+        ProcessingStart::LastByte
+    }
 }
--- a/http/src/routed.rs
+++ b/http/src/routed.rs
@@ -23,7 +23,7 @@
     Admission, Admitted, AdmittedGuard, ClientResponse, Frontend, ResponseObserver, end_to_end_headers,
     parse_digits, text_response,
 };
-use crate::upstream::{Call, Reply};
+use crate::upstream::{Call, ProcessingStart, Reply};
 
 /// Header to which the address of the client is appended.
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
@@ -437,6 +437,10 @@
     fn retry_after(&self, proposed_delay: Micros) -> Option<HeaderValue> {
         Some(HeaderValue::from(proposed_delay.div_ceil(1_000_000).max(1)))
     }
+
+    fn processing_start(&self) -> ProcessingStart {
+        ProcessingStart::FirstByte
+    }
 }
 
 impl<W: Transport<Call = Call, Reply = Reply>> RoutedFrontend<W> {
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -31,7 +31,7 @@
 use crate::payload::{BodyEnd, Payload};
 use crate::received_body::{BodyError, BodyLimits, ReceivedBody, read_body};
 use crate::upload::RequestBody;
-use crate::upstream::Call;
+use crate::upstream::{Call, ProcessingStart};
 use crate::whole_body::buffer_whole;
 use crate::{DEFAULT_MAX_HEAD_BYTES, MAX_HEAD_BUFFER_BYTES, MAX_HEAD_BYTES};
 
@@ -348,6 +348,8 @@
                 (Some(RequestError::Malformed), ..) => Some("400 Bad Request"),
                 (Some(RequestError::HeadTooLarge), ..) => Some("431 Request Header Fields Too Large"),
                 (None, true, Stage::Body) if state.is_upstream_blocked() => Some("504 Gateway Timeout"),
+                // An upstream may have begun, and 408 promises that the request has not run.
+                (None, true, Stage::Body) if self.may_have_begun(&state) => Some("504 Gateway Timeout"),
                 (None, true, Stage::Head | Stage::Body) => Some("408 Request Timeout"),
                 _ => None,
             };
@@ -361,6 +363,11 @@
         }
     }
 
+    /// Returns whether an upstream may have begun with a request that is still being received.
+    fn may_have_begun(&self, state: &ConnectionState) -> bool {
+        self.frontend.processing_start() == ProcessingStart::FirstByte && state.is_forwarded_early()
+    }
+
     /// Answers one request and decides whether the connection is closed after the response.
     async fn respond(
         &self,
@@ -445,6 +452,7 @@
                 (RequestBody::Buffered(body), (response_memory, body_memory))
             }
             Ok(ReceivedBody::Streaming(body)) => {
+                state.set_forwarded_early();
                 let state = state.clone();
                 body.on_received(move || state.request_received());
                 upload = Some(body.clone());
--- a/mesh/data-plane/src/front.rs
+++ b/mesh/data-plane/src/front.rs
@@ -15,6 +15,7 @@
 use sloeline_http::frontend::{
     Admission, ClientResponse, Frontend, end_to_end_headers, parse_digits, text_response,
 };
+use sloeline_http::upstream::ProcessingStart;
 use sloeline_idempotency::MAX_KEY_BYTES;
 use sloeline_limits::Share;
 use sloeline_route_config::model::RouteKind;
@@ -225,4 +226,8 @@
         let wanted = if wanted == 0 { 250_000 } else { wanted };
         HeaderValue::from_str(&format!("{:.3}", wanted as f64 / 1e6)).ok()
     }
+
+    fn processing_start(&self) -> ProcessingStart {
+        ProcessingStart::FirstByte
+    }
 }
