DRAIN: the end of an upstream is stored by the core before it is acknowledged

Cause: the acknowledgement promised something that was in the memory of one process only. A process that starts publishes a record without an upstream under a higher incarnation, which wipes what peers knew, and believes the first beat of any id. A `leave` of an id that the process did not know was acknowledged and dropped.

A balancer answers 2xx to `closing` and `leave` once the core has stored the end, else 503; the end takes effect in the balancer at once in any case. It asks the core about an instance that it does not know before it believes its beats: for a second, after which the instance serves and the question goes on. Balancers have no disk and may go in any number, so only machines that count can hold this promise.

Wire and disk: a new request, a new kind of row; core machines are to be upgraded first.

--- a/mesh/control-plane/src/program.rs
+++ b/mesh/control-plane/src/program.rs
@@ -11,7 +11,7 @@
 use sloeline_admin_http::control;
 use sloeline_admin_http::reload::{self, SettingsWatch};
 use sloeline_chain_replication::{DurableState, Rows, VoterSet};
-use sloeline_discovery::{Pull, PullResponse, Record, Version};
+use sloeline_discovery::{Pull, PullResponse, Record, UpstreamUpdate, Version};
 use sloeline_idempotency::ClaimUpdate;
 use sloeline_process_settings::Settings;
 use sloeline_route_config::model::MAX_CONFIG_BYTES;
@@ -227,18 +227,38 @@
     PullResponse { offered_version: None, core_list: None, out_of_contact: true, ..response }
 }
 
-/// Executes the update of a keyed operation through the chain.
-async fn answer_operation(core: &Core, update: ClaimUpdate) -> RpcResponse {
+/// Executes a change for another process through the chain. The error is the response to send instead of a result.
+async fn change_for_peer(core: &Core, change: &Change) -> Result<ChangeResult, RpcResponse> {
     if core.pending_change_count() >= MAX_PENDING_CHANGES {
-        return RpcResponse::Unavailable("chain: too many changes wait for their result".to_owned());
+        return Err(RpcResponse::Unavailable("chain: too many changes wait for their result".to_owned()));
     }
     if !core.wait_for_contact(CONTACT_TIMEOUT).await {
-        return RpcResponse::Unavailable("chain: out of contact with a majority".to_owned());
+        return Err(RpcResponse::Unavailable("chain: out of contact with a majority".to_owned()));
     }
-    match core.change(&Change::Key(update), OPERATION_TIMEOUT).await {
+    let result = core.change(change, OPERATION_TIMEOUT).await;
+    result.map_err(|error| RpcResponse::Unavailable(format!("{error:#}")))
+}
+
+/// The response to a request whose change had a result of another kind.
+fn unexpected_result() -> RpcResponse {
+    RpcResponse::Unavailable("chain: an answer to another question".to_owned())
+}
+
+/// Executes the update of a keyed operation through the chain.
+async fn answer_operation(core: &Core, update: ClaimUpdate) -> RpcResponse {
+    match change_for_peer(core, &Change::Key(update)).await {
         Ok(ChangeResult::Key(outcome)) => RpcResponse::Operation(outcome),
-        Ok(_) => RpcResponse::Unavailable("chain: an answer to another question".to_owned()),
-        Err(error) => RpcResponse::Unavailable(format!("{error:#}")),
+        Ok(_) => unexpected_result(),
+        Err(response) => response,
+    }
+}
+
+/// Executes a report or a question about an upstream instance through the chain.
+async fn answer_upstream(core: &Core, update: UpstreamUpdate) -> RpcResponse {
+    match change_for_peer(core, &Change::Upstream(update)).await {
+        Ok(ChangeResult::Upstream(outcome)) => RpcResponse::Upstream(outcome),
+        Ok(_) => unexpected_result(),
+        Err(response) => response,
     }
 }
 
@@ -266,6 +286,7 @@
             Some(RpcResponse::Done)
         }
         RpcRequest::Operation(update) => Some(answer_operation(&core, update).await),
+        RpcRequest::Upstream(update) => Some(answer_upstream(&core, update).await),
         RpcRequest::QueryRun { .. } | RpcRequest::StoreAnswer { .. } => {
             Some(RpcResponse::Unavailable("core machines run nothing".to_owned()))
         }
--- a/mesh/control-plane/src/tables.rs
+++ b/mesh/control-plane/src/tables.rs
@@ -1,9 +1,11 @@
-//! The state that the chain replicates: the newest configuration and the claims of keyed operations.
+//! The state that the chain replicates: the newest configuration, the claims of keyed operations, and the upstream
+//! instances that have ended.
 
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use sloeline_chain_replication::{Applied, Row, Rows, StateMachine};
-use sloeline_discovery::Config;
+use sloeline_discovery::ended_upstreams::EndedUpstreams;
+use sloeline_discovery::{Config, UpstreamOutcome, UpstreamUpdate};
 use sloeline_idempotency::{Claim, ClaimOutcome, ClaimUpdate, Claims};
 
 /// Time in milliseconds for which a key is kept beyond its window. The client sent the first try before the key was claimed,
@@ -13,6 +15,8 @@
 const CONFIG_ROW: &[u8] = b"c";
 /// First byte of the keys of rows that hold claims; the key of the operation follows.
 const CLAIM_ROW_PREFIX: u8 = b'k';
+/// First byte of the keys of rows that hold ends of upstream instances; the instance's identifier follows.
+const ENDED_ROW_PREFIX: u8 = b'u';
 
 /// A change of the replicated state, or a read ordered with the changes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +27,8 @@
     Key(ClaimUpdate),
     /// Reads the configuration and changes nothing.
     Read,
+    /// Reports or asks for the end of an upstream instance.
+    Upstream(UpstreamUpdate),
 }
 
 impl Change {
@@ -53,23 +59,29 @@
     Key(ClaimOutcome),
     /// The configuration in force, if there is one.
     Config(Option<Config>),
+    /// The result of a report or a question about an upstream instance.
+    Upstream(UpstreamOutcome),
     /// The change could not be decoded and had no effect.
     #[serde(rename = "Unknown")]
     Undecodable,
 }
 
-/// The replicated state: the newest configuration and the claims of keyed operations.
+/// The replicated state: the newest configuration, the claims of keyed operations, and the upstream instances that have
+/// ended.
 pub struct State {
     /// The newest configuration, if there is one.
     config: Option<Config>,
     /// The claims of keyed operations.
     keys: Claims,
+    /// The upstream instances that have ended.
+    ended_upstreams: EndedUpstreams,
 }
 
 impl State {
     /// Creates an empty state. Keys are remembered for `key_window_ms` milliseconds and a margin.
     pub fn new(key_window_ms: u64) -> State {
-        State { config: None, keys: Claims::new(key_window_ms + KEY_WINDOW_MARGIN_MS) }
+        let keys = Claims::new(key_window_ms + KEY_WINDOW_MARGIN_MS);
+        State { config: None, keys, ended_upstreams: EndedUpstreams::default() }
     }
 
     /// Returns the newest configuration. Other members of the chain may not have stored it yet.
@@ -80,7 +92,9 @@
     /// Builds all rows from the state, to verify the rows that were written incrementally.
     pub fn rows(&self) -> Rows {
         let config = self.config.iter().map(|config| (Bytes::from_static(CONFIG_ROW), encode(config)));
-        config.chain(self.keys.iter().map(|(key, claim)| (claim_row(key), encode(claim)))).collect()
+        let claims = self.keys.iter().map(|(key, claim)| (claim_row(key), encode(claim)));
+        let ends = self.ended_upstreams.iter().map(|(id, at)| (ended_row(id), encode(&at)));
+        config.chain(claims).chain(ends).collect()
     }
 
     /// Replaces the configuration unless its version is lower than or equal to the current one. An equal version with other
@@ -114,9 +128,19 @@
 
 /// Returns the row key for the claim of an operation's key.
 fn claim_row(key: &Bytes) -> Bytes {
-    let mut row = BytesMut::with_capacity(1 + key.len());
-    row.put_u8(CLAIM_ROW_PREFIX);
-    row.put_slice(key);
+    prefixed_row(CLAIM_ROW_PREFIX, key)
+}
+
+/// Returns the row key for the end of an upstream instance.
+fn ended_row(id: &str) -> Bytes {
+    prefixed_row(ENDED_ROW_PREFIX, id.as_bytes())
+}
+
+/// Returns the row key that consists of a prefix and a name.
+fn prefixed_row(prefix: u8, name: &[u8]) -> Bytes {
+    let mut row = BytesMut::with_capacity(1 + name.len());
+    row.put_u8(prefix);
+    row.put_slice(name);
     row.freeze()
 }
 
@@ -137,13 +161,18 @@
                 ChangeResult::Key(outcome)
             }
             Change::Read => ChangeResult::Config(self.config.clone()),
+            Change::Upstream(update) => {
+                let (outcome, changed) = self.ended_upstreams.apply(stamp, &update);
+                rows.extend(changed.into_iter().map(|(id, at)| (ended_row(&id), at.map(|at| encode(&at)))));
+                ChangeResult::Upstream(outcome)
+            }
         };
         Applied { result: encode(&result), rows }
     }
 
     fn load(&mut self, rows: &Rows) {
         self.config = None;
-        let mut claims = Vec::new();
+        let (mut claims, mut ends) = (Vec::new(), Vec::new());
         for (key, value) in rows.iter() {
             if key.as_ref() == CONFIG_ROW {
                 self.config = rmp_serde::from_slice(value).ok();
@@ -151,8 +180,13 @@
                 && let Ok(claim) = rmp_serde::from_slice(value)
             {
                 claims.push((key.slice(1..), claim));
+            } else if key.first() == Some(&ENDED_ROW_PREFIX)
+                && let (Ok(id), Ok(at)) = (std::str::from_utf8(&key[1..]), rmp_serde::from_slice(value))
+            {
+                ends.push((id.to_owned(), at));
             }
         }
+        self.ended_upstreams.replace_all(ends.into_iter());
         self.keys.replace_all(claims.into_iter());
     }
 }
--- a/mesh/control-plane/tests/tables.rs
+++ b/mesh/control-plane/tests/tables.rs
@@ -7,16 +7,19 @@
 use quickcheck::quickcheck;
 use sloeline_chain_replication::StateMachine;
 use sloeline_control_plane::tables::{Change, ChangeResult, State};
-use sloeline_discovery::Config;
+use sloeline_discovery::{Config, UpstreamUpdate};
 use sloeline_idempotency::{ClaimOutcome, ClaimUpdate};
 
 /// Builds one of a few changes from arbitrary numbers.
 fn change(kind: u8, key: u8, run: u64) -> Change {
     let name = Bytes::from(vec![key % 5]);
-    match kind % 4 {
+    let id = format!("i-{}", key % 5);
+    match kind % 6 {
         0 => Change::Config(Config { edition: u32::from(key), body: Bytes::from(vec![run as u8; 3]) }),
         1 => Change::Key(ClaimUpdate::Release { key: name, run: run % 7 }),
         2 => Change::Key(ClaimUpdate::Claim { key: name, run: run % 7, holder: "m".to_owned() }),
+        3 => Change::Upstream(UpstreamUpdate::End { id }),
+        4 => Change::Upstream(UpstreamUpdate::Query { id }),
         _ => Change::Read,
     }
 }
--- a/mesh/data-plane/src/heartbeats.rs
+++ b/mesh/data-plane/src/heartbeats.rs
@@ -8,8 +8,8 @@
 use sloeline_discovery::{Condition, Upstream};
 use sloeline_process_settings::span::Span;
 
-/// Number of ended upstream instances that are remembered, so that their late messages are ignored.
-const MAX_ENDED_IDS: usize = 64;
+/// Number of instances that are remembered of each kind: those that have ended, and those whose end the core has stored.
+const MAX_REMEMBERED_IDS: usize = 64;
 /// Maximum length of an upstream's identifier in bytes.
 const MAX_ID_BYTES: usize = 255;
 /// Maximum number of slots that an upstream may report.
@@ -90,8 +90,10 @@
 pub struct UpstreamTracker {
     /// The present upstream instance, its address and the sequence number of its last heartbeat.
     current: Option<(Upstream, SocketAddr, u64)>,
-    /// Identifiers of ended instances, oldest first.
+    /// Identifiers of instances that have reported their end, oldest first.
     ended_ids: VecDeque<String>,
+    /// Identifiers of instances whose end the core has stored, oldest first.
+    stored_end_ids: VecDeque<String>,
 }
 
 impl UpstreamTracker {
@@ -143,25 +145,44 @@
         if known.is_none()
             && let Some((previous, ..)) = self.current.take()
         {
-            self.add_ended_id(previous.id);
+            remember_id(&mut self.ended_ids, &previous.id);
         }
         self.current = Some((upstream, heartbeat.address, heartbeat.status.sequence));
         changed
     }
 
-    /// Records that an upstream instance has stopped. Returns whether the known state changed.
+    /// Records that an upstream instance gets no new requests any more, also if it is not known yet. Returns whether the known state changed.
     pub fn record_leave(&mut self, id: &str) -> bool {
         match &mut self.current {
             Some((upstream, ..)) if upstream.id == id => {
                 let changed = upstream.condition != Condition::Down;
                 upstream.condition = Condition::Down;
-                self.add_ended_id(id.to_owned());
+                remember_id(&mut self.ended_ids, id);
                 changed
             }
-            _ => false,
+            _ => {
+                remember_id(&mut self.ended_ids, id);
+                false
+            }
         }
     }
 
+    /// Whether anything is known of an instance.
+    pub fn knows(&self, id: &str) -> bool {
+        self.upstream().is_some_and(|upstream| upstream.id == id)
+            || self.ended_ids.iter().any(|ended| ended == id)
+    }
+
+    /// Whether the core has stored the end of an instance.
+    pub fn is_end_stored(&self, id: &str) -> bool {
+        self.stored_end_ids.iter().any(|stored| stored == id)
+    }
+
+    /// Records that the core has stored the end of an instance.
+    pub fn record_end_stored(&mut self, id: &str) {
+        remember_id(&mut self.stored_end_ids, id);
+    }
+
     /// Records that the upstream cannot be reached. Returns whether the known state changed. The next heartbeat makes the
     /// upstream available again.
     pub fn mark_unreachable(&mut self, id: &str) -> bool {
@@ -173,12 +194,15 @@
             _ => false,
         }
     }
+}
 
-    /// Remembers the identifier of an ended instance.
-    fn add_ended_id(&mut self, id: String) {
-        self.ended_ids.push_back(id);
-        if self.ended_ids.len() > MAX_ENDED_IDS {
-            self.ended_ids.pop_front();
-        }
+/// Adds an identifier to those that are remembered. The oldest one gives way if there are too many.
+fn remember_id(ids: &mut VecDeque<String>, id: &str) {
+    if ids.iter().any(|known| known == id) {
+        return;
+    }
+    ids.push_back(id.to_owned());
+    if ids.len() > MAX_REMEMBERED_IDS {
+        ids.pop_front();
     }
 }
--- a/mesh/data-plane/src/keys.rs
+++ b/mesh/data-plane/src/keys.rs
@@ -42,7 +42,7 @@
 /// Claims and releases operation keys at the core, and exchanges stored responses with other balancers.
 pub struct KeyClient {
     /// Sends claims and releases to the core machines.
-    core: CoreClient,
+    core: Rc<CoreClient>,
     /// Claims to release in the background, oldest first.
     pending_releases: RefCell<VecDeque<PendingRelease>>,
     /// Whether the background task that releases claims is running.
@@ -57,7 +57,7 @@
     /// Creates a client that knows no core machine yet; `holder` is the name of this machine.
     pub fn new(holder: String) -> Rc<KeyClient> {
         Rc::new(KeyClient {
-            core: CoreClient::default(),
+            core: Rc::default(),
             pending_releases: RefCell::default(),
             releasing: Cell::new(false),
             balancer_links: RefCell::default(),
@@ -70,6 +70,11 @@
         !self.releasing.get()
     }
 
+    /// The client for calls to the core machines.
+    pub fn core(&self) -> Rc<CoreClient> {
+        self.core.clone()
+    }
+
     /// Sets the addresses of the core machines, nearest first.
     pub fn set_core_machines(&self, addresses: &[SocketAddr]) {
         self.core.set_machines(addresses);
--- a/mesh/data-plane/src/program.rs
+++ b/mesh/data-plane/src/program.rs
@@ -7,12 +7,10 @@
 
 use anyhow::{Context, Result};
 use finchshift as fs;
+use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use hyper::{Method, StatusCode};
 use log::{info, warn};
-use sloeline_admin_http::control::{
-    self, Call, ControlResponse, error_response, json_response, text_response,
-};
+use sloeline_admin_http::control::{self, text_response};
 use sloeline_admin_http::reload::{self, SettingsWatch};
 use sloeline_discovery::{Record, Version};
 use sloeline_engine::clock::Clock;
@@ -33,9 +31,9 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::ended_upstreams::EndedUpstreamsClient;
 use crate::front::{Outgoing, Routes};
 use crate::header_names;
-use crate::heartbeats::{Heartbeat, is_valid_id};
 use crate::keys::KeyClient;
 use crate::link_shaper::LinkShaper;
 use crate::metrics;
@@ -43,6 +41,7 @@
 use crate::receive::Receiver;
 use crate::services::{ServiceContext, Services};
 use crate::shutdown::{CLIENT_LEAVE_TIME, ShutdownSchedule};
+use crate::upstream_calls::UpstreamCalls;
 
 /// Maximum interval between updates of the pull sources.
 const SOURCE_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -189,11 +188,8 @@
         }
     }));
     spawn_local(control::serve(control, MAX_HEARTBEAT_BYTES, {
-        let receiver = receiver.clone();
-        move |call, _| {
-            let response = answer_upstream(&receiver, &call);
-            async move { response }
-        }
+        let calls = UpstreamCalls::new(receiver.clone(), EndedUpstreamsClient::new(keys.core()));
+        move |call, _| calls.clone().answer(call)
     }));
     let metric_sets =
         vec![metrics::METRICS, sloeline_rpc::metrics::METRICS, sloeline_config_transfer::metrics::METRICS];
@@ -273,43 +269,11 @@
         }
         RpcRequest::Chain { .. } => None,
         RpcRequest::Operation(_) => Some(RpcResponse::Unavailable("a balancer keeps no keys".to_owned())),
+        RpcRequest::Upstream(_) => Some(RpcResponse::Unavailable("a balancer stores no ends".to_owned())),
         RpcRequest::Status => Some(RpcResponse::Status("{}".into())),
     }
 }
 
-/// Answers a call from this machine's upstream, which sends a heartbeat or reports that it leaves.
-fn answer_upstream(receiver: &Receiver, call: &Call) -> ControlResponse {
-    if call.path != "/-/rpc" || call.method != Method::POST {
-        return error_response(StatusCode::NOT_FOUND, "expected POST /-/rpc");
-    }
-    let id = call.target.as_deref().unwrap_or_default();
-    if !is_valid_id(id) {
-        let reason = format!(
-            "of: found {id:?}, expected an upstream's id of 1 to 255 bytes without control characters and spaces"
-        );
-        return error_response(StatusCode::BAD_REQUEST, &reason);
-    }
-    match call.name.as_deref() {
-        Some("upstreams.beat") => match Heartbeat::parse(&call.body) {
-            Ok(heartbeat) => {
-                if receiver.with_upstream(|upstream| upstream.record_heartbeat(unix_micros(), id, &heartbeat))
-                {
-                    info!(target: "upstream", "Upstream {id} is {:?}.", heartbeat.status.condition);
-                }
-                json_response(StatusCode::OK, "{}")
-            }
-            Err(error) => error_response(StatusCode::BAD_REQUEST, &format!("{error:#}")),
-        },
-        Some("upstreams.leave") => {
-            if receiver.with_upstream(|upstream| upstream.record_leave(id)) {
-                info!(target: "upstream", "Upstream {id} has left.");
-            }
-            json_response(StatusCode::OK, "{}")
-        }
-        _ => error_response(StatusCode::NOT_FOUND, "call: expected upstreams.beat or upstreams.leave"),
-    }
-}
-
 /// Applies every change of the known records and of the configuration; never returns.
 async fn apply_changes(
     sources: PullSources,
--- a/mesh/data-plane/tests/heartbeats.rs
+++ b/mesh/data-plane/tests/heartbeats.rs
@@ -44,6 +44,30 @@
     assert_eq!(tracker.upstream().map(|u| u.id.as_str()), Some("i-2"));
 }
 
+/// Guards against a report of an instance that is not known yet, and is believed when its late heartbeat comes.
+#[test]
+fn an_instance_that_left_before_it_was_known_never_comes_up() {
+    let mut tracker = UpstreamTracker::default();
+    assert!(!tracker.knows("i-1") && !tracker.record_leave("i-1") && tracker.knows("i-1"));
+    assert!(!tracker.record_heartbeat(0, "i-1", &heartbeat("accepting", 7, "0ms")));
+    assert!(tracker.upstream().is_none());
+    assert!(!tracker.is_end_stored("i-1"));
+    tracker.record_end_stored("i-1");
+    assert!(tracker.is_end_stored("i-1"));
+}
+
+/// Guards against an instance that had said `closing`, was replaced, and accepts requests again.
+#[test]
+fn an_instance_that_was_closing_when_it_was_replaced_never_returns() {
+    let mut tracker = UpstreamTracker::default();
+    tracker.record_heartbeat(0, "i-1", &heartbeat("closing", 1, "0ms"));
+    tracker.record_heartbeat(0, "i-2", &heartbeat("accepting", 1, "0ms"));
+    for sequence in 2..6 {
+        assert!(!tracker.record_heartbeat(0, "i-1", &heartbeat("accepting", sequence, "0ms")));
+    }
+    assert_eq!(tracker.upstream().map(|u| u.id.as_str()), Some("i-2"));
+}
+
 #[test]
 fn an_unreachable_upstream_is_available_after_its_next_heartbeat() {
     let mut tracker = UpstreamTracker::default();
--- a/mesh/discovery/src/lib.rs
+++ b/mesh/discovery/src/lib.rs
@@ -3,10 +3,12 @@
 //! announces the version of the newest configuration, whose content is transferred separately. Rendezvous hashing selects
 //! the few processes that a balancer pulls from.
 
+pub mod ended_upstreams;
 pub mod mesh_state;
 pub mod record;
 pub mod rendezvous;
 
+pub use ended_upstreams::{UpstreamOutcome, UpstreamUpdate};
 pub use mesh_state::{CoreList, MeshState, Pull, PullResponse};
 pub use sloeline_config_transfer::Config;
 
--- a/mesh/rpc/src/lib.rs
+++ b/mesh/rpc/src/lib.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use sloeline_chain_replication::Message;
 use sloeline_config_transfer::{PieceAnswer, PieceRequest};
-use sloeline_discovery::{Pull, PullResponse, Record};
+use sloeline_discovery::{Pull, PullResponse, Record, UpstreamOutcome, UpstreamUpdate};
 use sloeline_idempotency::{ClaimOutcome, ClaimUpdate, StoredResponse};
 
 /// A request or notification from one process to another.
@@ -34,6 +34,8 @@
     PushRecords(Vec<Record>),
     /// Updates the state of a keyed operation; only core machines handle this request.
     Operation(ClaimUpdate),
+    /// Reports or asks for the end of an upstream instance; only core machines handle this request.
+    Upstream(UpstreamUpdate),
     /// Asks for the state of a run. Machines that executed the run or store a copy of its answer can respond.
     #[serde(rename = "Recall")]
     QueryRun {
@@ -76,6 +78,8 @@
     Done,
     /// The result of a keyed operation.
     Operation(ClaimOutcome),
+    /// The result of a report or a question about an upstream instance.
+    Upstream(UpstreamOutcome),
     /// The run is still being executed.
     #[serde(rename = "Running")]
     RunInProgress,
--- a/mesh/testbed/src/standin.rs
+++ b/mesh/testbed/src/standin.rs
@@ -57,6 +57,8 @@
     pub begins_early: bool,
     /// It says that it is closing.
     pub closing: bool,
+    /// It sends no heartbeats by itself.
+    pub silent: bool,
     /// How often it ran each try.
     pub runs: BTreeMap<String, u32>,
     /// How often it ran each key.
@@ -98,6 +100,32 @@
     pub slots: u32,
 }
 
+/// How long an upstream waits for the answer to a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Place {
+    /// Sends a heartbeat of the upstream that is here.
+    pub async fn beat(&self, condition: &str, sequence: u64) -> Result<client::Answer> {
+        let body = serde_json::json!({
+            "address": self.address.to_string(),
+            "notice": {"line": self.service, "edition": "v1", "zone_name": "a", "berths": self.slots},
+            "tracking": {"condition": condition, "sequence": sequence, "cold_left": "0ms"},
+        });
+        self.call("upstreams.beat", &body.to_string()).await
+    }
+
+    /// Reports that the upstream that is here leaves.
+    pub async fn leave(&self) -> Result<client::Answer> {
+        self.call("upstreams.leave", "").await
+    }
+
+    /// Calls the balancer beside the upstream.
+    async fn call(&self, name: &str, body: &str) -> Result<client::Answer> {
+        let target = format!("/-/rpc?call={name}&of={}", self.id);
+        client::ask(self.dock, "POST", &target, &[], body.as_bytes(), CALL_TIMEOUT).await
+    }
+}
+
 /// How long a request's body may take.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bytes that a connection to an upstream holds unread.
@@ -126,15 +154,14 @@
 
 async fn beats(standin: Standin, place: Place) {
     for sequence in 1_u64.. {
-        let condition = if standin.book().closing { "closing" } else { "accepting" };
-        let body = serde_json::json!({
-            "address": place.address.to_string(),
-            "notice": {"line": place.service, "edition": "v1", "zone_name": "a", "berths": place.slots},
-            "tracking": {"condition": condition, "sequence": sequence, "cold_left": "0ms"},
-        });
-        let target = format!("/-/rpc?call=upstreams.beat&of={}", place.id);
-        let body = body.to_string();
-        let _ = client::ask(place.dock, "POST", &target, &[], body.as_bytes(), Duration::from_secs(1)).await;
+        let (closing, silent) = {
+            let book = standin.book();
+            (book.closing, book.silent)
+        };
+        if !silent {
+            let condition = if closing { "closing" } else { "accepting" };
+            let _ = place.beat(condition, sequence).await;
+        }
         sleep(Duration::from_millis(200)).await;
     }
 }
