A late heartbeat of an earlier instance does not put the present one out for good

After a restart of the balancer a late beat of a crashed instance came after the first one of the present instance, and took its place; the present one's id went among the ended, and its beats were acknowledged and ignored from then on.

Change: an instance that is replaced without having reported its end is remembered with its sequence number, and returns with two heartbeats that rise while the other sends none. An unknown instance whose first message is `closing` takes nobody's place.

Evidence: heartbeats.rs, the_present_instance_returns_after_a_late_heartbeat_of_an_earlier_one and an_unknown_instance_that_closes_takes_nobodys_place, both failed before ("7 passed; 2 failed").

--- a/mesh/data-plane/src/heartbeats.rs
+++ b/mesh/data-plane/src/heartbeats.rs
@@ -8,8 +8,12 @@
 use sloeline_discovery::{Condition, Upstream};
 use sloeline_process_settings::span::Span;
 
-/// Number of instances that are remembered of each kind: those that have ended, and those whose end the core has stored.
+/// Number of instances that are remembered of each kind: those that have ended, those whose end the core has stored, and those
+/// that another instance has replaced.
 const MAX_REMEMBERED_IDS: usize = 64;
+/// Number of heartbeats in a row, without one of the present instance between them, that bring back an instance that another
+/// one had replaced. A single late heartbeat must not do so.
+const RETURN_HEARTBEATS: u32 = 2;
 /// Maximum length of an upstream's identifier in bytes.
 const MAX_ID_BYTES: usize = 255;
 /// Maximum number of slots that an upstream may report.
@@ -94,6 +98,19 @@
     ended_ids: VecDeque<String>,
     /// Identifiers of instances whose end the core has stored, oldest first.
     stored_end_ids: VecDeque<String>,
+    /// Instances that another one has replaced without having reported their end, oldest first.
+    replaced: VecDeque<ReplacedInstance>,
+}
+
+/// An instance that another one has replaced. The replacement may have been a late heartbeat of an earlier instance.
+#[derive(Debug)]
+struct ReplacedInstance {
+    /// Identifier of the instance.
+    id: String,
+    /// Sequence number of its last heartbeat.
+    sequence: u64,
+    /// Its heartbeats since the last one of the present instance.
+    heartbeats: u32,
 }
 
 impl UpstreamTracker {
@@ -109,7 +126,7 @@
 
     /// Processes a heartbeat that arrives at the time `now`, in Unix microseconds. Returns whether the known state changed.
     pub fn record_heartbeat(&mut self, now: u64, id: &str, heartbeat: &Heartbeat) -> bool {
-        if self.ended_ids.iter().any(|ended| ended == id) {
+        if self.ended_ids.iter().any(|ended| ended == id) || !self.may_be_present(id, heartbeat) {
             return false;
         }
         let condition = match heartbeat.status.condition {
@@ -123,6 +140,11 @@
         if known.is_some() && heartbeat.status.sequence <= sequence {
             return false;
         }
+        // An instance that ends before it was known takes nobody's place.
+        if known.is_none() && self.current.is_some() && condition == Condition::Closing {
+            remember_id(&mut self.ended_ids, id);
+            return false;
+        }
         // An upstream that has started to close does not accept requests again.
         let condition = match known.map(|u| u.condition) {
             Some(Condition::Closing) => Condition::Closing,
@@ -142,16 +164,16 @@
             cold_until_micros,
         };
         let changed = known != Some(&upstream);
-        if known.is_none()
-            && let Some((previous, ..)) = self.current.take()
-        {
-            remember_id(&mut self.ended_ids, &previous.id);
+        if known.is_none() {
+            self.replace_current(id);
         }
+        self.replaced.iter_mut().for_each(|replaced| replaced.heartbeats = 0);
         self.current = Some((upstream, heartbeat.address, heartbeat.status.sequence));
         changed
     }
 
-    /// Records that an upstream instance gets no new requests any more, also if it is not known yet. Returns whether the known state changed.
+    /// Records that an upstream instance gets no new requests any more, also if it is not known yet. Returns whether the known
+    /// state changed.
     pub fn record_leave(&mut self, id: &str) -> bool {
         match &mut self.current {
             Some((upstream, ..)) if upstream.id == id => {
@@ -171,6 +193,7 @@
     pub fn knows(&self, id: &str) -> bool {
         self.upstream().is_some_and(|upstream| upstream.id == id)
             || self.ended_ids.iter().any(|ended| ended == id)
+            || self.replaced.iter().any(|replaced| replaced.id == id)
     }
 
     /// Whether the core has stored the end of an instance.
@@ -194,6 +217,34 @@
             _ => false,
         }
     }
+
+    /// Counts a heartbeat of an instance that another one has replaced. Returns whether the instance may be present: always,
+    /// unless it was replaced and has not sent enough heartbeats since.
+    fn may_be_present(&mut self, id: &str, heartbeat: &Heartbeat) -> bool {
+        let Some(replaced) = self.replaced.iter_mut().find(|replaced| replaced.id == id) else { return true };
+        if heartbeat.status.sequence > replaced.sequence {
+            replaced.sequence = heartbeat.status.sequence;
+            replaced.heartbeats += 1;
+        }
+        replaced.heartbeats >= RETURN_HEARTBEATS
+    }
+
+    /// Makes room for another instance: the present one is remembered as replaced, unless it has ended.
+    fn replace_current(&mut self, id: &str) {
+        self.replaced.retain(|replaced| replaced.id != id);
+        let Some((previous, _, sequence)) = self.current.take() else { return };
+        match previous.condition {
+            Condition::Closing => remember_id(&mut self.ended_ids, &previous.id),
+            _ if self.ended_ids.contains(&previous.id) => {}
+            _ => {
+                let replaced = ReplacedInstance { id: previous.id, sequence, heartbeats: 0 };
+                self.replaced.push_back(replaced);
+                if self.replaced.len() > MAX_REMEMBERED_IDS {
+                    self.replaced.pop_front();
+                }
+            }
+        }
+    }
 }
 
 /// Adds an identifier to those that are remembered. The oldest one gives way if there are too many.
--- a/mesh/data-plane/tests/heartbeats.rs
+++ b/mesh/data-plane/tests/heartbeats.rs
@@ -44,6 +44,28 @@
     assert_eq!(tracker.upstream().map(|u| u.id.as_str()), Some("i-2"));
 }
 
+/// Guards against a late heartbeat of an earlier instance that puts the present one out for good, when it is the first that a
+/// new process hears of that earlier instance.
+#[test]
+fn the_present_instance_returns_after_a_late_heartbeat_of_an_earlier_one() {
+    let mut tracker = UpstreamTracker::default();
+    let present = |tracker: &UpstreamTracker| tracker.upstream().map(|u| u.id.clone());
+    tracker.record_heartbeat(0, "i-2", &heartbeat("accepting", 1, "0ms"));
+    tracker.record_heartbeat(0, "i-1", &heartbeat("accepting", 40, "0ms"));
+    assert_eq!(present(&tracker).as_deref(), Some("i-1"), "it may as well be a new one");
+    assert!(tracker.knows("i-1") && tracker.knows("i-2"));
+    tracker.record_heartbeat(0, "i-2", &heartbeat("accepting", 2, "0ms"));
+    assert!(tracker.record_heartbeat(0, "i-2", &heartbeat("accepting", 3, "0ms")));
+    assert_eq!(present(&tracker).as_deref(), Some("i-2"));
+    // A replaced instance does not return by single late heartbeats while the present one sends its own, nor by repeated ones.
+    for sequence in 4..20 {
+        assert!(!tracker.record_heartbeat(0, "i-1", &heartbeat("accepting", 40 + sequence, "0ms")));
+        assert!(!tracker.record_heartbeat(0, "i-1", &heartbeat("accepting", 40 + sequence, "0ms")));
+        assert!(!tracker.record_heartbeat(0, "i-2", &heartbeat("accepting", sequence, "0ms")));
+        assert_eq!(present(&tracker).as_deref(), Some("i-2"));
+    }
+}
+
 /// Guards against a report of an instance that is not known yet, and is believed when its late heartbeat comes.
 #[test]
 fn an_instance_that_left_before_it_was_known_never_comes_up() {
@@ -56,6 +78,17 @@
     assert!(tracker.is_end_stored("i-1"));
 }
 
+/// Guards against a late `closing` of an earlier instance that closes the present one.
+#[test]
+fn an_unknown_instance_that_closes_takes_nobodys_place() {
+    let mut tracker = UpstreamTracker::default();
+    tracker.record_heartbeat(0, "i-2", &heartbeat("accepting", 1, "0ms"));
+    assert!(!tracker.record_heartbeat(0, "i-1", &heartbeat("closing", 40, "0ms")));
+    assert_eq!(condition(&tracker), Some(Condition::Accepting));
+    assert!(!tracker.record_heartbeat(0, "i-1", &heartbeat("accepting", 41, "0ms")));
+    assert_eq!(tracker.upstream().map(|u| u.id.as_str()), Some("i-2"));
+}
+
 /// Guards against an instance that had said `closing`, was replaced, and accepts requests again.
 #[test]
 fn an_instance_that_was_closing_when_it_was_replaced_never_returns() {
