TWICE, DENIED: a claim that arrives after the release of its run holds no key

What callers see: a claim that a slow core machine takes up after its run was given up, and its release stored by way of another machine, holds the key for its window; every later try of the operation gets 502.

Cause: a release of a run that held nothing left no trace, so the claim that followed it was granted.

Change: the table remembers the released runs for the window, as rows of their own, and denies a claim of such a run. The model tests of the table, and of its rows, now hold releases too.

--- a/mesh/control-plane/src/tables.rs
+++ b/mesh/control-plane/src/tables.rs
@@ -1,20 +1,25 @@
 //! The state that the chain replicates: the newest configuration, the claims of keyed operations, and the upstream
 //! instances that have ended.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use sloeline_chain_replication::{Applied, Row, Rows, StateMachine};
 use sloeline_discovery::ended_upstreams::EndedUpstreams;
 use sloeline_discovery::{Config, UpstreamOutcome, UpstreamUpdate};
-use sloeline_idempotency::{Claim, ClaimOutcome, ClaimUpdate, Claims};
+use sloeline_idempotency::{Claim, ClaimOutcome, ClaimUpdate, Claims, ReleasedRun};
 
 /// Time in milliseconds for which a key is kept beyond its window. The client sent the first try before the key was claimed,
 /// and the clock of the chain's head may differ from the clients' clocks.
 const KEY_WINDOW_MARGIN_MS: u64 = 10_000;
 /// Key of the row that holds the configuration.
 const CONFIG_ROW: &[u8] = b"c";
+/// Length of a run's number in a row key.
+const RUN_BYTES: usize = 8;
 /// First byte of the keys of rows that hold claims; the key of the operation follows.
 const CLAIM_ROW_PREFIX: u8 = b'k';
+/// First byte of the keys of rows that hold released runs; the run's number as 8 bytes, big-endian, and the key of the
+/// operation follow.
+const RELEASE_ROW_PREFIX: u8 = b'r';
 /// First byte of the keys of rows that hold ends of upstream instances; the instance's identifier follows.
 const ENDED_ROW_PREFIX: u8 = b'u';
 
@@ -94,7 +99,8 @@
         let config = self.config.iter().map(|config| (Bytes::from_static(CONFIG_ROW), encode(config)));
         let claims = self.keys.iter().map(|(key, claim)| (claim_row(key), encode(claim)));
         let ends = self.ended_upstreams.iter().map(|(id, at)| (ended_row(id), encode(&at)));
-        config.chain(claims).chain(ends).collect()
+        let releases = self.keys.releases().map(|(released, at)| (release_row(released), encode(&at)));
+        config.chain(claims).chain(releases).chain(ends).collect()
     }
 
     /// Replaces the configuration unless its version is lower than or equal to the current one. An equal version with other
@@ -131,6 +137,20 @@
     prefixed_row(CLAIM_ROW_PREFIX, key)
 }
 
+/// Returns the row key for a released run.
+fn release_row(released: &ReleasedRun) -> Bytes {
+    let mut name = BytesMut::with_capacity(RUN_BYTES + released.key.len());
+    name.put_u64(released.run);
+    name.put_slice(&released.key);
+    prefixed_row(RELEASE_ROW_PREFIX, &name)
+}
+
+/// Reads the row key of a released run without its prefix.
+fn parse_release_row(mut name: Bytes) -> Option<ReleasedRun> {
+    let run = name.try_get_u64().ok()?;
+    Some(ReleasedRun { key: name, run })
+}
+
 /// Returns the row key for the end of an upstream instance.
 fn ended_row(id: &str) -> Bytes {
     prefixed_row(ENDED_ROW_PREFIX, id.as_bytes())
@@ -157,7 +177,11 @@
                 let row = |(key, claim): (Bytes, Option<Claim>)| {
                     (claim_row(&key), claim.map(|claim| encode(&claim)))
                 };
-                rows.extend(changed.into_iter().map(row));
+                rows.extend(changed.claims.into_iter().map(row));
+                let row = |(released, at): (ReleasedRun, Option<u64>)| {
+                    (release_row(&released), at.map(|at| encode(&at)))
+                };
+                rows.extend(changed.releases.into_iter().map(row));
                 ChangeResult::Key(outcome)
             }
             Change::Read => ChangeResult::Config(self.config.clone()),
@@ -172,7 +196,7 @@
 
     fn load(&mut self, rows: &Rows) {
         self.config = None;
-        let (mut claims, mut ends) = (Vec::new(), Vec::new());
+        let (mut claims, mut releases, mut ends) = (Vec::new(), Vec::new(), Vec::new());
         for (key, value) in rows.iter() {
             if key.as_ref() == CONFIG_ROW {
                 self.config = rmp_serde::from_slice(value).ok();
@@ -180,6 +204,11 @@
                 && let Ok(claim) = rmp_serde::from_slice(value)
             {
                 claims.push((key.slice(1..), claim));
+            } else if key.first() == Some(&RELEASE_ROW_PREFIX)
+                && let (Some(released), Ok(at)) =
+                    (parse_release_row(key.slice(1..)), rmp_serde::from_slice(value))
+            {
+                releases.push((released, at));
             } else if key.first() == Some(&ENDED_ROW_PREFIX)
                 && let (Ok(id), Ok(at)) = (std::str::from_utf8(&key[1..]), rmp_serde::from_slice(value))
             {
@@ -187,6 +216,6 @@
             }
         }
         self.ended_upstreams.replace_all(ends.into_iter());
-        self.keys.replace_all(claims.into_iter());
+        self.keys.replace_all(claims.into_iter(), releases.into_iter());
     }
 }
--- a/mesh/idempotency/src/claims.rs
+++ b/mesh/idempotency/src/claims.rs
@@ -31,7 +31,7 @@
 pub enum ClaimOutcome {
     /// The run that asked holds the key and may start, or its claim is released.
     Granted,
-    /// Another run holds the key.
+    /// Another run holds the key, or the run that asked has released it before and must not start.
     Held {
         /// Identifier of the run that holds the key.
         run: u64,
@@ -52,19 +52,38 @@
     pub holder: String,
 }
 
-/// All claims that are younger than the claim window.
+/// A run that has released its key. A claim of it that arrives later, by way of a slow machine, holds nothing.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReleasedRun {
+    /// The operation key.
+    pub key: Bytes,
+    /// Identifier of the run.
+    pub run: u64,
+}
+
+/// All claims and releases that are younger than the claim window.
 #[derive(Debug, Default)]
 pub struct Claims {
     /// Claims by operation key.
     claims: HashMap<Bytes, Claim>,
     /// Grant time, run and key of each claim, oldest first. Released claims stay listed until they expire.
     expiry_order: VecDeque<(u64, u64, Bytes)>,
-    /// Age in milliseconds at which a claim expires.
+    /// Time of each release, in milliseconds.
+    releases: HashMap<ReleasedRun, u64>,
+    /// The same releases, oldest first.
+    release_expiry_order: VecDeque<(u64, ReleasedRun)>,
+    /// Age in milliseconds at which a claim or a release expires.
     window_ms: u64,
 }
 
-/// Claims changed by an update: each key with its new claim, or `None` if the key is no longer claimed.
-pub type ClaimChanges = Vec<(Bytes, Option<Claim>)>;
+/// What an update changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ClaimChanges {
+    /// Each changed key with its new claim, or `None` if the key is no longer claimed.
+    pub claims: Vec<(Bytes, Option<Claim>)>,
+    /// Each changed release with its time in milliseconds, or `None` if it is not remembered any more.
+    pub releases: Vec<(ReleasedRun, Option<u64>)>,
+}
 
 impl Claims {
     /// Creates an empty table whose claims expire after `window_ms` milliseconds.
@@ -92,8 +111,21 @@
         self.claims.iter()
     }
 
-    /// Replaces all stored claims by the given ones.
-    pub fn replace_all(&mut self, claims: impl Iterator<Item = (Bytes, Claim)>) {
+    /// Iterates over all remembered releases and their times in milliseconds, in no particular order.
+    pub fn releases(&self) -> impl Iterator<Item = (&ReleasedRun, u64)> {
+        self.releases.iter().map(|(released, at)| (released, *at))
+    }
+
+    /// Replaces all stored claims and releases by the given ones.
+    pub fn replace_all(
+        &mut self,
+        claims: impl Iterator<Item = (Bytes, Claim)>,
+        releases: impl Iterator<Item = (ReleasedRun, u64)>,
+    ) {
+        self.releases = releases.collect();
+        let mut release_order: Vec<_> = self.releases.iter().map(|(r, at)| (*at, r.clone())).collect();
+        release_order.sort_unstable();
+        self.release_expiry_order = release_order.into();
         self.claims = claims.collect();
         let mut order: Vec<_> =
             self.claims.iter().map(|(k, c)| (c.claimed_at_ms, c.run, k.clone())).collect();
@@ -102,7 +134,7 @@
     }
 
     /// Applies an update at the time `now_ms`, which never decreases from one call to the next. Returns the outcome and
-    /// all claims that changed, including those that expired.
+    /// all claims and releases that changed, including those that expired.
     pub fn apply(&mut self, now_ms: u64, update: &ClaimUpdate) -> (ClaimOutcome, ClaimChanges) {
         let mut changed = self.expire(now_ms);
         let outcome = match update {
@@ -111,10 +143,13 @@
                     ClaimOutcome::Held { run: claim.run, holder: claim.holder.clone() }
                 }
                 Some(_) => ClaimOutcome::Granted,
+                None if self.releases.contains_key(&ReleasedRun { key: key.clone(), run: *run }) => {
+                    ClaimOutcome::Held { run: *run, holder: holder.clone() }
+                }
                 None => {
                     let claim = Claim { claimed_at_ms: now_ms, run: *run, holder: holder.clone() };
                     self.expiry_order.push_back((now_ms, *run, key.clone()));
-                    changed.push((key.clone(), Some(claim.clone())));
+                    changed.claims.push((key.clone(), Some(claim.clone())));
                     self.claims.insert(key.clone(), claim);
                     ClaimOutcome::Granted
                 }
@@ -122,7 +157,13 @@
             ClaimUpdate::Release { key, run } => {
                 if self.claims.get(key).is_some_and(|c| c.run == *run) {
                     self.claims.remove(key);
-                    changed.push((key.clone(), None));
+                    changed.claims.push((key.clone(), None));
+                }
+                let released = ReleasedRun { key: key.clone(), run: *run };
+                if !self.releases.contains_key(&released) {
+                    self.releases.insert(released.clone(), now_ms);
+                    self.release_expiry_order.push_back((now_ms, released.clone()));
+                    changed.releases.push((released, Some(now_ms)));
                 }
                 ClaimOutcome::Granted
             }
@@ -130,17 +171,26 @@
         (outcome, changed)
     }
 
-    /// Removes all claims that are older than the window.
+    /// Removes all claims and releases that are older than the window.
     fn expire(&mut self, now_ms: u64) -> ClaimChanges {
-        let mut changed = ClaimChanges::new();
+        let mut changed = ClaimChanges::default();
         while self.expiry_order.front().is_some_and(|(at, ..)| at.saturating_add(self.window_ms) < now_ms) {
             let Some((at, run, key)) = self.expiry_order.pop_front() else { break };
             // The claim may have been released and its key claimed again since.
             if self.claims.get(&key).is_some_and(|c| c.run == run && c.claimed_at_ms == at) {
                 self.claims.remove(&key);
-                changed.push((key, None));
+                changed.claims.push((key, None));
             }
         }
+        while self
+            .release_expiry_order
+            .front()
+            .is_some_and(|(at, _)| at.saturating_add(self.window_ms) < now_ms)
+        {
+            let Some((_, released)) = self.release_expiry_order.pop_front() else { break };
+            self.releases.remove(&released);
+            changed.releases.push((released, None));
+        }
         changed
     }
 }
--- a/mesh/idempotency/src/lib.rs
+++ b/mesh/idempotency/src/lib.rs
@@ -13,8 +13,8 @@
 //! | held | not asked, not reachable, or the holder has restarted | 502, as in the row above |
 //! | released by its run | never ran | as if there had been no claim |
 //!
-//! Only the run itself releases its claim, and only if it certainly never ran and never will. All other claims end with
-//! the window.
+//! Only the run itself releases its claim, and only if it certainly never ran and never will. A claim that arrives after the
+//! release of its run is denied. All other claims end with the window.
 
 pub mod claims;
 pub mod ledger;
@@ -22,7 +22,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-pub use claims::{Claim, ClaimOutcome, ClaimUpdate, Claims};
+pub use claims::{Claim, ClaimChanges, ClaimOutcome, ClaimUpdate, Claims, ReleasedRun};
 pub use ledger::{Ledger, RunState};
 
 /// Maximum length of an operation key in bytes; requests with longer keys are rejected.
--- a/mesh/idempotency/tests/keys.rs
+++ b/mesh/idempotency/tests/keys.rs
@@ -1,11 +1,13 @@
 //! Checks claims and ledgers against a simple model: within the window a key is granted to at most one run, unless that
-//! run releases its claim.
+//! run releases its claim, and never to a run that has released it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use bytes::Bytes;
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use sloeline_idempotency::{ClaimOutcome, ClaimUpdate, Claims, Ledger, RunState, StoredResponse};
+use sloeline_idempotency::{
+    ClaimOutcome, ClaimUpdate, Claims, Ledger, ReleasedRun, RunState, StoredResponse,
+};
 
 /// Window of the claim tables and ledgers under test.
 const WINDOW_MS: u64 = 50;
@@ -52,21 +54,25 @@
     fn a_key_is_granted_to_one_run_within_its_window(steps: Vec<Step>) -> bool {
         let mut claims = Claims::new(WINDOW_MS);
         let mut held: HashMap<u8, (u64, u64)> = HashMap::new();
+        let mut released: HashMap<(u8, u64), u64> = HashMap::new();
         let mut now = 0;
         steps.iter().all(|step| {
             now += step.pause_ms;
             held.retain(|_, (at, _)| *at + WINDOW_MS >= now);
+            released.retain(|_, at| *at + WINDOW_MS >= now);
             let (outcome, _) = claims.apply(now, &update(step));
             let holder = held.get(&step.key).map(|(_, run)| *run);
             if step.release {
                 if holder == Some(step.run) {
                     held.remove(&step.key);
                 }
+                released.entry((step.key, step.run)).or_insert(now);
                 return outcome == ClaimOutcome::Granted;
             }
             match holder {
                 Some(run) if run != step.run => outcome == ClaimOutcome::Held { run, holder: format!("m-{run}") },
                 Some(_) => outcome == ClaimOutcome::Granted,
+                None if released.contains_key(&(step.key, step.run)) => outcome != ClaimOutcome::Granted,
                 None => {
                     held.insert(step.key, (now, step.run));
                     outcome == ClaimOutcome::Granted
@@ -78,21 +84,30 @@
     fn a_table_restored_from_its_changes_behaves_like_the_original(steps: Vec<Step>, cut: usize) -> bool {
         let cut = cut % (steps.len() + 1);
         let (mut original, mut rows, mut now) = (Claims::new(WINDOW_MS), HashMap::new(), 0);
+        let mut releases: HashMap<ReleasedRun, u64> = HashMap::new();
         for step in &steps[..cut] {
             now += step.pause_ms;
-            for (key, claim) in original.apply(now, &update(step)).1 {
+            let changed = original.apply(now, &update(step)).1;
+            for (key, claim) in changed.claims {
                 match claim {
                     Some(claim) => rows.insert(key, claim),
                     None => rows.remove(&key),
                 };
             }
+            for (released, at) in changed.releases {
+                match at {
+                    Some(at) => releases.insert(released, at),
+                    None => releases.remove(&released),
+                };
+            }
         }
         let mut restored = Claims::new(WINDOW_MS);
-        restored.replace_all(rows.into_iter());
+        restored.replace_all(rows.into_iter(), releases.into_iter());
         steps[cut..].iter().all(|step| {
             now += step.pause_ms;
             original.apply(now, &update(step)).0 == restored.apply(now, &update(step)).0
         }) && original.len() == restored.len()
+            && original.releases().collect::<HashSet<_>>() == restored.releases().collect::<HashSet<_>>()
     }
 
     fn a_ledger_stays_within_its_byte_limit_and_counts_stored_bytes(sizes: Vec<(u8, u16, bool)>) -> bool {
