Soak: upstreams that begin early and lose answers, and upstreams that leave around a restart

What the review's cases have, so that the soak finds their like: an upstream answers long bodies before it has read them, or begins and loses the answer by a reset; an upstream sends `leave`, its balancer is killed once that is acknowledged, and a beat from before comes late. An upstream that has left may get nothing from `drain` and `contact` on, counted while the core is in touch and nothing else troubles its balancer. Each life of a stand-in has an id of its own.

--- a/mesh/testbed/src/soak/fleet.rs
+++ b/mesh/testbed/src/soak/fleet.rs
@@ -20,7 +20,7 @@
 /// The service of all upstreams.
 pub const SERVICE: &str = "goods";
 /// Requests that an upstream works on at once, and how long each takes.
-const SLOTS: u32 = 16;
+pub const SLOTS: u32 = 16;
 const WORK: Duration = Duration::from_millis(15);
 /// How long a slow one takes: longer than any route allows.
 const SLOW_WORK: Duration = Duration::from_secs(8);
@@ -39,6 +39,8 @@
     pub troubles: Cell<u32>,
     /// When the last of them ended.
     pub calm_since: Cell<Instant>,
+    /// Counts the troubles that have begun.
+    pub begun_troubles: Cell<u64>,
     /// Those of them that nobody has planned.
     pub unplanned: Cell<u32>,
     /// When the last of those ended.
@@ -49,6 +51,7 @@
     /// A trouble begins.
     pub fn disturb(&self, planned: bool) {
         self.troubles.set(self.troubles.get() + 1);
+        self.begun_troubles.set(self.begun_troubles.get() + 1);
         self.unplanned.set(self.unplanned.get() + u32::from(!planned));
     }
 
@@ -154,6 +157,7 @@
         relay,
         life: Cell::new(1),
         troubles: Cell::new(0),
+        begun_troubles: Cell::new(0),
         calm_since: Cell::new(Instant::now()),
         unplanned: Cell::new(0),
         unplanned_until: Cell::new(Instant::now()),
--- a/mesh/testbed/src/soak/mod.rs
+++ b/mesh/testbed/src/soak/mod.rs
@@ -11,7 +11,8 @@
 //! - within one life a balancer never goes back; in touch, it is at most two seconds behind;
 //! - an order is never refused that is valid;
 //! - at the end everybody has the newest acknowledged version;
-//! - no key runs twice;
+//! - no key runs twice, also if upstreams begin with long bodies before they have read them, and lose their answers;
+//! - an upstream whose `leave` was acknowledged gets nothing new, also if its balancer is killed and a heartbeat comes late;
 //! - an answer on a kept connection is the one to its request, it comes within its route's timeout and a second (without the
 //!   time for which the soak itself stood still), and around planned stops no request is left without one;
 //! - no process goes over its memory, however many long bodies come at once and whatever upstreams turn away;
@@ -20,6 +21,7 @@
 pub mod account;
 pub mod fleet;
 pub mod kept;
+pub mod leaving;
 pub mod load;
 pub mod stalls;
 pub mod troubles;
--- a/mesh/testbed/src/soak/troubles.rs
+++ b/mesh/testbed/src/soak/troubles.rs
@@ -1,5 +1,6 @@
 //! Troubles of a soak: drawn by the seed, on any process, two or three at a time.
 
+use std::cell::RefCell;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 
 use super::account::Account;
 use super::fleet::{CORES, Fleet, Node};
+use super::leaving;
 use crate::relay::Fault;
 use crate::standin::Manner;
 
@@ -49,6 +51,12 @@
     Pause(Duration),
     /// The upstream beside a balancer turns all requests away.
     Refuse(Duration),
+    /// The upstream beside a balancer begins with requests before it has read their bodies, and answers before that.
+    Early(Duration),
+    /// The same, and it loses its answers.
+    LoseEarly(Duration),
+    /// The upstream beside a balancer leaves, the balancer is killed after that and starts again after so long.
+    Leave(Duration),
     /// The relay before it does something.
     Link(Fault, Duration),
 }
@@ -56,7 +64,7 @@
 /// Draws troubles until the moment, then waits until all are over.
 pub async fn play(
     fleet: Rc<Fleet>,
-    account: Rc<std::cell::RefCell<Account>>,
+    account: Rc<RefCell<Account>>,
     folder: &Path,
     mut rng: Rng,
     until: Instant,
@@ -72,13 +80,13 @@
         let node = nodes[rng.usize(..nodes.len())].clone();
         let trouble = draw(&mut rng, &fleet, &node);
         account.borrow_mut().count(trouble.name());
-        let (fleet, folder) = (fleet.clone(), folder.to_owned());
+        let (fleet, folder, account) = (fleet.clone(), folder.to_owned(), account.clone());
         // Its troubles count from now on, not from when the task is first run.
         let troubled = trouble.troubles(&fleet, &node);
         let planned = trouble.is_planned();
         troubled.iter().for_each(|node| node.disturb(planned));
         at_work.spawn_local(async move {
-            trouble.run(&fleet, &node, &troubled, &folder).await;
+            trouble.run(&fleet, &node, &troubled, &folder, &account).await;
             troubled.iter().for_each(|node| node.calm(planned));
         });
     }
@@ -92,7 +100,7 @@
     let others = fleet.cores.iter().filter(|core| core.machine != node.machine);
     let may_wipe =
         is_core && node.troubles.get() == 0 && others.clone().all(|core| core.is_calm_for(SYNC_TIME));
-    match rng.u32(..17) {
+    match rng.u32(..22) {
         0 | 1 => Trouble::Kill(span),
         2 => Trouble::KillCore(span / 2),
         3 if may_wipe => Trouble::Wipe(span),
@@ -106,6 +114,10 @@
         12 => Trouble::Roll(span / 4),
         13 => Trouble::SettingsSeries,
         14 | 15 => Trouble::Refuse(span),
+        17 => Trouble::Early(span),
+        18 => Trouble::LoseEarly(span),
+        // One at a time: the next one would find the upstream gone.
+        19..22 if !is_core && node.troubles.get() == 0 => Trouble::Leave(span / 2),
         _ => Trouble::Pause(span / 4),
     }
 }
@@ -134,6 +146,9 @@
             Trouble::SettingsSeries => "settings told in a series",
             Trouble::Pause(_) => "pause",
             Trouble::Refuse(_) => "refusing upstream",
+            Trouble::Early(_) => "early upstream",
+            Trouble::LoseEarly(_) => "early upstream that loses answers",
+            Trouble::Leave(_) => "leaving upstream",
             Trouble::Link(Fault::Hold, _) => "cut",
             Trouble::Link(Fault::HoldAnswers, _) => "lost answers",
             Trouble::Link(Fault::Reset, _) => "resets",
@@ -153,12 +168,19 @@
             Trouble::Roll(_) => fleet.balancers.clone(),
             Trouble::SettingsSeries => fleet.nodes().cloned().collect(),
             // Processes must keep all promises whatever their upstreams do.
-            Trouble::Refuse(_) => Vec::new(),
+            Trouble::Refuse(_) | Trouble::Early(_) | Trouble::LoseEarly(_) => Vec::new(),
             _ => vec![node.clone()],
         }
     }
 
-    async fn run(self, fleet: &Fleet, node: &Node, troubled: &[Rc<Node>], folder: &Path) {
+    async fn run(
+        self,
+        fleet: &Fleet,
+        node: &Node,
+        troubled: &[Rc<Node>],
+        folder: &Path,
+        account: &RefCell<Account>,
+    ) {
         match self {
             Trouble::Kill(span) | Trouble::KillCore(span) => {
                 troubled.iter().for_each(|node| node.process.borrow_mut().kill());
@@ -202,6 +224,17 @@
                 sleep(span).await;
                 standin.book().manner = Manner::Well;
             }
+            Trouble::Early(span) | Trouble::LoseEarly(span) => {
+                let standin = &fleet.standins[usize::from(node.machine) % fleet.standins.len()];
+                standin.book().begins_early = true;
+                if matches!(self, Trouble::LoseEarly(_)) {
+                    standin.book().manner = Manner::CutDuring;
+                }
+                sleep(span).await;
+                standin.book().begins_early = false;
+                standin.book().manner = Manner::Well;
+            }
+            Trouble::Leave(span) => leaving::play(fleet, node, span, account).await,
             Trouble::Link(fault, span) => {
                 node.relay.set(fault);
                 sleep(span).await;
--- a/mesh/testbed/src/standin.rs
+++ b/mesh/testbed/src/standin.rs
@@ -59,6 +59,8 @@
     pub closing: bool,
     /// It sends no heartbeats by itself.
     pub silent: bool,
+    /// Counts its starts; each has an id of its own.
+    pub life: u64,
     /// How often it ran each try.
     pub runs: BTreeMap<String, u32>,
     /// How often it ran each key.
@@ -104,6 +106,12 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Place {
+    /// The same place in one of the upstream's lives.
+    pub fn in_life(&self, life: u64) -> Place {
+        let id = if life == 0 { self.id.clone() } else { format!("{}-{life}", self.id) };
+        Place { id, ..self.clone() }
+    }
+
     /// Sends a heartbeat of the upstream that is here.
     pub async fn beat(&self, condition: &str, sequence: u64) -> Result<client::Answer> {
         let body = serde_json::json!({
@@ -154,13 +162,13 @@
 
 async fn beats(standin: Standin, place: Place) {
     for sequence in 1_u64.. {
-        let (closing, silent) = {
+        let (closing, silent, life) = {
             let book = standin.book();
-            (book.closing, book.silent)
+            (book.closing, book.silent, book.life)
         };
         if !silent {
             let condition = if closing { "closing" } else { "accepting" };
-            let _ = place.beat(condition, sequence).await;
+            let _ = place.in_life(life).beat(condition, sequence).await;
         }
         sleep(Duration::from_millis(200)).await;
     }
