--- a/membership/benches/follow.rs
+++ b/membership/benches/follow.rs
@@ -1,4 +1,4 @@
-//! What following costs: an etcd stand-in and a source in one process, over loopback. Figures are in
+//! Cost of following a registry: a simulated etcd and a source in one process, over loopback. The results are in
 //! docs/design-membership.md. `cargo bench -p sloeline-membership`.
 
 use std::cell::RefCell;
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use finchshift::{ListKind, ServerState};
-use sloeline_membership::doubt::Rules;
 use sloeline_membership::entry;
 use sloeline_membership::etcd::Settings;
-use sloeline_membership::follow::{Following, Origin};
-use sloeline_membership::view::{Node, Standing};
+use sloeline_membership::follow::{SourceConfig, SourceFollower};
+use sloeline_membership::plausibility::PlausibilityRules;
+use sloeline_membership::view::{MemberStatus, Node};
 use sloeline_standin::etcd::Etcd;
 use sloeline_standin::keys::{Store, Write};
 use tokio::sync::Notify;
@@ -31,7 +31,7 @@
         weight: 1.0,
         started: Some(started * 1_000_000),
     };
-    entry::write(&node, Standing::Serving)
+    entry::write(&node, MemberStatus::Serving)
 }
 
 /// Resident memory, in bytes.
@@ -74,39 +74,40 @@
         prefix: "/p/".to_owned(),
         endpoints: 1,
         instances: 1,
-        rate: 200.0,
-        check: 5_000_000,
-        patience: 1_000_000,
-        answer: 15_000_000,
-        believe_after: 30_000_000,
+        fleet_call_rate: 200.0,
+        check_interval: 5_000_000,
+        max_watch_lag: 1_000_000,
+        response_timeout: 15_000_000,
+        acceptance_delay: 30_000_000,
     };
     let told = Rc::new(Told::default());
     let (before, begin) = (memory(), Instant::now());
     let heard = told.clone();
-    let origins = [("etcd".to_owned(), Origin::Etcd(settings, vec![address]))];
-    let following = Following::start("p", &origins, &Rules::default(), 1, move |kind, list| {
-        let (mut out, mut listed) = (heard.out.borrow_mut(), heard.listed.borrow_mut());
-        if kind == ListKind::Complete {
-            out.clear();
-            listed.clear();
-        }
-        for l in list {
-            match l.state {
-                ServerState::Draining => out.insert(l.instance.clone()),
-                _ => out.remove(&l.instance),
-            };
-            match l.state {
-                ServerState::Gone => listed.remove(&l.instance),
-                _ => listed.insert(l.instance),
-            };
-        }
-        heard.changed.notify_waiters();
-    });
+    let origins = [("etcd".to_owned(), SourceConfig::Etcd(settings, vec![address]))];
+    let following =
+        SourceFollower::start("p", &origins, &PlausibilityRules::default(), 1, move |kind, list| {
+            let (mut out, mut listed) = (heard.out.borrow_mut(), heard.listed.borrow_mut());
+            if kind == ListKind::Complete {
+                out.clear();
+                listed.clear();
+            }
+            for l in list {
+                match l.state {
+                    ServerState::Draining => out.insert(l.instance.clone()),
+                    _ => out.remove(&l.instance),
+                };
+                match l.state {
+                    ServerState::Gone => listed.remove(&l.instance),
+                    _ => listed.insert(l.instance),
+                };
+            }
+            heard.changed.notify_waiters();
+        });
     until(&told, |t| t.listed.borrow().len() == nodes).await;
     let (first, first_bytes) = (begin.elapsed(), etcd.bytes());
     let grown = memory().saturating_sub(before);
 
-    // From a drain that is written to the engine that is told.
+    // Time from the write of a drain until it is passed to the engine.
     let mut delays = Vec::new();
     for n in 0..200 {
         let name = format!("node-{:05}", n * 7919 % nodes);
@@ -119,7 +120,7 @@
     }
     delays.sort_unstable();
 
-    // An hour's churn, as fast as it goes: each node is drained, deleted, made again and taken back.
+    // Changes without pauses: each node is drained, deleted, created again and taken back.
     let (bytes, used, begin) = (etcd.bytes(), processor(), Instant::now());
     for n in 0..nodes {
         let drain = format!("/p/drains/node-{n:05}");
@@ -133,7 +134,7 @@
     until(&told, |t| t.out.borrow().len() == 1 && t.listed.borrow().len() == nodes).await;
     let churn = (etcd.bytes() - bytes, processor() - used, begin.elapsed());
 
-    // Away, and back with its past compacted away.
+    // The registry is unreachable, and its past is compacted.
     let mut store = etcd.store();
     drop(etcd);
     tokio::time::sleep(Duration::from_secs(1)).await;
--- a/membership/src/announce.rs
+++ b/membership/src/announce.rs
@@ -1,10 +1,10 @@
-//! Announcing oneself at etcd: an entry that hangs on a lease. No I/O, time as an argument.
+//! Announces this instance at etcd: an entry with a lease. No I/O, time as an argument.
 //!
-//! The entry is written when the daemon is ready, kept alive, written again where its lease was lost, and changed to
-//! `draining` before the daemon stops taking requests; then the lease is revoked. A registry that goes away and comes back
-//! finds the same entry with the same start: while the lease lives, nothing is written anew, so that readers see no change.
+//! The entry is written when the daemon is ready, its lease is renewed, the entry is written again if the lease was lost, and
+//! changed to `draining` before the daemon stops accepting requests. Then the lease is revoked. While the lease is valid,
+//! nothing is written again, so that readers see no change when the registry was unreachable for a while.
 
-pub mod line;
+pub mod transport;
 
 use std::collections::VecDeque;
 
@@ -12,277 +12,278 @@
 
 use crate::backoff::Backoff;
 use crate::entry;
-use crate::view::{Node, Standing};
+use crate::view::{MemberStatus, Node};
 
-/// The lease is kept alive this many times in its life.
-const TIMES: u64 = 3;
+/// How often a lease is renewed within its duration.
+const KEEP_ALIVES_PER_LEASE: u64 = 3;
 
-/// While a lease lives, a pause is no shorter than this part of its life.
-const LEAST_PART: u64 = 20;
+/// While a lease is valid, a pause between attempts is at least the duration of the lease divided by this.
+const MIN_PAUSE_DIVISOR: u64 = 20;
 
-/// What is announced, and how.
+/// Settings of the announcer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Ends with a slash.
+    /// Prefix of all keys; ends with a slash.
     pub prefix: String,
-    /// What is announced.
+    /// The announced node.
     pub node: Node,
-    /// How long the entry outlives its writer.
+    /// Duration of the lease: how long the entry remains if it is not renewed.
     pub lease: Micros,
-    /// How many endpoints there are.
+    /// Number of etcd endpoints.
     pub endpoints: usize,
-    /// How many instances announce themselves there.
+    /// Number of instances that announce themselves.
     pub instances: u32,
-    /// Calls a second that they may make together after a failure.
-    pub rate: f64,
-    /// How long a call may take.
-    pub answer: Micros,
+    /// Calls per second that all instances together may make after a failure.
+    pub fleet_call_rate: f64,
+    /// Time limit of a call.
+    pub response_timeout: Micros,
 }
 
-/// A call to make.
+/// A command to the transport.
 #[derive(Clone, Debug, PartialEq)]
 #[allow(missing_docs, reason = "fields are named by their variant and their call")]
-pub enum Ask {
-    /// A lease of so many seconds.
+pub enum Command {
+    /// Creates a lease with this duration.
     Grant { call: u64, endpoint: usize, seconds: i64 },
-    /// The entry, on a lease.
+    /// Writes the entry with a lease.
     Put { call: u64, endpoint: usize, key: Vec<u8>, value: Vec<u8>, lease: i64 },
-    /// The lease's life begins anew.
+    /// Renews the lease.
     KeepAlive { call: u64, endpoint: usize, lease: i64 },
-    /// The lease ends, and the entry with it.
+    /// Revokes the lease, which deletes the entry.
     Revoke { call: u64, endpoint: usize, lease: i64 },
-    /// Nothing of this call is wanted any more.
+    /// Nothing of this call is desired any more.
     Leave { call: u64 },
 }
 
-/// What came back.
+/// A reply from the transport.
 #[derive(Clone, Debug, PartialEq)]
 #[allow(missing_docs, reason = "fields are named by their variant and their call")]
-pub enum Told {
-    /// A lease.
+pub enum Reply {
+    /// The lease was created.
     Granted { call: u64, lease: i64 },
-    /// The lease lives so many seconds more; 0 or less where it is no more.
+    /// The remaining duration of the lease in seconds; 0 or less if it has ended.
     Alive { call: u64, seconds: i64 },
-    /// A put or a revocation is done.
+    /// The entry was written, or the lease was revoked.
     Done { call: u64 },
     /// The call failed.
     Failed { call: u64, why: String },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Doing {
+enum Operation {
     Grant,
     Put,
     KeepAlive,
     Revoke,
 }
 
-/// How far the announcement is.
+/// The state to announce.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wanted {
-    /// Nothing is to be announced yet.
+pub enum DesiredState {
+    /// Nothing is announced yet.
     Nothing,
-    /// The daemon takes requests.
+    /// The daemon accepts requests.
     Serving,
-    /// It will stop taking them as soon as this is written.
+    /// The daemon will stop accepting requests as soon as this is written.
     Draining,
-    /// It has gone.
+    /// The entry is deleted. No other state follows.
     Gone,
 }
 
-/// An announcement.
-pub struct Announce {
+/// Announces one instance.
+pub struct Announcer {
     settings: Settings,
-    wanted: Wanted,
-    /// What the registry was last told, under the lease that is held.
-    written: Option<Wanted>,
+    desired: DesiredState,
+    /// The state that was last written with the present lease.
+    written: Option<DesiredState>,
     lease: Option<i64>,
-    /// The lease is believed to live until then: from the moment at which its last call was made.
-    lives: Micros,
-    under_way: Option<(Doing, u64, Micros)>,
-    /// What the put under way says.
-    writing: Wanted,
-    made: Micros,
-    next: Micros,
+    /// When the lease ends, counted from the time at which it was last requested or renewed.
+    lease_valid_until: Micros,
+    running_call: Option<(Operation, u64, Micros)>,
+    /// The state that the running put writes.
+    writing: DesiredState,
+    called_at: Micros,
+    next_call_at: Micros,
     endpoint: usize,
     calls: u64,
-    asks: VecDeque<Ask>,
+    commands: VecDeque<Command>,
     backoff: Backoff,
     rng: fastrand::Rng,
     trouble: Option<String>,
 }
 
-impl Announce {
-    /// Announces nothing yet.
-    pub fn new(now: Micros, settings: Settings, seed: u64) -> Announce {
+impl Announcer {
+    /// Creates an announcer that announces nothing yet.
+    pub fn new(now: Micros, settings: Settings, seed: u64) -> Announcer {
         let mut rng = fastrand::Rng::with_seed(seed);
-        Announce {
-            wanted: Wanted::Nothing,
+        Announcer {
+            desired: DesiredState::Nothing,
             written: None,
             lease: None,
-            lives: 0,
-            under_way: None,
-            writing: Wanted::Nothing,
-            made: now,
-            next: now,
+            lease_valid_until: 0,
+            running_call: None,
+            writing: DesiredState::Nothing,
+            called_at: now,
+            next_call_at: now,
             endpoint: rng.usize(..settings.endpoints.max(1)),
             calls: 0,
-            asks: VecDeque::new(),
-            backoff: Backoff::new(settings.instances, settings.rate),
+            commands: VecDeque::new(),
+            backoff: Backoff::new(settings.instances, settings.fleet_call_rate),
             rng,
             trouble: None,
             settings,
         }
     }
 
-    /// What is to be announced from now on. An order to drain or to go does not wait for a pause to end.
-    pub fn want(&mut self, now: Micros, wanted: Wanted) {
-        // One that has gone does not come back.
-        if self.wanted == wanted || self.wanted == Wanted::Gone {
+    /// Sets the state to announce from now on. It is announced at once, without waiting for the end of a pause.
+    pub fn set_desired(&mut self, now: Micros, desired: DesiredState) {
+        // The end is final.
+        if self.desired == desired || self.desired == DesiredState::Gone {
             return;
         }
-        self.wanted = wanted;
-        if self.under_way.is_none() {
-            self.next = now;
+        self.desired = desired;
+        if self.running_call.is_none() {
+            self.next_call_at = now;
             self.tick(now);
         }
     }
 
-    /// What is wanted stands in the registry; nothing stands where nothing is to be announced.
-    pub fn stands(&self) -> bool {
-        match self.wanted {
-            Wanted::Nothing | Wanted::Gone => self.lease.is_none(),
-            Wanted::Draining if self.lease.is_none() => true,
-            wanted => self.written == Some(wanted),
+    /// Returns whether the registry has the desired state. A state without an entry is reached when there is no lease.
+    pub fn is_current(&self) -> bool {
+        match self.desired {
+            DesiredState::Nothing | DesiredState::Gone => self.lease.is_none(),
+            DesiredState::Draining if self.lease.is_none() => true,
+            desired => self.written == Some(desired),
         }
     }
 
-    /// What went wrong since the last call, in one line.
+    /// Removes and returns the newest failure, in one line.
     pub fn trouble(&mut self) -> Option<String> {
         self.trouble.take()
     }
 
-    /// The next call to make.
-    pub fn ask(&mut self) -> Option<Ask> {
-        self.asks.pop_front()
+    /// Removes and returns the next command for the transport.
+    pub fn next_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
-    /// When [`tick`](Announce::tick) has something to do.
+    /// When [`tick`](Announcer::tick) has something to do.
     pub fn due(&self) -> Option<Micros> {
-        match self.under_way {
+        match self.running_call {
             Some((_, _, until)) => Some(until),
-            None => self.doing().map(|_| self.next),
+            None => self.operation().map(|_| self.next_call_at),
         }
     }
 
-    fn doing(&self) -> Option<Doing> {
-        match (self.wanted, self.lease) {
-            (Wanted::Nothing, None) | (Wanted::Gone, None) => None,
-            (Wanted::Nothing | Wanted::Gone, Some(_)) => Some(Doing::Revoke),
-            // Whoever drains and is not announced has nothing to take back.
-            (Wanted::Draining, None) => None,
-            (Wanted::Serving, None) => Some(Doing::Grant),
-            (wanted, Some(_)) if self.written != Some(wanted) => Some(Doing::Put),
-            (_, Some(_)) => Some(Doing::KeepAlive),
+    fn operation(&self) -> Option<Operation> {
+        match (self.desired, self.lease) {
+            (DesiredState::Nothing, None) | (DesiredState::Gone, None) => None,
+            (DesiredState::Nothing | DesiredState::Gone, Some(_)) => Some(Operation::Revoke),
+            // An instance that is not announced needs no drain.
+            (DesiredState::Draining, None) => None,
+            (DesiredState::Serving, None) => Some(Operation::Grant),
+            (desired, Some(_)) if self.written != Some(desired) => Some(Operation::Put),
+            (_, Some(_)) => Some(Operation::KeepAlive),
         }
     }
 
-    /// Lets time pass.
+    /// Executes what is due at `now`.
     pub fn tick(&mut self, now: Micros) {
-        if let Some((_, call, until)) = self.under_way {
+        if let Some((_, call, until)) = self.running_call {
             if until <= now {
-                self.asks.push_back(Ask::Leave { call });
+                self.commands.push_back(Command::Leave { call });
                 self.failed(now, "no answer in time".to_owned());
             }
             return;
         }
-        let Some(doing) = self.doing().filter(|_| self.next <= now) else { return };
+        let Some(operation) = self.operation().filter(|_| self.next_call_at <= now) else { return };
         self.calls += 1;
         let (call, endpoint, lease) = (self.calls, self.endpoint, self.lease.unwrap_or(0));
-        self.asks.push_back(match doing {
-            Doing::Grant => {
+        self.commands.push_back(match operation {
+            Operation::Grant => {
                 let seconds = self.settings.lease.div_ceil(1_000_000).max(1) as i64;
-                Ask::Grant { call, endpoint, seconds }
+                Command::Grant { call, endpoint, seconds }
             }
-            Doing::Put => {
-                self.writing = self.wanted;
-                let draining = self.wanted == Wanted::Draining;
-                let standing = if draining { Standing::Draining } else { Standing::Serving };
+            Operation::Put => {
+                self.writing = self.desired;
+                let draining = self.desired == DesiredState::Draining;
+                let status = if draining { MemberStatus::Draining } else { MemberStatus::Serving };
                 let key =
                     format!("{}nodes/{}", self.settings.prefix, self.settings.node.identity).into_bytes();
-                Ask::Put { call, endpoint, key, value: entry::write(&self.settings.node, standing), lease }
+                Command::Put { call, endpoint, key, value: entry::write(&self.settings.node, status), lease }
             }
-            Doing::KeepAlive => Ask::KeepAlive { call, endpoint, lease },
-            Doing::Revoke => Ask::Revoke { call, endpoint, lease },
+            Operation::KeepAlive => Command::KeepAlive { call, endpoint, lease },
+            Operation::Revoke => Command::Revoke { call, endpoint, lease },
         });
-        self.made = now;
-        self.under_way = Some((doing, call, now + self.settings.answer));
+        self.called_at = now;
+        self.running_call = Some((operation, call, now + self.settings.response_timeout));
     }
 
     fn failed(&mut self, now: Micros, why: String) {
         self.trouble = Some(why);
-        self.under_way = None;
+        self.running_call = None;
         self.endpoint = (self.endpoint + 1) % self.settings.endpoints.max(1);
         let pause = self.backoff.pause(&mut self.rng);
-        // A lease that is about to run out is not lost to a pause: the next try comes while it lives.
-        let left = self.lives.saturating_sub(now);
-        // Nor is it tried faster and faster as its end comes near.
-        let least = self.settings.lease / LEAST_PART;
-        self.next = now + if left > 0 { pause.min((left / 2).max(least)) } else { pause };
-        if self.wanted == Wanted::Gone {
-            // The lease runs out by itself.
+        // The next attempt comes before the lease ends.
+        let left = self.lease_valid_until.saturating_sub(now);
+        // The pauses do not become arbitrarily short near the end of the lease.
+        let least = self.settings.lease / MIN_PAUSE_DIVISOR;
+        self.next_call_at = now + if left > 0 { pause.min((left / 2).max(least)) } else { pause };
+        if self.desired == DesiredState::Gone {
+            // The lease expires.
             self.lease = None;
         }
     }
 
     fn lost(&mut self, now: Micros) {
         (self.lease, self.written) = (None, None);
-        // Not at once: every instance's lease ran out while the registry was away. It is there again: the first ceiling.
+        // With a pause, because the leases of all instances expired while the registry was unreachable. It is reachable
+        // again, so the pause is drawn from the first ceiling.
         self.backoff.reset();
-        self.next = now + self.backoff.pause(&mut self.rng);
+        self.next_call_at = now + self.backoff.pause(&mut self.rng);
     }
 
-    /// Takes what came back; what belongs to no call under way is passed over.
-    pub fn told(&mut self, now: Micros, told: Told) {
-        let Some((doing, under_way, _)) = self.under_way else { return };
-        let call = match &told {
-            Told::Granted { call, .. }
-            | Told::Alive { call, .. }
-            | Told::Done { call }
-            | Told::Failed { call, .. } => *call,
+    /// Handles a reply. A reply to any other call than the running one is ignored.
+    pub fn handle_reply(&mut self, now: Micros, reply: Reply) {
+        let Some((operation, running_call, _)) = self.running_call else { return };
+        let call = match &reply {
+            Reply::Granted { call, .. }
+            | Reply::Alive { call, .. }
+            | Reply::Done { call }
+            | Reply::Failed { call, .. } => *call,
         };
-        if call != under_way {
+        if call != running_call {
             return;
         }
-        self.under_way = None;
-        match (told, doing) {
-            (Told::Failed { why, .. }, Doing::Put) if why.contains("lease not found") => {
+        self.running_call = None;
+        match (reply, operation) {
+            (Reply::Failed { why, .. }, Operation::Put) if why.contains("lease not found") => {
                 self.trouble = Some(why);
                 return self.lost(now);
             }
-            (Told::Failed { why, .. }, _) => return self.failed(now, why),
-            (Told::Granted { lease, .. }, _) => {
+            (Reply::Failed { why, .. }, _) => return self.failed(now, why),
+            (Reply::Granted { lease, .. }, _) => {
                 self.lease = Some(lease);
-                self.lives = self.made + self.settings.lease;
-                self.next = now;
+                self.lease_valid_until = self.called_at + self.settings.lease;
+                self.next_call_at = now;
             }
-            (Told::Alive { seconds, .. }, _) if seconds <= 0 => return self.lost(now),
-            (Told::Alive { .. }, _) => {
-                self.lives = self.made + self.settings.lease;
-                self.next = self.made + self.settings.lease / TIMES;
+            (Reply::Alive { seconds, .. }, _) if seconds <= 0 => return self.lost(now),
+            (Reply::Alive { .. }, _) => {
+                self.lease_valid_until = self.called_at + self.settings.lease;
+                self.next_call_at = self.called_at + self.settings.lease / KEEP_ALIVES_PER_LEASE;
             }
-            (Told::Done { .. }, Doing::Revoke) => (self.lease, self.written) = (None, None),
-            (Told::Done { .. }, _) => {
-                // What is wanted may have changed while it was on its way.
+            (Reply::Done { .. }, Operation::Revoke) => (self.lease, self.written) = (None, None),
+            (Reply::Done { .. }, _) => {
+                // The desired state may have changed meanwhile.
                 self.written = Some(self.writing);
-                // A put does not lengthen the lease's life.
-                let renewed = self.lives.saturating_sub(self.settings.lease);
-                self.next = now.max(renewed + self.settings.lease / TIMES);
+                // A put does not renew the lease.
+                let renewed = self.lease_valid_until.saturating_sub(self.settings.lease);
+                self.next_call_at = now.max(renewed + self.settings.lease / KEEP_ALIVES_PER_LEASE);
             }
         }
         self.backoff.reset();
-        if self.doing().is_some_and(|doing| doing != Doing::KeepAlive) {
-            self.next = now;
+        if self.operation().is_some_and(|operation| operation != Operation::KeepAlive) {
+            self.next_call_at = now;
         }
         self.tick(now);
     }
--- a/membership/src/backoff.rs
+++ b/membership/src/backoff.rs
@@ -1,20 +1,20 @@
-//! When a source that failed is asked again, so that a fleet does not fall upon a registry that comes back.
+//! Pauses after failures of a source, so that a fleet does not overload a registry that becomes reachable again.
 //!
-//! Full jitter: each pause is drawn evenly from nothing to a ceiling, and the ceiling doubles. The first ceiling is the
-//! time in which the whole fleet, asking at the stated rate, asks once. So `N` instances whose registry breaks at one
-//! moment send it at most about that rate at every moment after, however long it stays away: in the first round `N` calls
-//! over the first ceiling, in each later one `N` calls over twice the time before it.
+//! Full jitter: each pause is drawn uniformly between zero and a ceiling, and the ceiling doubles. The first ceiling is the
+//! time in which the whole fleet, at the configured rate, makes one call per instance. So `N` instances whose registry fails
+//! at the same moment make calls at about that rate at most, however long the registry is unreachable: `N` calls within the
+//! first ceiling, then `N` calls within twice the previous time.
 
 use finchshift::Micros;
 
-/// The least of a first ceiling: guards a registry and this instance's processor against a call that fails at once.
-const LEAST: Micros = 100_000;
-/// The longest ceiling is this many first ones, and no less than [`LONGEST`].
-const MOST_ROUNDS: u64 = 4;
-/// What the longest ceiling is at least.
-const LONGEST: Micros = 4_000_000;
+/// Lower limit of the first ceiling. Limits the load on the registry and on this instance if calls fail immediately.
+const MIN_FIRST_CEILING: Micros = 100_000;
+/// The highest ceiling is the first one times this factor, but at least [`MIN_LONGEST_CEILING`].
+const MAX_CEILING_FACTOR: u64 = 4;
+/// Lower limit of the highest ceiling.
+const MIN_LONGEST_CEILING: Micros = 4_000_000;
 
-/// Pauses between failures.
+/// Draws the pauses after failures.
 #[derive(Clone, Debug)]
 pub struct Backoff {
     first: Micros,
@@ -23,26 +23,26 @@
 }
 
 impl Backoff {
-    /// For one of `instances` that together may make `rate` calls a second.
+    /// Creates the pauses of one of `instances` instances that together may make `rate` calls per second.
     pub fn new(instances: u32, rate: f64) -> Backoff {
         let spread = (f64::from(instances.max(1)) / rate.max(1e-3) * 1e6).min(600e6) as Micros;
-        let first = spread.max(LEAST);
-        Backoff { first, longest: (first * MOST_ROUNDS).max(LONGEST), ceiling: first }
+        let first = spread.max(MIN_FIRST_CEILING);
+        Backoff { first, longest: (first * MAX_CEILING_FACTOR).max(MIN_LONGEST_CEILING), ceiling: first }
     }
 
-    /// The next pause.
+    /// Draws the next pause, and doubles the ceiling.
     pub fn pause(&mut self, rng: &mut fastrand::Rng) -> Micros {
         let pause = rng.u64(..=self.ceiling);
         self.ceiling = (self.ceiling * 2).min(self.longest);
         pause
     }
 
-    /// A call succeeded.
+    /// Returns to the first ceiling after a successful call.
     pub fn reset(&mut self) {
         self.ceiling = self.first;
     }
 
-    /// No pause is longer.
+    /// The highest ceiling.
     pub fn longest(&self) -> Micros {
         self.longest
     }
--- a/membership/src/consul.rs
+++ b/membership/src/consul.rs
@@ -1,14 +1,14 @@
-//! Following a service in Consul through blocking queries of `/v1/health/service/NAME`. No I/O, time as an argument.
+//! Follows a service in Consul through blocking queries of `/v1/health/service/NAME`. No I/O, time as an argument.
 //!
-//! The rules of Consul's own documentation for blocking queries: the index of an answer is asked with next; one of 0
-//! counts as 1; one that goes back is reset to 0; answers that come too fast are slowed down. Beyond those:
-//! - an answer whose index goes back is not taken; the next question is a consistent read, which only a leader that still
-//!   has its quorum answers, and what that says is another epoch ([`doubt`](crate::doubt));
-//! - an answer of a server that knows no leader, or has not heard of it for long, is not taken and asked again as a
+//! The rules of Consul's documentation for blocking queries: a query carries the index of the previous response; an index of 0
+//! counts as 1; an index that decreases is reset to 0; queries are rate limited. In addition:
+//! - a response whose index decreases is rejected; the next query is a consistent read, which only a leader with a quorum
+//!   answers, and its response begins another epoch ([`plausibility`](crate::plausibility));
+//! - a response of a server that knows no leader, or has had no contact with it for long, is rejected, and the next query is a
 //!   consistent read;
-//! - a service whose registration was made again counts as started again where it does not say when.
+//! - an instance that was registered again counts as restarted if it does not report its start.
 
-pub mod line;
+pub mod transport;
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -18,61 +18,61 @@
 use sloeline_settings::setup::ms_to_micros;
 
 use crate::backoff::Backoff;
-use crate::entry::MOST_IDENTITY;
-use crate::source::{Machine, Outbox};
-use crate::view::{Body, Member, Node, Revision, Standing};
+use crate::entry::MAX_IDENTITY_BYTES;
+use crate::source::{Outbox, SourceProtocol};
+use crate::view::{Member, MemberStatus, Node, Revision, UpdateContent};
 
-/// What a source at Consul is told.
+/// Settings of a Consul source.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// The service's name.
+    /// Name of the service.
     pub service: String,
-    /// How many endpoints there are.
+    /// Number of Consul endpoints.
     pub endpoints: usize,
-    /// How many balancers ask the same registry.
+    /// Number of balancers that query the same registry.
     pub instances: u32,
-    /// Calls a second that they may make together after a failure.
-    pub rate: f64,
-    /// How long a question waits for news.
-    pub wait: Micros,
-    /// How long an answer may take beyond that.
-    pub answer: Micros,
-    /// Questions are no closer than this.
-    pub apart: Micros,
-    /// A server that has not heard of its leader for so long is not believed.
-    pub most_stale: Micros,
-    /// Any server may answer, not only the leader.
-    pub stale: bool,
+    /// Calls per second that all balancers together may make after a failure.
+    pub fleet_call_rate: f64,
+    /// How long a server holds a query until there is a change.
+    pub poll_wait: Micros,
+    /// Time limit of a query in addition to that.
+    pub response_timeout: Micros,
+    /// Minimum time between two queries.
+    pub min_poll_interval: Micros,
+    /// Responses of servers without contact to their leader for longer than this are rejected.
+    pub max_staleness: Micros,
+    /// Whether any server may answer, not only the leader.
+    pub allow_stale: bool,
 }
 
-/// Who may answer (Consul, consistency modes).
+/// Consistency mode of a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
-    /// The leader, by its own word.
+    /// Answered by the leader.
     Default,
-    /// Any server.
+    /// Answered by any server.
     Stale,
-    /// The leader, once its quorum has confirmed it.
+    /// Answered by the leader after its quorum has confirmed it.
     Consistent,
 }
 
-/// A call to make.
+/// A command to the transport.
 #[derive(Clone, Debug, PartialEq)]
 #[allow(missing_docs, reason = "fields are named by their variant and their call")]
-pub enum Ask {
-    /// A question; it waits for an index beyond `index`, unless that is 0.
+pub enum Command {
+    /// A query. The server holds it until its index exceeds `index`, unless that is 0.
     Query { call: u64, endpoint: usize, index: u64, wait: Micros, mode: Mode },
-    /// Nothing of this call is wanted any more.
+    /// Cancels a call.
     Leave { call: u64 },
 }
 
-/// What came back.
+/// A reply from the transport.
 #[derive(Clone, Debug)]
 #[allow(missing_docs, reason = "fields are named by their variant and their call")]
-pub enum Told {
-    /// An answer.
+pub enum Reply {
+    /// The response to a query.
     Answer {
-        /// Of this call.
+        /// Number of the call.
         call: u64,
         /// `X-Consul-Index`
         index: u64,
@@ -80,70 +80,70 @@
         leader: bool,
         /// `X-Consul-LastContact`
         last_contact: Micros,
-        /// The service's instances.
+        /// Instances of the service.
         entries: Vec<Entry>,
     },
     /// The call failed.
     Failed {
-        /// This one.
+        /// Number of the call.
         call: u64,
-        /// In one line.
+        /// Reason in one line.
         why: String,
     },
 }
 
-/// An instance of a service, as `/v1/health/service` has it. What is not read is left out.
+/// An instance of a service, as `/v1/health/service` returns it. Unused fields are omitted.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Entry {
-    /// The machine.
-    pub node: Machines,
-    /// The instance on it.
+    /// The machine that the instance runs on.
+    pub node: ConsulNode,
+    /// The instance.
     pub service: Service,
-    /// Checks of both.
-    pub checks: Vec<CheckOf>,
+    /// Health checks of the machine and of the instance.
+    pub checks: Vec<ConsulCheck>,
 }
 
-/// `Node`
+/// The machine of an instance: `Node`.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
-pub struct Machines {
-    /// Its name.
+pub struct ConsulNode {
+    /// Name of the machine.
     pub node: String,
-    /// Its address.
+    /// Address of the machine.
     pub address: String,
-    /// What it says of itself.
+    /// Metadata of the machine.
     pub meta: Option<HashMap<String, String>>,
 }
 
-/// `Service`
+/// An instance of a service: `Service`.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Service {
-    /// The instance's name on its machine.
+    /// Identifier of the instance on its machine.
     #[serde(rename = "ID")]
     pub id: String,
-    /// Where it is, if not at the machine's address.
+    /// Address of the instance; empty if it is that of the machine.
     pub address: String,
-    /// Its port.
+    /// Port of the instance.
     pub port: u16,
-    /// What it says of itself: `zone`, `kind`, `cell`, `state`, `started_at_ms`.
+    /// Metadata of the instance: `zone`, `kind`, `cell`, `state`, `started_at_ms`.
     pub meta: Option<HashMap<String, String>>,
-    /// Its size.
+    /// Weights of the instance.
     pub weights: Weights,
-    /// When its registration was made.
+    /// Index at which the instance was registered.
     pub create_index: u64,
-    /// When it was last changed.
+    /// Index of the last change.
     pub modify_index: u64,
 }
 
-/// `Weights`
+/// The weights of an instance: `Weights`.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Weights {
-    /// While all checks pass.
+    /// Weight while all checks pass.
     pub passing: f64,
-    /// While one warns.
+    /// Weight while a check warns.
     pub warning: f64,
 }
 
@@ -153,53 +153,53 @@
     }
 }
 
-/// A check.
+/// A health check.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
-pub struct CheckOf {
-    /// Its name.
+pub struct ConsulCheck {
+    /// Identifier of the check.
     #[serde(rename = "CheckID")]
     pub check_id: String,
     /// `passing`, `warning` or `critical`.
     pub status: String,
-    /// When it last changed.
+    /// Index of the last change.
     pub modify_index: u64,
 }
 
 impl Entry {
-    /// The same at every balancer.
+    /// Identifier of the member, which is the same at every balancer.
     fn identity(&self) -> String {
         format!("{}/{}", self.node.node, self.service.id)
     }
 
-    fn standing(&self) -> Standing {
-        let critical = |c: &&CheckOf| c.status == "critical";
-        let maintenance = |c: &CheckOf| {
+    fn status(&self) -> MemberStatus {
+        let critical = |c: &&ConsulCheck| c.status == "critical";
+        let maintenance = |c: &ConsulCheck| {
             c.check_id == "_node_maintenance" || c.check_id.starts_with("_service_maintenance:")
         };
         if self.checks.iter().filter(critical).any(maintenance) {
-            return Standing::Maintenance;
+            return MemberStatus::Maintenance;
         }
         match self.meta("state") {
-            Some("draining") => Standing::Draining,
-            Some("maintenance") => Standing::Maintenance,
-            _ if self.checks.iter().any(|c| critical(&c)) => Standing::Unhealthy,
-            _ => Standing::Serving,
+            Some("draining") => MemberStatus::Draining,
+            Some("maintenance") => MemberStatus::Maintenance,
+            _ if self.checks.iter().any(|c| critical(&c)) => MemberStatus::Unhealthy,
+            _ => MemberStatus::Serving,
         }
     }
 
     fn meta(&self, key: &str) -> Option<&str> {
-        // The instance's own word before its machine's.
+        // The metadata of the instance takes precedence over that of its machine.
         let own = self.service.meta.as_ref().and_then(|m| m.get(key));
         own.or_else(|| self.node.meta.as_ref().and_then(|m| m.get(key))).map(String::as_str)
     }
 
-    /// As a member; the error is one line.
+    /// Converts the instance to a member. The error is one line.
     fn member(&self) -> Result<Member, String> {
         let identity = self.identity();
-        if self.service.id.is_empty() || identity.len() > MOST_IDENTITY {
+        if self.service.id.is_empty() || identity.len() > MAX_IDENTITY_BYTES {
             return Err(format!(
-                "found an identity of {} bytes, expected 1 to {MOST_IDENTITY}",
+                "found an identity of {} bytes, expected 1 to {MAX_IDENTITY_BYTES}",
                 identity.len()
             ));
         }
@@ -223,7 +223,7 @@
             identity,
         };
         let written = self.checks.iter().map(|c| c.modify_index).max().unwrap_or(0);
-        Ok(Member { node, standing: self.standing(), written: written.max(self.service.modify_index) })
+        Ok(Member { node, status: self.status(), written: written.max(self.service.modify_index) })
     }
 }
 
@@ -232,32 +232,32 @@
     Query { call: u64, since: Micros, until: Micros, mode: Mode },
 }
 
-/// A source at Consul.
+/// A Consul source.
 pub struct Consul {
     settings: Settings,
     phase: Phase,
     endpoint: usize,
-    out: Outbox<Ask>,
+    out: Outbox<Command>,
     backoff: Backoff,
     rng: fastrand::Rng,
     epoch: u64,
-    /// The index of the view held; 0 where the next question does not wait.
+    /// Index of the present view; 0 if the next query is not to be held.
     index: u64,
-    /// The index that must not go back.
+    /// Highest index of an accepted response.
     highest: u64,
-    /// The next question is a consistent read.
+    /// Whether the next query is a consistent read.
     consistent: bool,
-    /// What is known of each: its member, and when its registration was made.
+    /// Each known member, and the index at which it was registered.
     known: HashMap<String, (Member, u64)>,
 }
 
 impl Consul {
-    /// Begins at `now`.
+    /// Creates a source whose first query is due at `now`.
     pub fn new(now: Micros, settings: Settings, seed: u64) -> Consul {
         let mut rng = fastrand::Rng::with_seed(seed);
         Consul {
             endpoint: rng.usize(..settings.endpoints.max(1)),
-            backoff: Backoff::new(settings.instances, settings.rate),
+            backoff: Backoff::new(settings.instances, settings.fleet_call_rate),
             phase: Phase::Pause { until: now },
             out: Outbox::default(),
             rng,
@@ -270,23 +270,23 @@
         }
     }
 
-    /// The index of the newest view taken.
+    /// Highest index of an accepted response.
     pub fn taken(&self) -> u64 {
         self.highest
     }
 
     fn query(&mut self, now: Micros) {
         let (call, endpoint, index) = (self.out.call(), self.endpoint, self.index);
-        let mode = match (self.consistent, self.settings.stale) {
+        let mode = match (self.consistent, self.settings.allow_stale) {
             (true, _) => Mode::Consistent,
             (false, true) => Mode::Stale,
             (false, false) => Mode::Default,
         };
-        let wait = if index == 0 { 0 } else { self.settings.wait };
-        // Servers add up to a sixteenth to the wait.
-        let until = now + wait + wait / 16 + self.settings.answer;
+        let wait = if index == 0 { 0 } else { self.settings.poll_wait };
+        // Servers extend the hold by up to a sixteenth.
+        let until = now + wait + wait / 16 + self.settings.response_timeout;
         self.phase = Phase::Query { call, since: now, until, mode };
-        self.out.ask(Ask::Query { call, endpoint, index, wait, mode });
+        self.out.push_command(Command::Query { call, endpoint, index, wait, mode });
     }
 
     fn fail(&mut self, now: Micros, why: String) {
@@ -295,10 +295,10 @@
         self.phase = Phase::Pause { until: now + self.backoff.pause(&mut self.rng) };
     }
 
-    fn answer(&mut self, now: Micros, since: Micros, mode: Mode, told: (u64, bool, Micros, Vec<Entry>)) {
-        let (index, leader, last_contact, entries) = told;
+    fn answer(&mut self, now: Micros, since: Micros, mode: Mode, response: (u64, bool, Micros, Vec<Entry>)) {
+        let (index, leader, last_contact, entries) = response;
         let index = index.max(1);
-        if mode != Mode::Consistent && (!leader || last_contact > self.settings.most_stale) {
+        if mode != Mode::Consistent && (!leader || last_contact > self.settings.max_staleness) {
             self.out.health.refused += 1;
             self.consistent = true;
             self.index = 0;
@@ -313,7 +313,7 @@
                 (self.consistent, self.index) = (true, 0);
                 return self.fail(now, format!("found index {index}, expected {} or more", self.highest));
             }
-            // The leader and its quorum say so: the registry is another one than it was.
+            // The leader and its quorum confirm the lower index, so the registry was replaced or restored.
             self.epoch += 1;
         }
         let unchanged = index == self.index;
@@ -323,7 +323,7 @@
         if !unchanged {
             self.take(now, index, &entries);
         }
-        self.phase = Phase::Pause { until: now.max(since + self.settings.apart) };
+        self.phase = Phase::Pause { until: now.max(since + self.settings.min_poll_interval) };
     }
 
     fn take(&mut self, now: Micros, index: u64, entries: &[Entry]) {
@@ -344,7 +344,7 @@
                     known.insert(identity, (member, made));
                 }
                 Err(why) => {
-                    // Garbage is no loss.
+                    // An unreadable entry is not a removal.
                     self.out.unreadable(format!("{}: {why}", self.settings.service));
                     if let Some(before) = before {
                         known.insert(identity, before.clone());
@@ -355,15 +355,15 @@
         self.known = known;
         let members = self.known.values().map(|(member, _)| member.clone()).collect();
         let revision = Revision { epoch: self.epoch, number: index };
-        self.out.tell(revision, Body::Whole(members));
+        self.out.push_update(revision, UpdateContent::Snapshot(members));
     }
 }
 
-impl Machine for Consul {
-    type Ask = Ask;
-    type Told = Told;
+impl SourceProtocol for Consul {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn outbox(&mut self) -> &mut Outbox<Ask> {
+    fn outbox(&mut self) -> &mut Outbox<Command> {
         &mut self.out
     }
 
@@ -380,19 +380,19 @@
         match self.phase {
             Phase::Pause { .. } => self.query(now),
             Phase::Query { call, .. } => {
-                self.out.ask(Ask::Leave { call });
+                self.out.push_command(Command::Leave { call });
                 self.fail(now, "no answer in time".to_owned());
             }
         }
     }
 
-    fn told(&mut self, now: Micros, told: Told) {
+    fn handle_reply(&mut self, now: Micros, reply: Reply) {
         let Phase::Query { call: under_way, since, mode, .. } = self.phase else { return };
-        match told {
-            Told::Answer { call, index, leader, last_contact, entries } if call == under_way => {
+        match reply {
+            Reply::Answer { call, index, leader, last_contact, entries } if call == under_way => {
                 self.answer(now, since, mode, (index, leader, last_contact, entries));
             }
-            Told::Failed { call, why } if call == under_way => self.fail(now, why),
+            Reply::Failed { call, why } if call == under_way => self.fail(now, why),
             _ => {}
         }
     }
--- a/membership/src/consul/line.rs
+++ b/membership/src/consul/transport.rs
@@ -1,4 +1,4 @@
-//! Questions to Consul over HTTP/1.1.
+//! Queries to Consul over HTTP/1.1.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -14,36 +14,36 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
-use super::{Ask, Entry, Mode, Told};
-use crate::source::Line;
+use super::{Command, Entry, Mode, Reply};
+use crate::source::Transport;
 
-/// Most bytes of an answer.
-const MOST_ANSWER: usize = 64 << 20;
-/// How long a connection may take to come up.
-const CONNECT: Duration = Duration::from_secs(2);
+/// Maximum size of a response in bytes.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Time limit for establishing a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The question under way. Each has a connection of its own: a blocking question is rare, and one that is left must not
-/// hold up the next.
-pub struct Questions {
+/// Runs one query at a time. Each uses a connection of its own, because blocking queries are rare, and a cancelled one must
+/// not delay the next.
+pub struct ConsulTransport {
     service: String,
     endpoints: Vec<SocketAddr>,
     under_way: Option<(u64, AbortHandle)>,
-    sender: mpsc::Sender<Told>,
-    told: mpsc::Receiver<Told>,
+    sender: mpsc::Sender<Reply>,
+    replies: mpsc::Receiver<Reply>,
 }
 
-impl Questions {
-    /// None yet; the service's name is put into a path, byte by byte where that is needed.
-    pub fn new(service: &str, endpoints: &[SocketAddr]) -> Questions {
+impl ConsulTransport {
+    /// Creates a transport. The name of the service is percent-encoded.
+    pub fn new(service: &str, endpoints: &[SocketAddr]) -> ConsulTransport {
         let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.~".contains(&b);
         let escape = |b: u8| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") };
-        let (sender, told) = mpsc::channel(2);
+        let (sender, replies) = mpsc::channel(2);
         let (service, endpoints) = (service.bytes().map(escape).collect(), endpoints.to_vec());
-        Questions { service, endpoints, under_way: None, sender, told }
+        ConsulTransport { service, endpoints, under_way: None, sender, replies }
     }
 }
 
-impl Drop for Questions {
+impl Drop for ConsulTransport {
     fn drop(&mut self) {
         if let Some((_, task)) = &self.under_way {
             task.abort();
@@ -55,8 +55,9 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
-async fn question(call: u64, address: SocketAddr, path: String) -> Result<Told, String> {
-    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| "no connection in time")?;
+async fn query(call: u64, address: SocketAddr, path: String) -> Result<Reply, String> {
+    let stream =
+        timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.map_err(|_| "no connection in time")?;
     let stream = stream.map_err(|e| e.to_string())?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     let asked = async move {
@@ -70,28 +71,29 @@
         let index = number(&head.headers, "x-consul-index").ok_or("found no X-Consul-Index, expected one")?;
         let leader = head.headers.get("x-consul-knownleader").is_none_or(|v| v.as_bytes() == b"true");
         let last_contact = number(&head.headers, "x-consul-lastcontact").unwrap_or(0).saturating_mul(1000);
-        let body = Limited::new(body, MOST_ANSWER).collect().await.map_err(|e| e.to_string())?.to_bytes();
+        let body =
+            Limited::new(body, MAX_RESPONSE_BYTES).collect().await.map_err(|e| e.to_string())?.to_bytes();
         let entries: Vec<Entry> = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
-        Ok(Told::Answer { call, index, leader, last_contact, entries })
+        Ok(Reply::Answer { call, index, leader, last_contact, entries })
     };
     tokio::pin!(asked);
     let mut connection = std::pin::pin!(connection);
     let mut open = true;
     loop {
         tokio::select! {
-            told = &mut asked => return told,
+            reply = &mut asked => return reply,
             _ = &mut connection, if open => open = false,
         }
     }
 }
 
-impl Line for Questions {
-    type Ask = Ask;
-    type Told = Told;
+impl Transport for ConsulTransport {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn make(&mut self, ask: Ask) {
-        match ask {
-            Ask::Query { call, endpoint, index, wait, mode } => {
+    fn execute(&mut self, command: Command) {
+        match command {
+            Command::Query { call, endpoint, index, wait, mode } => {
                 let mode = match mode {
                     Mode::Default => "",
                     Mode::Stale => "&stale",
@@ -102,15 +104,15 @@
                 let address = self.endpoints[endpoint % self.endpoints.len()];
                 let sender = self.sender.clone();
                 let task = spawn_local(async move {
-                    let told = question(call, address, path).await;
-                    let told = told.unwrap_or_else(|why| Told::Failed { call, why });
-                    let _ = sender.send(told).await;
+                    let reply = query(call, address, path).await;
+                    let reply = reply.unwrap_or_else(|why| Reply::Failed { call, why });
+                    let _ = sender.send(reply).await;
                 });
                 if let Some((_, before)) = self.under_way.replace((call, task.abort_handle())) {
                     before.abort();
                 }
             }
-            Ask::Leave { call } => {
+            Command::Leave { call } => {
                 if let Some((_, task)) = self.under_way.take_if(|(under_way, _)| *under_way == call) {
                     task.abort();
                 }
@@ -118,10 +120,10 @@
         }
     }
 
-    async fn next(&mut self) -> Told {
-        match self.told.recv().await {
-            Some(told) => told,
-            // The sender is held here.
+    async fn next_reply(&mut self) -> Reply {
+        match self.replies.recv().await {
+            Some(reply) => reply,
+            // Never the case: this value holds a sender.
             None => std::future::pending().await,
         }
     }
--- a/membership/src/dns.rs
+++ b/membership/src/dns.rs
@@ -1,11 +1,11 @@
-//! Following a name in the DNS: A and AAAA (RFC 1035, RFC 3596) or SRV (RFC 2782), asked again as its records' time to
-//! live runs out. No I/O, time as an argument.
+//! Follows a DNS name: A and AAAA (RFC 1035, RFC 3596) or SRV (RFC 2782) records, queried again when their time to live ends.
+//! No I/O, time as an argument.
 //!
-//! The DNS tells no order, no revision and sometimes only a part of what there is: a member that is missing in an answer
-//! is out only when the next answer misses it too. No such name and no records are an empty view, which empties no pool
-//! ([`doubt`](crate::doubt)); servers that fail or say nothing leave the last view standing.
+//! The DNS has no orders and no revisions, and some responses are incomplete: a member is removed only when two responses in a
+//! row lack it. A name that does not exist or has no records is an empty view, which empties no pool
+//! ([`plausibility`](crate::plausibility)). If servers fail or do not respond, the last view remains.
 
-pub mod line;
+pub mod transport;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -13,94 +13,94 @@
 use finchshift::Micros;
 
 use crate::backoff::Backoff;
-use crate::source::{Machine, Outbox};
-use crate::view::{Body, Member, Node, Revision, Standing};
+use crate::source::{Outbox, SourceProtocol};
+use crate::view::{Member, MemberStatus, Node, Revision, UpdateContent};
 
-/// An answer that misses a member must be followed by one more that does.
-const MISSED: u32 = 2;
+/// Number of responses in a row that must lack a member until it is removed.
+const MISSES_BEFORE_REMOVAL: u32 = 2;
 
-/// What is asked for.
+/// The queried name.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Name {
-    /// Addresses; all members listen on this port.
+    /// A name with addresses. All members listen on this port.
     Addresses(String, u16),
-    /// Services with their targets, ports, priorities and weights.
+    /// A name with SRV records: targets, ports, priorities and weights.
     Services(String),
 }
 
-/// What a source at the DNS is told.
+/// Settings of a DNS source.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// What is asked for.
+    /// The queried name.
     pub name: Name,
-    /// The zone its members are in.
+    /// Zone of the members.
     pub zone: String,
-    /// How many balancers ask the same servers.
+    /// Number of balancers that query the same servers.
     pub instances: u32,
-    /// Questions a second that they may ask together after a failure.
-    pub rate: f64,
-    /// Records live no shorter than this, whatever they say.
-    pub least: Micros,
-    /// And no longer.
-    pub most: Micros,
-    /// How long an answer may take.
-    pub answer: Micros,
+    /// Queries per second that all balancers together may send after a failure.
+    pub fleet_call_rate: f64,
+    /// Lower limit of the time to live.
+    pub min_ttl: Micros,
+    /// Upper limit of the time to live.
+    pub max_ttl: Micros,
+    /// Time limit of a query.
+    pub response_timeout: Micros,
 }
 
-/// A question.
+/// A command to the transport.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Ask {
-    /// Its number.
+pub struct Command {
+    /// Number of the call.
     pub call: u64,
-    /// What is asked for; nothing where the call is only to be left.
+    /// The name to query; `None` to cancel the call.
     pub name: Option<Name>,
 }
 
-/// A record, with its target's address.
+/// A record with the address of its target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
-    /// The target's name; none for an address record.
+    /// Name of the target; `None` for an address record.
     pub target: Option<String>,
-    /// Its address.
+    /// Address of the target.
     pub address: SocketAddr,
-    /// The lowest are used first.
+    /// Only the records with the lowest priority are used.
     pub priority: u16,
-    /// Its part among those of its priority.
+    /// Weight among the records of the same priority.
     pub weight: u16,
 }
 
-/// What came back.
+/// A reply from the transport.
 #[derive(Clone, Debug, PartialEq)]
 #[allow(missing_docs, reason = "fields are named by their variant and their call")]
-pub enum Told {
-    /// Records, none where there is no such name, and how long they live.
+pub enum Reply {
+    /// The records, none if the name does not exist, and their time to live.
     Answer { call: u64, records: Vec<Record>, ttl: Micros },
-    /// The servers failed.
+    /// The query failed.
     Failed { call: u64, why: String },
 }
 
 enum Phase {
     Pause { until: Micros },
-    Asked { call: u64, until: Micros },
+    Waiting { call: u64, until: Micros },
 }
 
-/// A source at the DNS.
+/// A DNS source.
 pub struct Dns {
     settings: Settings,
     phase: Phase,
-    out: Outbox<Ask>,
+    out: Outbox<Command>,
     backoff: Backoff,
     rng: fastrand::Rng,
     answers: u64,
-    /// Members, and how many answers have missed each in a row.
+    /// Members, and the number of responses in a row that lack each.
     known: BTreeMap<String, (Member, u32)>,
 }
 
 impl Dns {
-    /// Begins at `now`.
+    /// Creates a source whose first query is due at `now`.
     pub fn new(now: Micros, settings: Settings, seed: u64) -> Dns {
         Dns {
-            backoff: Backoff::new(settings.instances, settings.rate),
+            backoff: Backoff::new(settings.instances, settings.fleet_call_rate),
             phase: Phase::Pause { until: now },
             out: Outbox::default(),
             rng: fastrand::Rng::with_seed(seed),
@@ -120,7 +120,7 @@
         };
         for record in records.iter().filter(|r| r.priority == first) {
             let (ip, port) = (record.address.ip(), record.address.port());
-            // A target that moves is the same member at another address; one with several addresses is several.
+            // A target whose address changes remains the same member. A target with several addresses is several members.
             let identity = match &record.target {
                 Some(target) if several(target, port, ip) => format!("{target}:{port}/{ip}"),
                 Some(target) => format!("{target}:{port}"),
@@ -132,11 +132,11 @@
                 zone: self.settings.zone.clone(),
                 kind: String::new(),
                 cell: 0,
-                // A weight of 0 is a small chance, not none (RFC 2782).
+                // A weight of 0 means a small probability, not none (RFC 2782).
                 weight: if record.target.is_none() { 1.0 } else { f64::from(record.weight.max(1)) },
                 started: None,
             };
-            members.insert(identity, Member { node, standing: Standing::Serving, written: 0 });
+            members.insert(identity, Member { node, status: MemberStatus::Serving, written: 0 });
         }
         members
     }
@@ -145,7 +145,7 @@
         let members = self.members(records);
         let mut known = BTreeMap::new();
         for (identity, (member, missed)) in std::mem::take(&mut self.known) {
-            if !members.contains_key(&identity) && missed + 1 < MISSED {
+            if !members.contains_key(&identity) && missed + 1 < MISSES_BEFORE_REMOVAL {
                 known.insert(identity, (member, missed + 1));
             }
         }
@@ -154,31 +154,31 @@
         self.answers += 1;
         self.backoff.reset();
         self.out.confirmed(now);
-        let body = Body::Whole(self.known.values().map(|(member, _)| member.clone()).collect());
-        self.out.tell(Revision { epoch: 0, number: self.answers }, body);
-        let ttl = ttl.clamp(self.settings.least, self.settings.most.max(self.settings.least));
-        // A little later, never sooner, so that balancers that began together do not stay together.
+        let body = UpdateContent::Snapshot(self.known.values().map(|(member, _)| member.clone()).collect());
+        self.out.push_update(Revision { epoch: 0, number: self.answers }, body);
+        let ttl = ttl.clamp(self.settings.min_ttl, self.settings.max_ttl.max(self.settings.min_ttl));
+        // A random delay, so that balancers that started together do not query at the same time forever.
         self.phase = Phase::Pause { until: now + ttl + self.rng.u64(..=ttl / 10) };
     }
 
     fn fail(&mut self, now: Micros, why: String) {
         self.out.health.trouble = Some(why);
-        let pause = self.backoff.pause(&mut self.rng).max(self.settings.least / 2);
+        let pause = self.backoff.pause(&mut self.rng).max(self.settings.min_ttl / 2);
         self.phase = Phase::Pause { until: now + pause };
     }
 }
 
-impl Machine for Dns {
-    type Ask = Ask;
-    type Told = Told;
+impl SourceProtocol for Dns {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn outbox(&mut self) -> &mut Outbox<Ask> {
+    fn outbox(&mut self) -> &mut Outbox<Command> {
         &mut self.out
     }
 
     fn due(&self) -> Micros {
         match self.phase {
-            Phase::Pause { until } | Phase::Asked { until, .. } => until,
+            Phase::Pause { until } | Phase::Waiting { until, .. } => until,
         }
     }
 
@@ -189,21 +189,21 @@
         match self.phase {
             Phase::Pause { .. } => {
                 let call = self.out.call();
-                self.phase = Phase::Asked { call, until: now + self.settings.answer };
-                self.out.ask(Ask { call, name: Some(self.settings.name.clone()) });
+                self.phase = Phase::Waiting { call, until: now + self.settings.response_timeout };
+                self.out.push_command(Command { call, name: Some(self.settings.name.clone()) });
             }
-            Phase::Asked { call, .. } => {
-                self.out.ask(Ask { call, name: None });
+            Phase::Waiting { call, .. } => {
+                self.out.push_command(Command { call, name: None });
                 self.fail(now, "no answer in time".to_owned());
             }
         }
     }
 
-    fn told(&mut self, now: Micros, told: Told) {
-        let Phase::Asked { call: under_way, .. } = self.phase else { return };
-        match told {
-            Told::Answer { call, records, ttl } if call == under_way => self.answer(now, records, ttl),
-            Told::Failed { call, why } if call == under_way => self.fail(now, why),
+    fn handle_reply(&mut self, now: Micros, reply: Reply) {
+        let Phase::Waiting { call: under_way, .. } = self.phase else { return };
+        match reply {
+            Reply::Answer { call, records, ttl } if call == under_way => self.answer(now, records, ttl),
+            Reply::Failed { call, why } if call == under_way => self.fail(now, why),
             _ => {}
         }
     }
--- a/membership/src/dns/line.rs
+++ b/membership/src/dns/transport.rs
@@ -1,4 +1,4 @@
-//! Questions to DNS servers, through `hickory-resolver`, whose own cache is off: the machine keeps the times.
+//! Queries to DNS servers through `hickory-resolver`. Its cache is disabled, because the protocol keeps the times to live.
 
 use std::net::SocketAddr;
 
@@ -12,23 +12,23 @@
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, spawn_local};
 
-use super::{Ask, Name, Record, Told};
-use crate::source::Line;
+use super::{Command, Name, Record, Reply};
+use crate::source::Transport;
 
-/// Most targets of an SRV answer that are looked up.
-const MOST_TARGETS: usize = 1000;
+/// Maximum number of targets of an SRV response that are looked up.
+const MAX_TARGETS: usize = 1000;
 
-/// The question under way.
-pub struct Questions {
+/// Runs one query at a time.
+pub struct DnsTransport {
     resolver: TokioResolver,
     under_way: Option<(u64, AbortHandle)>,
-    sender: mpsc::Sender<Told>,
-    told: mpsc::Receiver<Told>,
+    sender: mpsc::Sender<Reply>,
+    replies: mpsc::Receiver<Reply>,
 }
 
-impl Questions {
-    /// Asks these servers, or those of the system where none are given.
-    pub fn new(servers: &[SocketAddr]) -> Result<Questions, String> {
+impl DnsTransport {
+    /// Creates a transport that queries these servers, or those of the system if none are given.
+    pub fn new(servers: &[SocketAddr]) -> Result<DnsTransport, String> {
         let provider = TokioRuntimeProvider::default();
         let mut builder = if servers.is_empty() {
             TokioResolver::builder(provider).map_err(|e| e.to_string())?
@@ -45,12 +45,12 @@
         options.cache_size = 0;
         options.use_hosts_file = ResolveHosts::Never;
         let resolver = builder.build().map_err(|e| e.to_string())?;
-        let (sender, told) = mpsc::channel(2);
-        Ok(Questions { resolver, under_way: None, sender, told })
+        let (sender, replies) = mpsc::channel(2);
+        Ok(DnsTransport { resolver, under_way: None, sender, replies })
     }
 }
 
-impl Drop for Questions {
+impl Drop for DnsTransport {
     fn drop(&mut self) {
         if let Some((_, task)) = &self.under_way {
             task.abort();
@@ -58,7 +58,7 @@
     }
 }
 
-/// Records and how long they live; none where there is no such name.
+/// Looks up records and their time to live; none if the name does not exist.
 async fn records(
     resolver: &TokioResolver,
     name: &str,
@@ -79,7 +79,7 @@
     }
 }
 
-/// Both kinds of addresses. One kind that fails is a failure: half of the members would go.
+/// Looks up both kinds of addresses. If one kind fails, the lookup fails, because half of the members would be missing.
 async fn addresses(
     resolver: &TokioResolver,
     name: &str,
@@ -100,26 +100,26 @@
     Ok((four.0.into_iter().chain(six.0).filter_map(ip).collect(), ttl))
 }
 
-async fn question(resolver: &TokioResolver, call: u64, name: Name) -> Result<Told, String> {
+async fn query(resolver: &TokioResolver, call: u64, name: Name) -> Result<Reply, String> {
     let live = |ttl: Option<u32>| Micros::from(ttl.unwrap_or(0)) * 1_000_000;
     match name {
         Name::Addresses(name, port) => {
             let (ips, ttl) = addresses(resolver, &name).await?;
             let record =
                 |ip| Record { target: None, address: SocketAddr::new(ip, port), priority: 0, weight: 1 };
-            Ok(Told::Answer { call, records: ips.into_iter().map(record).collect(), ttl: live(ttl) })
+            Ok(Reply::Answer { call, records: ips.into_iter().map(record).collect(), ttl: live(ttl) })
         }
         Name::Services(name) => {
             let (services, mut ttl) = records(resolver, &name, RecordType::SRV).await?;
             let mut found = Vec::new();
-            if services.len() > MOST_TARGETS {
+            if services.len() > MAX_TARGETS {
                 let n = services.len();
-                return Err(format!("{name}: found {n} targets, expected at most {MOST_TARGETS}"));
+                return Err(format!("{name}: found {n} targets, expected at most {MAX_TARGETS}"));
             }
             for service in services {
                 let RData::SRV(srv) = service else { continue };
                 let target = srv.target.to_string();
-                // "." says that the service is decidedly not there (RFC 2782).
+                // "." means that the service is not available (RFC 2782).
                 if target == "." {
                     continue;
                 }
@@ -132,33 +132,33 @@
                     weight: srv.weight,
                 }));
             }
-            Ok(Told::Answer { call, records: found, ttl: live(ttl) })
+            Ok(Reply::Answer { call, records: found, ttl: live(ttl) })
         }
     }
 }
 
-impl Line for Questions {
-    type Ask = Ask;
-    type Told = Told;
+impl Transport for DnsTransport {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn make(&mut self, ask: Ask) {
+    fn execute(&mut self, command: Command) {
         let before = self.under_way.take();
         if let Some((_, task)) = before {
             task.abort();
         }
-        let (call, Some(name)) = (ask.call, ask.name) else { return };
+        let (call, Some(name)) = (command.call, command.name) else { return };
         let (resolver, sender) = (self.resolver.clone(), self.sender.clone());
         let task = spawn_local(async move {
-            let told = question(&resolver, call, name).await;
-            let _ = sender.send(told.unwrap_or_else(|why| Told::Failed { call, why })).await;
+            let reply = query(&resolver, call, name).await;
+            let _ = sender.send(reply.unwrap_or_else(|why| Reply::Failed { call, why })).await;
         });
         self.under_way = Some((call, task.abort_handle()));
     }
 
-    async fn next(&mut self) -> Told {
-        match self.told.recv().await {
-            Some(told) => told,
-            // The sender is held here.
+    async fn next_reply(&mut self) -> Reply {
+        match self.replies.recv().await {
+            Some(reply) => reply,
+            // Never the case: this value holds a sender.
             None => std::future::pending().await,
         }
     }
--- a/membership/src/entry.rs
+++ b/membership/src/entry.rs
@@ -1,8 +1,8 @@
-//! A member's entry in a key-value registry: a JSON object, the same that the announcer writes.
+//! The entry of a member in a key-value registry: a JSON object, as the announcer writes it.
 //!
 //! `{"address":"10.0.0.7:8080","zone":"a","kind":"m2","cell":3,"weight":1.0,"state":"serving","startedAtMs":1767225600000}`;
-//! only `address` must be there. `state` is `serving`, `draining` or `maintenance`. Unknown members are passed over, so
-//! that newer writers and older readers get on.
+//! only `address` is required. `state` is `serving`, `draining` or `maintenance`. Unknown fields are ignored, so
+//! that older readers accept the entries of newer writers.
 
 use std::net::SocketAddr;
 
@@ -10,12 +10,12 @@
 use serde::{Deserialize, Serialize};
 use sloeline_settings::setup::{default_one, micros_to_ms, ms_to_micros};
 
-use crate::view::{Member, Node, Standing};
+use crate::view::{Member, MemberStatus, Node};
 
-/// Most bytes of an entry.
-pub const MOST_ENTRY: usize = 4096;
-/// Most bytes of an identity.
-pub const MOST_IDENTITY: usize = 256;
+/// Maximum size of an entry in bytes.
+pub const MAX_ENTRY_BYTES: usize = 4096;
+/// Maximum length of an identity in bytes.
+pub const MAX_IDENTITY_BYTES: usize = 256;
 
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -44,13 +44,16 @@
     Maintenance,
 }
 
-/// Reads an entry; the error says in one line what was found and what was expected.
+/// Parses an entry. The error says in one line what was found and what was expected.
 pub fn read(identity: &str, text: &[u8], written: u64) -> Result<Member, String> {
-    if identity.is_empty() || identity.len() > MOST_IDENTITY {
-        return Err(format!("found an identity of {} bytes, expected 1 to {MOST_IDENTITY}", identity.len()));
+    if identity.is_empty() || identity.len() > MAX_IDENTITY_BYTES {
+        return Err(format!(
+            "found an identity of {} bytes, expected 1 to {MAX_IDENTITY_BYTES}",
+            identity.len()
+        ));
     }
-    if text.len() > MOST_ENTRY {
-        return Err(format!("found {} bytes, expected at most {MOST_ENTRY}", text.len()));
+    if text.len() > MAX_ENTRY_BYTES {
+        return Err(format!("found {} bytes, expected at most {MAX_ENTRY_BYTES}", text.len()));
     }
     let text: Text = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let address: SocketAddr = text
@@ -62,10 +65,10 @@
     }
     let started: Option<Micros> = (text.started_at_ms.is_finite() && text.started_at_ms > 0.0)
         .then(|| ms_to_micros(text.started_at_ms));
-    let standing = match text.state {
-        State::Serving => Standing::Serving,
-        State::Draining => Standing::Draining,
-        State::Maintenance => Standing::Maintenance,
+    let status = match text.state {
+        State::Serving => MemberStatus::Serving,
+        State::Draining => MemberStatus::Draining,
+        State::Maintenance => MemberStatus::Maintenance,
     };
     let node = Node {
         identity: identity.to_owned(),
@@ -76,15 +79,15 @@
         weight: text.weight,
         started,
     };
-    Ok(Member { node, standing, written })
+    Ok(Member { node, status, written })
 }
 
-/// Writes an entry.
-pub fn write(node: &Node, standing: Standing) -> Vec<u8> {
-    let state = match standing {
-        Standing::Serving => State::Serving,
-        Standing::Draining => State::Draining,
-        Standing::Maintenance | Standing::Unhealthy => State::Maintenance,
+/// Serializes an entry.
+pub fn write(node: &Node, status: MemberStatus) -> Vec<u8> {
+    let state = match status {
+        MemberStatus::Serving => State::Serving,
+        MemberStatus::Draining => State::Draining,
+        MemberStatus::Maintenance | MemberStatus::Unhealthy => State::Maintenance,
     };
     let text = Text {
         address: node.address.to_string(),
--- a/membership/src/etcd/messages.rs
+++ b/membership/src/etcd/messages.rs
@@ -1,5 +1,5 @@
-//! The messages of etcd's v3 interface that are used here: `rpc.proto` and `kv.proto` of etcd's API, version 3.4 and on.
-//! Fields that nobody reads are left out; the encoding passes over them.
+//! The messages of the etcd v3 API that are used here: `rpc.proto` and `kv.proto`, version 3.4 and later. Unused fields are
+//! omitted; decoding ignores them.
 #![allow(missing_docs, reason = "the names are the protocol's own, and its text says what they mean")]
 
 /// `ResponseHeader`
@@ -69,7 +69,7 @@
     pub lease: i64,
 }
 
-/// An answer of which only the head is read: to `Put` and `LeaseRevoke`.
+/// The response to `Put` and `LeaseRevoke`, of which only the header is read.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct HeaderOnly {
     #[prost(message, optional, tag = "1")]
@@ -109,7 +109,7 @@
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct WatchProgressRequest {}
 
-/// `WatchRequest`, one of the two.
+/// `WatchRequest`, with one of the two fields.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WatchRequest {
     #[prost(message, optional, tag = "1")]
@@ -142,14 +142,14 @@
 /// `LeaseGrantRequest`
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct LeaseGrantRequest {
-    /// Seconds.
+    /// Duration in seconds.
     #[prost(int64, tag = "1")]
     pub ttl: i64,
     #[prost(int64, tag = "2")]
     pub id: i64,
 }
 
-/// A lease by its number: `LeaseRevokeRequest`, `LeaseKeepAliveRequest`, `LeaseTimeToLiveRequest`.
+/// A lease by its identifier: `LeaseRevokeRequest`, `LeaseKeepAliveRequest`, `LeaseTimeToLiveRequest`.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct LeaseRequest {
     #[prost(int64, tag = "1")]
@@ -163,7 +163,7 @@
     pub header: Option<ResponseHeader>,
     #[prost(int64, tag = "2")]
     pub id: i64,
-    /// Seconds; -1 or 0 where the lease is no more.
+    /// Remaining duration in seconds; -1 or 0 if the lease has ended.
     #[prost(int64, tag = "3")]
     pub ttl: i64,
 }
--- a/membership/src/etcd/line.rs
+++ b/membership/src/etcd/transport.rs
@@ -1,4 +1,4 @@
-//! Calls to etcd over gRPC.
+//! EtcdTransport to etcd over gRPC.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,24 +15,24 @@
 use tonic_prost::ProstCodec;
 
 use super::messages::*;
-use super::{Ask, Header, Told};
-use crate::source::Line;
-
-/// Most bytes of an answer: a page of entries of the greatest length.
-const MOST_ANSWER: usize = 16 << 20;
-/// How long a connection may take to come up.
-const CONNECT: Duration = Duration::from_secs(2);
-/// Silent connections are tried this often, and left after as long without an answer.
+use super::{Command, Header, Reply};
+use crate::source::Transport;
+
+/// Maximum size of a response in bytes. A page of entries of maximum size fits.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Time limit for establishing a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval of HTTP/2 keep-alive pings, and time limit for their answers.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
-/// Answers that wait for the machine; a stream that brings more waits itself.
-const WAITING: usize = 16;
+/// Maximum number of queued replies. Streams wait while the queue is full.
+const QUEUE_LENGTH: usize = 16;
 
-/// Channels to the endpoints; they connect when first used, and again after a break.
+/// Creates channels to the endpoints. They connect when they are first used, and reconnect after a failure.
 pub fn channels(endpoints: &[SocketAddr]) -> Result<Vec<Channel>, String> {
     let channel = |address: &SocketAddr| {
         let endpoint = Endpoint::from_shared(format!("http://{address}")).map_err(|e| e.to_string())?;
         let endpoint = endpoint
-            .connect_timeout(CONNECT)
+            .connect_timeout(CONNECT_TIMEOUT)
             .http2_keep_alive_interval(KEEP_ALIVE)
             .keep_alive_timeout(KEEP_ALIVE)
             .keep_alive_while_idle(false);
@@ -42,12 +42,12 @@
 }
 
 async fn ready(channel: Channel) -> Result<Grpc<Channel>, Status> {
-    let mut grpc = Grpc::new(channel).max_decoding_message_size(MOST_ANSWER);
+    let mut grpc = Grpc::new(channel).max_decoding_message_size(MAX_RESPONSE_BYTES);
     grpc.ready().await.map_err(|e| Status::unavailable(e.to_string()))?;
     Ok(grpc)
 }
 
-/// A call with one answer.
+/// Makes a call with one response.
 pub async fn unary<Q, A>(channel: Channel, path: &'static str, message: Q) -> Result<A, Status>
 where
     Q: Message + 'static,
@@ -58,7 +58,7 @@
     Ok(ready(channel).await?.unary(Request::new(message), path, codec).await?.into_inner())
 }
 
-/// A call with streams both ways.
+/// Makes a call with streams in both directions.
 pub async fn streaming<Q, A>(
     channel: Channel,
     path: &'static str,
@@ -73,7 +73,7 @@
     Ok(ready(channel).await?.streaming(Request::new(messages), path, codec).await?.into_inner())
 }
 
-/// What a status says, in one line.
+/// Formats a status in one line.
 pub fn plain(status: &Status) -> String {
     format!("{:?}: {}", status.code(), status.message())
 }
@@ -93,7 +93,7 @@
     super::Event { deleted: event.kind == 1, now, before: event.prev_kv.map(pair) }
 }
 
-/// A message stream that ends when its sender goes.
+/// A stream of messages that ends when its sender is dropped.
 pub struct Outgoing<T>(pub mpsc::Receiver<T>);
 
 impl<T> Stream for Outgoing<T> {
@@ -118,19 +118,19 @@
     }
 }
 
-/// Calls under way.
-pub struct Calls {
+/// Runs the calls of an etcd source.
+pub struct EtcdTransport {
     channels: Vec<Channel>,
     calls: HashMap<u64, Call>,
-    sender: mpsc::Sender<Told>,
-    told: mpsc::Receiver<Told>,
+    sender: mpsc::Sender<Reply>,
+    replies: mpsc::Receiver<Reply>,
 }
 
-impl Calls {
-    /// None yet.
-    pub fn new(endpoints: &[SocketAddr]) -> Result<Calls, String> {
-        let (sender, told) = mpsc::channel(WAITING);
-        Ok(Calls { channels: channels(endpoints)?, calls: HashMap::new(), sender, told })
+impl EtcdTransport {
+    /// Creates a transport without running calls.
+    pub fn new(endpoints: &[SocketAddr]) -> Result<EtcdTransport, String> {
+        let (sender, replies) = mpsc::channel(QUEUE_LENGTH);
+        Ok(EtcdTransport { channels: channels(endpoints)?, calls: HashMap::new(), sender, replies })
     }
 
     fn begin(
@@ -143,7 +143,7 @@
         let task = spawn_local(async move {
             if let Err(status) = made.await {
                 let compacted = status.code() == Code::OutOfRange;
-                let _ = sender.send(Told::Failed { call, why: plain(&status), compacted }).await;
+                let _ = sender.send(Reply::Failed { call, why: plain(&status), compacted }).await;
             }
         });
         self.calls.retain(|_, call| !call.task.is_finished());
@@ -151,15 +151,15 @@
     }
 }
 
-impl Line for Calls {
-    type Ask = Ask;
-    type Told = Told;
+impl Transport for EtcdTransport {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn make(&mut self, ask: Ask) {
+    fn execute(&mut self, command: Command) {
         let sender = self.sender.clone();
         let channel = |endpoint: usize| self.channels[endpoint % self.channels.len()].clone();
-        match ask {
-            Ask::Range { call, endpoint, from, end, revision, limit, count_only } => {
+        match command {
+            Command::Range { call, endpoint, from, end, revision, limit, count_only } => {
                 let message = RangeRequest {
                     key: from,
                     range_end: end,
@@ -172,13 +172,13 @@
                 self.begin(call, None, async move {
                     let answer: RangeResponse = unary(channel, path::RANGE, message).await?;
                     let kvs = answer.kvs.into_iter().map(pair).collect();
-                    let told = Told::Range { call, header: header(answer.header), kvs, more: answer.more };
-                    let _ = sender.send(told).await;
+                    let reply = Reply::Range { call, header: header(answer.header), kvs, more: answer.more };
+                    let _ = sender.send(reply).await;
                     Ok(())
                 });
             }
-            Ask::Watch { call, endpoint, from, end, start } => {
-                let (messages, outgoing) = mpsc::channel(WAITING);
+            Command::Watch { call, endpoint, from, end, start } => {
+                let (messages, outgoing) = mpsc::channel(QUEUE_LENGTH);
                 let create = WatchCreateRequest {
                     key: from,
                     range_end: end,
@@ -194,7 +194,7 @@
                     let mut answers: Streaming<WatchResponse> =
                         streaming(channel, path::WATCH, Outgoing(outgoing)).await?;
                     while let Some(answer) = answers.message().await? {
-                        let told = Told::Watch {
+                        let reply = Reply::Watch {
                             call,
                             header: header(answer.header),
                             canceled: answer.canceled,
@@ -202,39 +202,39 @@
                             fragment: answer.fragment,
                             events: answer.events.into_iter().map(event).collect(),
                         };
-                        if sender.send(told).await.is_err() {
+                        if sender.send(reply).await.is_err() {
                             return Ok(());
                         }
                     }
                     Err(Status::unavailable("the watch ended"))
                 });
             }
-            Ask::Progress { call } => {
+            Command::Progress { call } => {
                 let message =
                     WatchRequest { create_request: None, progress_request: Some(WatchProgressRequest {}) };
                 if let Some(progress) = self.calls.get(&call).and_then(|c| c.progress.as_ref()) {
                     let _ = progress.try_send(message);
                 }
             }
-            Ask::Lease { call, endpoint, lease } => {
+            Command::Lease { call, endpoint, lease } => {
                 let channel = channel(endpoint);
                 self.begin(call, None, async move {
                     let answer: LeaseResponse =
                         unary(channel, path::TIME_TO_LIVE, LeaseRequest { id: lease }).await?;
-                    let _ = sender.send(Told::Lease { call, ttl: answer.ttl }).await;
+                    let _ = sender.send(Reply::Lease { call, ttl: answer.ttl }).await;
                     Ok(())
                 });
             }
-            Ask::Leave { call } => {
+            Command::Leave { call } => {
                 self.calls.remove(&call);
             }
         }
     }
 
-    async fn next(&mut self) -> Told {
-        match self.told.recv().await {
-            Some(told) => told,
-            // The sender is held here.
+    async fn next_reply(&mut self) -> Reply {
+        match self.replies.recv().await {
+            Some(reply) => reply,
+            // Never the case: this value holds a sender.
             None => std::future::pending().await,
         }
     }
--- a/membership/src/file.rs
+++ b/membership/src/file.rs
@@ -1,4 +1,4 @@
-//! A list in a file, read again whenever the file changes. The form is the platform's list.
+//! A list of members in a file, which is read again whenever the file changes. The format is the platform's list.
 
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -13,43 +13,46 @@
 
 use crate::platform::List;
 
-/// Most bytes of a list.
-const MOST_LIST: u64 = 8 << 20;
+/// Maximum size of a list in bytes.
+const MAX_LIST_BYTES: u64 = 8 << 20;
 
-/// Reads a list; the error is one line that names the file.
+/// Reads a list. The error is one line that names the file.
 pub fn read(path: &Path) -> Result<Vec<DiscoveryEntry>, String> {
     let named = |why: String| format!("{}: {why}", path.display());
     let size = std::fs::metadata(path).map_err(|e| named(e.to_string()))?.len();
-    if size > MOST_LIST {
-        return Err(named(format!("found {size} bytes, expected at most {MOST_LIST}")));
+    if size > MAX_LIST_BYTES {
+        return Err(named(format!("found {size} bytes, expected at most {MAX_LIST_BYTES}")));
     }
     let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
     let list: List = serde_json::from_str(&text).map_err(|e| named(e.to_string()))?;
     Ok(list.entries())
 }
 
-/// A watch on a file; dropped, it ends.
-pub struct Watched {
+/// Watches a file until it is dropped.
+pub struct FileWatch {
     task: AbortHandle,
     _watcher: RecommendedWatcher,
 }
 
-impl Drop for Watched {
+impl Drop for FileWatch {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-/// Tells the list whenever the file changes. What cannot be read is logged, and the last list holds. The folder is
-/// watched: a file that is replaced by renaming is another file under the same name.
-pub fn watch(path: &Path, tell: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static) -> Result<Watched, String> {
+/// Passes the list to `tell` whenever the file changes. A file that cannot be read is logged, and the last list remains. The
+/// folder is watched, because a file may be replaced by renaming another one.
+pub fn watch(
+    path: &Path,
+    tell: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static,
+) -> Result<FileWatch, String> {
     let named = |why: String| format!("{}: {why}", path.display());
     let path: PathBuf = std::path::absolute(path).map_err(|e| named(e.to_string()))?;
     let folder = path.parent().ok_or_else(|| named("has no folder".to_owned()))?.to_owned();
     let (changed, name) = (Arc::new(Notify::new()), path.file_name().map(ToOwned::to_owned));
     let told = changed.clone();
     let mut watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
-        // Events may be lost where there are too many: then too the file is looked at.
+        // The file is also read again if events were lost.
         let ours = event.as_ref().map_or(true, |event| {
             !event.kind.is_access() && event.paths.iter().any(|p| p.file_name() == name.as_deref())
                 || event.need_rescan()
@@ -70,7 +73,7 @@
             }
         }
     });
-    Ok(Watched { task: task.abort_handle(), _watcher: watcher })
+    Ok(FileWatch { task: task.abort_handle(), _watcher: watcher })
 }
 
 #[cfg(test)]
@@ -104,7 +107,7 @@
                 let _ = sender.send((kind, names));
             });
             let _watched = watched.expect("a watch");
-            // A write may be seen half-way: the last of what is told counts.
+            // A write may be observed half-way, so only the last list counts.
             let mut until = async |names: &[&str]| {
                 let whole = async {
                     while told.recv().await.expect("a list")
--- a/membership/src/follow.rs
+++ b/membership/src/follow.rs
@@ -1,4 +1,4 @@
-//! A pool's sources under way: each in a task, their news merged and handed on.
+//! Runs the sources of a pool, each in a task, merges their updates and passes the changes on.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -13,35 +13,35 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep_until;
 
-use crate::doubt::Rules;
 use crate::etcd::{self, Etcd};
 use crate::merge::Members;
-use crate::source::{Line, Machine};
-use crate::view::{Health, News};
+use crate::plausibility::PlausibilityRules;
+use crate::source::{SourceProtocol, Transport};
+use crate::view::{Health, Update};
 use crate::{consul, dns, file, platform, xds};
 
-/// Where a list comes from.
+/// A source of members.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Origin {
+pub enum SourceConfig {
     /// A prefix in etcd.
     Etcd(etcd::Settings, Vec<SocketAddr>),
     /// A service in Consul.
     Consul(consul::Settings, Vec<SocketAddr>),
     /// A cluster at xDS servers.
     Xds(xds::Settings, Vec<SocketAddr>),
-    /// A name in the DNS; no servers for those of the system.
+    /// A DNS name; without servers, those of the system are queried.
     Dns(dns::Settings, Vec<SocketAddr>),
-    /// A file in the form of the platform's list.
+    /// A file in the format of the platform's list.
     File(PathBuf),
-    /// A registry that speaks the platform's protocol.
+    /// A registry with the platform's protocol.
     List(SocketAddr),
 }
 
-/// Sources under way; dropped, they end.
-pub struct Following {
+/// Runs the sources of a pool until it is dropped.
+pub struct SourceFollower {
     shared: Rc<Shared>,
     tasks: Vec<AbortHandle>,
-    files: Vec<file::Watched>,
+    files: Vec<file::FileWatch>,
     lists: Vec<Rc<platform::Discovery>>,
 }
 
@@ -49,13 +49,13 @@
     pool: String,
     clock: Clock,
     members: RefCell<Members>,
-    /// For the task that hands on what has changed.
+    /// Wakes the task that passes changes on.
     changed: Notify,
-    /// For whoever waits for views.
-    came: Notify,
+    /// Wakes tasks that wait for views.
+    view_received: Notify,
 }
 
-impl Drop for Following {
+impl Drop for SourceFollower {
     fn drop(&mut self) {
         self.tasks.iter().for_each(AbortHandle::abort);
         self.lists.iter().for_each(|list| list.leave());
@@ -64,36 +64,36 @@
 }
 
 impl Shared {
-    fn take(&self, source: usize, name: &str, news: News) {
-        let taken = self.members.borrow_mut().take(self.clock.now(), source, news);
+    fn apply_update(&self, source: usize, name: &str, update: Update) {
+        let taken = self.members.borrow_mut().apply(self.clock.now(), source, update);
         if let Err(why) = taken {
             let pool = &self.pool;
             emit!(SOURCE_VIEW_REFUSED, pool = %pool, source = %name; "membership: pool {pool}, source {name}: not taken: {why}");
         }
         self.changed.notify_one();
-        self.came.notify_waiters();
+        self.view_received.notify_waiters();
     }
 }
 
-/// Runs a machine on its line.
-async fn run<M, L>(shared: Rc<Shared>, source: usize, name: String, mut machine: M, mut line: L)
+/// Runs a protocol with its transport.
+async fn run<P, T>(shared: Rc<Shared>, source: usize, name: String, mut protocol: P, mut transport: T)
 where
-    M: Machine,
-    L: Line<Ask = M::Ask, Told = M::Told>,
+    P: SourceProtocol,
+    T: Transport<Command = P::Command, Reply = P::Reply>,
 {
     let mut trouble = None;
     loop {
-        while let Some(ask) = machine.ask() {
-            line.make(ask);
+        while let Some(command) = protocol.next_command() {
+            transport.execute(command);
         }
-        while let Some(news) = machine.news() {
-            shared.take(source, &name, news);
+        while let Some(update) = protocol.next_update() {
+            shared.apply_update(source, &name, update);
         }
-        if let Some(why) = machine.problem() {
+        if let Some(why) = protocol.take_problem() {
             let pool = &shared.pool;
             emit!(SOURCE_VIEW_REFUSED, pool = %pool, source = %name; "membership: pool {pool}, source {name}: what was known of it holds: {why}");
         }
-        let health = machine.health();
+        let health = protocol.health();
         if health.trouble != trouble {
             trouble.clone_from(&health.trouble);
             match &trouble {
@@ -107,21 +107,21 @@
                 }
             }
         }
-        let most = {
+        let max_members = {
             let mut members = shared.members.borrow_mut();
             members.health(source, health.clone());
-            members.rules().most_members
+            members.rules().max_members
         };
-        machine.bound(most);
+        protocol.set_max_members(max_members);
         tokio::select! {
-            told = line.next() => machine.told(shared.clock.now(), told),
-            () = sleep_until(shared.clock.instant(machine.due())) => machine.tick(shared.clock.now()),
+            reply = transport.next_reply() => protocol.handle_reply(shared.clock.now(), reply),
+            () = sleep_until(shared.clock.instant(protocol.due())) => protocol.tick(shared.clock.now()),
         }
     }
 }
 
-/// Hands on what has changed, when it is due.
-async fn tell(shared: Rc<Shared>, tell: impl Fn(ListKind, Vec<DiscoveryEntry>)) {
+/// Passes changes on when they are due.
+async fn pass_on_changes(shared: Rc<Shared>, tell: impl Fn(ListKind, Vec<DiscoveryEntry>)) {
     loop {
         let now = shared.clock.now();
         let changes = {
@@ -133,89 +133,103 @@
             tell(kind, list);
         }
         let due = shared.members.borrow().due();
-        let rings = async {
+        let timer = async {
             match due {
                 Some(due) => sleep_until(shared.clock.instant(due)).await,
                 None => std::future::pending().await,
             }
         };
         tokio::select! {
-            () = rings => {}
+            () = timer => {}
             () = shared.changed.notified() => {}
         }
     }
 }
 
-impl Following {
-    /// Follows sources, in the order of their precedence, each with its name; `told` has the whole list once, then changes.
+impl SourceFollower {
+    /// Starts the sources, in the order of their precedence, each with its name. `told` gets the whole list once, then changes.
     pub fn start(
         pool: &str,
-        origins: &[(String, Origin)],
-        rules: &Rules,
+        origins: &[(String, SourceConfig)],
+        rules: &PlausibilityRules,
         seed: u64,
         told: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static,
-    ) -> Following {
+    ) -> SourceFollower {
         let names: Vec<String> = origins.iter().map(|(name, _)| name.clone()).collect();
         let shared = Rc::new(Shared {
             pool: pool.to_owned(),
             clock: Clock::new(),
             members: RefCell::new(Members::new(&names, rules)),
             changed: Notify::new(),
-            came: Notify::new(),
+            view_received: Notify::new(),
         });
-        let mut following =
-            Following { shared: shared.clone(), tasks: Vec::new(), files: Vec::new(), lists: Vec::new() };
+        let mut following = SourceFollower {
+            shared: shared.clone(),
+            tasks: Vec::new(),
+            files: Vec::new(),
+            lists: Vec::new(),
+        };
         for (at, (name, origin)) in origins.iter().enumerate() {
-            if let Err(why) = following.begin(at, name, origin, seed.wrapping_add(at as u64)) {
+            if let Err(why) = following.start_source(at, name, origin, seed.wrapping_add(at as u64)) {
                 emit!(SOURCE_FAILED, pool = %pool, source = %name; "membership: pool {pool}, source {name}: not followed: {why}");
                 let trouble = Some(why);
                 shared.members.borrow_mut().health(at, Health { trouble, ..Health::default() });
             }
         }
-        following.tasks.push(spawn_local(tell(shared, told)).abort_handle());
+        following.tasks.push(spawn_local(pass_on_changes(shared, told)).abort_handle());
         following
     }
 
-    fn begin(&mut self, at: usize, name: &str, origin: &Origin, seed: u64) -> Result<(), String> {
+    fn start_source(
+        &mut self,
+        at: usize,
+        name: &str,
+        origin: &SourceConfig,
+        seed: u64,
+    ) -> Result<(), String> {
         let (shared, named) = (self.shared.clone(), name.to_owned());
         let now = shared.clock.now();
         let task = match origin {
-            Origin::Etcd(settings, endpoints) => {
-                let calls = etcd::line::Calls::new(endpoints)?;
-                let machine = Etcd::new(now, settings.clone(), seed);
-                spawn_local(run(shared, at, named, machine, calls))
+            SourceConfig::Etcd(settings, endpoints) => {
+                let calls = etcd::transport::EtcdTransport::new(endpoints)?;
+                let protocol = Etcd::new(now, settings.clone(), seed);
+                spawn_local(run(shared, at, named, protocol, calls))
             }
-            Origin::Consul(settings, endpoints) => {
-                let questions = consul::line::Questions::new(&settings.service, endpoints);
-                let machine = consul::Consul::new(now, settings.clone(), seed);
-                spawn_local(run(shared, at, named, machine, questions))
+            SourceConfig::Consul(settings, endpoints) => {
+                let questions = consul::transport::ConsulTransport::new(&settings.service, endpoints);
+                let protocol = consul::Consul::new(now, settings.clone(), seed);
+                spawn_local(run(shared, at, named, protocol, questions))
             }
-            Origin::Xds(settings, endpoints) => {
-                let line =
-                    xds::line::Stream::new(&settings.cluster, &settings.node, settings.delta, endpoints)?;
-                let machine = xds::Xds::new(now, settings.clone(), seed);
-                spawn_local(run(shared, at, named, machine, line))
+            SourceConfig::Xds(settings, endpoints) => {
+                let line = xds::transport::XdsTransport::new(
+                    &settings.cluster,
+                    &settings.node,
+                    settings.incremental,
+                    endpoints,
+                )?;
+                let protocol = xds::Xds::new(now, settings.clone(), seed);
+                spawn_local(run(shared, at, named, protocol, line))
             }
-            Origin::Dns(settings, servers) => {
-                let questions = dns::line::Questions::new(servers)?;
-                let machine = dns::Dns::new(now, settings.clone(), seed);
-                spawn_local(run(shared, at, named, machine, questions))
+            SourceConfig::Dns(settings, servers) => {
+                let questions = dns::transport::DnsTransport::new(servers)?;
+                let protocol = dns::Dns::new(now, settings.clone(), seed);
+                spawn_local(run(shared, at, named, protocol, questions))
             }
-            Origin::File(path) => {
-                // Watched first: what is written in between is not missed.
+            SourceConfig::File(path) => {
+                // The watch starts before the file is read, so that no change is missed.
                 let told = {
                     let (shared, named) = (shared.clone(), named.clone());
-                    move |_, list: Vec<DiscoveryEntry>| shared.heard(at, &named, true, &list)
+                    move |_, list: Vec<DiscoveryEntry>| shared.apply_list(at, &named, true, &list)
                 };
                 self.files.push(file::watch(path, told)?);
-                shared.heard(at, &named, true, &file::read(path)?);
+                shared.apply_list(at, &named, true, &file::read(path)?);
                 return Ok(());
             }
-            Origin::List(address) => {
+            SourceConfig::List(address) => {
                 let discovery = platform::Discovery::new(*address, 0);
                 discovery.follow(seed, move |kind, list| {
                     if kind != ListKind::Failed {
-                        shared.heard(at, &named, kind == ListKind::Complete, &list);
+                        shared.apply_list(at, &named, kind == ListKind::Complete, &list);
                     }
                 });
                 self.lists.push(discovery);
@@ -226,34 +240,34 @@
         Ok(())
     }
 
-    /// Goes on under other rules of doubt.
-    pub fn set(&self, rules: &Rules) {
+    /// Changes the plausibility rules.
+    pub fn set(&self, rules: &PlausibilityRules) {
         self.shared.members.borrow_mut().set(self.shared.clock.now(), rules);
         self.shared.changed.notify_one();
     }
 
-    /// Waits until every source has told a view.
-    pub async fn whole(&self) {
+    /// Waits until every source has a view.
+    pub async fn all_views_received(&self) {
         loop {
-            let came = self.shared.came.notified();
-            if self.look(|_, members| members.sources().all(|s| s.2.is_some())) {
+            let view_received = self.shared.view_received.notified();
+            if self.inspect(|_, members| members.sources().all(|s| s.2.is_some())) {
                 return;
             }
-            came.await;
+            view_received.await;
         }
     }
 
-    /// Looks at the members, and the present time.
-    pub fn look<T>(&self, look: impl FnOnce(Micros, &Members) -> T) -> T {
-        look(self.shared.clock.now(), &self.shared.members.borrow())
+    /// Passes the present time and the members to `inspect`.
+    pub fn inspect<T>(&self, inspect: impl FnOnce(Micros, &Members) -> T) -> T {
+        inspect(self.shared.clock.now(), &self.shared.members.borrow())
     }
 }
 
 impl Shared {
-    /// A list of a source that tells no revisions: the newest is the one that came last.
-    fn heard(&self, source: usize, name: &str, whole: bool, list: &[DiscoveryEntry]) {
+    /// Applies a list of a source without revisions: the last one that arrives is the newest.
+    fn apply_list(&self, source: usize, name: &str, whole: bool, list: &[DiscoveryEntry]) {
         let confirmed = Some(self.clock.now());
         self.members.borrow_mut().health(source, Health { confirmed, ..Health::default() });
-        self.take(source, name, News::of_list(whole, 0, list));
+        self.apply_update(source, name, Update::from_list(whole, 0, list));
     }
 }
--- a/membership/src/platform.rs
+++ b/membership/src/platform.rs
@@ -1,4 +1,4 @@
-//! The list of upstreams: discovery's form, the watch and the whole list.
+//! The list of upstreams of the platform's discovery service: its format, the watch, and requests for the whole list.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -19,31 +19,31 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-/// How long a watch may wait for news. One that has fallen silent is noticed this and [`WATCH_PATIENCE`] later; until then
-/// a release goes unheard, and calls go to upstreams that have left.
-const WAIT: Duration = Duration::from_secs(8);
-/// A call without a wait that takes longer counts as failed.
-const PATIENCE: Duration = Duration::from_secs(6);
-/// The same for a watch, after its wait: what discovery had to tell counts as told from then on.
-const WATCH_PATIENCE: Duration = Duration::from_secs(2);
-/// Pause before the first call at a new address is made again; it doubles each time.
-const AGAIN: Duration = Duration::from_millis(100);
-/// Longest pause of one that follows.
-const LONGEST_PAUSE: Duration = Duration::from_secs(4);
-/// How often the first call at a new address is made again before the module is told.
-const TIMES_AGAIN: u32 = 4;
-/// Most of a list's text.
-const MOST_LIST: usize = 8 << 20;
+/// How long discovery may hold a watch until there is a change. A stalled watch is detected after this time and
+/// [`WATCH_MARGIN`]; until then requests go to upstreams that have left.
+const WATCH_HOLD: Duration = Duration::from_secs(8);
+/// Time limit of a call that discovery does not hold.
+const CALL_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time limit of a watch after its hold. Discovery assumes that changes are known after this time.
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+/// First pause before the first call to a new address is repeated; doubles each time.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between calls of [`Discovery::follow`].
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
+/// How often the first call to a new address is repeated before the failure is reported.
+const FIRST_CALL_RETRIES: u32 = 4;
+/// Maximum size of a list in bytes.
+const MAX_LIST_BYTES: usize = 8 << 20;
 
 /// A list as discovery sends it.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct List {
-    /// Its version.
+    /// Version of the list.
     pub generation: u64,
-    /// It is the whole list, not only what changed.
+    /// Whether this is the whole list, not only changes.
     #[serde(default)]
     pub reset: bool,
-    /// Its entries.
+    /// Entries of the list.
     pub instances: Vec<Instance>,
 }
 
@@ -74,7 +74,7 @@
 }
 
 impl List {
-    /// A whole list in discovery's form.
+    /// Creates a whole list in the format of discovery.
     pub fn whole(generation: u64, listed: Vec<DiscoveryEntry>) -> List {
         let instance = |l: DiscoveryEntry| Instance {
             instance_id: l.instance,
@@ -93,7 +93,7 @@
         List { generation, reset: true, instances: listed.into_iter().map(instance).collect() }
     }
 
-    /// The entries for the engine; one whose address cannot be read is logged and passed over.
+    /// Returns the entries for the engine. An entry with an invalid address is logged and skipped.
     pub fn entries(self) -> Vec<DiscoveryEntry> {
         let entry = |i: Instance| {
             let Ok(address) = i.host_port.parse() else {
@@ -121,42 +121,42 @@
     }
 }
 
-/// A connection to discovery, kept between calls.
-struct Line {
+/// A connection to discovery that is kept between calls.
+struct Connection {
     sender: SendRequest<Empty<Bytes>>,
     driver: AbortHandle,
 }
 
-impl Drop for Line {
+impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
     }
 }
 
-/// Discovery, as far as this balancer has asked it.
+/// A client of the discovery service.
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    /// How often it has moved: what an earlier address still answers is no news.
+    /// Number of changes of the address. Responses from an earlier address are ignored.
     moves: Cell<u64>,
-    /// The version of the list held; none where the whole list is to be asked for first.
+    /// Version of the present list; `None` if the whole list must be requested first.
     generation: Cell<Option<u64>>,
     watch: RefCell<Option<AbortHandle>>,
 }
 
 impl Discovery {
-    /// Nothing asked yet; `generation` is that of the known list.
+    /// Creates a client. `generation` is the version of the known list.
     pub fn new(address: SocketAddr, generation: u64) -> Rc<Discovery> {
         let (address, generation) = (Cell::new(address), Cell::new(Some(generation)));
         Rc::new(Discovery { address, moves: Cell::new(0), generation, watch: RefCell::default() })
     }
 
-    /// The version of the list held; 0 where there is none.
+    /// Version of the present list; 0 if there is none.
     pub fn generation(&self) -> u64 {
         self.generation.get().unwrap_or(0)
     }
 
-    /// Leaves the present address, its watch and its line: the new one is asked for the whole list at once and
-    /// then watched. Guards against versions of another discovery, which say nothing there.
+    /// Changes the address: ends the watch, requests the whole list at the new address, because versions of another discovery
+    /// service have no meaning there, and then watches it.
     pub fn move_to(
         self: &Rc<Self>,
         address: SocketAddr,
@@ -167,23 +167,22 @@
         }
         self.moves.set(self.moves.get() + 1);
         self.generation.set(None);
-        self.start(TIMES_AGAIN, None, tell);
+        self.start(FIRST_CALL_RETRIES, None, tell);
     }
 
-    /// Watches from now on and tells each list; a failure is told and ends the watch. A watch under way ends.
+    /// Starts a watch that passes each list to `tell`. A failure is passed on too and ends the watch. A running watch ends.
     pub fn watch(self: &Rc<Self>, tell: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static) {
         self.start(0, None, tell);
     }
 
-    /// Asks for the whole list at once, watches, and begins anew after each failure, which is told to nobody. The
-    /// pauses double up to a bound and are drawn at random, so that instances do not ask in step. Ends the watch
-    /// under way.
+    /// Requests the whole list, watches, and starts again after each failure, without reporting it. The pauses double up to
+    /// [`MAX_RETRY_PAUSE`] and are random, so that instances do not call at the same time. A running watch ends.
     pub fn follow(self: &Rc<Self>, seed: u64, tell: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static) {
         self.generation.set(None);
         self.start(0, Some(fastrand::Rng::with_seed(seed)), tell);
     }
 
-    /// Leaves: nothing is asked and nothing told any more.
+    /// Ends the watch. Nothing is requested or passed on any more.
     pub fn leave(&self) {
         self.moves.set(self.moves.get() + 1);
         if let Some(watch) = self.watch.take() {
@@ -191,7 +190,7 @@
         }
     }
 
-    /// A watch whose first call is made again up to `again` times.
+    /// Starts a watch whose first call is repeated up to `again` times.
     fn start(
         self: &Rc<Self>,
         mut again: u32,
@@ -200,20 +199,20 @@
     ) {
         let this = self.clone();
         let task = spawn_local(async move {
-            let (mut line, mut pause) = (None, AGAIN);
+            let (mut line, mut pause) = (None, FIRST_RETRY_PAUSE);
             loop {
                 let (path, patience) = match this.generation.get() {
-                    None => ("/registry/instances".to_owned(), PATIENCE),
+                    None => ("/registry/instances".to_owned(), CALL_TIMEOUT),
                     Some(g) => (
-                        format!("/registry/instances?index={g}&wait={}", WAIT.as_millis()),
-                        WAIT + WATCH_PATIENCE,
+                        format!("/registry/instances?index={g}&wait={}", WATCH_HOLD.as_millis()),
+                        WATCH_HOLD + WATCH_MARGIN,
                     ),
                 };
                 match this.call(&mut line, &path, patience).await {
                     Ok(list) => {
                         let whole = list.reset || this.generation.get().is_none();
                         this.generation.set(Some(list.generation));
-                        (again, pause) = (0, AGAIN);
+                        (again, pause) = (0, FIRST_RETRY_PAUSE);
                         tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
                     }
                     Err(why) if again > 0 => {
@@ -228,9 +227,9 @@
                         emit!(DISCOVERY_FAILED, address = %address; "discovery: {address}: {why}; asked again");
                         let drawn = follow.as_mut().map_or(1.0, fastrand::Rng::f64);
                         sleep(pause.mul_f64(0.5 + drawn)).await;
-                        // What came in between may be told nowhere else.
+                        // Changes may have been missed, so the whole list is requested.
                         this.generation.set(None);
-                        pause = (pause * 2).min(LONGEST_PAUSE);
+                        pause = (pause * 2).min(MAX_RETRY_PAUSE);
                     }
                     Err(why) => {
                         emit!(DISCOVERY_FAILED, address = %this.address.get(); "discovery: the watch ended: {why}");
@@ -244,18 +243,18 @@
         }
     }
 
-    /// Asks once for the whole list and tells it.
+    /// Requests the whole list once and passes it to `tell`.
     pub fn fetch(self: &Rc<Self>, tell: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static) {
         let this = self.clone();
         spawn_local(async move {
             let (before, moves) = (this.generation.get(), this.moves.get());
-            let called = this.call(&mut None, "/registry/instances", PATIENCE).await;
-            // Guards against the list of an address that was left in the meantime.
+            let called = this.call(&mut None, "/registry/instances", CALL_TIMEOUT).await;
+            // The address may have changed meanwhile.
             if this.moves.get() != moves {
                 return;
             }
             match called {
-                // A watch told something newer in the meantime.
+                // A watch has received a newer list meanwhile.
                 Ok(list)
                     if before != this.generation.get()
                         && this.generation.get().is_some_and(|g| list.generation < g) => {}
@@ -271,7 +270,12 @@
         });
     }
 
-    async fn call(&self, line: &mut Option<Line>, path: &str, patience: Duration) -> Result<List, String> {
+    async fn call(
+        &self,
+        line: &mut Option<Connection>,
+        path: &str,
+        patience: Duration,
+    ) -> Result<List, String> {
         let called = timeout(patience, self.ask(line, path)).await.unwrap_or_else(|_| Err("silence".into()));
         if called.is_err() {
             *line = None;
@@ -279,7 +283,7 @@
         called
     }
 
-    async fn ask(&self, line: &mut Option<Line>, path: &str) -> Result<List, String> {
+    async fn ask(&self, line: &mut Option<Connection>, path: &str) -> Result<List, String> {
         let ready = match line {
             Some(line) => line.sender.ready().await.is_ok(),
             None => false,
@@ -293,7 +297,7 @@
             let driver = spawn_local(async move {
                 let _ = connection.await;
             });
-            *line = Some(Line { sender, driver: driver.abort_handle() });
+            *line = Some(Connection { sender, driver: driver.abort_handle() });
         }
         let Some(line) = line else { return Err("no connection".into()) };
         let request = Request::get(path).header(HOST, self.address.get().to_string()).body(Empty::new());
@@ -302,7 +306,7 @@
         if response.status() != StatusCode::OK {
             return Err(format!("status {}", response.status()));
         }
-        let body = Limited::new(response.into_body(), MOST_LIST).collect().await;
+        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await;
         let body = body.map_err(|e| e.to_string())?.to_bytes();
         serde_json::from_slice(&body).map_err(|e| e.to_string())
     }
--- a/membership/src/source.rs
+++ b/membership/src/source.rs
@@ -1,105 +1,110 @@
-//! A source of membership: a machine that decides, without I/O, and a line that carries its calls.
+//! A source of membership: a protocol that decides, without I/O, and a transport that carries its calls.
 
 use std::collections::VecDeque;
 
 use finchshift::Micros;
 
-use crate::view::{Body, Health, News, Revision};
+use crate::view::{Health, Revision, Update, UpdateContent};
 
-/// What a machine has to say that was not fetched yet.
+/// The output of a protocol that was not fetched yet.
 #[derive(Debug)]
-pub struct Outbox<A> {
-    asks: VecDeque<A>,
-    news: VecDeque<News>,
-    /// How the source stands.
+pub struct Outbox<C> {
+    commands: VecDeque<C>,
+    updates: VecDeque<Update>,
+    /// State of the connection to the registry.
     pub health: Health,
-    /// A problem with an entry; the newest.
+    /// The newest problem with an entry, in one line.
     pub problem: Option<String>,
 }
 
-impl<A> Default for Outbox<A> {
-    fn default() -> Outbox<A> {
-        Outbox { asks: VecDeque::new(), news: VecDeque::new(), health: Health::default(), problem: None }
+impl<C> Default for Outbox<C> {
+    fn default() -> Outbox<C> {
+        Outbox {
+            commands: VecDeque::new(),
+            updates: VecDeque::new(),
+            health: Health::default(),
+            problem: None,
+        }
     }
 }
 
-impl<A> Outbox<A> {
-    /// The number of the next call, counted as made.
+impl<C> Outbox<C> {
+    /// Counts a call and returns its number.
     pub fn call(&mut self) -> u64 {
         self.health.calls += 1;
         self.health.calls
     }
 
-    /// Has a call made, or left.
-    pub fn ask(&mut self, ask: A) {
-        self.asks.push_back(ask);
+    /// Adds a command for the transport.
+    pub fn push_command(&mut self, command: C) {
+        self.commands.push_back(command);
     }
 
-    /// Tells a view, or what has changed since the last.
-    pub fn tell(&mut self, revision: Revision, body: Body) {
-        self.news.push_back(News { revision, body });
+    /// Adds a whole view, or the changes since the previous update.
+    pub fn push_update(&mut self, revision: Revision, content: UpdateContent) {
+        self.updates.push_back(Update { revision, content });
     }
 
-    /// The source has confirmed what is held.
+    /// Records that the source has confirmed the present view.
     pub fn confirmed(&mut self, now: Micros) {
         self.health.confirmed = Some(now);
         self.health.trouble = None;
     }
 
-    /// An entry could not be read.
+    /// Records that an entry could not be read.
     pub fn unreadable(&mut self, problem: String) {
         self.health.unreadable += 1;
         self.problem = Some(problem);
     }
 }
 
-/// Decides what is asked when, and what the answers mean.
-pub trait Machine {
-    /// A call to make.
-    type Ask;
-    /// What came back.
-    type Told;
+/// The protocol of a registry: decides when which call is made, and what the replies mean.
+pub trait SourceProtocol {
+    /// A command to the transport.
+    type Command;
+    /// A reply from the transport.
+    type Reply;
 
-    /// What it has to say.
-    fn outbox(&mut self) -> &mut Outbox<Self::Ask>;
-    /// How many members are believed at most. Guards what a machine gathers before it can tell a view.
-    fn bound(&mut self, most: usize) {
-        let _ = most;
+    /// The output that was not fetched yet.
+    fn outbox(&mut self) -> &mut Outbox<Self::Command>;
+    /// Sets how many members are accepted at most. Bounds what a protocol collects before it has a whole view.
+    fn set_max_members(&mut self, max_members: usize) {
+        let _ = max_members;
     }
-    /// When [`tick`](Machine::tick) has something to do.
+    /// When [`tick`](SourceProtocol::tick) has something to do.
     fn due(&self) -> Micros;
-    /// Lets time pass.
+    /// Executes what is due at `now`.
     fn tick(&mut self, now: Micros);
-    /// Takes what came back.
-    fn told(&mut self, now: Micros, told: Self::Told);
+    /// Handles a reply.
+    fn handle_reply(&mut self, now: Micros, reply: Self::Reply);
 
-    /// The next call to make.
-    fn ask(&mut self) -> Option<Self::Ask> {
-        self.outbox().asks.pop_front()
+    /// Removes and returns the next command for the transport.
+    fn next_command(&mut self) -> Option<Self::Command> {
+        self.outbox().commands.pop_front()
     }
-    /// The next piece of news.
-    fn news(&mut self) -> Option<News> {
-        self.outbox().news.pop_front()
+    /// Removes and returns the next update.
+    fn next_update(&mut self) -> Option<Update> {
+        self.outbox().updates.pop_front()
     }
-    /// How it stands.
+    /// State of the connection to the registry.
     fn health(&mut self) -> &Health {
         &self.outbox().health
     }
-    /// A problem with an entry that was not told before.
-    fn problem(&mut self) -> Option<String> {
+    /// Removes and returns the newest problem with an entry.
+    fn take_problem(&mut self) -> Option<String> {
         self.outbox().problem.take()
     }
 }
 
-/// Makes the calls.
-pub trait Line {
-    /// A call to make.
-    type Ask;
-    /// What came back.
-    type Told;
+/// Carries the calls of a protocol.
+pub trait Transport {
+    /// A command of the protocol.
+    type Command;
+    /// A reply to the protocol.
+    type Reply;
 
-    /// Begins a call, or ends one.
-    fn make(&mut self, ask: Self::Ask);
-    /// The next that comes back, of any call.
-    fn next(&mut self) -> impl Future<Output = Self::Told>;
+    /// Starts a call, or cancels one.
+    fn execute(&mut self, command: Self::Command);
+    /// Waits for the next reply to any call.
+    fn next_reply(&mut self) -> impl Future<Output = Self::Reply>;
 }
--- a/membership/src/view.rs
+++ b/membership/src/view.rs
@@ -1,71 +1,71 @@
-//! What a source of membership tells, whichever protocol it speaks.
+//! The updates of a source of membership, independent of its protocol.
 
 use finchshift::{Micros, ServerState};
 use sloeline_engine::types::DiscoveryEntry;
 
-/// How new a view is. Numbers are compared within one epoch only; a source begins another epoch when its registry is
-/// no longer the one it knew (another cluster, or one that was restored from a backup).
+/// The revision of a view. Numbers are comparable only within an epoch. A source begins another epoch when its registry was
+/// replaced by another cluster or restored from a backup.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Revision {
-    /// Counted by the source, from 0.
+    /// Number of the epoch, counted by the source from 0.
     pub epoch: u64,
-    /// The registry's own number.
+    /// The registry's revision number.
     pub number: u64,
 }
 
-/// What a source says of a member.
+/// Status of a member according to its source.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    /// It takes requests.
+pub enum MemberStatus {
+    /// It accepts requests.
     Serving,
-    /// It was ordered to finish what it has.
+    /// An operator has ordered it to finish its open requests.
     Draining,
-    /// An operator works on it.
+    /// An operator has taken it out of service.
     Maintenance,
-    /// Its checks fail.
+    /// Its health checks fail.
     Unhealthy,
 }
 
-impl Standing {
-    /// Somebody wants it out, as against something that was observed.
+impl MemberStatus {
+    /// Returns whether an operator has ordered the status, as opposed to an observation.
     pub fn ordered(self) -> bool {
-        matches!(self, Standing::Draining | Standing::Maintenance)
+        matches!(self, MemberStatus::Draining | MemberStatus::Maintenance)
     }
 }
 
-/// A member as its source has it.
+/// A member according to its source.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
-    /// What the engine is told. Its state is not read: it follows from the standing.
+    /// Properties of the member.
     pub node: Node,
-    /// What the source says of it.
-    pub standing: Standing,
-    /// The registry's number of the last change to it; 0 where there is none.
+    /// Status of the member.
+    pub status: MemberStatus,
+    /// The registry's revision number of the last change to the member; 0 if the registry has none.
     pub written: u64,
 }
 
-/// A member without its state.
+/// Properties of a member.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
-    /// The same at every balancer.
+    /// Identifier, which is the same at every balancer.
     pub identity: String,
-    /// Where it is.
+    /// Address at which the member accepts requests.
     pub address: std::net::SocketAddr,
-    /// Its zone's name.
+    /// Name of its zone.
     pub zone: String,
-    /// Its machine kind's name.
+    /// Name of its machine kind.
     pub kind: String,
-    /// Its cell.
+    /// Number of its cell.
     pub cell: u32,
-    /// Its size.
+    /// Capacity relative to other members.
     pub weight: f64,
-    /// When it last started, in Unix time.
+    /// When it last started, in microseconds since the Unix epoch.
     pub started: Option<Micros>,
 }
 
 impl Node {
-    /// For the engine.
-    pub fn listed(&self, state: ServerState) -> DiscoveryEntry {
+    /// Returns the entry for the engine, with this state.
+    pub fn discovery_entry(&self, state: ServerState) -> DiscoveryEntry {
         DiscoveryEntry {
             instance: self.identity.clone(),
             address: self.address,
@@ -78,8 +78,8 @@
         }
     }
 
-    /// From a list in the platform's form.
-    pub fn of(listed: &DiscoveryEntry) -> Node {
+    /// Returns the properties in an entry of the engine.
+    pub fn from_entry(listed: &DiscoveryEntry) -> Node {
         Node {
             identity: listed.instance.clone(),
             address: listed.address,
@@ -92,79 +92,80 @@
     }
 }
 
-/// How a member went.
+/// Why a member is not listed any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
-    /// Somebody took it out.
+    /// An operator has removed it.
     Ordered,
-    /// Its lease ran out, as far as is known.
+    /// Its lease has expired, as far as is known.
     Expired,
-    /// It is not in a whole view; nothing says why.
+    /// It is missing in a snapshot, for an unknown reason.
     Missing,
-    /// Its checks fail.
+    /// Its health checks fail.
     Unhealthy,
 }
 
-/// A change to a view.
+/// A change of a view.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
-    /// It is there, or is there in another way.
+    /// The member was added or changed.
     Put(Member),
-    /// It has gone.
+    /// The member was removed.
     Gone(String, Loss),
-    /// What was told as a loss for another cause was an order.
+    /// An earlier removal for another reason turned out to be an order.
     Ordered(String),
 }
 
-/// What a view or a piece of news holds.
+/// The content of an update.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Body {
-    /// Everything that the source has.
-    Whole(Vec<Member>),
-    /// What has changed since the revision before, all at once.
+pub enum UpdateContent {
+    /// All members of the source.
+    Snapshot(Vec<Member>),
+    /// The changes since the previous revision.
     Changes(Vec<Change>),
 }
 
-/// News from a source.
+/// An update of a source.
 #[derive(Clone, Debug, PartialEq)]
-pub struct News {
-    /// The view's revision with this in it.
+pub struct Update {
+    /// Revision of the view after the update.
     pub revision: Revision,
-    /// What is new.
-    pub body: Body,
+    /// The content.
+    pub content: UpdateContent,
 }
 
-impl News {
-    /// A list in the platform's form, which tells no revision that could be compared: every list counts as newer.
-    pub fn of_list(whole: bool, number: u64, listed: &[DiscoveryEntry]) -> News {
+impl Update {
+    /// Returns the update for a list of the platform, whose revisions are not comparable: every list counts as newer.
+    pub fn from_list(whole: bool, number: u64, listed: &[DiscoveryEntry]) -> Update {
         let member = |l: &DiscoveryEntry| {
-            let standing = if l.state == ServerState::Ready { Standing::Serving } else { Standing::Draining };
-            Member { node: Node::of(l), standing, written: 0 }
+            let status =
+                if l.state == ServerState::Ready { MemberStatus::Serving } else { MemberStatus::Draining };
+            Member { node: Node::from_entry(l), status, written: 0 }
         };
         let revision = Revision { epoch: 0, number };
         if whole {
             let there = listed.iter().filter(|l| l.state != ServerState::Gone);
-            return News { revision, body: Body::Whole(there.map(member).collect()) };
+            return Update { revision, content: UpdateContent::Snapshot(there.map(member).collect()) };
         }
         let change = |l: &DiscoveryEntry| match l.state {
             ServerState::Gone => Change::Gone(l.instance.clone(), Loss::Ordered),
             _ => Change::Put(member(l)),
         };
-        News { revision, body: Body::Changes(listed.iter().map(change).collect()) }
+        Update { revision, content: UpdateContent::Changes(listed.iter().map(change).collect()) }
     }
 }
 
-/// How a source stands with its registry.
+/// State of a source's connection to its registry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Health {
-    /// When the registry last proved that the view is its newest.
+    /// When the registry last confirmed that the view is its newest.
     pub confirmed: Option<Micros>,
-    /// What is wrong, in one line.
+    /// The present failure, in one line.
     pub trouble: Option<String>,
-    /// Answers that were older than what is known, or from another cluster, and were not taken.
+    /// Number of replies that were rejected because they were older than the view or from another cluster.
     pub refused: u64,
-    /// Entries that could not be read.
+    /// Number of entries that could not be read.
     pub unreadable: u64,
-    /// Calls that were made.
+    /// Number of calls.
     pub calls: u64,
 }
--- a/membership/src/xds.rs
+++ b/membership/src/xds.rs
@@ -1,15 +1,15 @@
-//! Following a cluster through xDS v3, endpoint discovery (EDS): state of the world or delta. No I/O, time as an argument.
+//! Follows a cluster through the endpoint discovery of xDS v3 (EDS): state of the world or incremental. No I/O, time as an argument.
 //!
-//! Either way a response carries the cluster's whole assignment. One that can be read is acknowledged with its version and
-//! nonce, one that can't is refused with the last version that was taken, the nonce and the reason, and what was known holds.
+//! In both variants a response contains the whole assignment of the cluster. A valid response is acknowledged with its version
+//! and nonce. An invalid one is rejected with the last accepted version, the nonce and the reason, and the view remains.
 //!
-//! Versions are opaque: there is no older and newer among them. What the protocol does give is the order on one stream. So
-//! the first response on a *new* stream whose version was seen before and has been replaced since is a view of a server that
-//! is behind: it is not taken while the newest one is younger than [`Settings::believe_after`]. And nothing proves that a
-//! silent stream is not deaf: it is opened anew every [`Settings::renew`], which tells the present state.
+//! Versions are opaque and have no order, but the responses on one stream do. If the first response on a *new* stream has a
+//! version that was replaced by a later one before, the server is behind: the response is rejected while the newest version is
+//! younger than [`Settings::acceptance_delay`]. A stream without responses may have stalled, so it is replaced by a new one
+//! every [`Settings::stream_lifetime`]; the first response on a new stream contains the present state.
 
-pub mod line;
 pub mod messages;
+pub mod transport;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -18,54 +18,54 @@
 
 use self::messages::{ClusterLoadAssignment, LbEndpoint, Locality};
 use crate::backoff::Backoff;
-use crate::source::{Machine, Outbox};
-use crate::view::{Body, Member, Node, Revision, Standing};
+use crate::source::{Outbox, SourceProtocol};
+use crate::view::{Member, MemberStatus, Node, Revision, UpdateContent};
 
-/// Versions that are remembered.
-const VERSIONS: usize = 64;
+/// Number of accepted versions that are remembered.
+const MAX_REMEMBERED_VERSIONS: usize = 64;
 
-/// What a source at an xDS server is told.
+/// Settings of an xDS source.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// The cluster's name, which is the resource's.
+    /// Name of the cluster, which is the name of the resource.
     pub cluster: String,
-    /// Incremental, not state of the world.
-    pub delta: bool,
-    /// Who asks (`Node.id`).
+    /// Whether the incremental variant of the protocol is used.
+    pub incremental: bool,
+    /// Identifier of this instance (`Node.id`).
     pub node: String,
-    /// How many endpoints there are.
+    /// Number of xDS servers.
     pub endpoints: usize,
-    /// How many balancers ask the same servers.
+    /// Number of balancers that use the same servers.
     pub instances: u32,
-    /// Calls a second that they may make together after a failure.
-    pub rate: f64,
-    /// How long the first response on a stream may take.
-    pub answer: Micros,
-    /// A stream is opened anew after this.
-    pub renew: Micros,
-    /// How long a version that was seen before is not believed on a new stream.
-    pub believe_after: Micros,
+    /// Calls per second that all balancers together may make after a failure.
+    pub fleet_call_rate: f64,
+    /// Time limit for the first response on a stream.
+    pub response_timeout: Micros,
+    /// Time after which a stream is replaced by a new one.
+    pub stream_lifetime: Micros,
+    /// How long a replaced version is rejected on a new stream.
+    pub acceptance_delay: Micros,
 }
 
-/// A call to make.
+/// A command to the transport.
 #[derive(Clone, Debug, PartialEq)]
 #[allow(missing_docs, reason = "fields are named by their variant and their call")]
-pub enum Ask {
-    /// A stream, subscribed to the cluster. It claims to know no version: a server that has the same one would say nothing,
-    /// and what is held would not be confirmed.
+pub enum Command {
+    /// Opens a stream that subscribes to the cluster. It announces no known version, because a server with the same version
+    /// would not respond, and the view would not be confirmed.
     Open { call: u64, endpoint: usize },
-    /// A response was taken, or refused for a reason.
+    /// Acknowledges a response, or rejects it with a reason.
     Answer { call: u64, version: String, nonce: String, refused: Option<String> },
-    /// Nothing of this call is wanted any more.
+    /// Cancels a call.
     Leave { call: u64 },
 }
 
-/// What came back.
+/// A reply from the transport.
 #[derive(Clone, Debug, PartialEq)]
 #[allow(missing_docs, reason = "fields are named by their variant and their call")]
-pub enum Told {
-    /// A response: the assignment, none where it is no more, or why it can't be read. One that says nothing of the cluster
-    /// is not told.
+pub enum Reply {
+    /// A response: the assignment, `None` if it was removed, or why it is invalid. Responses without the cluster are ignored
+    /// by the transport.
     Response {
         call: u64,
         version: String,
@@ -81,7 +81,7 @@
     Pause {
         until: Micros,
     },
-    /// `first` until the first response is there.
+    /// `first` until the first response has arrived.
     Stream {
         call: u64,
         first: bool,
@@ -89,36 +89,36 @@
     },
 }
 
-/// A source at an xDS server.
+/// An xDS source.
 pub struct Xds {
     settings: Settings,
     phase: Phase,
     endpoint: usize,
-    out: Outbox<Ask>,
+    outbox: Outbox<Command>,
     backoff: Backoff,
     rng: fastrand::Rng,
     epoch: u64,
     number: u64,
-    /// Versions that were taken, the newest last.
+    /// Accepted versions, the newest last.
     versions: VecDeque<String>,
-    /// When the newest version last was told as such.
-    good: Option<Micros>,
+    /// When the newest version was last received.
+    last_confirmed: Option<Micros>,
 }
 
 impl Xds {
-    /// Begins at `now`.
+    /// Creates a source whose first stream is opened at `now`.
     pub fn new(now: Micros, settings: Settings, seed: u64) -> Xds {
         let mut rng = fastrand::Rng::with_seed(seed);
         Xds {
             endpoint: rng.usize(..settings.endpoints.max(1)),
-            backoff: Backoff::new(settings.instances, settings.rate),
+            backoff: Backoff::new(settings.instances, settings.fleet_call_rate),
             phase: Phase::Pause { until: now },
-            out: Outbox::default(),
+            outbox: Outbox::default(),
             rng,
             epoch: 0,
             number: 0,
             versions: VecDeque::new(),
-            good: None,
+            last_confirmed: None,
             settings,
         }
     }
@@ -128,13 +128,13 @@
     }
 
     fn open(&mut self, now: Micros) {
-        let (call, endpoint) = (self.out.call(), self.endpoint);
-        self.out.ask(Ask::Open { call, endpoint });
-        self.phase = Phase::Stream { call, first: true, until: now + self.settings.answer };
+        let (call, endpoint) = (self.outbox.call(), self.endpoint);
+        self.outbox.push_command(Command::Open { call, endpoint });
+        self.phase = Phase::Stream { call, first: true, until: now + self.settings.response_timeout };
     }
 
     fn fail(&mut self, now: Micros, why: String) {
-        self.out.health.trouble = Some(why);
+        self.outbox.health.trouble = Some(why);
         self.endpoint = (self.endpoint + 1) % self.settings.endpoints.max(1);
         self.phase = Phase::Pause { until: now + self.backoff.pause(&mut self.rng) };
     }
@@ -150,53 +150,56 @@
         let members = match read {
             Ok(members) => members,
             Err(why) => {
-                self.out.unreadable(format!("{}: version {version:?}: {why}", self.settings.cluster));
+                self.outbox.unreadable(format!("{}: version {version:?}: {why}", self.settings.cluster));
                 let version = self.version();
-                self.out.ask(Ask::Answer { call, version, nonce, refused: Some(why) });
+                self.outbox.push_command(Command::Answer { call, version, nonce, refused: Some(why) });
                 return;
             }
         };
         let known = self.versions.iter().position(|v| *v == version);
         let newest = known.is_some_and(|at| at + 1 == self.versions.len());
         if first && known.is_some() && !newest {
-            self.out.health.refused += 1;
-            if self.good.is_some_and(|good| now < good + self.settings.believe_after) {
-                self.out.ask(Ask::Leave { call });
+            self.outbox.health.refused += 1;
+            if self
+                .last_confirmed
+                .is_some_and(|last_confirmed| now < last_confirmed + self.settings.acceptance_delay)
+            {
+                self.outbox.push_command(Command::Leave { call });
                 let found = format!("found version {version:?}, which {:?} has replaced", self.version());
                 return self.fail(now, found);
             }
-            // The newest one has not been seen for long: it was taken back, or the servers have lost it.
+            // The newest version was not received for long, so it was revoked, or the servers have lost it.
             self.epoch += 1;
         }
         if !newest {
             known.and_then(|at| self.versions.remove(at));
             self.versions.push_back(version.clone());
-            while self.versions.len() > VERSIONS {
+            while self.versions.len() > MAX_REMEMBERED_VERSIONS {
                 self.versions.pop_front();
             }
         }
-        self.out.ask(Ask::Answer { call, version, nonce, refused: None });
+        self.outbox.push_command(Command::Answer { call, version, nonce, refused: None });
         self.backoff.reset();
-        self.good = Some(now);
-        self.out.confirmed(now);
+        self.last_confirmed = Some(now);
+        self.outbox.confirmed(now);
         if let Phase::Stream { first, until, .. } = &mut self.phase
             && std::mem::take(first)
         {
-            let spread = self.settings.renew / 4;
-            *until = now + self.settings.renew - spread / 2 + self.rng.u64(..=spread);
+            let spread = self.settings.stream_lifetime / 4;
+            *until = now + self.settings.stream_lifetime - spread / 2 + self.rng.u64(..=spread);
         }
         self.number += 1;
         let revision = Revision { epoch: self.epoch, number: self.number };
-        self.out.tell(revision, Body::Whole(members));
+        self.outbox.push_update(revision, UpdateContent::Snapshot(members));
     }
 }
 
-/// The members of an assignment; one endpoint that can't be read spoils it, for the server is told so.
+/// Returns the members of an assignment. One invalid endpoint makes the whole assignment invalid, and it is rejected.
 fn members(cluster: &str, assignment: ClusterLoadAssignment) -> Result<Vec<Member>, String> {
     if assignment.cluster_name != cluster {
         return Err(format!("found cluster {:?}, expected {cluster:?}", assignment.cluster_name));
     }
-    // Localities of a higher priority number are used when those before have nothing; they are not listed beside them.
+    // Localities with a higher priority number are used only if there are no endpoints with a lower one.
     let first = assignment.endpoints.iter().filter(|l| !l.lb_endpoints.is_empty()).map(|l| l.priority).min();
     let mut members = BTreeMap::new();
     for group in assignment.endpoints.into_iter().filter(|l| Some(l.priority) == first) {
@@ -233,20 +236,20 @@
         weight: f64::from(weight),
         started: None,
     };
-    let standing = match of.health_status {
-        2 | 4 => Standing::Unhealthy,
-        3 => Standing::Draining,
-        _ => Standing::Serving,
+    let status = match of.health_status {
+        2 | 4 => MemberStatus::Unhealthy,
+        3 => MemberStatus::Draining,
+        _ => MemberStatus::Serving,
     };
-    Ok(Member { node, standing, written: 0 })
+    Ok(Member { node, status, written: 0 })
 }
 
-impl Machine for Xds {
-    type Ask = Ask;
-    type Told = Told;
+impl SourceProtocol for Xds {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn outbox(&mut self) -> &mut Outbox<Ask> {
-        &mut self.out
+    fn outbox(&mut self) -> &mut Outbox<Command> {
+        &mut self.outbox
     }
 
     fn due(&self) -> Micros {
@@ -262,25 +265,25 @@
         match self.phase {
             Phase::Pause { .. } => self.open(now),
             Phase::Stream { call, first: true, .. } => {
-                self.out.ask(Ask::Leave { call });
+                self.outbox.push_command(Command::Leave { call });
                 self.fail(now, "no response in time".to_owned());
             }
             Phase::Stream { call, .. } => {
-                // It may be deaf: another server's word, at once, for nothing has failed.
-                self.out.ask(Ask::Leave { call });
+                // The stream may have stalled. The next one goes to another server at once, because nothing has failed.
+                self.outbox.push_command(Command::Leave { call });
                 self.endpoint = (self.endpoint + 1) % self.settings.endpoints.max(1);
                 self.open(now);
             }
         }
     }
 
-    fn told(&mut self, now: Micros, told: Told) {
-        let Phase::Stream { call: under_way, first, .. } = self.phase else { return };
-        match told {
-            Told::Response { call, version, nonce, assignment } if call == under_way => {
+    fn handle_reply(&mut self, now: Micros, reply: Reply) {
+        let Phase::Stream { call: running_call, first, .. } = self.phase else { return };
+        match reply {
+            Reply::Response { call, version, nonce, assignment } if call == running_call => {
                 self.response(now, (call, first), (version, nonce), assignment);
             }
-            Told::Failed { call, why } if call == under_way => self.fail(now, why),
+            Reply::Failed { call, why } if call == running_call => self.fail(now, why),
             _ => {}
         }
     }
--- a/membership/src/xds/messages.rs
+++ b/membership/src/xds/messages.rs
@@ -1,5 +1,5 @@
 //! The messages of xDS v3 that are used here: `envoy.service.discovery.v3` and `envoy.config.endpoint.v3` of the xDS API.
-//! Fields that nobody reads are left out; the encoding passes over them.
+//! Unused fields are omitted; decoding ignores them.
 #![allow(missing_docs, reason = "the names are the protocol's own, and its text says what they mean")]
 
 use std::collections::HashMap;
--- a/membership/src/xds/line.rs
+++ b/membership/src/xds/transport.rs
@@ -9,51 +9,56 @@
 use tonic::transport::Channel;
 
 use super::messages::*;
-use super::{Ask, Told};
-use crate::etcd::line::{Outgoing, channels, plain, streaming};
-use crate::source::Line;
+use super::{Command, Reply};
+use crate::etcd::transport::{Outgoing, channels, plain, streaming};
+use crate::source::Transport;
 
-/// Answers that wait to be sent, and responses that wait to be taken.
-const WAITING: usize = 16;
-/// `INVALID_ARGUMENT`, the code of a refusal.
-const INVALID: i32 = 3;
+/// Maximum number of queued requests, and of queued responses.
+const QUEUE_LENGTH: usize = 16;
+/// gRPC status code of a rejection.
+const INVALID_ARGUMENT: i32 = 3;
 
-/// What is sent on a stream, in words of both ways.
+/// An acknowledgement or rejection, for both variants of the protocol.
 struct Answer {
     version: String,
     nonce: String,
     refused: Option<String>,
 }
 
-/// The stream under way.
-pub struct Stream {
+/// Runs one stream at a time.
+pub struct XdsTransport {
     cluster: String,
     node: String,
     delta: bool,
     channels: Vec<Channel>,
-    under_way: Option<(u64, AbortHandle, mpsc::Sender<Answer>)>,
-    sender: mpsc::Sender<Told>,
-    told: mpsc::Receiver<Told>,
+    running_stream: Option<(u64, AbortHandle, mpsc::Sender<Answer>)>,
+    sender: mpsc::Sender<Reply>,
+    replies: mpsc::Receiver<Reply>,
 }
 
-impl Stream {
-    /// None yet.
-    pub fn new(cluster: &str, node: &str, delta: bool, endpoints: &[SocketAddr]) -> Result<Stream, String> {
-        let (sender, told) = mpsc::channel(WAITING);
+impl XdsTransport {
+    /// Creates a transport without a stream.
+    pub fn new(
+        cluster: &str,
+        node: &str,
+        delta: bool,
+        endpoints: &[SocketAddr],
+    ) -> Result<XdsTransport, String> {
+        let (sender, replies) = mpsc::channel(QUEUE_LENGTH);
         let (cluster, node, channels) = (cluster.to_owned(), node.to_owned(), channels(endpoints)?);
-        Ok(Stream { cluster, node, delta, channels, under_way: None, sender, told })
+        Ok(XdsTransport { cluster, node, delta, channels, running_stream: None, sender, replies })
     }
 
-    fn leave(&mut self) {
-        if let Some((_, task, _)) = self.under_way.take() {
+    fn close(&mut self) {
+        if let Some((_, task, _)) = self.running_stream.take() {
             task.abort();
         }
     }
 }
 
-impl Drop for Stream {
+impl Drop for XdsTransport {
     fn drop(&mut self) {
-        self.leave();
+        self.close();
     }
 }
 
@@ -66,7 +71,7 @@
     ClusterLoadAssignment::decode(any.value.as_slice()).map_err(|e| e.to_string())
 }
 
-/// What a response says of the cluster; nothing where it is of other ones only.
+/// Returns the assignment in a response, or `None` if the response is about other clusters only.
 fn state_of_the_world(cluster: &str, response: &DiscoveryResponse) -> Option<Read> {
     let mut other = false;
     for any in &response.resources {
@@ -76,8 +81,8 @@
             Err(why) => return Some(Err(why)),
         }
     }
-    // Endpoint discovery may answer for some of what was asked for (xDS protocol, "grouping resources"): that a cluster is
-    // not in a response is no word on it.
+    // A response may contain only some of the requested resources (xDS protocol, "grouping resources"), so a missing cluster
+    // has no meaning.
     if other { None } else { Some(Err("found no resource, expected the cluster's assignment".to_owned())) }
 }
 
@@ -92,7 +97,7 @@
 }
 
 fn status(refused: Option<String>) -> Option<Status> {
-    refused.map(|message| Status { code: INVALID, message })
+    refused.map(|message| Status { code: INVALID_ARGUMENT, message })
 }
 
 async fn world(
@@ -100,7 +105,7 @@
     call: u64,
     (cluster, node): (String, String),
     mut answers: mpsc::Receiver<Answer>,
-    sender: mpsc::Sender<Told>,
+    sender: mpsc::Sender<Reply>,
 ) -> Result<(), Failure> {
     let request = |version_info, response_nonce, refused| DiscoveryRequest {
         version_info,
@@ -110,7 +115,7 @@
         response_nonce,
         error_detail: status(refused),
     };
-    let (requests, outgoing) = mpsc::channel(WAITING);
+    let (requests, outgoing) = mpsc::channel(QUEUE_LENGTH);
     let _ = requests.try_send(request(String::new(), String::new(), None));
     let mut responses = streaming::<_, DiscoveryResponse>(channel, STREAM, Outgoing(outgoing)).await?;
     loop {
@@ -123,7 +128,7 @@
                 let (version, nonce) = (response.version_info.clone(), response.nonce.clone());
                 match state_of_the_world(&cluster, &response) {
                     Some(assignment) => {
-                        let _ = sender.send(Told::Response { call, version, nonce, assignment }).await;
+                        let _ = sender.send(Reply::Response { call, version, nonce, assignment }).await;
                     }
                     None => {
                         let _ = requests.send(request(version, nonce, None)).await;
@@ -139,18 +144,18 @@
     call: u64,
     (cluster, node): (String, String),
     mut answers: mpsc::Receiver<Answer>,
-    sender: mpsc::Sender<Told>,
+    sender: mpsc::Sender<Reply>,
 ) -> Result<(), Failure> {
     let request = |subscribe: Vec<String>, response_nonce, refused| DeltaDiscoveryRequest {
         node: Some(Node { id: node.clone() }),
         type_url: TYPE.to_owned(),
         resource_names_subscribe: subscribe,
-        // None is claimed to be known: what comes first on a stream is the present state, for it is weighed anew.
+        // No known version is announced, so that the first response on a stream contains the present state.
         initial_resource_versions: std::collections::HashMap::new(),
         response_nonce,
         error_detail: status(refused),
     };
-    let (requests, outgoing) = mpsc::channel(WAITING);
+    let (requests, outgoing) = mpsc::channel(QUEUE_LENGTH);
     let _ = requests.try_send(request(vec![cluster.clone()], String::new(), None));
     let mut responses = streaming::<_, DeltaDiscoveryResponse>(channel, DELTA, Outgoing(outgoing)).await?;
     loop {
@@ -163,7 +168,7 @@
                 let nonce = response.nonce.clone();
                 match incremental(&cluster, &response) {
                     Some((version, assignment)) => {
-                        let _ = sender.send(Told::Response { call, version, nonce, assignment }).await;
+                        let _ = sender.send(Reply::Response { call, version, nonce, assignment }).await;
                     }
                     None => {
                         let _ = requests.send(request(Vec::new(), nonce, None)).await;
@@ -174,15 +179,15 @@
     }
 }
 
-impl Line for Stream {
-    type Ask = Ask;
-    type Told = Told;
+impl Transport for XdsTransport {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn make(&mut self, ask: Ask) {
-        match ask {
-            Ask::Open { call, endpoint } => {
-                self.leave();
-                let (answers, waiting) = mpsc::channel(WAITING);
+    fn execute(&mut self, command: Command) {
+        match command {
+            Command::Open { call, endpoint } => {
+                self.close();
+                let (answers, waiting) = mpsc::channel(QUEUE_LENGTH);
                 let (sender, failed) = (self.sender.clone(), self.sender.clone());
                 let channel = self.channels[endpoint % self.channels.len()].clone();
                 let (cluster, node, incremental) = (self.cluster.clone(), self.node.clone(), self.delta);
@@ -193,29 +198,29 @@
                         world(channel, call, (cluster, node), waiting, sender).await
                     };
                     let why = ended.err().map_or_else(String::new, |status| plain(&status));
-                    let _ = failed.send(Told::Failed { call, why }).await;
+                    let _ = failed.send(Reply::Failed { call, why }).await;
                 });
-                self.under_way = Some((call, task.abort_handle(), answers));
+                self.running_stream = Some((call, task.abort_handle(), answers));
             }
-            Ask::Answer { call, version, nonce, refused } => {
-                if let Some((under_way, _, answers)) = &self.under_way
-                    && *under_way == call
+            Command::Answer { call, version, nonce, refused } => {
+                if let Some((running_stream, _, answers)) = &self.running_stream
+                    && *running_stream == call
                 {
                     let _ = answers.try_send(Answer { version, nonce, refused });
                 }
             }
-            Ask::Leave { call } => {
-                if self.under_way.as_ref().is_some_and(|(under_way, ..)| *under_way == call) {
-                    self.leave();
+            Command::Leave { call } => {
+                if self.running_stream.as_ref().is_some_and(|(running_stream, ..)| *running_stream == call) {
+                    self.close();
                 }
             }
         }
     }
 
-    async fn next(&mut self) -> Told {
-        match self.told.recv().await {
-            Some(told) => told,
-            // The sender is held here.
+    async fn next_reply(&mut self) -> Reply {
+        match self.replies.recv().await {
+            Some(reply) => reply,
+            // Never the case: this value holds a sender.
             None => std::future::pending().await,
         }
     }
--- a/membership/tests/announce.rs
+++ b/membership/tests/announce.rs
@@ -1,12 +1,12 @@
-//! An announcement against a registry in memory, in emulated time.
+//! The announcer with a registry in memory and emulated time.
 
 mod common;
 
 use common::*;
 use finchshift::Micros;
-use sloeline_membership::announce::{Announce, Ask, Settings, Told, Wanted};
+use sloeline_membership::announce::{Announcer, Command, DesiredState, Reply, Settings};
 use sloeline_membership::entry;
-use sloeline_membership::view::Standing;
+use sloeline_membership::view::MemberStatus;
 use sloeline_standin::keys::Store;
 
 const LEASE: Micros = 10 * SECOND;
@@ -14,12 +14,12 @@
 struct Host {
     now: Micros,
     store: Store,
-    /// Leases and when each runs out.
+    /// Leases and when each expires.
     leases: Vec<(i64, Micros)>,
     up: bool,
-    /// Calls arrive and are done, but nothing comes back.
+    /// Whether calls are executed but their replies are lost.
     mute: bool,
-    announce: Announce,
+    announce: Announcer,
     calls: u64,
 }
 
@@ -31,53 +31,55 @@
             lease: LEASE,
             endpoints: 2,
             instances: 1,
-            rate: 100.0,
-            answer: 2 * SECOND,
+            fleet_call_rate: 100.0,
+            response_timeout: 2 * SECOND,
         };
         let (now, store) = (1_000 * SECOND, Store::new(7));
-        let announce = Announce::new(now, settings, seed());
+        let announce = Announcer::new(now, settings, seed());
         Host { now, store, leases: Vec::new(), up: true, mute: false, announce, calls: 0 }
     }
 
     fn serve(&mut self) {
-        while let Some(ask) = self.announce.ask() {
+        while let Some(command) = self.announce.next_command() {
             self.calls += 1;
             let alive = |host: &Host, lease: i64| host.store.lives(lease);
-            let told = match ask {
-                Ask::Leave { .. } => continue,
-                Ask::Grant { call, .. }
-                | Ask::Put { call, .. }
-                | Ask::KeepAlive { call, .. }
-                | Ask::Revoke { call, .. }
+            let told = match command {
+                Command::Leave { .. } => continue,
+                Command::Grant { call, .. }
+                | Command::Put { call, .. }
+                | Command::KeepAlive { call, .. }
+                | Command::Revoke { call, .. }
                     if !self.up =>
                 {
-                    Told::Failed { call, why: "unavailable".into() }
+                    Reply::Failed { call, why: "unavailable".into() }
                 }
-                Ask::Grant { call, seconds, .. } => {
+                Command::Grant { call, seconds, .. } => {
                     let lease = self.store.grant();
                     self.leases.push((lease, self.now + seconds as u64 * SECOND));
-                    Told::Granted { call, lease }
+                    Reply::Granted { call, lease }
                 }
-                Ask::Put { call, lease, .. } if !alive(self, lease) => {
-                    Told::Failed { call, why: "etcdserver: requested lease not found".into() }
+                Command::Put { call, lease, .. } if !alive(self, lease) => {
+                    Reply::Failed { call, why: "etcdserver: requested lease not found".into() }
                 }
-                Ask::Put { call, key, value, lease, .. } => {
+                Command::Put { call, key, value, lease, .. } => {
                     self.store.put(&String::from_utf8_lossy(&key), value, lease);
-                    Told::Done { call }
+                    Reply::Done { call }
                 }
-                Ask::KeepAlive { call, lease, .. } if !alive(self, lease) => Told::Alive { call, seconds: 0 },
-                Ask::KeepAlive { call, lease, .. } => {
+                Command::KeepAlive { call, lease, .. } if !alive(self, lease) => {
+                    Reply::Alive { call, seconds: 0 }
+                }
+                Command::KeepAlive { call, lease, .. } => {
                     let (now, of) = (self.now, |l: &&mut (i64, Micros)| l.0 == lease);
                     self.leases.iter_mut().find(of).expect("it lives").1 = now + LEASE;
-                    Told::Alive { call, seconds: 10 }
+                    Reply::Alive { call, seconds: 10 }
                 }
-                Ask::Revoke { call, lease, .. } => {
+                Command::Revoke { call, lease, .. } => {
                     self.store.end(lease);
-                    Told::Done { call }
+                    Reply::Done { call }
                 }
             };
             if !self.mute {
-                self.announce.told(self.now, told);
+                self.announce.handle_reply(self.now, told);
             }
         }
     }
@@ -104,7 +106,7 @@
         }
     }
 
-    fn standing(&self) -> Option<Standing> {
+    fn status(&self) -> Option<MemberStatus> {
         let all = self.store.range(b"/p/nodes/", b"/p/nodes0", 0).unwrap_or_default();
         let (_, pair) = all.first()?;
         let member = entry::read("me", &pair.value, 0).expect("an entry");
@@ -113,7 +115,7 @@
             (&node("me", 80), true),
             "on a lease, with its own start"
         );
-        Some(member.standing)
+        Some(member.status)
     }
 }
 
@@ -121,84 +123,84 @@
 fn announced_kept_and_taken_back() {
     let mut host = Host::new();
     host.pass(5 * SECOND);
-    assert_eq!((host.standing(), host.calls), (None, 0), "nothing before it is ready");
-    host.announce.want(host.now, Wanted::Serving);
+    assert_eq!((host.status(), host.calls), (None, 0), "nothing before it is ready");
+    host.announce.set_desired(host.now, DesiredState::Serving);
     host.pass(SECOND);
-    assert!(host.announce.stands());
+    assert!(host.announce.is_current());
     let revision = host.store.revision;
     host.pass(600 * SECOND);
     assert_eq!(
-        (host.standing(), host.store.revision),
-        (Some(Standing::Serving), revision),
+        (host.status(), host.store.revision),
+        (Some(MemberStatus::Serving), revision),
         "kept, and not written again"
     );
     assert!(host.calls < 190, "a third of the lease between calls: {}", host.calls);
-    host.announce.want(host.now, Wanted::Draining);
+    host.announce.set_desired(host.now, DesiredState::Draining);
     host.pass(10 * MS);
-    assert_eq!((host.standing(), host.announce.stands()), (Some(Standing::Draining), true));
-    host.announce.want(host.now, Wanted::Gone);
+    assert_eq!((host.status(), host.announce.is_current()), (Some(MemberStatus::Draining), true));
+    host.announce.set_desired(host.now, DesiredState::Gone);
     host.pass(10 * MS);
-    assert_eq!((host.standing(), host.announce.due()), (None, None));
-    host.announce.want(host.now, Wanted::Serving);
+    assert_eq!((host.status(), host.announce.due()), (None, None));
+    host.announce.set_desired(host.now, DesiredState::Serving);
     host.pass(60 * SECOND);
-    assert_eq!(host.standing(), None, "what has gone does not come back");
+    assert_eq!(host.status(), None, "what has gone does not come back");
 }
 
 #[test]
 fn a_registry_that_flaps_makes_no_entry_flap() {
     let mut host = Host::new();
-    host.announce.want(host.now, Wanted::Serving);
+    host.announce.set_desired(host.now, DesiredState::Serving);
     host.pass(SECOND);
     let revision = host.store.revision;
-    // Away for less than the lease, again and again.
+    // The registry is repeatedly unreachable for less than the duration of the lease.
     for _ in 0..50 {
         host.up = false;
         host.pass(5 * SECOND);
         host.up = true;
         host.pass(5 * SECOND);
-        assert_eq!((host.standing(), host.store.revision), (Some(Standing::Serving), revision));
+        assert_eq!((host.status(), host.store.revision), (Some(MemberStatus::Serving), revision));
     }
-    // Away for longer: the lease has run out there, and the entry stands again with the same start.
+    // Unreachable for longer: the lease has expired, and the entry is written again with the same start.
     host.up = false;
     host.pass(60 * SECOND);
-    assert_eq!(host.standing(), None);
+    assert_eq!(host.status(), None);
     host.up = true;
     host.pass(5 * SECOND);
-    assert_eq!((host.standing(), host.store.revision), (Some(Standing::Serving), revision + 2));
-    // Calls that are done and whose answers are lost: still one entry, under one lease that lives.
+    assert_eq!((host.status(), host.store.revision), (Some(MemberStatus::Serving), revision + 2));
+    // Calls are executed but their replies are lost: there is still one entry with one valid lease.
     host.mute = true;
     host.pass(6 * SECOND);
     host.mute = false;
     host.pass(10 * SECOND);
-    assert_eq!((host.standing(), host.announce.stands()), (Some(Standing::Serving), true));
+    assert_eq!((host.status(), host.announce.is_current()), (Some(MemberStatus::Serving), true));
 }
 
 #[test]
 fn an_order_to_drain_waits_for_nothing() {
-    // While the entry is still on its way, while the registry is away, before there is one.
+    // A drain before the entry is written, and while the registry is unreachable.
     let mut host = Host::new();
-    host.announce.want(host.now, Wanted::Serving);
+    host.announce.set_desired(host.now, DesiredState::Serving);
     host.mute = true;
     host.serve();
-    host.announce.want(host.now, Wanted::Draining);
+    host.announce.set_desired(host.now, DesiredState::Draining);
     host.mute = false;
     host.pass(5 * SECOND);
-    assert_eq!(host.standing(), None, "it drains and was never there");
+    assert_eq!(host.status(), None, "it drains and was never there");
 
     let mut host = Host::new();
-    host.announce.want(host.now, Wanted::Serving);
+    host.announce.set_desired(host.now, DesiredState::Serving);
     host.pass(SECOND);
     host.up = false;
     host.pass(4 * SECOND);
-    host.announce.want(host.now, Wanted::Draining);
+    host.announce.set_desired(host.now, DesiredState::Draining);
     host.pass(SECOND);
-    assert!(!host.announce.stands());
+    assert!(!host.announce.is_current());
     host.up = true;
     host.pass(5 * SECOND);
-    assert_eq!((host.standing(), host.announce.stands()), (Some(Standing::Draining), true));
-    // One that can't be revoked runs out by itself.
+    assert_eq!((host.status(), host.announce.is_current()), (Some(MemberStatus::Draining), true));
+    // A lease that cannot be revoked expires.
     host.up = false;
-    host.announce.want(host.now, Wanted::Gone);
+    host.announce.set_desired(host.now, DesiredState::Gone);
     host.pass(11 * SECOND);
-    assert_eq!((host.standing(), host.announce.due()), (None, None));
+    assert_eq!((host.status(), host.announce.due()), (None, None));
 }
--- a/membership/tests/common/mod.rs
+++ b/membership/tests/common/mod.rs
@@ -1,23 +1,23 @@
-//! A world in which an etcd source meets a registry of three members that lags, breaks, compacts, fragments and fails over,
-//! all by a seed and in emulated time; what the source says is held against the registry's own past at every event.
+//! Simulates an etcd source and a registry with three members that lag, fail, compact, fragment responses and fail over, with a
+//! seeded random generator and emulated time. The view of the source is compared with the history of the registry.
 #![allow(dead_code, reason = "each test file uses its part")]
 
 use std::collections::BTreeMap;
 
 use finchshift::{Micros, ServerState};
-use sloeline_membership::doubt::Rules;
 use sloeline_membership::entry;
-use sloeline_membership::etcd::{Ask, Etcd, Event, Header, KeyValue, Settings, Told};
+use sloeline_membership::etcd::{Command, Etcd, Event, Header, KeyValue, Reply, Settings};
 use sloeline_membership::merge::Members;
-use sloeline_membership::source::Machine;
-use sloeline_membership::view::{Node, Standing};
+use sloeline_membership::plausibility::PlausibilityRules;
+use sloeline_membership::source::SourceProtocol;
+use sloeline_membership::view::{MemberStatus, Node};
 use sloeline_standin::keys::{Changed, Pair, Store};
 
 pub const PREFIX: &str = "/p/";
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
 
-/// A seed from the environment, or drawn; printed.
+/// Returns a seed from the environment or a random one, and prints it.
 pub fn seed() -> u64 {
     let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or_else(|| fastrand::u64(..));
     println!("SEED={seed}");
@@ -29,11 +29,11 @@
         prefix: PREFIX.to_owned(),
         endpoints: 3,
         instances: 1,
-        rate: 100.0,
-        check: 5 * SECOND,
-        patience: SECOND,
-        answer: 3 * SECOND,
-        believe_after: 30 * SECOND,
+        fleet_call_rate: 100.0,
+        check_interval: 5 * SECOND,
+        max_watch_lag: SECOND,
+        response_timeout: 3 * SECOND,
+        acceptance_delay: 30 * SECOND,
     }
 }
 
@@ -57,8 +57,8 @@
     format!("{PREFIX}drains/{name}")
 }
 
-pub fn value(name: &str, standing: Standing) -> Vec<u8> {
-    entry::write(&node(name, 80), standing)
+pub fn value(name: &str, status: MemberStatus) -> Vec<u8> {
+    entry::write(&node(name, 80), status)
 }
 
 fn pair(key: &[u8], p: &Pair) -> KeyValue {
@@ -74,16 +74,16 @@
     }
 }
 
-/// How a member of the registry behaves.
+/// Faults of a member of the registry.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Fault {
-    /// It answers nothing, and its watches break.
+    /// It fails all calls, and its watches break.
     pub down: bool,
-    /// It takes calls and answers none.
+    /// It accepts calls and never responds.
     pub silent: bool,
-    /// Its watches stay open and say nothing, not even how far they are.
+    /// Its watches stay open without events or progress notifications.
     pub deaf: bool,
-    /// It knows nothing past this revision, and answers all the same as if it were the newest.
+    /// It knows no later revision than this one, but responds as if it were the newest.
     pub behind: Option<i64>,
 }
 
@@ -94,32 +94,32 @@
     end: Vec<u8>,
 }
 
-/// The world.
+/// The simulated source and registry.
 pub struct World {
     pub now: Micros,
     pub store: Store,
     pub faults: [Fault; 3],
     pub etcd: Etcd,
     pub members: Members,
-    /// What the engine was told.
+    /// The state of each member as it was passed to the engine.
     pub told: BTreeMap<String, ServerState>,
-    /// Answers on their way, by the time at which they arrive.
-    answers: BTreeMap<(Micros, u64), Told>,
+    /// Replies in transit, by the time of their arrival.
+    answers: BTreeMap<(Micros, u64), Reply>,
     sent: u64,
     watches: BTreeMap<u64, Watch>,
     pub rng: fastrand::Rng,
-    /// Calls of each kind: ranges of everything, watches, checks, leases.
+    /// Number of calls by kind: ranges, watches, checks, leases.
     pub calls: [u64; 4],
-    /// How often the engine was told something.
+    /// How often changes were passed to the engine.
     pub tellings: u64,
-    /// Answers take this much longer.
+    /// Additional delay of replies.
     pub slow: Micros,
-    /// Answers come in pieces, and are broken off in between, with this chance.
+    /// Probability that a response is fragmented; half of it is the probability that it breaks off between fragments.
     pub fragments: f64,
 }
 
 impl World {
-    pub fn with(seed: u64, settings: Settings, rules: Rules) -> World {
+    pub fn with(seed: u64, settings: Settings, rules: PlausibilityRules) -> World {
         let now = 1_000 * SECOND;
         World {
             now,
@@ -139,9 +139,9 @@
         }
     }
 
-    fn send(&mut self, told: Told) {
+    fn send(&mut self, told: Reply) {
         self.sent += 1;
-        // In order for each call: later ones are never sooner.
+        // Replies arrive in the order in which they were sent.
         let delay = self.slow + 200 + self.rng.u64(..2 * MS);
         let last = self.answers.keys().next_back().map_or(0, |(at, _)| *at);
         self.answers.insert(((self.now + delay).max(last), self.sent), told);
@@ -155,7 +155,7 @@
         Header { cluster: self.store.cluster, revision: self.seen(endpoint) }
     }
 
-    /// The registry's members tell their watches what has happened.
+    /// Sends the pending events to all watches.
     pub fn push(&mut self) {
         let mut out = Vec::new();
         for (call, watch) in &mut self.watches {
@@ -185,31 +185,31 @@
                 if n > 0 && self.rng.f64() < self.fragments / 2.0 {
                     out.push((
                         *call,
-                        Told::Failed { call: *call, why: "broken off".into(), compacted: false },
+                        Reply::Failed { call: *call, why: "broken off".into(), compacted: false },
                     ));
                     break;
                 }
                 let fragment = n < last;
                 let told =
-                    Told::Watch { call: *call, header, canceled: false, compacted: 0, fragment, events };
+                    Reply::Watch { call: *call, header, canceled: false, compacted: 0, fragment, events };
                 out.push((*call, told));
             }
         }
         for (call, told) in out {
-            if matches!(told, Told::Failed { .. }) {
+            if matches!(told, Reply::Failed { .. }) {
                 self.watches.remove(&call);
             }
             self.send(told);
         }
     }
 
-    /// Every watch is told everything again from a revision on.
+    /// Sends all events since a revision to every watch again.
     pub fn repeat(&mut self, from: i64) {
         self.watches.values_mut().for_each(|watch| watch.next = from);
         self.push();
     }
 
-    /// A member's faults change; one that goes down breaks its watches.
+    /// Sets the faults of a member. The watches of a member that goes down break.
     pub fn fault(&mut self, endpoint: usize, fault: Fault) {
         self.faults[endpoint] = fault;
         if fault.down {
@@ -217,22 +217,22 @@
                 self.watches.iter().filter(|(_, w)| w.endpoint == endpoint).map(|(c, _)| *c).collect();
             for call in broken {
                 self.watches.remove(&call);
-                self.send(Told::Failed { call, why: "down".into(), compacted: false });
+                self.send(Reply::Failed { call, why: "down".into(), compacted: false });
             }
         }
         self.push();
     }
 
-    fn answer(&mut self, ask: Ask) {
-        if let Ask::Range { endpoint, count_only: false, .. } = &ask
+    fn answer(&mut self, command: Command) {
+        if let Command::Range { endpoint, count_only: false, .. } = &command
             && self.faults[*endpoint].silent
         {
             self.calls[0] += 1;
             return;
         }
-        let failed = |call, compacted| Told::Failed { call, why: "failed".into(), compacted };
-        match ask {
-            Ask::Range { call, endpoint, from, end, revision, limit, count_only } => {
+        let failed = |call, compacted| Reply::Failed { call, why: "failed".into(), compacted };
+        match command {
+            Command::Range { call, endpoint, from, end, revision, limit, count_only } => {
                 self.calls[if count_only { 2 } else { 0 }] += 1;
                 if self.faults[endpoint].down {
                     return self.send(failed(call, false));
@@ -246,11 +246,11 @@
                         let more = all.len() > limit as usize;
                         let kvs = all.iter().take(limit as usize).map(|(k, p)| pair(k, p));
                         let kvs = if count_only { Vec::new() } else { kvs.collect() };
-                        self.send(Told::Range { call, header, kvs, more });
+                        self.send(Reply::Range { call, header, kvs, more });
                     }
                 }
             }
-            Ask::Watch { call, endpoint, from, end, start } => {
+            Command::Watch { call, endpoint, from, end, start } => {
                 self.calls[1] += 1;
                 if self.faults[endpoint].down {
                     return self.send(failed(call, false));
@@ -258,19 +258,19 @@
                 let header = self.header(endpoint);
                 let compacted = if start <= self.store.compacted { self.store.compacted } else { 0 };
                 let (canceled, events, fragment) = (compacted > 0, Vec::new(), false);
-                self.send(Told::Watch { call, header, canceled, compacted, fragment, events });
+                self.send(Reply::Watch { call, header, canceled, compacted, fragment, events });
                 if !canceled {
                     self.watches.insert(call, Watch { endpoint, next: start, from, end });
                     self.push();
                 }
             }
-            Ask::Progress { call } => {
+            Command::Progress { call } => {
                 let Some(watch) = self.watches.get(&call) else { return };
                 if self.faults[watch.endpoint].deaf {
                     return;
                 }
                 let header = self.header(watch.endpoint);
-                let told = Told::Watch {
+                let told = Reply::Watch {
                     call,
                     header,
                     canceled: false,
@@ -280,25 +280,25 @@
                 };
                 self.send(told);
             }
-            Ask::Lease { call, endpoint, lease } => {
+            Command::Lease { call, endpoint, lease } => {
                 self.calls[3] += 1;
                 let ttl = if self.store.lives(lease) { 9 } else { -1 };
                 let down = self.faults[endpoint].down;
-                self.send(if down { failed(call, false) } else { Told::Lease { call, ttl } });
+                self.send(if down { failed(call, false) } else { Reply::Lease { call, ttl } });
             }
-            Ask::Leave { call } => {
+            Command::Leave { call } => {
                 self.watches.remove(&call);
             }
         }
     }
 
-    /// Takes what the source says and hands it on to the engine's picture.
+    /// Executes the commands of the source, and passes its updates on.
     pub fn settle(&mut self) {
-        while let Some(ask) = self.etcd.ask() {
-            self.answer(ask);
+        while let Some(command) = self.etcd.next_command() {
+            self.answer(command);
         }
-        while let Some(news) = self.etcd.news() {
-            let taken = self.members.take(self.now, 0, news);
+        while let Some(update) = self.etcd.next_update() {
+            let taken = self.members.apply(self.now, 0, update);
             assert_eq!(taken, Ok(()), "the machine itself never goes back");
         }
         self.members.health(0, self.etcd.health().clone());
@@ -318,25 +318,25 @@
         }
     }
 
-    /// The next moment at which something happens by itself.
+    /// Time of the next event.
     pub fn due(&self) -> Micros {
         let answer = self.answers.keys().next().map(|(at, _)| *at);
         let due = [Some(self.etcd.due()), answer, self.members.due()];
         due.into_iter().flatten().min().unwrap_or(Micros::MAX)
     }
 
-    /// One step of what happens by itself.
+    /// Executes the next event.
     pub fn step(&mut self) {
         self.now = self.due().max(self.now);
         if let Some(entry) = self.answers.first_entry().filter(|e| e.key().0 <= self.now) {
             let told = entry.remove();
-            self.etcd.told(self.now, told);
+            self.etcd.handle_reply(self.now, told);
         }
         self.etcd.tick(self.now);
         self.settle();
     }
 
-    /// Goes on until then; `each` looks after every step.
+    /// Executes all events until a time, and calls `each` after every one.
     pub fn until(&mut self, at: Micros, mut each: impl FnMut(&World)) {
         while self.due() <= at {
             self.step();
@@ -351,7 +351,7 @@
         ready.map(|(name, _)| name.as_str()).collect()
     }
 
-    /// What the registry had at a revision: each node, and whether it was to serve.
+    /// The nodes in the registry at a revision, and whether each was to serve.
     pub fn truth(&self, revision: i64) -> BTreeMap<String, bool> {
         let mut past = self.store.clone();
         past.compacted = 0;
@@ -367,7 +367,7 @@
             if let Some(id) = name(k, "nodes")
                 && let Ok(member) = entry::read(&id, &p.value, 0)
             {
-                let serves = member.standing == Standing::Serving && !drained.contains(&id);
+                let serves = member.status == MemberStatus::Serving && !drained.contains(&id);
                 truth.insert(id, serves);
             }
         }
@@ -375,12 +375,12 @@
     }
 }
 
-/// What is looked at after every step.
+/// Invariants that are checked after every event.
 pub struct Watcher {
     pub seed: u64,
     highest: i64,
     pub epoch: u64,
-    /// Since when no member of the registry was as it should be for so long that the source could go round all of them.
+    /// Since when no member of the registry was free of faults for long enough to be reached by the source.
     unwell: Option<Micros>,
     well: Option<Micros>,
 }
@@ -390,9 +390,9 @@
         Watcher { seed, highest: 0, epoch: 0, unwell: None, well: None }
     }
 
-    /// The view is the registry's as it was at the revision that the source has applied: no drain is missed, nothing that
-    /// was told rises again. It goes back only to another epoch, after the registry was away for long; from then on what
-    /// was drained before may stay out, but nothing more than the registry says takes requests.
+    /// Checks that the view equals the registry at the applied revision: no drain is missed, and no removed node returns. The
+    /// view may go back only in another epoch, after the registry was unreachable for long. Then nodes that were drained before
+    /// may stay out, but no node serves that does not serve in the registry.
     pub fn holds(&mut self, world: &World) {
         let seed = self.seed;
         if world.faults.contains(&Fault::default()) {
@@ -405,9 +405,9 @@
         let Some(applied) = world.etcd.applied() else { return };
         let epoch = world.members.sources().next().and_then(|s| s.2).map_or(0, |r| r.epoch);
         if epoch > self.epoch {
-            // The last good answer may have come just before.
+            // The last confirmed response may have arrived just before.
             let away = self.unwell.map_or(0, |since| world.now - since) + 10 * SECOND;
-            assert!(away >= settings().believe_after, "SEED={seed}: another epoch after {away} us");
+            assert!(away >= settings().acceptance_delay, "SEED={seed}: another epoch after {away} us");
             (self.epoch, self.highest) = (epoch, 0);
         }
         assert!(
--- a/membership/tests/consul.rs
+++ b/membership/tests/consul.rs
@@ -1,13 +1,13 @@
-//! A Consul source against a stand-in in emulated time.
+//! A Consul source with a simulated registry and emulated time.
 
 use std::collections::BTreeMap;
 
 use finchshift::{Micros, ServerState};
-use sloeline_membership::consul::{Ask, Consul, Entry, Mode, Settings, Told};
-use sloeline_membership::doubt::{Reason, Rules};
+use sloeline_membership::consul::{Command, Consul, Entry, Mode, Reply, Settings};
 use sloeline_membership::merge::Members;
-use sloeline_membership::source::Machine;
-use sloeline_membership::view::Standing;
+use sloeline_membership::plausibility::{PlausibilityRules, Reason};
+use sloeline_membership::source::SourceProtocol;
+use sloeline_membership::view::MemberStatus;
 
 const SECOND: Micros = 1_000_000;
 
@@ -16,16 +16,16 @@
         service: "checks".to_owned(),
         endpoints: 3,
         instances: 1,
-        rate: 100.0,
-        wait: 10 * SECOND,
-        answer: 2 * SECOND,
-        apart: SECOND / 10,
-        most_stale: 5 * SECOND,
-        stale: false,
+        fleet_call_rate: 100.0,
+        poll_wait: 10 * SECOND,
+        response_timeout: 2 * SECOND,
+        min_poll_interval: SECOND / 10,
+        max_staleness: 5 * SECOND,
+        allow_stale: false,
     }
 }
 
-/// An instance as Consul's interface words it.
+/// An instance in the format of Consul's API.
 fn instance(name: &str, made: u64, changed: u64, checks: &str) -> Entry {
     let text = format!(
         r#"{{"Node":{{"Node":"host","Address":"10.0.0.1","Meta":{{"zone":"far","cell":"3"}}}},
@@ -40,14 +40,14 @@
     format!(r#"{{"CheckID":"{id}","Status":"{status}","ModifyIndex":2}}"#)
 }
 
-/// A server of the registry, as it answers now.
+/// State of a server of the registry.
 #[derive(Clone, Copy, PartialEq)]
 enum Server {
     Well,
     Down,
-    /// It answers from an old copy and has not heard of a leader.
+    /// It responds from an outdated copy and has no contact to a leader.
     Lost,
-    /// It answers from an old copy as if that were the newest.
+    /// It responds from an outdated copy as if that were the newest.
     Behind,
 }
 
@@ -59,7 +59,7 @@
     servers: [Server; 3],
     consul: Consul,
     members: Members,
-    /// The question that waits: its call, server, index, end and mode.
+    /// The held query: its call, server, index, end and mode.
     asked: Option<(u64, usize, u64, Micros, Mode)>,
     calls: u64,
 }
@@ -67,7 +67,7 @@
 impl World {
     fn new(seed: u64, settings: Settings) -> World {
         let now = 1_000 * SECOND;
-        let rules = Rules { accept: true, ..Rules::default() };
+        let rules = PlausibilityRules { accept_losses: true, ..PlausibilityRules::default() };
         World {
             now,
             index: 5,
@@ -92,11 +92,11 @@
     fn answer(&mut self) {
         let Some((call, server, asked, until, mode)) = self.asked else { return };
         let state = self.servers[server];
-        // A consistent read needs the quorum: whoever has none does not answer it.
+        // A consistent read needs a quorum.
         let told = match state {
-            Server::Down => Told::Failed { call, why: "down".into() },
+            Server::Down => Reply::Failed { call, why: "down".into() },
             Server::Lost | Server::Behind if mode == Mode::Consistent => {
-                Told::Failed { call, why: "no leader".into() }
+                Reply::Failed { call, why: "no leader".into() }
             }
             _ => {
                 let old = state != Server::Well;
@@ -107,7 +107,7 @@
                 }
                 let (leader, last_contact) =
                     (state != Server::Lost, if state == Server::Lost { 60 * SECOND } else { 0 });
-                Told::Answer {
+                Reply::Answer {
                     call,
                     index,
                     leader,
@@ -117,23 +117,23 @@
             }
         };
         self.asked = None;
-        self.consul.told(self.now, told);
+        self.consul.handle_reply(self.now, told);
     }
 
     fn until(&mut self, at: Micros) {
         loop {
-            while let Some(ask) = self.consul.ask() {
-                match ask {
-                    Ask::Query { call, endpoint, index, wait, mode } => {
+            while let Some(command) = self.consul.next_command() {
+                match command {
+                    Command::Query { call, endpoint, index, wait, mode } => {
                         self.calls += 1;
                         self.asked = Some((call, endpoint, index, self.now + wait, mode));
                     }
-                    Ask::Leave { .. } => self.asked = None,
+                    Command::Leave { .. } => self.asked = None,
                 }
             }
-            while let Some(news) = self.consul.news() {
+            while let Some(update) = self.consul.next_update() {
                 assert_eq!(
-                    self.members.take(self.now, 0, news),
+                    self.members.apply(self.now, 0, update),
                     Ok(()),
                     "the machine itself never goes back"
                 );
@@ -173,23 +173,23 @@
 #[test]
 fn what_an_instance_says_of_itself() {
     let cases = [
-        ("", Standing::Serving, 4.0),
-        (r#"{"CheckID":"a","Status":"passing"}"#, Standing::Serving, 4.0),
-        (r#"{"CheckID":"a","Status":"warning"}"#, Standing::Serving, 1.0),
-        (r#"{"CheckID":"a","Status":"critical"}"#, Standing::Unhealthy, 4.0),
-        (r#"{"CheckID":"_node_maintenance","Status":"critical"}"#, Standing::Maintenance, 4.0),
+        ("", MemberStatus::Serving, 4.0),
+        (r#"{"CheckID":"a","Status":"passing"}"#, MemberStatus::Serving, 4.0),
+        (r#"{"CheckID":"a","Status":"warning"}"#, MemberStatus::Serving, 1.0),
+        (r#"{"CheckID":"a","Status":"critical"}"#, MemberStatus::Unhealthy, 4.0),
+        (r#"{"CheckID":"_node_maintenance","Status":"critical"}"#, MemberStatus::Maintenance, 4.0),
         (
             r#"{"CheckID":"a","Status":"critical"},{"CheckID":"_service_maintenance:a","Status":"critical"}"#,
-            Standing::Maintenance,
+            MemberStatus::Maintenance,
             4.0,
         ),
     ];
-    for (checks, standing, weight) in cases {
+    for (checks, status, weight) in cases {
         let mut world = World::new(1, settings());
         world.set("a", Some(instance("a", 6, 6, checks)));
         world.pass(SECOND);
-        let verdict = world.members.verdict("host/a").expect("listed");
-        assert_eq!((verdict.reason, verdict.listed.weight), (Reason::Told(standing), weight), "{checks}");
+        let verdict = world.members.resolve("host/a").expect("listed");
+        assert_eq!((verdict.reason, verdict.listed.weight), (Reason::Reported(status), weight), "{checks}");
         let (zone, cell) = (verdict.listed.zone.as_str(), verdict.listed.cell);
         assert_eq!((zone, cell), ("near", 3), "the instance's own word before its machine's");
     }
@@ -202,26 +202,26 @@
     world.set("b", Some(instance("b", 7, 7, "")));
     world.pass(SECOND);
     assert_eq!(world.serving(), ["a", "b"]);
-    // Quiet: one question a wait. Then a change is known at once.
+    // Without changes there is one query per hold. A change is known at once.
     let before = world.calls;
     world.pass(100 * SECOND);
     assert!((9..=11).contains(&(world.calls - before)), "{}", world.calls - before);
     world.set("a", Some(instance("a", 6, 8, &check("_service_maintenance:a", "critical"))));
     world.pass(SECOND / 5);
     assert_eq!(world.serving(), ["b"]);
-    // Ten thousand changes a second are asked after ten times.
+    // With ten thousand changes per second there are ten queries.
     let before = world.calls;
     for _ in 0..10_000 {
         world.set("b", Some(instance("b", 7, 9, "")));
         world.pass(100);
     }
     assert!(world.calls - before <= 12, "{}", world.calls - before);
-    // Registered anew without a start of its own: it counts as started then.
-    assert_eq!(world.members.verdict("host/b").and_then(|v| v.listed.started), None);
+    // An instance that is registered again without a start counts as restarted.
+    assert_eq!(world.members.resolve("host/b").and_then(|v| v.listed.started), None);
     world.set("b", Some(instance("b", 90_000, 90_000, "")));
     world.pass(SECOND);
-    assert!(world.members.verdict("host/b").and_then(|v| v.listed.started).is_some());
-    // What cannot be read leaves what was known; what is new and unreadable is passed over.
+    assert!(world.members.resolve("host/b").and_then(|v| v.listed.started).is_some());
+    // An unreadable entry leaves the known member; an unreadable new entry is ignored.
     for name in ["b", "c"] {
         let mut garbage = instance(name, 1, 1, "");
         garbage.node.address = "nowhere".into();
@@ -262,14 +262,14 @@
     world.set("a", Some(instance("a", 6, 60, r#"{"CheckID":"_node_maintenance","Status":"critical"}"#)));
     world.pass(SECOND);
     assert_eq!(world.serving(), [""; 0]);
-    // Two of three are behind, before the maintenance: asked in turns, they take nothing back.
+    // Two of three servers are behind, with a state before the maintenance: they do not revoke it.
     world.old = (20, BTreeMap::from([("a".to_owned(), instance("a", 6, 6, ""))]));
     for server in [Server::Behind, Server::Lost] {
         world.servers = [Server::Well, server, server];
         for _ in 0..20 {
             world.pass(7 * SECOND);
             assert_eq!(world.serving(), [""; 0]);
-            // Whoever answers is asked again by another way.
+            // Another server is queried first in each round.
             world.servers.rotate_left(1);
         }
         world.pass(30 * SECOND);
@@ -277,7 +277,7 @@
     assert!(world.consul.health().refused > 0);
     let epoch = |w: &World| w.members.sources().next().and_then(|s| s.2).map(|r| r.epoch);
     assert_eq!(epoch(&world), Some(0));
-    // Restored from a backup, so says the leader with its quorum: another epoch, and what was ordered out stays out.
+    // Restored from a backup, as the leader with its quorum confirms: another epoch, in which orders remain.
     world.servers = [Server::Well; 3];
     (world.index, world.entries) = world.old.clone();
     world.pass(30 * SECOND);
@@ -287,7 +287,7 @@
     assert_eq!(world.serving(), ["a"], "written anew");
 }
 
-/// Whatever happens on the way, once all is well the view is the registry's within two waits.
+/// Guards against views that differ from the registry's two holds after all faults have ended.
 #[test]
 fn random_histories_end_with_the_registry_s_own_view() {
     let first = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or_else(|| fastrand::u64(..));
@@ -295,7 +295,7 @@
     for n in 0..1000 {
         let seed = u64::wrapping_add(first, n);
         let mut rng = fastrand::Rng::with_seed(seed);
-        let mut world = World::new(seed, Settings { stale: rng.bool(), ..settings() });
+        let mut world = World::new(seed, Settings { allow_stale: rng.bool(), ..settings() });
         for _ in 0..40 {
             let name = ["a", "b", "c"][rng.usize(..3)];
             match rng.u8(..8) {
--- a/membership/tests/exhaustive.rs
+++ b/membership/tests/exhaustive.rs
@@ -1,12 +1,12 @@
-//! Every interleaving, up to a depth, of what can happen to two nodes and a registry that is well, behind or away.
+//! All sequences, up to a length, of events at two nodes and a registry that is reachable, behind or unreachable.
 
 mod common;
 
 use common::*;
-use sloeline_membership::doubt::Rules;
-use sloeline_membership::view::Standing;
+use sloeline_membership::plausibility::PlausibilityRules;
+use sloeline_membership::view::MemberStatus;
 
-/// Changes to the first node, states of the registry, and time that passes.
+/// Number of different events: changes of the first node, states of the registry, and pauses.
 const ACTIONS: usize = 10;
 const DEPTH: u32 = 4;
 
@@ -15,7 +15,7 @@
         0 => world.store.put(&drain("a"), "", 0),
         1 => world.store.delete(&drain("a")),
         2 => world.store.delete(&key("a")),
-        3 => world.store.put(&key("a"), value("a", Standing::Serving), 0),
+        3 => world.store.put(&key("a"), value("a", MemberStatus::Serving), 0),
         4 => world.store.compact(world.store.revision),
         5 => (0..3).for_each(|e| world.fault(e, Fault { down: true, ..Fault::default() })),
         6 => {
@@ -23,7 +23,7 @@
             (1..3).for_each(|e| world.fault(e, Fault { behind, ..Fault::default() }));
         }
         7 => (0..3).for_each(|e| world.fault(e, Fault::default())),
-        // One exchange, or a check of the watch and what follows from it.
+        // Long enough for one exchange, or for a check of the watch and its consequences.
         8 => {
             let at = world.now + 5 * MS;
             world.until(at, |w| watcher.holds(w));
@@ -43,10 +43,14 @@
     let all = ACTIONS.pow(DEPTH);
     for history in 0..all {
         let seed = history as u64;
-        let mut world = World::with(seed, settings(), Rules { accept: true, ..Rules::default() });
+        let mut world = World::with(
+            seed,
+            settings(),
+            PlausibilityRules { accept_losses: true, ..PlausibilityRules::default() },
+        );
         let mut watcher = Watcher::new(seed);
-        world.store.put(&key("a"), value("a", Standing::Serving), 0);
-        world.store.put(&key("b"), value("b", Standing::Serving), 0);
+        world.store.put(&key("a"), value("a", MemberStatus::Serving), 0);
+        world.store.put(&key("b"), value("b", MemberStatus::Serving), 0);
         let at = world.now + 50 * MS;
         world.until(at, |w| watcher.holds(w));
         let mut rest = history;
