--- a/membership/tests/hard.rs
+++ b/membership/tests/hard.rs
@@ -1,20 +1,20 @@
-//! Hard cases of a registry with watches, each by name.
+//! Rare failures of a registry with watches.
 
 mod common;
 
 use common::*;
 use finchshift::ServerState;
-use sloeline_membership::doubt::{Reason, Rules};
 use sloeline_membership::entry;
-use sloeline_membership::source::Machine;
-use sloeline_membership::view::{Node, Standing};
+use sloeline_membership::plausibility::{PlausibilityRules, Reason};
+use sloeline_membership::source::SourceProtocol;
+use sloeline_membership::view::{MemberStatus, Node};
 use sloeline_standin::keys::Write;
 
-const SERVING: Standing = Standing::Serving;
+const SERVING: MemberStatus = MemberStatus::Serving;
 
-/// A world with these nodes, known to the source; `lease` makes one for each.
+/// Creates a registry with these nodes, which the source knows; `lease` gives each a lease.
 fn with(names: &[&str], lease: bool) -> World {
-    let mut world = World::with(seed(), settings(), Rules::default());
+    let mut world = World::with(seed(), settings(), PlausibilityRules::default());
     for name in names {
         let lease = if lease { world.store.grant() } else { 0 };
         world.store.put(&key(name), value(name, SERVING), lease);
@@ -38,7 +38,7 @@
     Fault { down: true, ..Fault::default() }
 }
 
-/// Within this a watch that is deaf has been found out, a new one too, and everything has been read again.
+/// Within this time a stalled watch is detected, the next one too, and everything is read again.
 const DEAF: u64 = 2 * (6 + 1 + 4) * SECOND;
 
 #[test]
@@ -57,14 +57,14 @@
     all(&mut world, Fault::default());
     pass(&mut world, 10 * SECOND);
     assert_eq!(world.serving(), ["a"]);
-    let started = world.members.verdict("a").and_then(|v| v.listed.started);
+    let started = world.members.resolve("a").and_then(|v| v.listed.started);
     assert_eq!(started, Some(900 * SECOND), "it has started again: it is cold");
     assert_eq!(world.calls[0], ranges + 1, "one range, of everything");
 }
 
 #[test]
 fn a_drain_between_the_range_and_the_watch() {
-    let mut world = World::with(seed(), settings(), Rules::default());
+    let mut world = World::with(seed(), settings(), PlausibilityRules::default());
     for name in ["a", "b"] {
         world.store.put(&key(name), value(name, SERVING), 0);
     }
@@ -86,7 +86,7 @@
     world.store.put(&drain("a"), "", 0);
     pass(&mut world, DEAF);
     assert_eq!(world.serving(), ["b"]);
-    // A member that is well hears what comes then.
+    // A member without faults sends later events.
     all(&mut world, Fault::default());
     pass(&mut world, DEAF);
     let ranges = world.calls[0];
@@ -104,7 +104,7 @@
     pass(&mut world, DEAF);
     assert_eq!(world.serving(), ["b"]);
     let before = world.members.sources().next().and_then(|s| s.2);
-    // Reconnections that come to the one that is behind do not take the drain back.
+    // Reconnections to the member that is behind do not revoke the drain.
     for endpoint in [1, 2, 1, 2] {
         world.fault(endpoint, down());
         pass(&mut world, 3 * SECOND);
@@ -136,7 +136,7 @@
     world.store.delete(&drain("a"));
     pass(&mut world, 100 * MS);
     let revision = world.members.sources().next().and_then(|s| s.2);
-    // A server that tells the past again, as some did after a break.
+    // A server that sends past events again, as some did after a failure.
     world.repeat(2);
     pass(&mut world, 100 * MS);
     assert_eq!(
@@ -144,7 +144,7 @@
         (vec!["a", "b"], revision)
     );
     assert_eq!(world.tellings, 3, "the first list, the drain, its end");
-    // And one that tells it up to the drain only.
+    // A server that sends past events again, but only up to the drain.
     let behind = Some(world.store.revision - 1);
     all(&mut world, Fault { behind, ..Fault::default() });
     world.repeat(2);
@@ -171,14 +171,14 @@
         world.store.cluster += u64::from(!same_cluster);
         pass(&mut world, SECOND);
         all(&mut world, Fault::default());
-        // Not believed at once, and then only as another registry.
+        // The older view is rejected at first, and then begins another epoch.
         pass(&mut world, 5 * SECOND);
         assert_eq!(world.members.sources().next().and_then(|s| s.2).map(|r| r.epoch), Some(0));
         pass(&mut world, 60 * SECOND);
         assert_eq!(world.members.sources().next().and_then(|s| s.2).map(|r| r.epoch), Some(1));
         assert_eq!(world.serving(), ["b"], "same cluster: {same_cluster}");
-        assert_eq!(world.members.verdict("a").map(|v| v.reason), Some(Reason::Sealed));
-        // Somebody who knows writes it anew.
+        assert_eq!(world.members.resolve("a").map(|v| v.reason), Some(Reason::CarriedOver));
+        // The entry is written again.
         world.store.put(&key("a"), value("a", SERVING), 0);
         pass(&mut world, 100 * MS);
         assert_eq!(world.serving(), ["a", "b"]);
@@ -191,22 +191,22 @@
     let moved = entry::write(&node("a", 81), SERVING);
     world.store.put(&key("a"), moved, 0);
     pass(&mut world, 10 * MS);
-    assert_eq!(world.members.verdict("a").map(|v| v.listed.address.port()), Some(81));
-    // Another one at its place, and it gone, in one transaction: never both, never none.
+    assert_eq!(world.members.resolve("a").map(|v| v.listed.address.port()), Some(81));
+    // Two nodes are exchanged in one transaction: never both and never none of them serve.
     let other = entry::write(&node("b", 81), SERVING);
     world.store.write(vec![Write::Put(key("b"), other, 0), Write::Delete(key("a"))]);
     pass(&mut world, 10 * MS);
     assert_eq!(world.serving(), ["b"]);
-    // Deleted and made again, with no start of its own: it counts as started then.
+    // A node that is deleted and created again without a start counts as restarted.
     let silent = entry::write(&Node { started: None, ..node("b", 81) }, SERVING);
     world.store.put(&key("c"), value("c", SERVING), 0);
     world.store.put(&key("b"), silent.clone(), 0);
     pass(&mut world, 100 * MS);
-    let first = world.members.verdict("b").and_then(|v| v.listed.started);
+    let first = world.members.resolve("b").and_then(|v| v.listed.started);
     world.store.delete(&key("b"));
     world.store.put(&key("b"), silent, 0);
     pass(&mut world, 100 * MS);
-    let then = world.members.verdict("b").and_then(|v| v.listed.started);
+    let then = world.members.resolve("b").and_then(|v| v.listed.started);
     assert!(then > first && then.is_some(), "{first:?} {then:?}");
 }
 
@@ -214,19 +214,19 @@
 fn what_went_by_order_is_told_apart_from_what_ran_out() {
     let names = ["a", "b", "c", "d", "e"];
     let four = |f: fn(&str) -> Write| -> Vec<Write> { names[..4].iter().map(|n| f(n)).collect() };
-    // Deleted while their leases live: an order, once the leases were asked about.
+    // Entries that are deleted while their leases are valid: an order, once the leases were queried.
     let mut world = with(&names, true);
     world.store.write(four(|n| Write::Delete(key(n))));
     pass(&mut world, 100 * MS);
     assert_eq!((world.serving(), world.calls[3]), (vec!["e"], 4));
-    // Drained and deleted in one transaction: an order at once, with nothing asked.
+    // Drained and deleted in one transaction: an order at once, without a lease query.
     let mut world = with(&names, true);
     let mut both = four(|n| Write::Delete(key(n)));
     both.extend(four(|n| Write::Put(drain(n), Vec::new(), 0)));
     world.store.write(both);
     pass(&mut world, 10 * MS);
     assert_eq!((world.serving(), world.calls[3]), (vec!["e"], 0));
-    // Leases that ran out together: held, with a limit in time.
+    // Leases that expire together: the members are retained for a limited time.
     let mut world = with(&names, true);
     (1..5).for_each(|lease| world.store.end(lease));
     pass(&mut world, SECOND);
@@ -237,9 +237,9 @@
 
 #[test]
 fn slow_and_silent_registries() {
-    let mut world = World::with(seed(), settings(), Rules::default());
+    let mut world = World::with(seed(), settings(), PlausibilityRules::default());
     world.store.put(&key("a"), value("a", SERVING), 0);
-    // Nothing comes of the first call, and half an answer of the second.
+    // The first call gets no reply, and the second one half of a response.
     all(&mut world, Fault { silent: true, ..Fault::default() });
     pass(&mut world, 4 * SECOND);
     assert!(world.calls[0] >= 1 && world.told.is_empty());
@@ -247,8 +247,8 @@
     pass(&mut world, 8 * SECOND);
     assert_eq!(world.serving(), ["a"]);
 
-    let slow = sloeline_membership::etcd::Settings { answer: 15 * SECOND, ..settings() };
-    let mut world = World::with(seed(), slow, Rules::default());
+    let slow = sloeline_membership::etcd::Settings { response_timeout: 15 * SECOND, ..settings() };
+    let mut world = World::with(seed(), slow, PlausibilityRules::default());
     world.slow = 10 * SECOND;
     world.store.put(&key("a"), value("a", SERVING), 0);
     pass(&mut world, 21 * SECOND);
@@ -261,14 +261,14 @@
 
 #[test]
 fn a_registry_with_too_much_to_say() {
-    let mut world = World::with(seed(), settings(), Rules::default());
+    let mut world = World::with(seed(), settings(), PlausibilityRules::default());
     for n in 0..100_000 {
         let name = format!("n{n:06}");
         world.store.put(&key(&name), value(&name, SERVING), 0);
     }
     pass(&mut world, SECOND);
     assert_eq!((world.serving().len(), world.calls[0]), (100_000, 50));
-    // One entry, ten thousand times in a second: the engine hears of it now and then.
+    // One entry changes ten thousand times per second: the changes are passed on in batches.
     let before = world.tellings;
     for n in 0..10_000_u32 {
         let weight = Node { weight: 1.0 + f64::from(n % 2), ..node("n000000", 80) };
@@ -276,25 +276,29 @@
         pass(&mut world, 100);
     }
     assert!(world.tellings - before <= 25, "{}", world.tellings - before);
-    // A drain among them is told at once.
+    // A drain among them is passed on at once.
     world.store.put(&drain("n000001"), "", 0);
     pass(&mut world, 5 * MS);
     assert_eq!(world.told.get("n000001"), Some(&ServerState::Draining));
 }
 
-/// A pool may believe more or fewer than is usual: the bound reaches the pages before any view is told.
+/// The maximum number of members is configurable, and applies to the pages of a range before there is a view.
 #[test]
 fn a_registry_with_more_than_is_believed_until_more_is() {
-    let mut world = World::with(seed(), settings(), Rules { most_members: 2_500, ..Rules::default() });
-    world.etcd.bound(2_500);
+    let mut world = World::with(
+        seed(),
+        settings(),
+        PlausibilityRules { max_members: 2_500, ..PlausibilityRules::default() },
+    );
+    world.etcd.set_max_members(2_500);
     (0..6_000).for_each(|n| world.store.put(&key(&format!("n{n:04}")), value("n", SERVING), 0));
     pass(&mut world, SECOND);
     let trouble = world.etcd.health().trouble.clone().expect("a reason");
     assert!(trouble.contains("expected at most two for each of 2500"), "{trouble}");
     assert_eq!(world.serving(), Vec::<&str>::new());
-    let rules = Rules { most_members: 6_000, ..Rules::default() };
+    let rules = PlausibilityRules { max_members: 6_000, ..PlausibilityRules::default() };
     world.members.set(world.now, &rules);
-    world.etcd.bound(world.members.rules().most_members);
+    world.etcd.set_max_members(world.members.rules().max_members);
     pass(&mut world, 60 * SECOND);
     assert_eq!((world.serving().len(), world.etcd.health().trouble.clone()), (6_000, None));
 }
@@ -310,7 +314,7 @@
         assert_eq!(world.serving(), ["a", "b"], "{text:?}");
     }
     assert_eq!(world.etcd.health().unreadable, 14);
-    // An order on it counts all the same, and so does its end.
+    // An order on the node still counts, and so does its end.
     world.store.put(&drain("a"), "\u{0}", 0);
     pass(&mut world, 10 * MS);
     assert_eq!(world.serving(), ["b"]);
--- a/membership/tests/histories.rs
+++ b/membership/tests/histories.rs
@@ -1,26 +1,26 @@
-//! An etcd source through random histories: thousands of them, in emulated time.
+//! An etcd source in thousands of random histories, in emulated time.
 
 mod common;
 
 use common::*;
 use finchshift::Micros;
-use sloeline_membership::doubt::Rules;
-use sloeline_membership::view::Standing;
+use sloeline_membership::plausibility::PlausibilityRules;
+use sloeline_membership::view::MemberStatus;
 use sloeline_standin::keys::Write;
 
-/// Nothing is suspect: what the source says is held against the registry as it is.
-fn plain() -> Rules {
-    Rules { accept: true, ..Rules::default() }
+/// Rules that accept all losses, so that the view can be compared with the registry.
+fn plain() -> PlausibilityRules {
+    PlausibilityRules { accept_losses: true, ..PlausibilityRules::default() }
 }
 
-/// One thing that happens to the registry or on the way to it.
+/// Executes a random change of the registry or of its faults.
 fn happen(world: &mut World) {
     let name = format!("n{}", world.rng.u8(..5));
     match world.rng.u8(..20) {
         0..4 => {
-            let standing = if world.rng.bool() { Standing::Serving } else { Standing::Draining };
+            let status = if world.rng.bool() { MemberStatus::Serving } else { MemberStatus::Draining };
             let lease = if world.rng.bool() { world.store.grant() } else { 0 };
-            world.store.put(&key(&name), value(&name, standing), lease);
+            world.store.put(&key(&name), value(&name, status), lease);
         }
         4..7 => world.store.put(&drain(&name), "", 0),
         7..9 => world.store.delete(&drain(&name)),
@@ -39,7 +39,7 @@
             let upto = world.store.revision - world.rng.i64(..3);
             world.store.compact(upto);
         }
-        // Another prefix: revisions pass that tell nothing here.
+        // Another prefix: revisions without events for the source.
         13 => world.store.put("/q/x", "", 0),
         _ => {
             let endpoint = world.rng.usize(..3);
@@ -56,8 +56,8 @@
     world.settle();
 }
 
-/// From the moment at which all is well until everything that was written is known: a pause, a range, a watch, or the
-/// check of a watch that is deaf, and once more for one that breaks on the way.
+/// Time from the end of all faults until everything is known: a pause, a range, a watch or the check of a stalled watch, and the
+/// same again for a connection that breaks meanwhile.
 const ALL_WELL: Micros = 2 * (4 + 6 + 1 + 3) * SECOND;
 
 fn history(seed: u64, events: usize) -> ([u64; 4], u64) {
@@ -76,7 +76,7 @@
     }
     let at = world.now + ALL_WELL;
     world.until(at, |w| watcher.holds(w));
-    // The last change under the prefix is known, whatever else has been written since.
+    // The last change under the prefix is known.
     let last = world.store.since(b"/p/", b"/p0", 0).last().map_or(0, |c| c.revision);
     let applied = world.etcd.applied().unwrap_or(0);
     assert!(applied >= last, "SEED={seed}: {applied} of {last}, {:?}", world.etcd);
@@ -92,7 +92,7 @@
 fn thousands_of_random_histories() {
     let first = seed();
     let (mut calls, mut epochs) = ([0; 4], 0);
-    // Twice as many as take each way a thousand times on average: the bound below is no matter of chance.
+    // Twice as many as needed on average, so that the check below does not fail by chance.
     for n in 0..6000 {
         let (each, epoch) = history(first.wrapping_add(n), 40);
         (0..4).for_each(|i| calls[i] += each[i]);
@@ -102,6 +102,6 @@
         "ranges, watches, checks, leases: {calls:?}; {epochs} histories in which another epoch was believed"
     );
     assert!(epochs < 300, "{epochs}");
-    // Each way was taken: compaction, breaks, checks, leases.
+    // Compactions, failures, checks and lease queries all occurred.
     assert!(calls.iter().all(|n| *n > 1000), "{calls:?}");
 }
--- a/membership/tests/silent.rs
+++ b/membership/tests/silent.rs
@@ -1,4 +1,4 @@
-//! A watch whose answer never comes, as where something between has dropped the connection unseen.
+//! A watch without a response, as when a middlebox drops the connection.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-/// Time stands while anything is to be done, and goes on to the next timer when nothing is.
+/// Emulated time advances to the next timer when no task can run.
 #[test]
 fn a_silent_watch_is_told_as_failed_within_ten_seconds() {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
@@ -29,7 +29,7 @@
         let call = String::from_utf8(call).expect("text");
         assert!(call.starts_with("GET /registry/instances?index=41&wait="), "{call}");
         assert_eq!(told.recv().await, Some((ListKind::Failed, 0)));
-        // An upstream that is replaced meanwhile is called for as long as this at the most.
+        // Requests may go to a replaced upstream for this long.
         assert!(start.elapsed() <= Duration::from_secs(10), "{:?}", start.elapsed());
     });
 }
--- a/membership/tests/stampede.rs
+++ b/membership/tests/stampede.rs
@@ -1,4 +1,4 @@
-//! A thousand instances whose registry goes away and comes back: how many calls a second it gets.
+//! Call rate at a registry that becomes reachable again, with a thousand instances.
 
 mod common;
 
@@ -6,30 +6,31 @@
 use std::collections::BinaryHeap;
 
 use common::*;
-use sloeline_membership::etcd::{Ask, Etcd, Header, Settings, Told};
-use sloeline_membership::source::Machine;
+use sloeline_membership::etcd::{Command, Etcd, Header, Reply, Settings};
+use sloeline_membership::source::SourceProtocol;
 
 const INSTANCES: usize = 1000;
 const RATE: f64 = 200.0;
 
-/// Calls in each second after the break, and when the last instance followed again, in seconds after the return.
+/// Returns the calls in each second after the failure, and after how many seconds the last instance had recovered.
 fn outage(seed: u64, away: u64, compacted: bool) -> (Vec<usize>, u64) {
     let begin = 1_000 * SECOND;
-    let settings = Settings { instances: INSTANCES as u32, rate: RATE, endpoints: 1, ..settings() };
+    let settings =
+        Settings { instances: INSTANCES as u32, fleet_call_rate: RATE, endpoints: 1, ..settings() };
     let fresh = |n: usize| Etcd::new(begin, settings.clone(), seed.wrapping_add(n as u64));
     let mut machines: Vec<Etcd> = (0..INSTANCES).map(fresh).collect();
     let header = Header { cluster: 7, revision: 100 };
     let (broken, back) = (begin + 10 * SECOND, begin + (10 + away) * SECOND);
-    // What comes back to whom, and when.
+    // Replies in transit: time, instance and index.
     let mut answers: BinaryHeap<(Reverse<u64>, usize, usize)> = BinaryHeap::new();
-    let mut told: Vec<Option<Told>> = Vec::new();
+    let mut told: Vec<Option<Reply>> = Vec::new();
     let mut watch = vec![None; INSTANCES];
     let mut seconds = vec![0; (away + 60) as usize];
     let (mut follows, mut now, mut cut) = (vec![None; INSTANCES], begin, false);
     let end = broken + (away + 60) * SECOND - 1;
     while now < end {
         let answer = answers.peek().map(|(Reverse(at), ..)| *at);
-        let due = machines.iter().map(Machine::due).min();
+        let due = machines.iter().map(SourceProtocol::due).min();
         let next = answer.into_iter().chain(due).min().unwrap_or(end).max(now);
         if next >= end {
             break;
@@ -38,7 +39,7 @@
             (cut, now) = (true, broken);
             for (n, machine) in machines.iter_mut().enumerate() {
                 if let Some(call) = watch[n] {
-                    machine.told(now, Told::Failed { call, why: "down".into(), compacted: false });
+                    machine.handle_reply(now, Reply::Failed { call, why: "down".into(), compacted: false });
                 }
             }
         } else {
@@ -47,18 +48,18 @@
         while answers.peek().is_some_and(|(Reverse(at), ..)| *at <= now) {
             let Some((_, n, what)) = answers.pop() else { break };
             if let Some(told) = told[what].take() {
-                machines[n].told(now, told);
+                machines[n].handle_reply(now, told);
             }
         }
         for (n, machine) in machines.iter_mut().enumerate() {
             machine.tick(now);
-            while machine.news().is_some() {}
-            while let Some(ask) = machine.ask() {
+            while machine.next_update().is_some() {}
+            while let Some(command) = machine.next_command() {
                 let up = now < broken || now >= back;
-                if now >= broken && !matches!(ask, Ask::Leave { .. } | Ask::Progress { .. }) {
+                if now >= broken && !matches!(command, Command::Leave { .. } | Command::Progress { .. }) {
                     seconds[((now - broken) / SECOND) as usize] += 1;
                 }
-                let event = |call, compacted, canceled| Told::Watch {
+                let event = |call, compacted, canceled| Reply::Watch {
                     call,
                     header,
                     canceled,
@@ -66,22 +67,24 @@
                     fragment: false,
                     events: Vec::new(),
                 };
-                let answer = match ask {
-                    Ask::Range { call, .. } | Ask::Watch { call, .. } if !up => {
-                        Told::Failed { call, why: "refused".into(), compacted: false }
+                let answer = match command {
+                    Command::Range { call, .. } | Command::Watch { call, .. } if !up => {
+                        Reply::Failed { call, why: "refused".into(), compacted: false }
                     }
-                    Ask::Range { call, .. } => Told::Range { call, header, kvs: Vec::new(), more: false },
-                    Ask::Watch { call, start, .. } => {
+                    Command::Range { call, .. } => {
+                        Reply::Range { call, header, kvs: Vec::new(), more: false }
+                    }
+                    Command::Watch { call, start, .. } => {
                         watch[n] = Some(call);
-                        // The registry has moved on while nobody listened.
+                        // The revisions since the failure were compacted.
                         let gone = compacted && now >= back && follows[n].is_none() && start == 101;
                         if now >= back {
                             follows[n] = Some(now);
                         }
                         event(call, if gone { 101 } else { 0 }, gone)
                     }
-                    Ask::Progress { call } => event(call, 0, false),
-                    Ask::Lease { .. } | Ask::Leave { .. } => continue,
+                    Command::Progress { call } => event(call, 0, false),
+                    Command::Lease { .. } | Command::Leave { .. } => continue,
                 };
                 answers.push((Reverse(now + MS), n, told.len()));
                 told.push(Some(answer));
@@ -102,14 +105,14 @@
         println!(
             "away {away} s, compacted {compacted}: at most {most} calls a second, {all} in all, all follow after {last} s"
         );
-        // Each try costs up to three calls where the past is gone: the watch, the range, the watch.
+        // After a compaction an instance makes up to three calls: watch, range, watch.
         let each = if compacted { 3.0 } else { 1.0 };
-        // And checks of the watches, one each in five seconds.
+        // In addition each watch is checked every five seconds.
         let checks = INSTANCES as f64 / 5.0;
         let bound = RATE * each + checks;
         assert!((most as f64) < bound + 5.0 * bound.sqrt(), "{most} of {bound}");
         assert!(last <= 20 + 5 * u64::from(compacted), "{last} s");
-        // Without jitter a thousand calls would fall into one moment: the calls are there to be counted.
+        // Ensures that the calls were counted at all.
         assert!(all >= INSTANCES * (1 + 2 * usize::from(compacted)), "{all}");
     }
 }
--- a/membership/tests/xds.rs
+++ b/membership/tests/xds.rs
@@ -1,16 +1,16 @@
-//! An xDS source: what is acknowledged, what is refused, and what a new stream may not take back.
+//! An xDS source: which responses are acknowledged or rejected, and which may revoke an earlier one on a new stream.
 
 use finchshift::{Micros, ServerState};
-use sloeline_membership::doubt::Rules;
 use sloeline_membership::merge::Members;
-use sloeline_membership::source::Machine;
+use sloeline_membership::plausibility::PlausibilityRules;
+use sloeline_membership::source::SourceProtocol;
 use sloeline_membership::xds::messages::*;
-use sloeline_membership::xds::{Ask, Settings, Told, Xds};
+use sloeline_membership::xds::{Command, Reply, Settings, Xds};
 
 const SECOND: Micros = 1_000_000;
 const MINUTE: Micros = 60 * SECOND;
 
-/// Endpoints of one locality: port, health, weight.
+/// A locality with endpoints: port, health status, weight.
 fn group(priority: u32, endpoints: &[(u32, i32, u32)]) -> LocalityLbEndpoints {
     let endpoint = |(port, health_status, weight): &(u32, i32, u32)| {
         let socket_address = Some(SocketAddress { address: "10.0.0.1".to_owned(), port_value: *port });
@@ -33,24 +33,24 @@
     now: Micros,
     xds: Xds,
     members: Members,
-    /// The stream under way and where it goes.
+    /// Number and endpoint of the open stream.
     stream: Option<(u64, usize)>,
-    answers: Vec<Ask>,
+    answers: Vec<Command>,
     nonce: u32,
 }
 
 impl World {
-    fn new(rules: &Rules) -> World {
+    fn new(rules: &PlausibilityRules) -> World {
         let settings = Settings {
             cluster: "checks".to_owned(),
-            delta: false,
+            incremental: false,
             node: "edge".to_owned(),
             endpoints: 2,
             instances: 1,
-            rate: 100.0,
-            answer: 5 * SECOND,
-            renew: 4 * MINUTE,
-            believe_after: MINUTE,
+            fleet_call_rate: 100.0,
+            response_timeout: 5 * SECOND,
+            stream_lifetime: 4 * MINUTE,
+            acceptance_delay: MINUTE,
         };
         let members = Members::new(&["xds".to_owned()], rules);
         let (xds, answers) = (Xds::new(SECOND, settings, 1), Vec::new());
@@ -60,15 +60,15 @@
     }
 
     fn settle(&mut self) {
-        while let Some(ask) = self.xds.ask() {
-            match ask {
-                Ask::Open { call, endpoint } => self.stream = Some((call, endpoint)),
-                Ask::Leave { .. } => self.stream = None,
+        while let Some(command) = self.xds.next_command() {
+            match command {
+                Command::Open { call, endpoint } => self.stream = Some((call, endpoint)),
+                Command::Leave { .. } => self.stream = None,
                 answer => self.answers.push(answer),
             }
         }
-        while let Some(news) = self.xds.news() {
-            self.members.take(self.now, 0, news).expect("newer");
+        while let Some(update) = self.xds.next_update() {
+            self.members.apply(self.now, 0, update).expect("newer");
         }
     }
 
@@ -82,18 +82,18 @@
         self.now = end;
     }
 
-    fn told(&mut self, version: &str, assignment: Result<Option<ClusterLoadAssignment>, String>) {
+    fn respond(&mut self, version: &str, assignment: Result<Option<ClusterLoadAssignment>, String>) {
         self.nonce += 1;
         let (call, _) = self.stream.expect("a stream");
         let (version, nonce) = (version.to_owned(), self.nonce.to_string());
-        self.xds.told(self.now, Told::Response { call, version, nonce, assignment });
+        self.xds.handle_reply(self.now, Reply::Response { call, version, nonce, assignment });
         self.settle();
     }
 
-    /// The version that the last answer carries, and whether it refuses.
+    /// The version in the last acknowledgement, and whether it is a rejection.
     fn answered(&self) -> (&str, bool) {
         match self.answers.last() {
-            Some(Ask::Answer { version, refused, nonce, .. }) => {
+            Some(Command::Answer { version, refused, nonce, .. }) => {
                 assert_eq!(*nonce, self.nonce.to_string());
                 (version, refused.is_some())
             }
@@ -106,10 +106,10 @@
         all.map(|v| (v.listed.address.port(), v.listed.weight)).collect()
     }
 
-    /// The stream breaks, and another one is up.
+    /// Breaks the stream and waits for the next one.
     fn again(&mut self) {
         let (call, _) = self.stream.take().expect("a stream");
-        self.xds.told(self.now, Told::Failed { call, why: "broken".to_owned() });
+        self.xds.handle_reply(self.now, Reply::Failed { call, why: "broken".to_owned() });
         self.up();
     }
 
@@ -120,8 +120,8 @@
     }
 }
 
-fn accepting() -> Rules {
-    Rules { accept: true, ..Rules::default() }
+fn accepting() -> PlausibilityRules {
+    PlausibilityRules { accept_losses: true, ..PlausibilityRules::default() }
 }
 
 #[test]
@@ -132,7 +132,7 @@
         group(0, &[]),
         group(2, &[(90, 1, 1)]),
     ]);
-    world.told("v1", Ok(Some(good)));
+    world.respond("v1", Ok(Some(good)));
     assert_eq!(world.answered(), ("v1", false));
     assert_eq!(world.serving(), [(80, 1.0), (81, 7.0), (85, 1.0)], "the first priority that has any");
     assert_eq!(world.members.all().len(), 6);
@@ -154,20 +154,20 @@
         (Ok(Some(assignment(vec![group(0, &[(80, 1, 1), (80, 1, 1)])]))), "twice"),
     ];
     for (told, why) in bad {
-        world.told("v2", told);
+        world.respond("v2", told);
         assert_eq!(world.answered(), ("v1", true), "{why}: with the last version that was taken");
-        assert!(world.xds.problem().is_some_and(|p| p.contains(why)), "{why}");
+        assert!(world.xds.take_problem().is_some_and(|p| p.contains(why)), "{why}");
         assert_eq!(world.serving().len(), 3, "{why}: what was known holds");
     }
-    world.told("v3", Ok(Some(assignment(vec![group(0, &[(80, 3, 1), (81, 1, 1)])]))));
+    world.respond("v3", Ok(Some(assignment(vec![group(0, &[(80, 3, 1), (81, 1, 1)])]))));
     assert_eq!((world.answered(), world.serving()), (("v3", false), vec![(81, 1.0)]));
 }
 
 #[test]
 fn a_cluster_that_is_removed_empties_no_pool_by_itself() {
-    let mut world = World::new(&Rules::default());
-    world.told("v1", Ok(Some(assignment(vec![group(0, &[(80, 1, 1), (81, 1, 1)])]))));
-    world.told("v2", Ok(None));
+    let mut world = World::new(&PlausibilityRules::default());
+    world.respond("v1", Ok(Some(assignment(vec![group(0, &[(80, 1, 1), (81, 1, 1)])]))));
+    world.respond("v2", Ok(None));
     assert_eq!((world.answered(), world.serving().len()), (("v2", false), 2));
 }
 
@@ -176,28 +176,28 @@
     let full = || Ok(Some(assignment(vec![group(0, &[(80, 1, 1), (81, 1, 1)])])));
     let drained = || Ok(Some(assignment(vec![group(0, &[(80, 3, 1), (81, 1, 1)])])));
     let mut world = World::new(&accepting());
-    world.told("v1", full());
-    world.told("v2", drained());
+    world.respond("v1", full());
+    world.respond("v2", drained());
     assert_eq!(world.serving().len(), 1);
-    // Another server, which is behind: left at once, again and again.
+    // Another server that is behind: the stream is closed each time.
     for _ in 0..5 {
         world.again();
-        world.told("v1", full());
+        world.respond("v1", full());
         assert_eq!((world.serving().len(), world.stream), (1, None));
         world.up();
     }
     assert!(world.xds.health().refused == 5);
-    // One that is not sees the same version, or a newer one.
-    world.told("v2", drained());
+    // A server that is not behind has the same version or a newer one.
+    world.respond("v2", drained());
     assert_eq!((world.serving().len(), world.xds.health().trouble.clone()), (1, None));
-    // On one stream the server's order counts: it has taken the drain back.
-    world.told("v1", full());
+    // On one stream the order of responses counts: the server has revoked the drain.
+    world.respond("v1", full());
     assert_eq!(world.serving().len(), 2);
-    // Behind for so long that it is believed: as another epoch, in which orders hold.
-    world.told("v3", drained());
+    // After the acceptance delay the older version begins another epoch, in which orders remain.
+    world.respond("v3", drained());
     world.pass(MINUTE);
     world.again();
-    world.told("v1", full());
+    world.respond("v1", full());
     let epoch = world.members.sources().next().and_then(|s| s.2).map(|r| r.epoch);
     assert_eq!((world.answered(), epoch, world.serving().len()), (("v1", false), Some(1), 1));
 }
@@ -208,7 +208,7 @@
     let first = world.stream;
     world.pass(5 * SECOND + SECOND);
     assert!(world.stream.is_some() && world.stream != first, "no response in time");
-    world.told("v1", Ok(Some(assignment(vec![group(0, &[(80, 1, 1)])]))));
+    world.respond("v1", Ok(Some(assignment(vec![group(0, &[(80, 1, 1)])]))));
     let (begin, before) = (world.now, world.stream.expect("a stream"));
     while world.stream == Some(before) {
         world.pass(SECOND);
--- a/sloeline/src/daemon.rs
+++ b/sloeline/src/daemon.rs
@@ -25,8 +25,8 @@
 use sloeline_http::routed::RoutedFrontend;
 use sloeline_http::server::{HttpServer, Phase, ServerLimits};
 use sloeline_limits::Reserve;
-use sloeline_membership::announce::Wanted;
-use sloeline_membership::announce::line::Announcement;
+use sloeline_membership::announce::DesiredState;
+use sloeline_membership::announce::transport::AnnouncerTask;
 use sloeline_routing::table::Table;
 use sloeline_settings::setup::NameTable;
 use sloeline_work::budget::Budget;
@@ -149,7 +149,7 @@
     since: Instant,
     rng: RefCell<fastrand::Rng>,
     /// Where this instance is announced, and by what words.
-    announced: Option<(Announce, Announcement)>,
+    announced: Option<(Announce, AnnouncerTask)>,
     /// When this instance started, in Unix time.
     started: Micros,
     work: Rc<Worker>,
@@ -418,13 +418,13 @@
         if let Some((_, before)) = self.announced.take() {
             // It must not stand beside the next one, nor be kept alive for nothing.
             spawn_local(async move {
-                before.want(Wanted::Gone);
-                let _ = timeout(WITHDRAWN_WITHIN, before.stands()).await;
+                before.set_desired(DesiredState::Gone);
+                let _ = timeout(WITHDRAWN_WITHIN, before.is_current()).await;
             });
         }
         let Some(words) = wanted.cloned() else { return };
         let settings = origins::announce(&self.config, &words, self.started);
-        match Announcement::start(settings, &words.endpoints, self.rng.borrow_mut().u64(..)) {
+        match AnnouncerTask::start(settings, &words.endpoints, self.rng.borrow_mut().u64(..)) {
             Ok(announcement) => {
                 let pools: Vec<_> = self.pools.values().map(Running::listed).collect();
                 let ready = async move {
@@ -432,7 +432,7 @@
                         listed.await;
                     }
                 };
-                announcement.want_after(ready, Wanted::Serving);
+                announcement.set_desired_after(ready, DesiredState::Serving);
                 self.announced = Some((words, announcement));
             }
             Err(why) => emit!(ANNOUNCE_FAILED, why = %why; "announce: {why}"),
@@ -523,8 +523,8 @@
         let within = time(self.config.limits.stop_timeout.unwrap_or(longest)) + LEFT_OPEN;
         // Readers of the registry send their callers elsewhere while this instance still takes them.
         if let Some((_, announcement)) = &self.announced {
-            announcement.want(Wanted::Draining);
-            let _ = timeout(WITHDRAWN_WITHIN, announcement.stands()).await;
+            announcement.set_desired(DesiredState::Draining);
+            let _ = timeout(WITHDRAWN_WITHIN, announcement.is_current()).await;
         }
         for heard in self.listeners.values() {
             let _ = heard.phases.send(Phase::Stopping);
@@ -541,8 +541,8 @@
             part.leave();
         }
         if let Some((_, announcement)) = &self.announced {
-            announcement.want(Wanted::Gone);
-            let _ = timeout(WITHDRAWN_WITHIN, announcement.stands()).await;
+            announcement.set_desired(DesiredState::Gone);
+            let _ = timeout(WITHDRAWN_WITHIN, announcement.is_current()).await;
         }
     }
 }
--- a/sloeline/src/daemon/orders.rs
+++ b/sloeline/src/daemon/orders.rs
@@ -10,7 +10,7 @@
 use finchshift::Micros;
 use serde_json::{Value, json};
 use sloeline_events::emit;
-use sloeline_membership::announce::Wanted;
+use sloeline_membership::announce::DesiredState;
 use sloeline_operations::client_policy::Lifecycle;
 use sloeline_operations::command::{OrderReason, ReplySender};
 use sloeline_operations::order_book::{
@@ -181,7 +181,11 @@
                     orders.lifecycle.set_standby(Instant::now().into_std(), on);
                     // Readers of the registry send their callers elsewhere too.
                     if let Some((_, announcement)) = &self.announced {
-                        announcement.want(if on { Wanted::Draining } else { Wanted::Serving });
+                        announcement.set_desired(if on {
+                            DesiredState::Draining
+                        } else {
+                            DesiredState::Serving
+                        });
                     }
                 }
             }
--- a/sloeline/src/daemon/pools.rs
+++ b/sloeline/src/daemon/pools.rs
@@ -22,8 +22,8 @@
 use sloeline_http::upstream::{ProcessingStart, UpstreamProtocol, Upstreams};
 use sloeline_limits::admission::AdmissionLimit;
 use sloeline_limits::{Reserve, Share};
-use sloeline_membership::file::{self, Watched};
-use sloeline_membership::follow::Following;
+use sloeline_membership::file::{self, FileWatch};
+use sloeline_membership::follow::SourceFollower;
 use sloeline_membership::platform::Discovery;
 use sloeline_settings::setup::NameTable;
 use tokio::sync::{Notify, oneshot};
@@ -60,9 +60,9 @@
 /// Where the list comes from, as long as it does.
 enum Source {
     Static,
-    File { _watched: Option<Watched> },
+    File { _watched: Option<FileWatch> },
     Registry(Rc<Discovery>),
-    Sources(Following),
+    Sources(SourceFollower),
 }
 
 /// When each node of a static list was first seen, by name and address; nothing for those that were there when the
@@ -405,7 +405,7 @@
                 self.seen.clear();
                 let origins = origins::origins(list, &plan.instance, &plan.folder);
                 let rules = origins::rules(doubt);
-                Source::Sources(Following::start(&self.pool.name, &origins, &rules, seed, tell))
+                Source::Sources(SourceFollower::start(&self.pool.name, &origins, &rules, seed, tell))
             }
         };
     }
@@ -454,7 +454,7 @@
     pub fn drains(&self, known: impl Fn(&str) -> Option<u64>) -> Vec<(String, u64, BTreeSet<String>)> {
         let Source::Sources(following) = &self.source else { return Vec::new() };
         let registry = |name: &str| self.registries().any(|registry| registry == name);
-        following.look(|_, members| {
+        following.inspect(|_, members| {
             let news = members.sources().filter_map(|(name, _, revision, _)| {
                 // Another epoch is another registry, or one that was put back: its numbers say nothing to others.
                 let revision = revision.filter(|r| r.epoch == 0 && r.number > 0)?.number;
@@ -501,7 +501,7 @@
     /// Its members, and why each is in or out.
     pub fn members(&self) -> Value {
         if let Source::Sources(following) = &self.source {
-            return following.look(members::told);
+            return following.inspect(members::told);
         }
         let source = if matches!(self.source, Source::Static) { "nodes" } else { "list" };
         let listed = self.pool.engine.current_list().unwrap_or_default();
--- a/sloeline/src/members.rs
+++ b/sloeline/src/members.rs
@@ -8,10 +8,10 @@
 use serde_json::{Value, json};
 use sloeline_config::model::{Config, Instance, Nodes};
 use sloeline_engine::types::DiscoveryEntry;
-use sloeline_membership::doubt::{Reason, Rules};
-use sloeline_membership::follow::Following;
+use sloeline_membership::follow::SourceFollower;
 use sloeline_membership::merge::Members;
-use sloeline_membership::view::Standing;
+use sloeline_membership::plausibility::{PlausibilityRules, Reason};
+use sloeline_membership::view::MemberStatus;
 use tokio::time::timeout;
 
 use crate::origins;
@@ -33,12 +33,12 @@
 
 fn reason(now: Micros, reason: Reason) -> String {
     match reason {
-        Reason::Told(Standing::Serving) => "serves".to_owned(),
-        Reason::Told(Standing::Draining) => "drains by order".to_owned(),
-        Reason::Told(Standing::Maintenance) => "is in maintenance".to_owned(),
-        Reason::Told(Standing::Unhealthy) => "its checks fail".to_owned(),
-        Reason::Sealed => "was ordered out before its registry became another one".to_owned(),
-        Reason::Held { since, loss } => {
+        Reason::Reported(MemberStatus::Serving) => "serves".to_owned(),
+        Reason::Reported(MemberStatus::Draining) => "drains by order".to_owned(),
+        Reason::Reported(MemberStatus::Maintenance) => "is in maintenance".to_owned(),
+        Reason::Reported(MemberStatus::Unhealthy) => "its checks fail".to_owned(),
+        Reason::CarriedOver => "was ordered out before its registry became another one".to_owned(),
+        Reason::Retained { since, loss } => {
             format!("lost ({loss:?}) {} ago, and held", span(now.saturating_sub(since))).to_lowercase()
         }
     }
@@ -92,7 +92,7 @@
             })
         })
         .collect();
-    let of = |verdict: &sloeline_membership::merge::Verdict| {
+    let of = |verdict: &sloeline_membership::merge::ResolvedMember| {
         let why = reason(now, verdict.reason);
         member(&verdict.listed, &verdict.source, &why, verdict.by.as_deref())
     };
@@ -146,13 +146,13 @@
         }
         let rules = match &pool.nodes {
             Nodes::Sources(_, doubt) => origins::rules(doubt),
-            _ => Rules::default(),
+            _ => PlausibilityRules::default(),
         };
         // The instance asks alone: nothing that the fleet has in common failed here.
         let origins = origins::all(pool, &alone, folder);
-        let following = Following::start(name, &origins, &rules, fastrand::u64(..), |_, _| {});
-        let _ = timeout(wait, following.whole()).await;
-        following.look(|now, members| {
+        let following = SourceFollower::start(name, &origins, &rules, fastrand::u64(..), |_, _| {});
+        let _ = timeout(wait, following.all_views_received()).await;
+        following.inspect(|now, members| {
             show(&mut text, now, members);
             let quiet = members.sources().filter(|s| s.2.is_none());
             silent.extend(quiet.map(|s| format!("{name}/{}", s.0)));
--- a/sloeline/src/origins.rs
+++ b/sloeline/src/origins.rs
@@ -1,24 +1,24 @@
-//! From the configuration's words on sources to what membership is told.
+//! Converts the configured membership sources to the settings of the membership package.
 
 use std::path::Path;
 
 use finchshift::Micros;
 use sloeline_config::model::{self, Instance, MembershipGuard, Nodes, SourceKind};
-use sloeline_membership::doubt::Rules;
-use sloeline_membership::follow::Origin;
+use sloeline_membership::follow::SourceConfig;
+use sloeline_membership::plausibility::PlausibilityRules;
 use sloeline_membership::{announce, consul, dns, etcd, view, xds};
 
-/// Questions to Consul are no closer than this: guards against a service that changes all the time.
-const APART: Micros = 100_000;
+/// Minimum time between two queries to Consul, so that a service that changes all the time does not cause a query each time.
+const MIN_POLL_INTERVAL: Micros = 100_000;
 
-/// The rules of doubt.
-pub fn rules(doubt: &MembershipGuard) -> Rules {
-    Rules {
-        most_lost: doubt.max_lost_share,
+/// The plausibility rules of a pool.
+pub fn rules(doubt: &MembershipGuard) -> PlausibilityRules {
+    PlausibilityRules {
+        max_lost_share: doubt.max_lost_share,
         window: doubt.window,
-        hold: doubt.hold_time,
-        accept: doubt.accept_losses,
-        most_members: doubt.max_members,
+        hold_time: doubt.hold_time,
+        accept_losses: doubt.accept_losses,
+        max_members: doubt.max_members,
     }
 }
 
@@ -27,81 +27,71 @@
     list: &[model::MembershipSource],
     instance: &Instance,
     folder: &Path,
-) -> Vec<(String, Origin)> {
+) -> Vec<(String, SourceConfig)> {
     let instances = instance.count;
     let origin = |o: &model::MembershipSource| {
-        let (rate, answer) = (o.fleet_call_rate, o.response_timeout);
+        let (fleet_call_rate, response_timeout) = (o.fleet_call_rate, o.response_timeout);
         let origin = match &o.kind {
-            SourceKind::Etcd {
-                endpoints,
-                prefix,
-                check_interval: check,
-                max_watch_lag: patience,
-                acceptance_delay: believe_after,
-            } => {
+            SourceKind::Etcd { endpoints, prefix, check_interval, max_watch_lag, acceptance_delay } => {
                 let settings = etcd::Settings {
                     prefix: prefix.clone(),
                     endpoints: endpoints.len(),
                     instances,
-                    rate,
-                    check: *check,
-                    patience: *patience,
-                    answer,
-                    believe_after: *believe_after,
+                    fleet_call_rate,
+                    check_interval: *check_interval,
+                    max_watch_lag: *max_watch_lag,
+                    response_timeout,
+                    acceptance_delay: *acceptance_delay,
                 };
-                Origin::Etcd(settings, endpoints.clone())
+                SourceConfig::Etcd(settings, endpoints.clone())
             }
-            SourceKind::Consul {
-                endpoints,
-                service,
-                poll_wait: wait,
-                allow_stale: stale,
-                max_staleness: most_stale,
-            } => {
+            SourceKind::Consul { endpoints, service, poll_wait, allow_stale, max_staleness } => {
                 let settings = consul::Settings {
                     service: service.clone(),
                     endpoints: endpoints.len(),
                     instances,
-                    rate,
-                    wait: *wait,
-                    answer,
-                    apart: APART,
-                    most_stale: *most_stale,
-                    stale: *stale,
+                    fleet_call_rate,
+                    poll_wait: *poll_wait,
+                    response_timeout,
+                    min_poll_interval: MIN_POLL_INTERVAL,
+                    max_staleness: *max_staleness,
+                    allow_stale: *allow_stale,
                 };
-                Origin::Consul(settings, endpoints.clone())
+                SourceConfig::Consul(settings, endpoints.clone())
             }
-            SourceKind::Xds {
-                endpoints,
-                cluster,
-                incremental: delta,
-                stream_lifetime: renew,
-                acceptance_delay: believe_after,
-            } => {
+            SourceKind::Xds { endpoints, cluster, incremental, stream_lifetime, acceptance_delay } => {
                 let settings = xds::Settings {
                     cluster: cluster.clone(),
-                    delta: *delta,
+                    incremental: *incremental,
                     node: instance.name.clone(),
                     endpoints: endpoints.len(),
                     instances,
-                    rate,
-                    answer,
-                    renew: *renew,
-                    believe_after: *believe_after,
+                    fleet_call_rate,
+                    response_timeout,
+                    stream_lifetime: *stream_lifetime,
+                    acceptance_delay: *acceptance_delay,
                 };
-                Origin::Xds(settings, endpoints.clone())
+                SourceConfig::Xds(settings, endpoints.clone())
             }
-            SourceKind::Dns { name, port, zone, servers, min_ttl: least, max_ttl: most } => {
+            SourceKind::Dns { name, port, zone, servers, min_ttl, max_ttl } => {
                 let name = match port {
                     Some(port) => dns::Name::Addresses(name.clone(), *port),
                     None => dns::Name::Services(name.clone()),
                 };
-                let (zone, least, most) = (zone.clone(), *least, *most);
-                let settings = dns::Settings { name, zone, instances, rate, least, most, answer };
-                Origin::Dns(settings, servers.clone())
+                let (zone, min_ttl, max_ttl) = (zone.clone(), *min_ttl, *max_ttl);
+                let settings = dns::Settings {
+                    name,
+                    zone,
+                    instances,
+                    fleet_call_rate,
+                    min_ttl,
+                    max_ttl,
+                    response_timeout,
+                };
+                SourceConfig::Dns(settings, servers.clone())
             }
-            SourceKind::File(path) => Origin::File(folder.join(path)),
-            SourceKind::Registry(address) => Origin::List(*address),
+            SourceKind::File(path) => SourceConfig::File(folder.join(path)),
+            SourceKind::Registry(address) => SourceConfig::List(*address),
         };
         (o.name.clone(), origin)
     };
@@ -109,11 +99,11 @@
 }
 
 /// The sources of a pool whatever way they are written; none for a list in the configuration.
-pub fn all(pool: &model::Pool, instance: &Instance, folder: &Path) -> Vec<(String, Origin)> {
+pub fn all(pool: &model::Pool, instance: &Instance, folder: &Path) -> Vec<(String, SourceConfig)> {
     match &pool.nodes {
         Nodes::Static(_) => Vec::new(),
-        Nodes::File(path) => vec![("file".to_owned(), Origin::File(folder.join(path)))],
-        Nodes::Registry(address) => vec![("registry".to_owned(), Origin::List(*address))],
+        Nodes::File(path) => vec![("file".to_owned(), SourceConfig::File(folder.join(path)))],
+        Nodes::Registry(address) => vec![("registry".to_owned(), SourceConfig::List(*address))],
         Nodes::Sources(list, _) => origins(list, instance, folder),
     }
 }
@@ -134,7 +124,7 @@
         lease: wanted.lease,
         endpoints: wanted.endpoints.len(),
         instances: config.instance.count,
-        rate: wanted.fleet_call_rate,
-        answer: wanted.response_timeout,
+        fleet_call_rate: wanted.fleet_call_rate,
+        response_timeout: wanted.response_timeout,
     }
 }
--- a/sloeline/tests/fleet.rs
+++ b/sloeline/tests/fleet.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use commanded::{Daemon, LONG, TEXT, load, start, upstream};
-use sloeline_membership::view::{Node as Entry, Standing};
+use sloeline_membership::view::{MemberStatus, Node as Entry};
 use sloeline_standin::etcd::Etcd;
 use sloeline_standin::keys::Store;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -90,7 +90,7 @@
         weight: 1.0,
         started: Some(1_000_000),
     };
-    let text = sloeline_membership::entry::write(&entry, Standing::Serving);
+    let text = sloeline_membership::entry::write(&entry, MemberStatus::Serving);
     store.put(&format!("/p/nodes/{name}"), text, 0);
 }
 
--- a/sloeline/tests/registries.rs
+++ b/sloeline/tests/registries.rs
@@ -7,7 +7,7 @@
 
 use rig::*;
 use sloeline::members::members;
-use sloeline_membership::view::{Node as Entry, Standing};
+use sloeline_membership::view::{MemberStatus, Node as Entry};
 use sloeline_membership::xds::messages::{
     Address, ClusterLoadAssignment, Endpoint, LbEndpoint, LocalityLbEndpoints, SocketAddress,
 };
@@ -21,7 +21,7 @@
 use sloeline_standin::xds::Xds;
 use tokio::time::sleep;
 
-fn entry(node: &Node, standing: Standing) -> Vec<u8> {
+fn entry(node: &Node, status: MemberStatus) -> Vec<u8> {
     let entry = Entry {
         identity: node.name.to_string(),
         address: node.address,
@@ -31,11 +31,11 @@
         weight: 1.0,
         started: Some(1_000_000),
     };
-    sloeline_membership::entry::write(&entry, standing)
+    sloeline_membership::entry::write(&entry, status)
 }
 
 fn put(etcd: &Etcd, node: &Node) {
-    etcd.change(|store| store.put(&format!("/p/nodes/{}", node.name), entry(node, Standing::Serving), 0));
+    etcd.change(|store| store.put(&format!("/p/nodes/{}", node.name), entry(node, MemberStatus::Serving), 0));
 }
 
 async fn until_ready(to: SocketAddr) {
@@ -71,7 +71,7 @@
         // Several changes at once come in pieces.
         etcd.change(|store| {
             let each = [&a, &b, &c]
-                .map(|n| Write::Put(format!("/p/nodes/{}", n.name), entry(n, Standing::Serving), 0));
+                .map(|n| Write::Put(format!("/p/nodes/{}", n.name), entry(n, MemberStatus::Serving), 0));
             store.write(each.into_iter().chain([Write::Delete("/p/drains/b".to_owned())]).collect());
         });
         record.reopen("b");
@@ -258,16 +258,16 @@
         let pools = format!("[pool.p]\nsource = [{{ etcd = [\"{}\"], prefix = \"/p/\" }}]\n", etcd.address);
         let text = HEAD.to_owned() + &announce + &pools + &routes("p");
         let mut daemon = start(&text).await;
-        let standing = |store: &Store| {
+        let status = |store: &Store| {
             let all = store.range(b"/edge/nodes/", b"/edge/nodes0", 0).unwrap_or_default();
             all.first()
-                .map(|(_, p)| sloeline_membership::entry::read("e", &p.value, 0).expect("an entry").standing)
+                .map(|(_, p)| sloeline_membership::entry::read("e", &p.value, 0).expect("an entry").status)
         };
         until_ready(public(&daemon)).await;
-        while standing(&etcd.store()).is_none() {
+        while status(&etcd.store()).is_none() {
             sleep(Duration::from_millis(1)).await;
         }
-        assert_eq!(standing(&etcd.store()), Some(Standing::Serving));
+        assert_eq!(status(&etcd.store()), Some(MemberStatus::Serving));
         put(&etcd, &node);
         // A reload in the same words writes nothing.
         let revision = etcd.store().revision;
@@ -278,15 +278,15 @@
         // It is still taking requests when it is written that it drains, and gone from the registry at the end.
         daemon.stop().await;
         let store = etcd.store();
-        let told: Vec<Option<Standing>> = store
+        let told: Vec<Option<MemberStatus>> = store
             .log
             .iter()
             .filter(|c| c.key.starts_with(b"/edge/"))
             .map(|c| {
                 let entry = c.now.as_ref().map(|p| sloeline_membership::entry::read("e", &p.value, 0));
-                entry.map(|e| e.expect("an entry").standing)
+                entry.map(|e| e.expect("an entry").status)
             })
             .collect();
-        assert_eq!(told, [Some(Standing::Serving), Some(Standing::Draining), None]);
+        assert_eq!(told, [Some(MemberStatus::Serving), Some(MemberStatus::Draining), None]);
     });
 }
