--- a/membership/src/platform.rs
+++ b/membership/src/platform.rs
@@ -176,7 +176,7 @@
     }
 
     /// Requests the whole list, watches, and starts again after each failure, without reporting it. The pauses double up to
-    /// [`MAX_RETRY_PAUSE`] and are random, so that instances do not call at the same time. A running watch ends.
+    /// a maximum and are random, so that instances do not call at the same time. A running watch ends.
     pub fn follow(self: &Rc<Self>, seed: u64, tell: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static) {
         self.generation.set(None);
         self.start(0, Some(fastrand::Rng::with_seed(seed)), tell);
