--- a/membership/benches/follow.rs
+++ b/membership/benches/follow.rs
@@ -49,16 +49,16 @@
 }
 
 #[derive(Default)]
-struct Told {
+struct Observed {
     out: RefCell<HashSet<String>>,
     listed: RefCell<HashSet<String>>,
     changed: Notify,
 }
 
-async fn until(told: &Told, test: impl Fn(&Told) -> bool) {
+async fn until(observed: &Observed, test: impl Fn(&Observed) -> bool) {
     loop {
-        let changed = told.changed.notified();
-        if test(told) {
+        let changed = observed.changed.notified();
+        if test(observed) {
             return;
         }
         changed.await;
@@ -80,13 +80,13 @@
         response_timeout: 15_000_000,
         acceptance_delay: 30_000_000,
     };
-    let told = Rc::new(Told::default());
+    let observed = Rc::new(Observed::default());
     let (before, begin) = (memory(), Instant::now());
-    let heard = told.clone();
+    let callback_view = observed.clone();
     let origins = [("etcd".to_owned(), SourceConfig::Etcd(settings, vec![address]))];
     let following =
         SourceFollower::start("p", &origins, &PlausibilityRules::default(), 1, move |kind, list| {
-            let (mut out, mut listed) = (heard.out.borrow_mut(), heard.listed.borrow_mut());
+            let (mut out, mut listed) = (callback_view.out.borrow_mut(), callback_view.listed.borrow_mut());
             if kind == ListKind::Complete {
                 out.clear();
                 listed.clear();
@@ -101,9 +101,9 @@
                     _ => listed.insert(l.instance),
                 };
             }
-            heard.changed.notify_waiters();
+            callback_view.changed.notify_waiters();
         });
-    until(&told, |t| t.listed.borrow().len() == nodes).await;
+    until(&observed, |t| t.listed.borrow().len() == nodes).await;
     let (first, first_bytes) = (begin.elapsed(), etcd.bytes());
     let grown = memory().saturating_sub(before);
 
@@ -113,10 +113,10 @@
         let name = format!("node-{:05}", n * 7919 % nodes);
         let begin = Instant::now();
         etcd.change(|store| store.put(&format!("/p/drains/{name}"), "", 0));
-        until(&told, |t| t.out.borrow().contains(&name)).await;
+        until(&observed, |t| t.out.borrow().contains(&name)).await;
         delays.push(begin.elapsed());
         etcd.change(|store| store.delete(&format!("/p/drains/{name}")));
-        until(&told, |t| !t.out.borrow().contains(&name)).await;
+        until(&observed, |t| !t.out.borrow().contains(&name)).await;
     }
     delays.sort_unstable();
 
@@ -131,7 +131,7 @@
         tokio::task::yield_now().await;
     }
     etcd.change(|store| store.put("/p/drains/node-00000", "", 0));
-    until(&told, |t| t.out.borrow().len() == 1 && t.listed.borrow().len() == nodes).await;
+    until(&observed, |t| t.out.borrow().len() == 1 && t.listed.borrow().len() == nodes).await;
     let churn = (etcd.bytes() - bytes, processor() - used, begin.elapsed());
 
     // The registry is unreachable, and its past is compacted.
@@ -142,7 +142,7 @@
     store.compact(store.revision);
     let begin = Instant::now();
     let etcd = Etcd::start_at(address, store).expect("the registry again");
-    until(&told, |t| t.out.borrow().len() == 2).await;
+    until(&observed, |t| t.out.borrow().len() == 2).await;
     let (resumed, calls) = (begin.elapsed(), etcd.calls());
     println!(
         "{nodes} nodes: first list {first:.1?}, {first_bytes} B, {} KiB of memory; drain to effect {:.2?} median, {:.2?} at 99%; \
--- a/membership/src/consul/transport.rs
+++ b/membership/src/consul/transport.rs
@@ -60,11 +60,11 @@
         timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.map_err(|_| "no connection in time")?;
     let stream = stream.map_err(|e| e.to_string())?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-    let asked = async move {
+    let response = async move {
         let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new());
         let request = request.map_err(|e| e.to_string())?;
-        let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
-        let (head, body) = response.into_parts();
+        let received = sender.send_request(request).await.map_err(|e| e.to_string())?;
+        let (head, body) = received.into_parts();
         if head.status != StatusCode::OK {
             return Err(format!("found status {}, expected 200", head.status));
         }
@@ -76,12 +76,12 @@
         let entries: Vec<Entry> = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
         Ok(Reply::Answer { call, index, leader, last_contact, entries })
     };
-    tokio::pin!(asked);
+    tokio::pin!(response);
     let mut connection = std::pin::pin!(connection);
     let mut open = true;
     loop {
         tokio::select! {
-            reply = &mut asked => return reply,
+            reply = &mut response => return reply,
             _ = &mut connection, if open => open = false,
         }
     }
--- a/membership/src/etcd.rs
+++ b/membership/src/etcd.rs
@@ -631,12 +631,12 @@
             return;
         }
         let events = std::mem::take(parts);
-        let told = !events.is_empty();
+        let has_events = !events.is_empty();
         let newest = events.iter().map(|e| e.now.written).max().unwrap_or(header.revision);
         self.apply(now, events);
         self.highest = self.highest.max(newest);
         // A response of a member that is behind does not confirm the view.
-        let reached = if told { newest } else { header.revision };
+        let reached = if has_events { newest } else { header.revision };
         if reached >= self.highest {
             (self.last_confirmed, self.failures) = (Some(now), 0);
         }
--- a/membership/src/file.rs
+++ b/membership/src/file.rs
@@ -50,7 +50,7 @@
     let path: PathBuf = std::path::absolute(path).map_err(|e| named(e.to_string()))?;
     let folder = path.parent().ok_or_else(|| named("has no folder".to_owned()))?.to_owned();
     let (changed, name) = (Arc::new(Notify::new()), path.file_name().map(ToOwned::to_owned));
-    let told = changed.clone();
+    let file_changed = changed.clone();
     let mut watcher = notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
         // The file is also read again if events were lost.
         let ours = event.as_ref().map_or(true, |event| {
@@ -58,7 +58,7 @@
                 || event.need_rescan()
         });
         if ours {
-            told.notify_one();
+            file_changed.notify_one();
         }
     })
     .map_err(|e| e.to_string())?;
@@ -93,7 +93,7 @@
     }
 
     #[test]
-    fn a_list_is_told_however_the_file_is_replaced_and_a_bad_one_is_not() {
+    fn a_list_is_passed_on_however_its_file_is_replaced_unless_it_is_invalid() {
         let folder = std::env::temp_dir().join(format!("sloeline-watched-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let path = folder.join("nodes.json");
--- a/membership/src/follow.rs
+++ b/membership/src/follow.rs
@@ -121,7 +121,7 @@
 }
 
 /// Passes changes on when they are due.
-async fn pass_on_changes(shared: Rc<Shared>, tell: impl Fn(ListKind, Vec<DiscoveryEntry>)) {
+async fn pass_on_changes(shared: Rc<Shared>, pass_on: impl Fn(ListKind, Vec<DiscoveryEntry>)) {
     loop {
         let now = shared.clock.now();
         let changes = {
@@ -130,7 +130,7 @@
             members.changes(now)
         };
         if let Some((kind, list)) = changes {
-            tell(kind, list);
+            pass_on(kind, list);
         }
         let due = shared.members.borrow().due();
         let timer = async {
@@ -147,13 +147,14 @@
 }
 
 impl SourceFollower {
-    /// Starts the sources, in the order of their precedence, each with its name. `told` gets the whole list once, then changes.
+    /// Starts the sources, in the order of their precedence, each with its name. `pass_on` gets the whole list once, then
+    /// changes.
     pub fn start(
         pool: &str,
         origins: &[(String, SourceConfig)],
         rules: &PlausibilityRules,
         seed: u64,
-        told: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static,
+        pass_on: impl Fn(ListKind, Vec<DiscoveryEntry>) + 'static,
     ) -> SourceFollower {
         let names: Vec<String> = origins.iter().map(|(name, _)| name.clone()).collect();
         let shared = Rc::new(Shared {
@@ -176,7 +177,7 @@
                 shared.members.borrow_mut().health(at, Health { trouble, ..Health::default() });
             }
         }
-        following.tasks.push(spawn_local(pass_on_changes(shared, told)).abort_handle());
+        following.tasks.push(spawn_local(pass_on_changes(shared, pass_on)).abort_handle());
         following
     }
 
@@ -217,11 +218,11 @@
             }
             SourceConfig::File(path) => {
                 // The watch starts before the file is read, so that no change is missed.
-                let told = {
+                let apply = {
                     let (shared, named) = (shared.clone(), named.clone());
                     move |_, list: Vec<DiscoveryEntry>| shared.apply_list(at, &named, true, &list)
                 };
-                self.files.push(file::watch(path, told)?);
+                self.files.push(file::watch(path, apply)?);
                 shared.apply_list(at, &named, true, &file::read(path)?);
                 return Ok(());
             }
--- a/membership/src/merge.rs
+++ b/membership/src/merge.rs
@@ -173,8 +173,8 @@
             let Some(started) = source.orders.get(id) else { continue };
             let reason = source.view.get(id).map(|(_, _, reason)| reason);
             // A node that has restarted since is another process, which the source that lost the entry does not know.
-            let anew = reason.is_none() && started.is_some() && member.node.started > *started;
-            if !anew {
+            let has_restarted = reason.is_none() && started.is_some() && member.node.started > *started;
+            if !has_restarted {
                 verdict.listed.state = ServerState::Draining;
                 verdict.by = Some(source.name.clone());
                 verdict.reason = reason.unwrap_or(Reason::Reported(MemberStatus::Draining));
--- a/membership/src/platform.rs
+++ b/membership/src/platform.rs
@@ -199,7 +199,7 @@
     ) {
         let this = self.clone();
         let task = spawn_local(async move {
-            let (mut line, mut pause) = (None, FIRST_RETRY_PAUSE);
+            let (mut connection, mut pause) = (None, FIRST_RETRY_PAUSE);
             loop {
                 let (path, patience) = match this.generation.get() {
                     None => ("/registry/instances".to_owned(), CALL_TIMEOUT),
@@ -208,7 +208,7 @@
                         WATCH_HOLD + WATCH_MARGIN,
                     ),
                 };
-                match this.call(&mut line, &path, patience).await {
+                match this.call(&mut connection, &path, patience).await {
                     Ok(list) => {
                         let whole = list.reset || this.generation.get().is_none();
                         this.generation.set(Some(list.generation));
@@ -272,37 +272,38 @@
 
     async fn call(
         &self,
-        line: &mut Option<Connection>,
+        connection: &mut Option<Connection>,
         path: &str,
         patience: Duration,
     ) -> Result<List, String> {
-        let called = timeout(patience, self.ask(line, path)).await.unwrap_or_else(|_| Err("silence".into()));
+        let called =
+            timeout(patience, self.request(connection, path)).await.unwrap_or_else(|_| Err("silence".into()));
         if called.is_err() {
-            *line = None;
+            *connection = None;
         }
         called
     }
 
-    async fn ask(&self, line: &mut Option<Connection>, path: &str) -> Result<List, String> {
-        let ready = match line {
-            Some(line) => line.sender.ready().await.is_ok(),
+    async fn request(&self, connection: &mut Option<Connection>, path: &str) -> Result<List, String> {
+        let ready = match connection {
+            Some(connection) => connection.sender.ready().await.is_ok(),
             None => false,
         };
         if !ready {
-            *line = None;
+            *connection = None;
             let stream = TcpStream::connect(self.address.get()).await.map_err(|e| e.to_string())?;
             let _ = stream.set_nodelay(true);
             let shaken = http1::handshake(TokioIo::new(stream)).await;
-            let (sender, connection) = shaken.map_err(|e| e.to_string())?;
+            let (sender, driving) = shaken.map_err(|e| e.to_string())?;
             let driver = spawn_local(async move {
-                let _ = connection.await;
+                let _ = driving.await;
             });
-            *line = Some(Connection { sender, driver: driver.abort_handle() });
+            *connection = Some(Connection { sender, driver: driver.abort_handle() });
         }
-        let Some(line) = line else { return Err("no connection".into()) };
+        let Some(connection) = connection else { return Err("no connection".into()) };
         let request = Request::get(path).header(HOST, self.address.get().to_string()).body(Empty::new());
         let request = request.map_err(|e| e.to_string())?;
-        let response = line.sender.send_request(request).await.map_err(|e| e.to_string())?;
+        let response = connection.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if response.status() != StatusCode::OK {
             return Err(format!("status {}", response.status()));
         }
--- a/membership/tests/announce.rs
+++ b/membership/tests/announce.rs
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn announced_kept_and_taken_back() {
+fn an_entry_is_written_renewed_and_revoked() {
     let mut host = Host::new();
     host.pass(5 * SECOND);
     assert_eq!((host.status(), host.calls), (None, 0), "nothing before it is ready");
@@ -147,7 +147,7 @@
 }
 
 #[test]
-fn a_registry_that_flaps_makes_no_entry_flap() {
+fn an_entry_does_not_change_while_its_registry_is_unreachable_now_and_then() {
     let mut host = Host::new();
     host.announce.set_desired(host.now, DesiredState::Serving);
     host.pass(SECOND);
@@ -176,7 +176,7 @@
 }
 
 #[test]
-fn an_order_to_drain_waits_for_nothing() {
+fn a_drain_is_written_at_once() {
     // A drain before the entry is written, and while the registry is unreachable.
     let mut host = Host::new();
     host.announce.set_desired(host.now, DesiredState::Serving);
--- a/membership/tests/consul.rs
+++ b/membership/tests/consul.rs
@@ -171,7 +171,7 @@
 }
 
 #[test]
-fn what_an_instance_says_of_itself() {
+fn an_instance_becomes_a_member() {
     let cases = [
         ("", MemberStatus::Serving, 4.0),
         (r#"{"CheckID":"a","Status":"passing"}"#, MemberStatus::Serving, 4.0),
@@ -232,7 +232,7 @@
 }
 
 #[test]
-fn a_server_without_a_leader_is_not_believed_even_where_nothing_is_known() {
+fn responses_of_a_server_without_a_leader_are_rejected_also_without_a_view() {
     let mut world = World::new(1, settings());
     world.old = (20, BTreeMap::from([("a".to_owned(), instance("a", 6, 6, ""))]));
     world.set("a", Some(instance("a", 6, 60, r#"{"CheckID":"_node_maintenance","Status":"critical"}"#)));
@@ -246,7 +246,7 @@
 }
 
 #[test]
-fn an_index_that_goes_back_or_is_zero() {
+fn an_index_that_decreases_or_is_zero() {
     let mut world = World::new(1, settings());
     world.index = 0;
     world.pass(25 * SECOND);
@@ -289,7 +289,7 @@
 
 /// Guards against views that differ from the registry's two holds after all faults have ended.
 #[test]
-fn random_histories_end_with_the_registry_s_own_view() {
+fn random_histories_end_with_the_view_of_the_registry() {
     let first = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or_else(|| fastrand::u64(..));
     println!("SEED={first}");
     for n in 0..1000 {
--- a/membership/tests/dns.rs
+++ b/membership/tests/dns.rs
@@ -115,7 +115,7 @@
 }
 
 #[test]
-fn one_answer_that_lacks_a_member_takes_nothing_out_and_none_empties_the_pool() {
+fn a_member_is_removed_after_two_responses_without_it_and_no_response_empties_the_pool() {
     let mut world = World::new();
     let full = || (1..=4).map(|n| srv(&format!("n{n}"), n, 80, 1, 1)).collect::<Vec<_>>();
     world.round(answer(full(), 5));
--- a/membership/tests/exhaustive.rs
+++ b/membership/tests/exhaustive.rs
@@ -39,7 +39,7 @@
 }
 
 #[test]
-fn no_drain_is_missed_and_nothing_rises_again_in_any_order_of_events() {
+fn no_drain_is_missed_and_no_removed_node_returns_in_any_order_of_events() {
     let all = ACTIONS.pow(DEPTH);
     for history in 0..all {
         let seed = history as u64;
--- a/membership/tests/hard.rs
+++ b/membership/tests/hard.rs
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn watches_that_are_open_and_deaf_everywhere() {
+fn stalled_watches_at_all_endpoints() {
     let mut world = with(&["a", "b"], false);
     all(&mut world, Fault { deaf: true, ..Fault::default() });
     world.store.put(&drain("a"), "", 0);
@@ -96,7 +96,7 @@
 }
 
 #[test]
-fn members_that_answer_in_turns_one_of_them_behind() {
+fn one_of_several_endpoints_is_behind() {
     let mut world = with(&["a", "b"], false);
     let behind = Some(world.store.revision);
     world.fault(0, Fault { behind, ..Fault::default() });
@@ -129,7 +129,7 @@
 }
 
 #[test]
-fn events_that_are_known_already_change_nothing() {
+fn repeated_events_change_nothing() {
     let mut world = with(&["a", "b"], false);
     world.store.put(&drain("a"), "", 0);
     pass(&mut world, 10 * MS);
@@ -157,7 +157,7 @@
 }
 
 #[test]
-fn a_registry_restored_from_a_backup_takes_no_drain_back() {
+fn a_registry_restored_from_a_backup_revokes_no_drain() {
     for same_cluster in [false, true] {
         let mut world = with(&["a", "b", "c"], false);
         let backup = world.store.clone();
@@ -186,7 +186,7 @@
 }
 
 #[test]
-fn addresses_and_identities_that_change_places() {
+fn nodes_that_exchange_their_addresses_or_identities() {
     let mut world = with(&["a"], false);
     let moved = entry::write(&node("a", 81), SERVING);
     world.store.put(&key("a"), moved, 0);
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn what_went_by_order_is_told_apart_from_what_ran_out() {
+fn deleted_entries_are_distinguished_from_expired_leases() {
     let names = ["a", "b", "c", "d", "e"];
     let four = |f: fn(&str) -> Write| -> Vec<Write> { names[..4].iter().map(|n| f(n)).collect() };
     // Entries that are deleted while their leases are valid: an order, once the leases were queried.
@@ -236,7 +236,7 @@
 }
 
 #[test]
-fn slow_and_silent_registries() {
+fn registries_that_respond_slowly_or_not_at_all() {
     let mut world = World::with(seed(), settings(), PlausibilityRules::default());
     world.store.put(&key("a"), value("a", SERVING), 0);
     // The first call gets no reply, and the second one half of a response.
@@ -260,7 +260,7 @@
 }
 
 #[test]
-fn a_registry_with_too_much_to_say() {
+fn a_registry_with_very_many_events() {
     let mut world = World::with(seed(), settings(), PlausibilityRules::default());
     for n in 0..100_000 {
         let name = format!("n{n:06}");
@@ -284,7 +284,7 @@
 
 /// The maximum number of members is configurable, and applies to the pages of a range before there is a view.
 #[test]
-fn a_registry_with_more_than_is_believed_until_more_is() {
+fn a_registry_with_more_members_than_the_configurable_maximum() {
     let mut world = World::with(
         seed(),
         settings(),
@@ -304,7 +304,7 @@
 }
 
 #[test]
-fn garbage_is_no_loss_and_no_order() {
+fn an_unreadable_entry_is_neither_a_removal_nor_an_order() {
     let mut world = with(&["a", "b"], false);
     for text in ["", "{", "null", "[]", "{\"address\":7}", "{\"address\":\"nowhere\"}", "\u{0}\u{ff}"] {
         world.store.put(&key("a"), text, 0);
--- a/membership/tests/plausibility.rs
+++ b/membership/tests/plausibility.rs
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn what_a_loss_leaves_serving() {
+fn members_that_serve_after_a_loss() {
     let unhealthy = |range: std::ops::Range<usize>| -> Vec<Change> {
         range.map(|n| Change::Put(member(n, Unhealthy, 11))).collect()
     };
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn losses_one_by_one_count_together_and_an_operator_overrides() {
+fn single_losses_add_up_within_the_window_and_an_operator_can_accept_all() {
     let mut view = with(10);
     for n in 0..8 {
         view.apply(SECOND, changes(11 + n, gone(n as usize..n as usize + 1, Loss::Missing))).expect("newer");
@@ -115,7 +115,7 @@
 }
 
 #[test]
-fn older_views_partial_ones_and_too_long_ones_are_refused() {
+fn older_partial_and_too_long_updates_are_rejected() {
     let mut view = with(3);
     let older = view.apply(1, whole(0, 9, Vec::new()));
     assert!(matches!(older, Err(Rejection::Older { .. })), "{older:?}");
@@ -133,7 +133,7 @@
 }
 
 #[test]
-fn orders_outlive_a_registry_that_is_restored() {
+fn orders_remain_after_a_registry_is_restored_from_a_backup() {
     let mut view = with(4);
     let update = vec![
         Change::Put(member(0, Draining, 11)),
@@ -166,7 +166,7 @@
 }
 
 #[test]
-fn an_order_of_any_source_holds_until_that_source_takes_it_back() {
+fn an_order_of_a_source_remains_until_that_source_revokes_it() {
     let names = ["first".to_owned(), "second".to_owned()];
     let state =
         |members: &Members, n: usize| members.resolve(&format!("n{n}")).map(|v| (v.listed.state, v.by));
--- a/membership/tests/silent.rs
+++ b/membership/tests/silent.rs
@@ -12,7 +12,7 @@
 
 /// Emulated time advances to the next timer when no task can run.
 #[test]
-fn a_silent_watch_is_told_as_failed_within_ten_seconds() {
+fn a_watch_without_a_response_fails_within_ten_seconds() {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
--- a/membership/tests/stampede.rs
+++ b/membership/tests/stampede.rs
@@ -96,7 +96,7 @@
 }
 
 #[test]
-fn a_registry_that_comes_back_is_not_trampled() {
+fn the_call_rate_stays_limited_when_a_registry_becomes_reachable_again() {
     let first = seed();
     for (away, compacted) in [(0, false), (60, false), (60, true)] {
         let (seconds, last) = outage(first, away, compacted);
--- a/membership/tests/xds.rs
+++ b/membership/tests/xds.rs
@@ -125,7 +125,7 @@
 }
 
 #[test]
-fn assignments_are_read_and_acknowledged_or_refused_with_the_reason() {
+fn assignments_are_acknowledged_or_rejected_with_the_reason() {
     let mut world = World::new(&accepting());
     let good = assignment(vec![
         group(1, &[(80, 1, 1), (81, 0, 7), (82, 2, 1), (83, 3, 1), (84, 4, 1), (85, 5, 1)]),
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn a_cluster_that_is_removed_empties_no_pool_by_itself() {
+fn the_removal_of_a_cluster_does_not_empty_a_pool() {
     let mut world = World::new(&PlausibilityRules::default());
     world.respond("v1", Ok(Some(assignment(vec![group(0, &[(80, 1, 1), (81, 1, 1)])]))));
     world.respond("v2", Ok(None));
@@ -172,7 +172,7 @@
 }
 
 #[test]
-fn a_new_stream_takes_nothing_back_and_the_same_one_may() {
+fn a_replaced_version_is_rejected_on_a_new_stream_and_accepted_on_the_same_one() {
     let full = || Ok(Some(assignment(vec![group(0, &[(80, 1, 1), (81, 1, 1)])])));
     let drained = || Ok(Some(assignment(vec![group(0, &[(80, 3, 1), (81, 1, 1)])])));
     let mut world = World::new(&accepting());
@@ -203,7 +203,7 @@
 }
 
 #[test]
-fn a_stream_that_may_be_deaf_is_opened_anew_and_one_that_says_nothing_is_left() {
+fn a_stream_is_replaced_after_its_lifetime_or_without_a_response() {
     let mut world = World::new(&accepting());
     let first = world.stream;
     world.pass(5 * SECOND + SECOND);
