--- a/mesh/testbed/tests/upstream_ends.rs
+++ b/mesh/testbed/tests/upstream_ends.rs
@@ -45,6 +45,14 @@
         self.balancer = Some(self.mesh.plan.balancer(2, "one").expect("a balancer"));
     }
 
+    /// Restarts the balancer, delivers a heartbeat from before the end late, and sends requests, none of which may reach the
+    /// upstream.
+    async fn assert_end_outlasts_restart(&mut self, late_sequence: u64) {
+        self.restart_balancer();
+        self.beat_late(late_sequence).await;
+        self.assert_gets_nothing("left").await;
+    }
+
     /// Sends requests until one is served.
     async fn assert_serves(&self, id: &str) {
         let served = until(|| self.mesh.request("/once/a", id, None), |a| status(a) == 200).await;
@@ -81,9 +89,7 @@
                 if closing { watched.place.beat("closing", 2).await } else { watched.place.leave().await };
             assert_eq!(status(&ended), 200, "{ended:?}");
             // At once, before any peer could pull it.
-            watched.restart_balancer();
-            watched.beat_late(if closing { 1 } else { 2 }).await;
-            watched.assert_gets_nothing("left").await;
+            watched.assert_end_outlasts_restart(if closing { 1 } else { 2 }).await;
             // A new instance, perhaps at the same address, serves.
             let next = Place { id: "i-next".to_owned(), ..watched.place.clone() };
             let started = Instant::now();
@@ -108,9 +114,7 @@
             let again = watched.mesh.plan.core(core, false).expect("a core machine");
             watched.mesh.cores.push(Some(again));
         }
-        watched.restart_balancer();
-        watched.beat_late(2).await;
-        watched.assert_gets_nothing("left").await;
+        watched.assert_end_outlasts_restart(2).await;
     });
 }
 
